--- /dev/null
+++ b/libs/base/src/log.cpp
@@ -0,0 +1,127 @@
+#include <barleyfork/base/log.hpp>
+
+#include <log4cplus/asyncappender.h>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/fileappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+#include <memory>
+
+namespace barleyfork {
+
+namespace {
+
+constexpr unsigned queue_lines = 8192;
+
+std::unique_ptr<log4cplus::Initializer>& initializer()
+{
+    static std::unique_ptr<log4cplus::Initializer> instance;
+    return instance;
+}
+
+log4cplus::LogLevel to_library(log_level level)
+{
+    constexpr log4cplus::LogLevel levels[] = {log4cplus::TRACE_LOG_LEVEL,
+                                              log4cplus::DEBUG_LOG_LEVEL,
+                                              log4cplus::INFO_LOG_LEVEL,
+                                              log4cplus::WARN_LOG_LEVEL,
+                                              log4cplus::ERROR_LOG_LEVEL};
+    return levels[static_cast<std::size_t>(level)];
+}
+
+log4cplus::SharedAppenderPtr make_appender(const std::string& file)
+{
+    if (file.empty())
+        return log4cplus::SharedAppenderPtr(
+            new log4cplus::ConsoleAppender(true, true));
+    return log4cplus::SharedAppenderPtr(
+        new log4cplus::FileAppender(file, std::ios_base::app));
+}
+
+bool needs_quotes(std::string_view value)
+{
+    return value.empty() ||
+           value.find_first_of(" \t\r\n\"=\\") != std::string_view::npos;
+}
+
+void append_value(std::string& line, std::string_view value)
+{
+    if (!needs_quotes(value)) {
+        line += value;
+        return;
+    }
+    line += '"';
+    for (const char c : value) {
+        if (c == '"' || c == '\\')
+            line += '\\';
+        line += c == '\n' || c == '\r' ? ' ' : c;
+    }
+    line += '"';
+}
+
+} // namespace
+
+void start_log(std::string_view level,
+               const std::string& file,
+               const std::string& instance)
+{
+    initializer() = std::make_unique<log4cplus::Initializer>();
+    auto appender = make_appender(file);
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
+        "ts=%D{%Y-%m-%dT%H:%M:%S.%q} level=%p instance=" + instance +
+        " %m%n"));
+    log4cplus::SharedAppenderPtr queue(
+        new log4cplus::AsyncAppender(appender, queue_lines));
+    auto root = log4cplus::Logger::getRoot();
+    root.removeAllAppenders();
+    root.addAppender(queue);
+    root.setLogLevel(log4cplus::getLogLevelManager().fromString(
+        level == "trace"   ? "TRACE"
+        : level == "debug" ? "DEBUG"
+        : level == "warn"  ? "WARN"
+        : level == "error" ? "ERROR"
+                           : "INFO"));
+}
+
+void stop_log()
+{
+    if (!initializer())
+        return;
+    log4cplus::Logger::shutdown();
+    initializer().reset();
+}
+
+log_event::log_event(log_level level, std::string_view name)
+    : level_(level)
+    , line_("event=")
+{
+    append_value(line_, name);
+}
+
+log_event::~log_event()
+{
+    if (!initializer())
+        return;
+    auto root = log4cplus::Logger::getRoot();
+    const auto level = to_library(level_);
+    if (root.isEnabledFor(level))
+        root.forcedLog(level, line_);
+}
+
+log_event& log_event::with(std::string_view key, std::string_view value)
+{
+    line_ += ' ';
+    line_ += key;
+    line_ += '=';
+    append_value(line_, value);
+    return *this;
+}
+
+log_event& log_event::with(std::string_view key, std::int64_t value)
+{
+    return with(key, std::string_view(std::to_string(value)));
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/core/include/barleyfork/core/catalog.hpp
@@ -0,0 +1,167 @@
+#ifndef BARLEYFORK_CORE_CATALOG_HPP
+#define BARLEYFORK_CORE_CATALOG_HPP
+
+#include <barleyfork/base/error.hpp>
+#include <barleyfork/base/strong_id.hpp>
+#include <barleyfork/schema/deployment_generated.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace barleyfork {
+
+/// An organisation as the request path needs it.
+struct organisation_entry
+{
+    organisation_id id;
+    std::uint32_t requests_per_second = 0;
+    std::uint32_t tokens_per_second = 0;
+    std::uint32_t weight = 1;
+};
+
+/// A declared model. `id` is `organisation/name`, unique in a deployment.
+struct model_entry
+{
+    model_id id;
+    organisation_id owner;
+    std::string name;
+    std::string source;
+    std::uint32_t version = 1;
+    std::uint32_t memory_mib = 0;
+    std::uint32_t min_replicas = 1;
+    std::uint32_t max_replicas = 64;
+    double requests_per_second_per_replica = 1.0;
+    std::uint32_t first_token_ms = 400;
+    std::uint32_t between_tokens_ms = 42;
+    std::uint32_t priority = 1;
+};
+
+/// An adapter over a model; `id` is `organisation/name`.
+struct adapter_entry
+{
+    model_id id;
+    model_id base_model;
+    std::uint32_t memory_mib = 0;
+};
+
+/// A path that leads to a plain service.
+struct route_entry
+{
+    organisation_id owner;
+    std::string path;
+    std::string service;
+    bool idempotent = true;
+};
+
+/// A backend server: either runs models or is a replica of `service`.
+struct server_entry
+{
+    server_id id;
+    std::string url;
+    region_id region;
+    failure_domain_id failure_domain;
+    std::string service;
+    std::uint32_t accelerators = 0;
+    /// Accelerator memory for models, the adapters' slab taken off.
+    std::uint32_t model_memory_mib = 0;
+    std::uint32_t adapter_slab_mib = 0;
+    bool checks_fencing = true;
+};
+
+/// Deployment-wide trade-offs; see `placement_planner`.
+struct policy_entry
+{
+    double move_price = 1.0;
+    double loads_per_second = 1.6;
+    std::uint32_t loads_at_once = 2;
+    std::uint32_t cell_servers = 50;
+};
+
+/// An immutable, indexed view of one accepted declaration.
+///
+/// Shared between threads through `std::shared_ptr<const catalog>`.
+class catalog
+{
+public:
+    /// Checks references and limits and builds the view.
+    ///
+    /// Fails with `invalid_input`, naming the entry and the remedy: unknown
+    /// owner, doubled name, service without replicas, slab over memory.
+    static failure build(const schema::deployment_record& deployment,
+                         std::shared_ptr<const catalog>& out);
+
+    /// The organisation that owns a caller key's digest, or null.
+    const organisation_entry*
+    organisation_by_key(std::string_view key_digest) const;
+
+    /// A model by its owner and its name, or null.
+    const model_entry* find_model(const organisation_id& owner,
+                                  std::string_view name) const;
+
+    /// A model by its id, or null.
+    const model_entry* find_model(const model_id& id) const;
+
+    /// The longest route of `owner` that is a prefix of `path`, or null.
+    const route_entry* find_route(const organisation_id& owner,
+                                  std::string_view path) const;
+
+    /// A backend server by its id, or null.
+    const server_entry* find_server(const server_id& id) const;
+
+    const std::vector<organisation_entry>& organisations() const noexcept
+    {
+        return organisations_;
+    }
+    const std::vector<model_entry>& models() const noexcept
+    {
+        return models_;
+    }
+    const std::vector<adapter_entry>& adapters() const noexcept
+    {
+        return adapters_;
+    }
+    const std::vector<route_entry>& routes() const noexcept
+    {
+        return routes_;
+    }
+    const std::vector<server_entry>& servers() const noexcept
+    {
+        return servers_;
+    }
+    const policy_entry& policy() const noexcept { return policy_; }
+    const std::string& name() const noexcept { return name_; }
+
+private:
+    catalog() = default;
+
+    failure add_organisations(const schema::deployment_record& deployment);
+    failure add_models(const schema::deployment_record& deployment);
+    failure add_adapters(const schema::deployment_record& deployment);
+    failure add_servers(const schema::deployment_record& deployment);
+    failure add_routes(const schema::deployment_record& deployment);
+    bool has_organisation(const std::string& name) const;
+
+    std::string name_;
+    policy_entry policy_;
+    std::vector<organisation_entry> organisations_;
+    std::vector<model_entry> models_;
+    std::vector<adapter_entry> adapters_;
+    std::vector<route_entry> routes_;
+    std::vector<server_entry> servers_;
+    std::unordered_map<std::string, std::size_t> organisation_of_key_;
+    std::unordered_map<std::string, std::size_t> organisation_index_;
+    std::unordered_map<std::string, std::size_t> model_index_;
+    std::unordered_map<std::string, std::size_t> server_index_;
+};
+
+/// The id of a model from its owner and name.
+model_id make_model_id(const organisation_id& owner, std::string_view name);
+
+} // namespace barleyfork
+
+#endif
--- /dev/null
+++ b/libs/core/include/barleyfork/core/cell_controller.hpp
@@ -0,0 +1,137 @@
+#ifndef BARLEYFORK_CORE_CELL_CONTROLLER_HPP
+#define BARLEYFORK_CORE_CELL_CONTROLLER_HPP
+
+#include <barleyfork/base/strong_id.hpp>
+#include <barleyfork/base/time.hpp>
+#include <barleyfork/core/memory_ledger.hpp>
+#include <barleyfork/core/placement_planner.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace barleyfork {
+
+/// A conditional write of one ledger row.
+struct ledger_write
+{
+    ledger_row row;
+    /// The version that the row must still have; 0 where it is absent.
+    std::uint64_t expected_version = 0;
+};
+
+/// What the duties have to do for the controller.
+struct controller_effects
+{
+    std::vector<ledger_write> writes;
+    /// Orders to send now, each at most once; the server beside each.
+    std::vector<std::pair<server_id, engine_order>> orders;
+};
+
+/// How a conditional write ended.
+enum class write_outcome : std::uint8_t
+{
+    done,
+    conflict,
+    /// No answer came; the write may have taken effect.
+    unknown,
+};
+
+/// Decides the orders of one cell of backend servers under one lease epoch.
+///
+/// No order is sent before the ledger row that counts it is known to be
+/// written. At most one write per row is outstanding. The object lives for
+/// one lease epoch; a daemon that takes the lease again makes a new one. Not
+/// thread-safe; the time is an argument.
+class cell_controller
+{
+public:
+    cell_controller(instance_id self, std::uint64_t epoch);
+
+    /// Adds a server of the cell; `row` is the ledger row as read, or a fresh
+    /// one with version 0.
+    void add_server(ledger_row row, std::uint64_t version);
+
+    /// Removes a server that is no longer declared.
+    void remove_server(const server_id& server);
+
+    /// Takes in a report of an engine.
+    void on_report(const server_id& server, const engine_report& report);
+
+    /// Marks instances that the platform lists as gone for good.
+    void on_instances_gone(std::span<const instance_id> gone);
+
+    /// Asks for one planned step; ignored where the ledger forbids it.
+    /// Returns true where it was taken up.
+    bool request(const planned_step& step, std::string order_name);
+
+    /// The outcome of a write; after `unknown` the same write is repeated.
+    ///
+    /// `conflict` means that another writer's row stands, told by its
+    /// write id; a row with this write's own id counts as `done`.
+    void on_write(const server_id& server,
+                  write_outcome outcome,
+                  std::uint64_t version);
+
+    /// The engine's answer to an order.
+    void on_answer(const server_id& server,
+                   const engine_order& order,
+                   const order_answer& answer);
+
+    /// What to do now: adopts rows of earlier epochs, writes changed rows,
+    /// releases orders whose row is written, fences engines.
+    controller_effects collect();
+
+    /// False once another writer changed a row: the epoch is over.
+    bool valid() const noexcept { return valid_; }
+
+    /// True where an order's outcome is unknown and raising the epoch would
+    /// let a checking engine close it.
+    bool wants_new_epoch() const;
+
+    /// The rows as last known to be written, for the planner and status.
+    const ledger_row* written_row(const server_id& server) const;
+
+    /// The servers of the cell in order of their ids.
+    std::vector<server_id> servers() const;
+
+private:
+    struct server_slot
+    {
+        /// The row as last known to stand in the table, and its version.
+        ledger_row written;
+        std::uint64_t version = 0;
+        /// The row as it should be.
+        ledger_row wanted;
+        /// The row being written; kept until its outcome is known.
+        std::optional<ledger_row> in_flight;
+        bool awaiting_outcome = false;
+        bool adopted = false;
+        bool fence_sent = false;
+        /// Orders in `wanted` that are not sent yet.
+        std::vector<engine_order> unsent;
+        /// Orders of this epoch that no answer came for.
+        std::vector<order_id> unanswered;
+    };
+
+    void collect_write(server_slot& slot, controller_effects& effects);
+    void collect_orders(const server_id& id,
+                        server_slot& slot,
+                        controller_effects& effects);
+    void collect_fence(const server_id& id,
+                       server_slot& slot,
+                       controller_effects& effects);
+
+    instance_id self_;
+    std::uint64_t epoch_;
+    std::uint64_t writes_ = 0;
+    bool valid_ = true;
+    std::map<server_id, server_slot> slots_;
+};
+
+} // namespace barleyfork
+
+#endif
--- /dev/null
+++ b/libs/core/src/admission.cpp
@@ -0,0 +1,111 @@
+#include <barleyfork/core/admission.hpp>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace barleyfork {
+
+namespace {
+
+struct floor_entry
+{
+    const model_entry* model = nullptr;
+    std::uint32_t replicas = 0;
+};
+
+struct server_room
+{
+    std::uint64_t free_mib = 0;
+};
+
+bool stands_in(const catalog& declaration, const model_entry& model)
+{
+    const auto* other = declaration.find_model(model.id);
+    return other != nullptr && other->version == model.version;
+}
+
+std::vector<floor_entry> union_of_floors(const catalog* current,
+                                         const catalog& next)
+{
+    std::vector<floor_entry> floors;
+    for (const auto& model : next.models())
+        floors.push_back({&model, model.min_replicas});
+    if (current != nullptr)
+        for (const auto& model : current->models())
+            if (!stands_in(next, model))
+                floors.push_back({&model, model.min_replicas});
+    std::stable_sort(
+        floors.begin(), floors.end(), [](const auto& a, const auto& b) {
+            return a.model->memory_mib > b.model->memory_mib;
+        });
+    return floors;
+}
+
+std::vector<server_room> rooms_of(const catalog& next)
+{
+    std::vector<server_room> rooms;
+    for (const auto& server : next.servers())
+        if (server.service.empty())
+            rooms.push_back({server.model_memory_mib});
+    return rooms;
+}
+
+/// Places one model on as many of the emptiest servers as it needs.
+bool place(const floor_entry& floor, std::vector<server_room>& rooms)
+{
+    std::vector<server_room*> order;
+    for (auto& room : rooms)
+        order.push_back(&room);
+    std::stable_sort(order.begin(), order.end(), [](auto* a, auto* b) {
+        return a->free_mib > b->free_mib;
+    });
+    if (order.size() < floor.replicas)
+        return false;
+    for (std::uint32_t i = 0; i < floor.replicas; ++i) {
+        if (order[i]->free_mib < floor.model->memory_mib)
+            return false;
+        order[i]->free_mib -= floor.model->memory_mib;
+    }
+    return true;
+}
+
+failure refuse(const std::vector<floor_entry>& floors,
+               const floor_entry& misfit,
+               const std::vector<server_room>& rooms,
+               std::uint64_t available)
+{
+    std::uint64_t needed = 0;
+    for (const auto& floor : floors)
+        needed += std::uint64_t{floor.model->memory_mib} * floor.replicas;
+    std::uint64_t largest = 0;
+    for (const auto& room : rooms)
+        largest = std::max(largest, room.free_mib);
+    return make_failure(
+        errc::does_not_fit,
+        "old and new floors need " + std::to_string(needed) + " MiB of " +
+            std::to_string(available) + " MiB; model " +
+            misfit.model->id.value() + " needs " +
+            std::to_string(misfit.model->memory_mib) + " MiB on " +
+            std::to_string(misfit.replicas) +
+            " servers and the largest room left is " +
+            std::to_string(largest) + " MiB");
+}
+
+} // namespace
+
+failure check_admission(const catalog* current, const catalog& next)
+{
+    const auto floors = union_of_floors(current, next);
+    auto rooms = rooms_of(next);
+    std::uint64_t available = 0;
+    for (const auto& room : rooms)
+        available += room.free_mib;
+    for (const auto& floor : floors)
+        if (!place(floor, rooms))
+            return refuse(floors, floor, rooms, available);
+    return {};
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/core/src/cell_controller.cpp
@@ -0,0 +1,229 @@
+#include <barleyfork/core/cell_controller.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace barleyfork {
+
+namespace {
+
+/// A new report sequence or write id alone is not worth a write.
+bool differs(const ledger_row& wanted, const ledger_row& written)
+{
+    return wanted.boot != written.boot ||
+           wanted.capacity_mib != written.capacity_mib ||
+           wanted.checks_fencing != written.checks_fencing ||
+           wanted.fenced_epoch != written.fenced_epoch ||
+           wanted.residents != written.residents ||
+           wanted.orders != written.orders;
+}
+
+bool contains_order(const ledger_row& row, const order_id& id)
+{
+    return std::any_of(
+        row.orders.begin(), row.orders.end(), [&id](const auto& order) {
+            return order.id == id;
+        });
+}
+
+} // namespace
+
+cell_controller::cell_controller(instance_id self, std::uint64_t epoch)
+    : self_(std::move(self))
+    , epoch_(epoch)
+{
+}
+
+void cell_controller::add_server(ledger_row row, std::uint64_t version)
+{
+    const auto id = row.server;
+    server_slot slot;
+    slot.written = row;
+    slot.wanted = std::move(row);
+    slot.version = version;
+    slots_.insert_or_assign(id, std::move(slot));
+}
+
+void cell_controller::remove_server(const server_id& server)
+{
+    slots_.erase(server);
+}
+
+void cell_controller::on_report(const server_id& server,
+                                const engine_report& report)
+{
+    const auto found = slots_.find(server);
+    if (found == slots_.end())
+        return;
+    auto& slot = found->second;
+    const auto boot = slot.wanted.boot;
+    if (apply_report(slot.wanted, report) && slot.wanted.boot != boot)
+        slot.fence_sent = false;
+}
+
+void cell_controller::on_instances_gone(std::span<const instance_id> gone)
+{
+    for (auto& [id, slot] : slots_)
+        mark_senders_gone(slot.wanted, gone);
+}
+
+bool cell_controller::request(const planned_step& step,
+                              std::string order_name)
+{
+    const auto found = slots_.find(step.server);
+    if (found == slots_.end())
+        return false;
+    auto& slot = found->second;
+    if (!slot.adopted || has_order(slot.wanted, step.model, step.version))
+        return false;
+    const bool load = step.kind == order_kind::load;
+    const bool allowed =
+        load ? may_load(
+                   slot.wanted, step.model, step.version, step.memory_mib)
+             : is_ready(slot.wanted, step.model, step.version);
+    if (!allowed)
+        return false;
+    engine_order order;
+    order.id = order_id(std::move(order_name));
+    order.kind = step.kind;
+    order.model = step.model;
+    order.version = step.version;
+    order.memory_mib = step.memory_mib;
+    order.epoch = epoch_;
+    order.sender = self_;
+    order.boot = slot.wanted.boot;
+    begin_order(slot.wanted, order);
+    slot.unsent.push_back(std::move(order));
+    return true;
+}
+
+void cell_controller::on_write(const server_id& server,
+                               write_outcome outcome,
+                               std::uint64_t version)
+{
+    const auto found = slots_.find(server);
+    if (found == slots_.end())
+        return;
+    auto& slot = found->second;
+    if (outcome == write_outcome::conflict) {
+        valid_ = false;
+        return;
+    }
+    slot.awaiting_outcome = false;
+    if (outcome == write_outcome::unknown || !slot.in_flight)
+        return;
+    slot.written = std::move(*slot.in_flight);
+    slot.in_flight.reset();
+    slot.version = version;
+    slot.adopted = true;
+}
+
+void cell_controller::on_answer(const server_id& server,
+                                const engine_order& order,
+                                const order_answer& answer)
+{
+    const auto found = slots_.find(server);
+    if (found == slots_.end())
+        return;
+    auto& slot = found->second;
+    if (order.kind == order_kind::fence) {
+        if (answer.outcome == order_outcome::done)
+            acknowledge_fence(slot.wanted, order.epoch, answer);
+        else
+            slot.fence_sent = false;
+        return;
+    }
+    if (answer.outcome == order_outcome::unknown)
+        slot.unanswered.push_back(order.id);
+    close_order(slot.wanted, order.id, answer);
+}
+
+controller_effects cell_controller::collect()
+{
+    controller_effects effects;
+    if (!valid_)
+        return effects;
+    for (auto& [id, slot] : slots_) {
+        collect_write(slot, effects);
+        collect_fence(id, slot, effects);
+        collect_orders(id, slot, effects);
+    }
+    return effects;
+}
+
+void cell_controller::collect_write(server_slot& slot,
+                                    controller_effects& effects)
+{
+    if (slot.awaiting_outcome)
+        return;
+    if (!slot.in_flight) {
+        if (slot.adopted && !differs(slot.wanted, slot.written))
+            return;
+        slot.wanted.epoch = epoch_;
+        slot.wanted.write_id = self_.value() + "/" + std::to_string(epoch_) +
+                               "/" + std::to_string(++writes_);
+        slot.in_flight = slot.wanted;
+    }
+    slot.awaiting_outcome = true;
+    effects.writes.push_back({*slot.in_flight, slot.version});
+}
+
+void cell_controller::collect_fence(const server_id& id,
+                                    server_slot& slot,
+                                    controller_effects& effects)
+{
+    const auto& row = slot.written;
+    if (!row.checks_fencing || !slot.adopted || slot.fence_sent ||
+        row.boot == 0 || slot.wanted.fenced_epoch >= epoch_)
+        return;
+    engine_order order;
+    order.id = order_id(row.write_id + "/fence");
+    order.kind = order_kind::fence;
+    order.epoch = epoch_;
+    order.sender = self_;
+    order.boot = row.boot;
+    slot.fence_sent = true;
+    effects.orders.emplace_back(id, std::move(order));
+}
+
+void cell_controller::collect_orders(const server_id& id,
+                                     server_slot& slot,
+                                     controller_effects& effects)
+{
+    std::erase_if(slot.unsent, [&](const engine_order& order) {
+        if (!contains_order(slot.written, order.id))
+            return false;
+        effects.orders.emplace_back(id, order);
+        return true;
+    });
+}
+
+bool cell_controller::wants_new_epoch() const
+{
+    return std::any_of(slots_.begin(), slots_.end(), [](const auto& entry) {
+        const auto& slot = entry.second;
+        return slot.wanted.checks_fencing &&
+               std::any_of(slot.unanswered.begin(),
+                           slot.unanswered.end(),
+                           [&slot](const order_id& id) {
+                               return contains_order(slot.wanted, id);
+                           });
+    });
+}
+
+const ledger_row* cell_controller::written_row(const server_id& server) const
+{
+    const auto found = slots_.find(server);
+    return found == slots_.end() ? nullptr : &found->second.written;
+}
+
+std::vector<server_id> cell_controller::servers() const
+{
+    std::vector<server_id> result;
+    result.reserve(slots_.size());
+    for (const auto& [id, slot] : slots_)
+        result.push_back(id);
+    return result;
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/core/src/lease.cpp
@@ -0,0 +1,94 @@
+#include <barleyfork/core/lease.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace barleyfork {
+
+lease::lease(instance_id self, lease_options options)
+    : self_(std::move(self))
+    , options_(options)
+{
+}
+
+void lease::observe(const lease_row& row,
+                    std::uint64_t version,
+                    time_point now)
+{
+    if (observed_ && version <= version_)
+        return;
+    const auto own = std::find_if(
+        pending_.begin(), pending_.end(), [&row](const auto& write) {
+            return write.row.write_id == row.write_id;
+        });
+    row_ = row;
+    version_ = version;
+    observed_ = true;
+    seen_at_ = now;
+    // A lost answer of a write that took effect: the term counts from before
+    // the write was sent.
+    if (own != pending_.end())
+        held_until_ = own->sent_at + options_.term - options_.margin;
+    else if (row.holder != self_)
+        held_until_ = time_point{};
+    pending_.clear();
+}
+
+std::optional<lease_row> lease::next_write(bool candidate,
+                                           std::string write_id,
+                                           time_point now)
+{
+    if (!observed_)
+        return std::nullopt;
+    if (held(now)) {
+        const auto renew_at =
+            held_until_ - options_.term + options_.margin + options_.renewal;
+        if (now < renew_at)
+            return std::nullopt;
+        return begin_write({self_, row_.epoch, std::move(write_id)}, now);
+    }
+    if (!candidate || !expired(now))
+        return std::nullopt;
+    return begin_write({self_, row_.epoch + 1, std::move(write_id)}, now);
+}
+
+std::optional<lease_row> lease::raise_epoch(std::string write_id,
+                                            time_point now)
+{
+    if (!held(now))
+        return std::nullopt;
+    return begin_write({self_, row_.epoch + 1, std::move(write_id)}, now);
+}
+
+void lease::written(const lease_row& row,
+                    std::uint64_t version,
+                    time_point now)
+{
+    observe(row, version, now);
+}
+
+std::optional<lease_row> lease::release(std::string write_id, time_point now)
+{
+    if (!held(now))
+        return std::nullopt;
+    held_until_ = time_point{};
+    return lease_row{instance_id(), row_.epoch, std::move(write_id)};
+}
+
+bool lease::held(time_point now) const noexcept
+{
+    return row_.holder == self_ && now < held_until_;
+}
+
+bool lease::expired(time_point now) const noexcept
+{
+    return row_.holder.empty() || now >= seen_at_ + options_.term;
+}
+
+lease_row lease::begin_write(lease_row row, time_point now)
+{
+    pending_.push_back({row, now});
+    return row;
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/core/src/memory_ledger.cpp
@@ -0,0 +1,260 @@
+#include <barleyfork/core/memory_ledger.hpp>
+
+#include <algorithm>
+
+namespace barleyfork {
+
+namespace {
+
+bool is_fenced(const ledger_row& row)
+{
+    return !row.checks_fencing ||
+           (row.fenced_epoch != 0 && row.report_sequence > row.fenced_sequence);
+}
+
+template <typename Entry>
+bool same_version(const Entry& entry,
+                  const model_id& model,
+                  std::uint32_t version)
+{
+    return entry.version == version && entry.model == model;
+}
+
+const resident_model* find_resident(std::span<const resident_model> residents,
+                                    const model_id& model,
+                                    std::uint32_t version)
+{
+    const auto found = std::find_if(
+        residents.begin(), residents.end(), [&](const auto& entry) {
+            return same_version(entry, model, version);
+        });
+    return found == residents.end() ? nullptr : &*found;
+}
+
+bool is_counted(const ledger_row& row,
+                const model_id& model,
+                std::uint32_t version)
+{
+    if (find_resident(row.residents, model, version) != nullptr)
+        return true;
+    return std::any_of(
+        row.orders.begin(), row.orders.end(), [&](const auto& order) {
+            return order.kind == order_kind::load &&
+                   same_version(order, model, version);
+        });
+}
+
+std::ptrdiff_t count_loads(const ledger_row& row,
+                           const model_id& model,
+                           std::uint32_t version)
+{
+    return std::count_if(
+        row.orders.begin(), row.orders.end(), [&](const auto& order) {
+            return order.kind == order_kind::load &&
+                   same_version(order, model, version);
+        });
+}
+
+void add_resident(ledger_row& row,
+                  const engine_order& order,
+                  std::uint64_t sequence)
+{
+    for (auto& entry : row.residents) {
+        if (!same_version(entry, order.model, order.version))
+            continue;
+        entry.since_sequence = std::max(entry.since_sequence, sequence);
+        return;
+    }
+    row.residents.push_back(
+        {order.model, order.version, order.memory_mib, sequence});
+}
+
+void start_boot(ledger_row& row, std::uint64_t boot)
+{
+    row.boot = boot;
+    row.report_sequence = 0;
+    row.fenced_epoch = 0;
+    row.fenced_sequence = 0;
+    for (auto& entry : row.residents)
+        entry.since_sequence = 0;
+}
+
+/// Orders of senders known to be gone before the restart can't act any more.
+void drop_orders_of_gone_senders(ledger_row& row)
+{
+    std::erase_if(row.orders, [&row](const engine_order& order) {
+        return !row.checks_fencing && order.sender_gone;
+    });
+}
+
+/// Orders older than the acknowledged fence can't act after it.
+void drop_fenced_orders(ledger_row& row, std::uint64_t sequence)
+{
+    if (!row.checks_fencing || row.fenced_epoch == 0 ||
+        sequence <= row.fenced_sequence)
+        return;
+    std::erase_if(row.orders, [&row](const engine_order& order) {
+        return order.epoch < row.fenced_epoch;
+    });
+}
+
+/// A load is sent at most once, so a model that is resident by the only
+/// outstanding load shows that the load took effect.
+void close_seen_loads(ledger_row& row, const engine_report& report)
+{
+    for (const auto& seen : report.residents) {
+        if (find_resident(row.residents, seen.model, seen.version) != nullptr)
+            continue;
+        if (count_loads(row, seen.model, seen.version) != 1)
+            continue;
+        std::erase_if(row.orders, [&seen](const engine_order& order) {
+            return order.kind == order_kind::load &&
+                   same_version(order, seen.model, seen.version);
+        });
+    }
+}
+
+void close_seen_unloads(ledger_row& row, const engine_report& report)
+{
+    std::erase_if(row.orders, [&](const engine_order& order) {
+        return order.kind == order_kind::unload &&
+               order.boot == row.boot &&
+               find_resident(row.residents, order.model, order.version) ==
+                   nullptr &&
+               find_resident(report.residents, order.model, order.version) ==
+                   nullptr;
+    });
+}
+
+void merge_residents(ledger_row& row, const engine_report& report)
+{
+    std::erase_if(row.residents, [&report](const resident_model& entry) {
+        return entry.since_sequence < report.sequence &&
+               find_resident(report.residents, entry.model, entry.version) ==
+                   nullptr;
+    });
+    for (const auto& seen : report.residents) {
+        if (find_resident(row.residents, seen.model, seen.version) != nullptr)
+            continue;
+        row.residents.push_back(
+            {seen.model, seen.version, seen.memory_mib, report.sequence});
+    }
+}
+
+} // namespace
+
+std::uint64_t committed_mib(const ledger_row& row)
+{
+    std::uint64_t total = 0;
+    for (const auto& entry : row.residents)
+        total += entry.memory_mib;
+    for (auto order = row.orders.begin(); order != row.orders.end(); ++order) {
+        if (order->kind != order_kind::load)
+            continue;
+        if (find_resident(row.residents, order->model, order->version))
+            continue;
+        const bool counted_before = std::any_of(
+            row.orders.begin(), order, [&order](const engine_order& other) {
+                return other.kind == order_kind::load &&
+                       same_version(other, order->model, order->version);
+            });
+        if (!counted_before)
+            total += order->memory_mib;
+    }
+    return total;
+}
+
+bool may_load(const ledger_row& row,
+              const model_id& model,
+              std::uint32_t version,
+              std::uint32_t memory_mib)
+{
+    if (row.boot == 0 || !is_fenced(row))
+        return false;
+    const auto added = is_counted(row, model, version) ? 0 : memory_mib;
+    return committed_mib(row) + added <= row.capacity_mib;
+}
+
+bool is_ready(const ledger_row& row,
+              const model_id& model,
+              std::uint32_t version)
+{
+    if (find_resident(row.residents, model, version) == nullptr)
+        return false;
+    return std::none_of(
+        row.orders.begin(), row.orders.end(), [&](const auto& order) {
+            return order.kind == order_kind::unload &&
+                   same_version(order, model, version);
+        });
+}
+
+bool has_order(const ledger_row& row,
+               const model_id& model,
+               std::uint32_t version)
+{
+    return std::any_of(
+        row.orders.begin(), row.orders.end(), [&](const auto& order) {
+            return same_version(order, model, version);
+        });
+}
+
+void begin_order(ledger_row& row, const engine_order& order)
+{
+    row.orders.push_back(order);
+}
+
+void close_order(ledger_row& row,
+                 const order_id& id,
+                 const order_answer& answer)
+{
+    const auto found = std::find_if(
+        row.orders.begin(), row.orders.end(), [&id](const auto& order) {
+            return order.id == id;
+        });
+    if (found == row.orders.end() || answer.outcome == order_outcome::unknown)
+        return;
+    const bool done = answer.outcome == order_outcome::done;
+    if (done && (found->kind == order_kind::unload || answer.boot > row.boot))
+        return;
+    const auto order = *found;
+    row.orders.erase(found);
+    if (done && answer.boot == row.boot)
+        add_resident(row, order, answer.sequence);
+}
+
+void acknowledge_fence(ledger_row& row,
+                       std::uint64_t epoch,
+                       const order_answer& answer)
+{
+    if (answer.boot != row.boot || epoch <= row.fenced_epoch)
+        return;
+    row.fenced_epoch = epoch;
+    row.fenced_sequence = answer.sequence;
+}
+
+void mark_senders_gone(ledger_row& row, std::span<const instance_id> gone)
+{
+    for (auto& order : row.orders)
+        if (std::find(gone.begin(), gone.end(), order.sender) != gone.end())
+            order.sender_gone = true;
+}
+
+bool apply_report(ledger_row& row, const engine_report& report)
+{
+    if (report.boot < row.boot)
+        return false;
+    if (report.boot == row.boot && report.sequence <= row.report_sequence)
+        return false;
+    if (report.boot > row.boot) {
+        start_boot(row, report.boot);
+        drop_orders_of_gone_senders(row);
+    }
+    row.report_sequence = report.sequence;
+    drop_fenced_orders(row, report.sequence);
+    close_seen_loads(row, report);
+    merge_residents(row, report);
+    close_seen_unloads(row, report);
+    return true;
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/core/src/placement_round.cpp
@@ -0,0 +1,386 @@
+#include "placement_round.hpp"
+
+#include <algorithm>
+#include <numeric>
+#include <set>
+#include <utility>
+
+namespace barleyfork {
+
+namespace {
+
+/// Work below this is not worth a step, in server-seconds a second.
+constexpr double negligible_work = 0.02;
+/// How much of a victim's past peak counts as work that will come back.
+constexpr double return_share = 0.25;
+/// Breaks ties towards the replica that was idle longest.
+constexpr double idle_credit = 1e-9;
+
+bool is_clearing(const planner_server& server)
+{
+    return std::any_of(
+        server.replicas.begin(),
+        server.replicas.end(),
+        [](const auto& replica) { return replica.unloading; });
+}
+
+} // namespace
+
+placement_round::placement_round(planner_input input)
+    : input_(std::move(input))
+    , estimate_(estimate_load(input_))
+    , budget_(input_.options.load_budget)
+{
+    for (std::size_t m = 0; m < input_.models.size(); ++m)
+        model_index_.emplace(input_.models[m].id, m);
+    // A load waits for each unload in progress, so it is taken off now.
+    const auto clearing = std::count_if(
+        input_.servers.begin(), input_.servers.end(), is_clearing);
+    budget_ -= std::min(budget_, static_cast<std::uint32_t>(clearing));
+}
+
+std::vector<planned_step> placement_round::run()
+{
+    using duty = void (placement_round::*)();
+    constexpr duty duties[] = {&placement_round::repair_reachability,
+                               &placement_round::bring_in_versions,
+                               &placement_round::repair_floors,
+                               &placement_round::follow_demand,
+                               &placement_round::spread_domains,
+                               &placement_round::remove_leftovers};
+    for (const auto step : duties)
+        (this->*step)();
+    return std::move(steps_);
+}
+
+placement_round::replica_count placement_round::count(std::size_t model) const
+{
+    replica_count result;
+    const auto& wanted = input_.models[model];
+    for (const auto& server : input_.servers) {
+        if (!server.usable)
+            continue;
+        for (const auto& replica : server.replicas) {
+            if (replica.model != wanted.id)
+                continue;
+            const bool current = replica.version == wanted.version;
+            result.ready += replica.ready ? 1 : 0;
+            result.ready_current += replica.ready && current ? 1 : 0;
+            result.loading_current +=
+                !replica.ready && replica.changing && current ? 1 : 0;
+        }
+    }
+    return result;
+}
+
+bool placement_round::holds(std::size_t server, std::size_t model) const
+{
+    const auto& wanted = input_.models[model];
+    const auto& replicas = input_.servers[server].replicas;
+    return std::any_of(
+        replicas.begin(), replicas.end(), [&wanted](const auto& replica) {
+            return replica.model == wanted.id &&
+                   replica.version == wanted.version;
+        });
+}
+
+std::size_t placement_round::domain_replicas(std::size_t model,
+                                             std::size_t server) const
+{
+    std::size_t result = 0;
+    for (std::size_t s = 0; s < input_.servers.size(); ++s)
+        if (input_.servers[s].usable && holds(s, model) &&
+            input_.servers[s].failure_domain ==
+                input_.servers[server].failure_domain)
+            ++result;
+    return result;
+}
+
+std::size_t placement_round::domains_of(std::size_t model) const
+{
+    std::set<failure_domain_id> domains;
+    for (std::size_t s = 0; s < input_.servers.size(); ++s)
+        if (input_.servers[s].usable && holds(s, model))
+            domains.insert(input_.servers[s].failure_domain);
+    return domains.size();
+}
+
+std::uint64_t placement_round::free_mib(std::size_t server) const
+{
+    const auto& entry = input_.servers[server];
+    return entry.memory_mib > entry.committed_mib
+               ? entry.memory_mib - entry.committed_mib
+               : 0;
+}
+
+/// The server with room that is least loaded, in a new domain if possible.
+std::optional<std::size_t>
+placement_round::best_free_server(std::size_t model) const
+{
+    std::optional<std::size_t> best;
+    std::pair<std::size_t, double> best_cost;
+    for (std::size_t s = 0; s < input_.servers.size(); ++s) {
+        const auto& server = input_.servers[s];
+        if (!server.usable || holds(s, model) ||
+            free_mib(s) < input_.models[model].memory_mib)
+            continue;
+        const std::pair<std::size_t, double> cost{
+            domain_replicas(model, s),
+            estimate_.server_load[s] / server.capacity -
+                1e-6 * static_cast<double>(free_mib(s))};
+        if (best && cost >= best_cost)
+            continue;
+        best = s;
+        best_cost = cost;
+    }
+    return best;
+}
+
+/// What unloading costs in work, or nothing where it is not allowed.
+std::optional<double>
+placement_round::eviction_loss(std::size_t server,
+                               const planner_replica& replica) const
+{
+    if (!replica.ready || replica.changing)
+        return std::nullopt;
+    const auto found = model_index_.find(replica.model);
+    if (found == model_index_.end())
+        return 0.0;
+    const auto model = found->second;
+    const auto& wanted = input_.models[model];
+    const auto replicas = count(model);
+    if (replicas.ready <= wanted.min_replicas)
+        return std::nullopt;
+    const double keep = static_cast<double>(replicas.ready - 1);
+    const auto shortfall = [&](double demand) {
+        return std::max(0.0, demand - keep * input_.servers[server].capacity *
+                                          input_.options.target_utilisation);
+    };
+    const double now = shortfall(wanted.demand);
+    const double later = return_share * shortfall(wanted.peak_demand);
+    const double share =
+        wanted.demand / static_cast<double>(replicas.ready);
+    return now + later + return_share * share -
+           idle_credit * replica.idle_seconds;
+}
+
+/// The cheapest replicas whose unloads free `needed_mib`.
+std::optional<placement_round::victim_choice>
+placement_round::choose_victims(std::size_t server,
+                                std::uint64_t needed_mib) const
+{
+    const auto& replicas = input_.servers[server].replicas;
+    std::vector<std::pair<double, std::size_t>> candidates;
+    for (std::size_t r = 0; r < replicas.size(); ++r)
+        if (const auto loss = eviction_loss(server, replicas[r]))
+            candidates.emplace_back(*loss, r);
+    std::sort(candidates.begin(), candidates.end());
+    victim_choice choice;
+    std::uint64_t freed = free_mib(server);
+    for (const auto& [loss, index] : candidates) {
+        if (freed >= needed_mib)
+            break;
+        choice.replicas.push_back(index);
+        choice.loss += loss;
+        freed += replicas[index].memory_mib;
+    }
+    if (freed < needed_mib)
+        return std::nullopt;
+    return choice;
+}
+
+bool placement_round::waits_for_room(std::size_t server) const
+{
+    const auto& replicas = input_.servers[server].replicas;
+    return std::any_of(
+        replicas.begin(), replicas.end(), [](const auto& replica) {
+            return replica.changing && !replica.ready;
+        });
+}
+
+/// Weighs every server by the work it would take, less what that costs.
+std::optional<placement_round::load_choice>
+placement_round::best_choice(std::size_t model, double wanted)
+{
+    std::optional<load_choice> best;
+    const auto& options = input_.options;
+    for (std::size_t s = 0; s < input_.servers.size(); ++s) {
+        const auto& server = input_.servers[s];
+        if (!server.usable || holds(s, model))
+            continue;
+        auto victims = choose_victims(s, input_.models[model].memory_mib);
+        if (!victims || (!victims->replicas.empty() && waits_for_room(s)))
+            continue;
+        const double room = server.capacity * options.target_utilisation -
+                            estimate_.server_load[s];
+        const double gain =
+            std::min(wanted, std::max(room, 0.0)) - victims->loss;
+        const auto moves = static_cast<double>(1 + victims->replicas.size());
+        const double value =
+            gain * options.horizon_seconds - moves * options.move_price;
+        if (best && value <= best->value)
+            continue;
+        best = load_choice{s, std::move(*victims), value};
+    }
+    return best;
+}
+
+void placement_round::load(std::size_t server,
+                           std::size_t model,
+                           step_reason reason)
+{
+    const auto& wanted = input_.models[model];
+    auto& target = input_.servers[server];
+    steps_.push_back({order_kind::load,
+                      target.id,
+                      wanted.id,
+                      wanted.version,
+                      wanted.memory_mib,
+                      reason});
+    target.committed_mib += wanted.memory_mib;
+    target.replicas.push_back(
+        {wanted.id, wanted.version, wanted.memory_mib, false, true, false, 0.0});
+    --budget_;
+}
+
+void placement_round::unload(std::size_t server,
+                             std::size_t replica,
+                             step_reason reason)
+{
+    auto& target = input_.servers[server];
+    auto& entry = target.replicas[replica];
+    steps_.push_back({order_kind::unload,
+                      target.id,
+                      entry.model,
+                      entry.version,
+                      entry.memory_mib,
+                      reason});
+    entry.ready = false;
+    entry.changing = true;
+    entry.unloading = true;
+}
+
+void placement_round::take_choice(std::size_t model,
+                                  const load_choice& choice,
+                                  step_reason reason)
+{
+    if (choice.victims.replicas.empty()) {
+        load(choice.server, model, reason);
+        return;
+    }
+    for (const auto victim : choice.victims.replicas)
+        unload(choice.server, victim, step_reason::make_room);
+}
+
+/// Loads where there is room; else makes room for a later round.
+bool placement_round::load_with_room(std::size_t model, step_reason reason)
+{
+    if (const auto server = best_free_server(model)) {
+        load(*server, model, reason);
+        return true;
+    }
+    const auto choice = best_choice(model, input_.models[model].demand);
+    if (!choice)
+        return false;
+    take_choice(model, *choice, reason);
+    return true;
+}
+
+void placement_round::repair_reachability()
+{
+    std::vector<std::size_t> lost;
+    for (std::size_t m = 0; m < input_.models.size(); ++m) {
+        const auto replicas = count(m);
+        if (replicas.ready + replicas.loading_current == 0)
+            lost.push_back(m);
+    }
+    std::stable_sort(lost.begin(), lost.end(), [this](auto a, auto b) {
+        return input_.models[a].demand > input_.models[b].demand;
+    });
+    for (const auto model : lost)
+        if (budget_ > 0)
+            load_with_room(model, step_reason::reachability);
+}
+
+void placement_round::bring_in_versions()
+{
+    for (std::size_t m = 0; m < input_.models.size() && budget_ > 0; ++m) {
+        const auto replicas = count(m);
+        const bool behind = replicas.ready > replicas.ready_current;
+        const auto floor = input_.models[m].min_replicas;
+        if (behind &&
+            replicas.ready_current + replicas.loading_current < floor)
+            load_with_room(m, step_reason::new_version);
+    }
+}
+
+void placement_round::repair_floors()
+{
+    for (std::size_t m = 0; m < input_.models.size() && budget_ > 0; ++m) {
+        const auto replicas = count(m);
+        const auto present = replicas.ready_current + replicas.loading_current;
+        if (present > 0 && present < input_.models[m].min_replicas)
+            load_with_room(m, step_reason::floor);
+    }
+}
+
+/// Second replicas in another failure domain, in free memory only.
+void placement_round::spread_domains()
+{
+    for (std::size_t m = 0; m < input_.models.size() && budget_ > 0; ++m) {
+        const auto replicas = count(m);
+        if (replicas.ready_current == 0 || replicas.loading_current > 0 ||
+            replicas.ready_current >= input_.models[m].max_replicas ||
+            domains_of(m) >= 2)
+            continue;
+        const auto server = best_free_server(m);
+        if (server && domain_replicas(m, *server) == 0)
+            load(*server, m, step_reason::domain_spread);
+    }
+}
+
+void placement_round::follow_demand()
+{
+    std::vector<std::size_t> order(input_.models.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    std::stable_sort(order.begin(), order.end(), [this](auto a, auto b) {
+        return estimate_.unserved[a] > estimate_.unserved[b];
+    });
+    for (const auto model : order) {
+        const double wanted = estimate_.unserved[model];
+        if (budget_ == 0 || wanted < negligible_work)
+            return;
+        const auto replicas = count(model);
+        const auto present = replicas.ready_current + replicas.loading_current;
+        if (replicas.loading_current > 0 ||
+            present >= input_.models[model].max_replicas)
+            continue;
+        const auto choice = best_choice(model, wanted);
+        if (choice && choice->value > 0.0)
+            take_choice(model, *choice, step_reason::demand);
+    }
+}
+
+/// Unloads what is no longer declared and versions that were replaced.
+void placement_round::remove_leftovers()
+{
+    for (std::size_t s = 0; s < input_.servers.size(); ++s) {
+        auto& replicas = input_.servers[s].replicas;
+        for (std::size_t r = 0; r < replicas.size(); ++r) {
+            if (!replicas[r].ready || replicas[r].changing)
+                continue;
+            const auto found = model_index_.find(replicas[r].model);
+            if (found == model_index_.end()) {
+                unload(s, r, step_reason::not_declared);
+                continue;
+            }
+            const auto& wanted = input_.models[found->second];
+            const auto present = count(found->second).ready_current;
+            if (replicas[r].version != wanted.version &&
+                present >= wanted.min_replicas)
+                unload(s, r, step_reason::old_version);
+        }
+    }
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/core/src/placement_round.hpp
@@ -0,0 +1,83 @@
+#ifndef BARLEYFORK_CORE_SRC_PLACEMENT_ROUND_HPP
+#define BARLEYFORK_CORE_SRC_PLACEMENT_ROUND_HPP
+
+#include <barleyfork/core/placement_planner.hpp>
+
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace barleyfork {
+
+/// One planning round over a private copy of the input.
+///
+/// Each accepted step changes the copy, so that later steps of the round see
+/// it: a planned load takes its memory and counts as changing, a planned
+/// unload stops serving but keeps its memory.
+class placement_round
+{
+public:
+    explicit placement_round(planner_input input);
+
+    /// Runs all duties in the order of urgency.
+    std::vector<planned_step> run();
+
+private:
+    struct replica_count
+    {
+        std::size_t ready = 0;
+        std::size_t ready_current = 0;
+        std::size_t loading_current = 0;
+    };
+
+    struct victim_choice
+    {
+        std::vector<std::size_t> replicas;
+        double loss = 0.0;
+    };
+
+    struct load_choice
+    {
+        std::size_t server = 0;
+        victim_choice victims;
+        double value = 0.0;
+    };
+
+    void repair_reachability();
+    void bring_in_versions();
+    void repair_floors();
+    void spread_domains();
+    void follow_demand();
+    void remove_leftovers();
+
+    replica_count count(std::size_t model) const;
+    bool holds(std::size_t server, std::size_t model) const;
+    std::size_t domain_replicas(std::size_t model, std::size_t server) const;
+    std::size_t domains_of(std::size_t model) const;
+    std::uint64_t free_mib(std::size_t server) const;
+
+    std::optional<std::size_t> best_free_server(std::size_t model) const;
+    std::optional<load_choice> best_choice(std::size_t model, double wanted);
+    std::optional<victim_choice> choose_victims(std::size_t server,
+                                                std::uint64_t needed_mib) const;
+    std::optional<double> eviction_loss(std::size_t server,
+                                        const planner_replica& replica) const;
+    bool waits_for_room(std::size_t server) const;
+
+    bool load_with_room(std::size_t model, step_reason reason);
+    void load(std::size_t server, std::size_t model, step_reason reason);
+    void unload(std::size_t server, std::size_t replica, step_reason reason);
+    void take_choice(std::size_t model,
+                     const load_choice& choice,
+                     step_reason reason);
+
+    planner_input input_;
+    load_estimate estimate_;
+    std::unordered_map<model_id, std::size_t> model_index_;
+    std::uint32_t budget_ = 0;
+    std::vector<planned_step> steps_;
+};
+
+} // namespace barleyfork
+
+#endif
--- /dev/null
+++ b/libs/net/include/barleyfork/net/url.hpp
@@ -0,0 +1,32 @@
+#ifndef BARLEYFORK_NET_URL_HPP
+#define BARLEYFORK_NET_URL_HPP
+
+#include <barleyfork/base/error.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace barleyfork {
+
+/// Host and port of an `http://` URL whose host is an IP number.
+struct http_endpoint
+{
+    std::string host;
+    std::uint16_t port = 0;
+    /// The URL's path without a closing slash; often empty.
+    std::string base_path;
+
+    friend bool operator==(const http_endpoint&,
+                           const http_endpoint&) = default;
+};
+
+/// Takes a URL apart; fails with `invalid_input`.
+failure parse_url(std::string_view text, http_endpoint& out);
+
+/// Escapes a path segment or query value (RFC 3986).
+std::string percent_encode(std::string_view text);
+
+} // namespace barleyfork
+
+#endif
--- /dev/null
+++ b/libs/net/src/duty.cpp
@@ -0,0 +1,129 @@
+#include <barleyfork/net/duty.hpp>
+
+#include <barleyfork/base/log.hpp>
+
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/lockfree/queue.hpp>
+#include <optional>
+#include <thread>
+
+namespace barleyfork {
+
+namespace asio = boost::asio;
+
+struct duty::state
+{
+    state(std::string duty_name, std::size_t capacity)
+        : name(std::move(duty_name))
+        , loop(1)
+        , guard(asio::make_work_guard(loop))
+        , ring(capacity)
+    {
+    }
+
+    ~state()
+    {
+        task* left = nullptr;
+        while (ring.pop(left))
+            delete left;
+    }
+
+    /// Runs what is in the ring; at most one drain is scheduled at a time.
+    void drain()
+    {
+        draining.store(false);
+        task* next = nullptr;
+        while (ring.pop(next)) {
+            const std::unique_ptr<task> owned(next);
+            (*owned)();
+        }
+    }
+
+    std::string name;
+    asio::io_context loop;
+    asio::executor_work_guard<asio::io_context::executor_type> guard;
+    boost::lockfree::queue<task*, boost::lockfree::fixed_sized<true>> ring;
+    std::atomic<bool> draining{false};
+    std::atomic<std::size_t> refused{0};
+    std::thread thread;
+};
+
+duty::duty(std::string name, std::size_t capacity)
+    : state_(std::make_unique<state>(std::move(name), capacity))
+{
+}
+
+duty::~duty()
+{
+    stop();
+}
+
+void duty::start()
+{
+    state_->thread = std::thread([this] { state_->loop.run(); });
+}
+
+void duty::stop()
+{
+    state_->loop.stop();
+    if (state_->thread.joinable())
+        state_->thread.join();
+}
+
+bool duty::try_post(task work)
+{
+    auto owned = std::make_unique<task>(std::move(work));
+    if (!state_->ring.bounded_push(owned.get())) {
+        ++state_->refused;
+        return false;
+    }
+    static_cast<void>(owned.release());
+    if (!state_->draining.exchange(true))
+        asio::post(state_->loop, [this] { state_->drain(); });
+    return true;
+}
+
+void duty::spawn(asio::awaitable<void> work)
+{
+    asio::co_spawn(
+        state_->loop,
+        std::move(work),
+        [this](const std::exception_ptr& error) {
+            if (!error)
+                return;
+            try {
+                std::rethrow_exception(error);
+            }
+            catch (const std::exception& caught) {
+                log_event(log_level::error, "duty_task_failed")
+                    .with("duty", state_->name)
+                    .with("error", caught.what());
+            }
+        });
+}
+
+asio::any_io_executor duty::executor()
+{
+    return state_->loop.get_executor();
+}
+
+std::size_t duty::refused() const noexcept
+{
+    return state_->refused;
+}
+
+asio::awaitable<void> sleep_for_ms(std::int64_t milliseconds)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    timer.expires_after(std::chrono::milliseconds(milliseconds));
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/net/src/http_client.cpp
@@ -0,0 +1,120 @@
+#include <barleyfork/net/http_client.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace barleyfork {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t largest_reply = 64 * 1024 * 1024;
+constexpr std::size_t idle_connections = 4;
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+
+/// A kept connection is unusable once its other end closed it.
+bool is_still_open(tcp::socket& socket)
+{
+    char byte = 0;
+    beast::error_code error;
+    socket.non_blocking(true, error);
+    socket.receive(
+        asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+http::request<http::string_body> to_request(const http_endpoint& endpoint,
+                                            http_call& call)
+{
+    http::request<http::string_body> request;
+    request.method_string(call.method);
+    request.target(endpoint.base_path + call.target);
+    request.version(11);
+    request.set(http::field::host,
+                endpoint.host + ":" + std::to_string(endpoint.port));
+    for (const auto& [name, value] : call.headers)
+        request.set(name, value);
+    request.body() = std::move(call.body);
+    request.prepare_payload();
+    return request;
+}
+
+failure to_failure(const beast::error_code& error,
+                   const http_endpoint& endpoint)
+{
+    const auto kind = error == beast::error::timeout ? errc::timeout
+                                                     : errc::connection_lost;
+    return make_failure(kind,
+                        endpoint.host + ":" + std::to_string(endpoint.port) +
+                            " (" + error.message() + ")");
+}
+
+} // namespace
+
+asio::awaitable<http_reply> http_client::call(const http_endpoint& endpoint,
+                                              http_call request)
+{
+    http_reply reply;
+    const auto key = endpoint.host + ":" + std::to_string(endpoint.port);
+    const auto timeout = request.timeout;
+    beast::tcp_stream stream(co_await asio::this_coro::executor);
+    stream.expires_after(timeout);
+    auto& kept = idle_[key];
+    bool reused = false;
+    while (!kept.empty() && !reused) {
+        auto socket = std::move(kept.back());
+        kept.pop_back();
+        reused = is_still_open(socket);
+        if (reused)
+            stream.socket() = std::move(socket);
+    }
+    if (!reused) {
+        beast::error_code parse_error;
+        const auto address =
+            asio::ip::make_address(endpoint.host, parse_error);
+        const tcp::endpoint target(address, endpoint.port);
+        auto [error] = co_await stream.async_connect(target, as_result);
+        if (error || parse_error) {
+            reply.error = to_failure(error, endpoint);
+            reply.not_sent = true;
+            co_return reply;
+        }
+        beast::error_code ignored;
+        stream.socket().set_option(tcp::no_delay(true), ignored);
+    }
+    auto message = to_request(endpoint, request);
+    auto [write_error, written] =
+        co_await http::async_write(stream, message, as_result);
+    if (write_error) {
+        reply.error = to_failure(write_error, endpoint);
+        co_return reply;
+    }
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(largest_reply);
+    auto [read_error, read] =
+        co_await http::async_read(stream, buffer, parser, as_result);
+    if (read_error) {
+        reply.error = to_failure(read_error, endpoint);
+        co_return reply;
+    }
+    auto answer = parser.release();
+    reply.status = answer.result_int();
+    reply.etag = std::string(answer[http::field::etag]);
+    reply.body = std::move(answer.body());
+    auto& pool = idle_[key];
+    if (answer.keep_alive() && pool.size() < idle_connections) {
+        stream.expires_never();
+        pool.push_back(stream.release_socket());
+    }
+    co_return reply;
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/net/src/http_server.cpp
@@ -0,0 +1,333 @@
+#include <barleyfork/net/http_server.hpp>
+
+#include <barleyfork/base/log.hpp>
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <cctype>
+#include <optional>
+
+namespace barleyfork {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+
+/// Two lengths, or a length beside a transfer coding, can be read in two
+/// ways by two parsers.
+bool is_ambiguous(const http::fields& fields)
+{
+    return fields.count(http::field::content_length) > 1 ||
+           fields.count(http::field::transfer_encoding) > 1 ||
+           (fields.count(http::field::content_length) != 0 &&
+            fields.count(http::field::transfer_encoding) != 0);
+}
+
+http_incoming to_incoming(http::request<http::string_body>&& request)
+{
+    http_incoming incoming;
+    incoming.method = std::string(request.method_string());
+    const std::string target(request.target());
+    const auto mark = target.find('?');
+    incoming.path = target.substr(0, mark);
+    if (mark != std::string::npos)
+        incoming.query = target.substr(mark + 1);
+    for (const auto& field : request) {
+        std::string name(field.name_string());
+        std::transform(name.begin(), name.end(), name.begin(), [](char c) {
+            return static_cast<char>(
+                std::tolower(static_cast<unsigned char>(c)));
+        });
+        incoming.headers[name] = std::string(field.value());
+    }
+    incoming.body = std::move(request.body());
+    return incoming;
+}
+
+template <typename Body>
+void set_head(http::response<Body>& response, const http_outgoing& answer)
+{
+    response.result(answer.status);
+    response.version(11);
+    response.set(http::field::content_type, answer.content_type);
+    for (const auto& [name, value] : answer.headers)
+        response.set(name, value);
+}
+
+class connection_responder : public http_responder
+{
+public:
+    connection_responder(beast::tcp_stream& stream,
+                         duration write_timeout,
+                         bool keep_alive)
+        : stream_(stream)
+        , write_timeout_(write_timeout)
+        , keep_alive_(keep_alive)
+    {
+    }
+
+    asio::awaitable<bool> send(http_outgoing answer) override
+    {
+        http::response<http::string_body> response;
+        set_head(response, answer);
+        response.keep_alive(keep_alive_);
+        response.body() = std::move(answer.body);
+        response.prepare_payload();
+        stream_.expires_after(write_timeout_);
+        auto [error, size] =
+            co_await http::async_write(stream_, response, as_result);
+        answered_ = !error;
+        co_return answered_;
+    }
+
+    asio::awaitable<bool> begin(http_outgoing head) override
+    {
+        http::response<http::empty_body> response;
+        set_head(response, head);
+        response.keep_alive(keep_alive_);
+        response.chunked(true);
+        http::response_serializer<http::empty_body> serializer(response);
+        stream_.expires_after(write_timeout_);
+        auto [error, size] =
+            co_await http::async_write_header(stream_, serializer, as_result);
+        co_return !error;
+    }
+
+    asio::awaitable<bool> write(std::string_view bytes) override
+    {
+        stream_.expires_after(write_timeout_);
+        auto [error, size] = co_await asio::async_write(
+            stream_,
+            http::make_chunk(asio::buffer(bytes.data(), bytes.size())),
+            as_result);
+        co_return !error;
+    }
+
+    asio::awaitable<bool> finish() override
+    {
+        stream_.expires_after(write_timeout_);
+        auto [error, size] = co_await asio::async_write(
+            stream_, http::make_chunk_last(), as_result);
+        answered_ = !error;
+        co_return answered_;
+    }
+
+    void abort() override
+    {
+        beast::error_code ignored;
+        stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+        stream_.socket().close(ignored);
+    }
+
+    bool client_gone() override
+    {
+        char byte = 0;
+        beast::error_code error;
+        stream_.socket().non_blocking(true, error);
+        stream_.socket().receive(
+            asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        return error == asio::error::eof ||
+               error == asio::error::connection_reset ||
+               error == asio::error::bad_descriptor;
+    }
+
+    bool answered() const noexcept { return answered_; }
+
+private:
+    beast::tcp_stream& stream_;
+    duration write_timeout_;
+    bool keep_alive_;
+    bool answered_ = false;
+};
+
+} // namespace
+
+struct http_server::state : std::enable_shared_from_this<state>
+{
+    state(duty& owner_duty, http_limits given, http_handler handle)
+        : owner(owner_duty)
+        , limits(given)
+        , handler(std::move(handle))
+        , acceptor(owner_duty.executor())
+    {
+    }
+
+    asio::awaitable<void> accept_loop()
+    {
+        const auto self = shared_from_this();
+        while (acceptor.is_open()) {
+            auto [error, socket] = co_await acceptor.async_accept(as_result);
+            if (error == asio::error::operation_aborted)
+                co_return;
+            if (error) {
+                co_await sleep_for_ms(accept_pause_ms);
+                continue;
+            }
+            if (connections >= limits.max_connections)
+                continue;
+            owner.spawn(serve(std::move(socket)));
+        }
+    }
+
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        const auto self = shared_from_this();
+        ++connections;
+        try {
+            beast::tcp_stream stream(std::move(socket));
+            beast::error_code ignored;
+            stream.socket().set_option(tcp::no_delay(true), ignored);
+            beast::flat_buffer buffer;
+            while (!stopping && co_await serve_request(stream, buffer)) {
+            }
+            stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        }
+        catch (const std::exception& error) {
+            log_event(log_level::error, "connection_failed")
+                .with("error", error.what());
+        }
+        --connections;
+    }
+
+    asio::awaitable<bool> serve_request(beast::tcp_stream& stream,
+                                        beast::flat_buffer& buffer)
+    {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(limits.max_header_bytes);
+        parser.body_limit(limits.max_body_bytes);
+        stream.expires_after(limits.header_timeout);
+        auto [error, size] =
+            co_await http::async_read(stream, buffer, parser, as_result);
+        const bool keep_alive = !error && parser.get().keep_alive();
+        connection_responder responder(
+            stream, limits.write_timeout, keep_alive);
+        if (error) {
+            if (const auto status = status_of(error))
+                co_await responder.send(refusal(status));
+            co_return false;
+        }
+        if (is_ambiguous(parser.get().base())) {
+            co_await responder.send(refusal(400));
+            co_return false;
+        }
+        const auto incoming = to_incoming(parser.release());
+        stream.expires_never();
+        ++active;
+        try {
+            co_await handler(incoming, responder);
+        }
+        catch (const std::exception& caught) {
+            log_event(log_level::error, "handler_failed")
+                .with("path", incoming.path)
+                .with("error", caught.what());
+            responder.abort();
+        }
+        --active;
+        co_return responder.answered() && keep_alive;
+    }
+
+    static unsigned status_of(const beast::error_code& error)
+    {
+        if (error == http::error::body_limit)
+            return 413;
+        if (error == http::error::header_limit)
+            return 431;
+        if (error.category() ==
+                make_error_code(http::error::bad_target).category() &&
+            error != http::error::end_of_stream &&
+            error != http::error::partial_message)
+            return 400;
+        return 0;
+    }
+
+    static http_outgoing refusal(unsigned status)
+    {
+        http_outgoing answer;
+        answer.status = status;
+        answer.body =
+            status == 400
+                ? R"({"error":{"code":"invalid_input","message":"the HTTP)"
+                  R"( request is malformed; send a well-formed one"}})"
+                : R"({"error":{"code":"too_large","message":"the request)"
+                  R"( is over the limit; send a smaller one"}})";
+        return answer;
+    }
+
+    static constexpr std::int64_t accept_pause_ms = 20;
+
+    duty& owner;
+    http_limits limits;
+    http_handler handler;
+    tcp::acceptor acceptor;
+    bool stopping = false;
+    std::size_t connections = 0;
+    std::size_t active = 0;
+};
+
+std::string_view http_incoming::header(std::string_view name) const
+{
+    const auto found = headers.find(std::string(name));
+    return found == headers.end() ? std::string_view() : found->second;
+}
+
+http_server::http_server(duty& owner, http_limits limits, http_handler handler)
+    : state_(std::make_shared<state>(owner, limits, std::move(handler)))
+{
+}
+
+http_server::~http_server() = default;
+
+std::uint16_t http_server::listen(const std::string& address,
+                                  std::uint16_t port)
+{
+    beast::error_code error;
+    const auto ip = asio::ip::make_address(address, error);
+    auto& acceptor = state_->acceptor;
+    const tcp::endpoint endpoint(ip, port);
+    if (!error)
+        acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(endpoint, error);
+    if (!error)
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error) {
+        log_event(log_level::error, "listen_failed")
+            .with("address", address)
+            .with("port", port)
+            .with("error", error.message());
+        return 0;
+    }
+    state_->owner.spawn(state_->accept_loop());
+    return acceptor.local_endpoint().port();
+}
+
+void http_server::stop_accepting()
+{
+    beast::error_code ignored;
+    state_->stopping = true;
+    state_->acceptor.close(ignored);
+}
+
+std::size_t http_server::connections() const noexcept
+{
+    return state_->connections;
+}
+
+std::size_t http_server::active_requests() const noexcept
+{
+    return state_->active;
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/platform/include/barleyfork/platform/object_client.hpp
@@ -0,0 +1,33 @@
+#ifndef BARLEYFORK_PLATFORM_OBJECT_CLIENT_HPP
+#define BARLEYFORK_PLATFORM_OBJECT_CLIENT_HPP
+
+#include <barleyfork/base/error.hpp>
+#include <barleyfork/net/http_client.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <string>
+
+namespace barleyfork {
+
+/// Reads and writes objects named by the digest of their bytes.
+class object_client
+{
+public:
+    object_client(http_endpoint endpoint, duration timeout);
+
+    /// Writes an object; idempotent, since its name is its digest.
+    boost::asio::awaitable<failure> put(std::string digest, std::string bytes);
+
+    /// Reads an object and checks its digest.
+    boost::asio::awaitable<failure> get(std::string digest,
+                                        std::string& bytes);
+
+private:
+    http_endpoint endpoint_;
+    duration timeout_;
+    http_client client_;
+};
+
+} // namespace barleyfork
+
+#endif
--- /dev/null
+++ b/libs/platform/include/barleyfork/platform/row_codec.hpp
@@ -0,0 +1,63 @@
+#ifndef BARLEYFORK_PLATFORM_ROW_CODEC_HPP
+#define BARLEYFORK_PLATFORM_ROW_CODEC_HPP
+
+#include <barleyfork/base/error.hpp>
+#include <barleyfork/core/call_claim.hpp>
+#include <barleyfork/core/configuration_state.hpp>
+#include <barleyfork/core/lease.hpp>
+#include <barleyfork/core/membership.hpp>
+#include <barleyfork/core/memory_ledger.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// JSON forms of the project's table rows and of what the platform and the
+/// engines say. Decoders fail with `protocol_error`.
+
+namespace barleyfork {
+
+/// The prefix of every row that daemons poll.
+inline constexpr std::string_view control_prefix = "control/";
+/// The one row that says which configuration holds.
+inline constexpr std::string_view configuration_key = "control/configuration";
+/// Prefix of the lease rows; a cell's name follows.
+inline constexpr std::string_view lease_prefix = "control/lease/";
+/// Prefix of the ledger rows; a backend server's name follows.
+inline constexpr std::string_view ledger_prefix = "control/ledger/";
+/// Prefix of the rows that record each accepted file.
+inline constexpr std::string_view history_prefix = "history/";
+
+/// What an engine's report says, load and leaving included.
+struct engine_status
+{
+    engine_report report;
+    std::uint32_t outstanding = 0;
+    bool leaving = false;
+};
+
+std::string encode(const configuration_head& head);
+failure decode(std::string_view text, configuration_head& out);
+
+std::string encode(const lease_row& row);
+failure decode(std::string_view text, lease_row& out);
+
+std::string encode(const ledger_row& row);
+failure decode(std::string_view text, ledger_row& out);
+
+std::string encode(const claim_record& record);
+failure decode(std::string_view text, claim_record& out);
+
+std::string encode(const engine_order& order);
+
+/// An order's answer of an engine that gave one.
+failure decode(std::string_view text, order_answer& out);
+
+failure decode(std::string_view text, engine_status& out);
+
+failure decode(std::string_view text, std::vector<listed_instance>& out);
+
+} // namespace barleyfork
+
+#endif
--- /dev/null
+++ b/libs/platform/src/object_client.cpp
@@ -0,0 +1,59 @@
+#include <barleyfork/platform/object_client.hpp>
+
+#include <barleyfork/base/digest.hpp>
+
+namespace barleyfork {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+
+failure unavailable(const http_reply& reply)
+{
+    return make_failure(errc::store_unavailable,
+                        "object store: " +
+                            (reply.error
+                                 ? reply.error.detail
+                                 : "status " + std::to_string(reply.status)));
+}
+
+} // namespace
+
+object_client::object_client(http_endpoint endpoint, duration timeout)
+    : endpoint_(std::move(endpoint))
+    , timeout_(timeout)
+{
+}
+
+asio::awaitable<failure> object_client::put(std::string digest,
+                                            std::string bytes)
+{
+    http_call call;
+    call.method = "PUT";
+    call.target = "/objects/" + digest;
+    call.body = std::move(bytes);
+    call.timeout = timeout_;
+    const auto reply = co_await client_.call(endpoint_, std::move(call));
+    co_return reply.error || reply.status != status_ok ? unavailable(reply)
+                                                       : failure{};
+}
+
+asio::awaitable<failure> object_client::get(std::string digest,
+                                            std::string& bytes)
+{
+    http_call call;
+    call.target = "/objects/" + digest;
+    call.timeout = timeout_;
+    auto reply = co_await client_.call(endpoint_, std::move(call));
+    if (reply.error || reply.status != status_ok)
+        co_return unavailable(reply);
+    if (content_digest(reply.body) != digest)
+        co_return make_failure(errc::protocol_error,
+                               "object " + digest + ": its bytes differ");
+    bytes = std::move(reply.body);
+    co_return failure{};
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/platform/src/row_codec.cpp
@@ -0,0 +1,264 @@
+#include <barleyfork/platform/row_codec.hpp>
+
+#include <array>
+#include <boost/json.hpp>
+
+namespace barleyfork {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::array<const char*, 3> order_kinds{"load", "unload", "fence"};
+constexpr std::array<const char*, 4> claim_states{
+    "running", "answered", "unknown", "not_run"};
+
+template <typename Enum, std::size_t Size>
+Enum enum_of(const std::array<const char*, Size>& names,
+             const json::value& value)
+{
+    for (std::size_t i = 0; i < Size; ++i)
+        if (value.as_string() == names[i])
+            return static_cast<Enum>(i);
+    throw std::runtime_error("unknown word " + json::serialize(value));
+}
+
+template <std::size_t Size, typename Enum>
+const char* name_of(const std::array<const char*, Size>& names, Enum value)
+{
+    return names.at(static_cast<std::size_t>(value));
+}
+
+std::string text_of(const json::value& object, const char* key)
+{
+    return json::value_to<std::string>(object.at(key));
+}
+
+template <typename Number>
+Number number_of(const json::value& object, const char* key)
+{
+    return object.at(key).to_number<Number>();
+}
+
+/// Runs a decoder over parsed text; any mismatch becomes a failure.
+template <typename Decode>
+failure decode_text(std::string_view text, const char* what, Decode decode)
+{
+    try {
+        decode(json::parse({text.data(), text.size()}));
+        return {};
+    }
+    catch (const std::exception& error) {
+        return make_failure(errc::protocol_error,
+                            std::string(what) + ": " + error.what());
+    }
+}
+
+json::object to_json(const resident_model& entry)
+{
+    return {{"model", entry.model.value()},
+            {"version", entry.version},
+            {"memory_mib", entry.memory_mib},
+            {"since_sequence", entry.since_sequence}};
+}
+
+resident_model to_resident(const json::value& value)
+{
+    resident_model entry;
+    entry.model = model_id(text_of(value, "model"));
+    entry.version = number_of<std::uint32_t>(value, "version");
+    entry.memory_mib = number_of<std::uint32_t>(value, "memory_mib");
+    if (value.as_object().contains("since_sequence"))
+        entry.since_sequence =
+            number_of<std::uint64_t>(value, "since_sequence");
+    return entry;
+}
+
+json::object to_json(const engine_order& order)
+{
+    return {{"order_id", order.id.value()},
+            {"operation", name_of(order_kinds, order.kind)},
+            {"model", order.model.value()},
+            {"version", order.version},
+            {"memory_mib", order.memory_mib},
+            {"fence", order.epoch},
+            {"sender", order.sender.value()},
+            {"boot", order.boot},
+            {"sender_gone", order.sender_gone}};
+}
+
+engine_order to_order(const json::value& value)
+{
+    engine_order order;
+    order.id = order_id(text_of(value, "order_id"));
+    order.kind = enum_of<order_kind>(order_kinds, value.at("operation"));
+    order.model = model_id(text_of(value, "model"));
+    order.version = number_of<std::uint32_t>(value, "version");
+    order.memory_mib = number_of<std::uint32_t>(value, "memory_mib");
+    order.epoch = number_of<std::uint64_t>(value, "fence");
+    order.sender = instance_id(text_of(value, "sender"));
+    order.boot = number_of<std::uint64_t>(value, "boot");
+    order.sender_gone = value.at("sender_gone").as_bool();
+    return order;
+}
+
+} // namespace
+
+std::string encode(const configuration_head& head)
+{
+    return json::serialize(
+        json::object{{"revision", head.revision},
+                     {"digest", head.digest},
+                     {"decided", head.decided},
+                     {"staged_revision", head.staged_revision},
+                     {"staged_digest", head.staged_digest},
+                     {"coordinator", head.coordinator},
+                     {"applied_by", head.applied_by},
+                     {"write_id", head.write_id}});
+}
+
+failure decode(std::string_view text, configuration_head& out)
+{
+    return decode_text(text, "configuration row", [&out](const auto& value) {
+        out.revision = number_of<std::uint64_t>(value, "revision");
+        out.digest = text_of(value, "digest");
+        out.decided = number_of<std::uint64_t>(value, "decided");
+        out.staged_revision =
+            number_of<std::uint64_t>(value, "staged_revision");
+        out.staged_digest = text_of(value, "staged_digest");
+        out.coordinator = text_of(value, "coordinator");
+        out.applied_by = text_of(value, "applied_by");
+        out.write_id = text_of(value, "write_id");
+    });
+}
+
+std::string encode(const lease_row& row)
+{
+    return json::serialize(json::object{{"holder", row.holder.value()},
+                                        {"epoch", row.epoch},
+                                        {"write_id", row.write_id}});
+}
+
+failure decode(std::string_view text, lease_row& out)
+{
+    return decode_text(text, "lease row", [&out](const auto& value) {
+        out.holder = instance_id(text_of(value, "holder"));
+        out.epoch = number_of<std::uint64_t>(value, "epoch");
+        out.write_id = text_of(value, "write_id");
+    });
+}
+
+std::string encode(const ledger_row& row)
+{
+    json::array residents;
+    for (const auto& entry : row.residents)
+        residents.push_back(to_json(entry));
+    json::array orders;
+    for (const auto& order : row.orders)
+        orders.push_back(to_json(order));
+    return json::serialize(
+        json::object{{"server", row.server.value()},
+                     {"capacity_mib", row.capacity_mib},
+                     {"checks_fencing", row.checks_fencing},
+                     {"epoch", row.epoch},
+                     {"write_id", row.write_id},
+                     {"boot", row.boot},
+                     {"report_sequence", row.report_sequence},
+                     {"fenced_epoch", row.fenced_epoch},
+                     {"fenced_sequence", row.fenced_sequence},
+                     {"residents", std::move(residents)},
+                     {"orders", std::move(orders)}});
+}
+
+failure decode(std::string_view text, ledger_row& out)
+{
+    return decode_text(text, "ledger row", [&out](const auto& value) {
+        out.server = server_id(text_of(value, "server"));
+        out.capacity_mib = number_of<std::uint32_t>(value, "capacity_mib");
+        out.checks_fencing = value.at("checks_fencing").as_bool();
+        out.epoch = number_of<std::uint64_t>(value, "epoch");
+        out.write_id = text_of(value, "write_id");
+        out.boot = number_of<std::uint64_t>(value, "boot");
+        out.report_sequence =
+            number_of<std::uint64_t>(value, "report_sequence");
+        out.fenced_epoch = number_of<std::uint64_t>(value, "fenced_epoch");
+        out.fenced_sequence =
+            number_of<std::uint64_t>(value, "fenced_sequence");
+        for (const auto& entry : value.at("residents").as_array())
+            out.residents.push_back(to_resident(entry));
+        for (const auto& order : value.at("orders").as_array())
+            out.orders.push_back(to_order(order));
+    });
+}
+
+std::string encode(const claim_record& record)
+{
+    return json::serialize(
+        json::object{{"state", name_of(claim_states, record.state)},
+                     {"request_digest", record.request_digest},
+                     {"holder", record.holder.value()},
+                     {"claim_id", record.claim_id},
+                     {"status", record.status},
+                     {"content_type", record.content_type},
+                     {"body", record.body}});
+}
+
+failure decode(std::string_view text, claim_record& out)
+{
+    return decode_text(text, "claim row", [&out](const auto& value) {
+        out.state = enum_of<claim_state>(claim_states, value.at("state"));
+        out.request_digest = text_of(value, "request_digest");
+        out.holder = instance_id(text_of(value, "holder"));
+        out.claim_id = text_of(value, "claim_id");
+        out.status = number_of<std::uint32_t>(value, "status");
+        out.content_type = text_of(value, "content_type");
+        out.body = text_of(value, "body");
+    });
+}
+
+std::string encode(const engine_order& order)
+{
+    return json::serialize(to_json(order));
+}
+
+failure decode(std::string_view text, order_answer& out)
+{
+    return decode_text(text, "order answer", [&out](const auto& value) {
+        out.outcome = value.at("result").as_string() == "done"
+                          ? order_outcome::done
+                          : order_outcome::refused;
+        out.boot = number_of<std::uint64_t>(value, "boot");
+        out.sequence = number_of<std::uint64_t>(value, "sequence");
+    });
+}
+
+failure decode(std::string_view text, engine_status& out)
+{
+    return decode_text(text, "engine report", [&out](const auto& value) {
+        out.report.boot = number_of<std::uint64_t>(value, "boot");
+        out.report.sequence = number_of<std::uint64_t>(value, "sequence");
+        out.outstanding = number_of<std::uint32_t>(value, "outstanding");
+        out.leaving = value.at("leaving").as_bool();
+        for (const auto& entry : value.at("residents").as_array())
+            out.report.residents.push_back(to_resident(entry));
+    });
+}
+
+failure decode(std::string_view text, std::vector<listed_instance>& out)
+{
+    return decode_text(text, "instance list", [&out](const auto& value) {
+        for (const auto& entry : value.at("instances").as_array()) {
+            listed_instance instance;
+            instance.id = instance_id(text_of(entry, "instance"));
+            instance.address = text_of(entry, "address");
+            instance.port = number_of<std::uint16_t>(entry, "port");
+            instance.region = region_id(text_of(entry, "region"));
+            instance.failure_domain =
+                failure_domain_id(text_of(entry, "failure_domain"));
+            instance.leaving = text_of(entry, "state") != "live";
+            out.push_back(std::move(instance));
+        }
+    });
+}
+
+} // namespace barleyfork
