--- a/libs/base/include/barleyfork/base/strong_id.hpp
+++ b/libs/base/include/barleyfork/base/strong_id.hpp
@@ -16,13 +16,16 @@
 {
 public:
     strong_id() = default;
-    explicit strong_id(std::string value)
-        : value_(std::move(value))
+    explicit strong_id(std::string value) : value_(std::move(value)) {}
+
+    const std::string& value() const noexcept
     {
+        return value_;
+    }
+    bool empty() const noexcept
+    {
+        return value_.empty();
     }
-
-    const std::string& value() const noexcept { return value_; }
-    bool empty() const noexcept { return value_.empty(); }
 
     friend auto operator<=>(const strong_id&, const strong_id&) = default;
 
@@ -43,8 +46,7 @@
 template <typename Tag>
 struct std::hash<barleyfork::strong_id<Tag>>
 {
-    std::size_t
-    operator()(const barleyfork::strong_id<Tag>& id) const noexcept
+    std::size_t operator()(const barleyfork::strong_id<Tag>& id) const noexcept
     {
         return std::hash<std::string>()(id.value());
     }
--- a/libs/base/include/barleyfork/base/time.hpp
+++ b/libs/base/include/barleyfork/base/time.hpp
@@ -10,8 +10,7 @@
 
 /// A point on one process's monotonic clock; never compared across
 /// processes.
-using time_point =
-    std::chrono::time_point<std::chrono::steady_clock, duration>;
+using time_point = std::chrono::time_point<std::chrono::steady_clock, duration>;
 
 /// Reads the monotonic clock. Only duties call it; decisions take the time
 /// as an argument.
--- a/libs/base/src/digest.cpp
+++ b/libs/base/src/digest.cpp
@@ -66,6 +66,33 @@
     return sodium_memcmp(a.data(), b.data(), a.size()) == 0;
 }
 
+std::string encode_base64(std::string_view bytes)
+{
+    constexpr int variant = sodium_base64_VARIANT_ORIGINAL;
+    std::string text(sodium_base64_encoded_len(bytes.size(), variant), '\0');
+    sodium_bin2base64(
+        text.data(), text.size(), as_bytes(bytes), bytes.size(), variant);
+    text.pop_back();
+    return text;
+}
+
+std::string decode_base64(std::string_view text)
+{
+    std::string bytes(text.size(), '\0');
+    std::size_t size = 0;
+    if (sodium_base642bin(reinterpret_cast<unsigned char*>(bytes.data()),
+                          bytes.size(),
+                          text.data(),
+                          text.size(),
+                          nullptr,
+                          &size,
+                          nullptr,
+                          sodium_base64_VARIANT_ORIGINAL) != 0)
+        return {};
+    bytes.resize(size);
+    return bytes;
+}
+
 std::string random_identifier()
 {
     std::array<unsigned char, identifier_bytes> bytes{};
--- a/libs/base/src/error.cpp
+++ b/libs/base/src/error.cpp
@@ -21,8 +21,7 @@
      "with GET /v1/models"},
     {"limit_reached",
      "the organisation's limit is used up; ask again after Retry-After"},
-    {"overloaded",
-     "the target cannot be met now; ask again after Retry-After"},
+    {"overloaded", "the target cannot be met now; ask again after Retry-After"},
     {"no_replica",
      "no replica could be reached and the request was not run; ask again "
      "after Retry-After"},
@@ -61,7 +60,10 @@
 class project_category : public std::error_category
 {
 public:
-    const char* name() const noexcept override { return "barleyfork"; }
+    const char* name() const noexcept override
+    {
+        return "barleyfork";
+    }
 
     std::string message(int value) const override
     {
--- a/libs/base/src/log.cpp
+++ b/libs/base/src/log.cpp
@@ -70,8 +70,7 @@
     initializer() = std::make_unique<log4cplus::Initializer>();
     auto appender = make_appender(file);
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
-        "ts=%D{%Y-%m-%dT%H:%M:%S.%q} level=%p instance=" + instance +
-        " %m%n"));
+        "ts=%D{%Y-%m-%dT%H:%M:%S.%q} level=%p instance=" + instance + " %m%n"));
     log4cplus::SharedAppenderPtr queue(
         new log4cplus::AsyncAppender(appender, queue_lines));
     auto root = log4cplus::Logger::getRoot();
@@ -94,8 +93,7 @@
 }
 
 log_event::log_event(log_level level, std::string_view name)
-    : level_(level)
-    , line_("event=")
+    : level_(level), line_("event=")
 {
     append_value(line_, name);
 }
--- a/libs/core/include/barleyfork/core/catalog.hpp
+++ b/libs/core/include/barleyfork/core/catalog.hpp
@@ -133,8 +133,14 @@
     {
         return servers_;
     }
-    const policy_entry& policy() const noexcept { return policy_; }
-    const std::string& name() const noexcept { return name_; }
+    const policy_entry& policy() const noexcept
+    {
+        return policy_;
+    }
+    const std::string& name() const noexcept
+    {
+        return name_;
+    }
 
 private:
     catalog() = default;
--- a/libs/core/include/barleyfork/core/cell_controller.hpp
+++ b/libs/core/include/barleyfork/core/cell_controller.hpp
@@ -40,21 +40,30 @@
     unknown,
 };
 
-/// Decides the orders of one cell of backend servers under one lease epoch.
+/// Decides the orders of one cell of backend servers under one lease.
 ///
-/// No order is sent before the ledger row that counts it is known to be
-/// written. At most one write per row is outstanding. The object lives for
-/// one lease epoch; a daemon that takes the lease again makes a new one. Not
-/// thread-safe; the time is an argument.
+/// Adopting a row raises its epoch, which is the fencing number of the orders
+/// for that server; the conditional write makes it unique even where two
+/// daemons believe they hold the lease. No order is sent before the ledger
+/// row that counts it is known to be written. At most one write per row is
+/// outstanding. The object lives for one holding of the lease. Where an order
+/// to a checking engine got no answer, the row's epoch is raised and the
+/// engine fenced, which closes the order. Not thread-safe.
 class cell_controller
 {
 public:
-    cell_controller(instance_id self, std::uint64_t epoch);
+    /// `lease_epoch` is the least fencing number this holder uses.
+    cell_controller(instance_id self, std::uint64_t lease_epoch);
 
     /// Adds a server of the cell; `row` is the ledger row as read, or a fresh
     /// one with version 0.
     void add_server(ledger_row row, std::uint64_t version);
 
+    /// Takes over what a new declaration says of a server.
+    void update_server(const server_id& server,
+                       std::uint32_t capacity_mib,
+                       bool checks_fencing);
+
     /// Removes a server that is no longer declared.
     void remove_server(const server_id& server);
 
@@ -86,11 +95,10 @@
     controller_effects collect();
 
     /// False once another writer changed a row: the epoch is over.
-    bool valid() const noexcept { return valid_; }
-
-    /// True where an order's outcome is unknown and raising the epoch would
-    /// let a checking engine close it.
-    bool wants_new_epoch() const;
+    bool valid() const noexcept
+    {
+        return valid_;
+    }
 
     /// The rows as last known to be written, for the planner and status.
     const ledger_row* written_row(const server_id& server) const;
@@ -104,6 +112,8 @@
         /// The row as last known to stand in the table, and its version.
         ledger_row written;
         std::uint64_t version = 0;
+        /// This holder's fencing number for the server.
+        std::uint64_t epoch = 0;
         /// The row as it should be.
         ledger_row wanted;
         /// The row being written; kept until its outcome is known.
@@ -117,6 +127,7 @@
         std::vector<order_id> unanswered;
     };
 
+    void raise_epoch(server_slot& slot);
     void collect_write(server_slot& slot, controller_effects& effects);
     void collect_orders(const server_id& id,
                         server_slot& slot,
@@ -126,7 +137,7 @@
                        controller_effects& effects);
 
     instance_id self_;
-    std::uint64_t epoch_;
+    std::uint64_t lease_epoch_;
     std::uint64_t writes_ = 0;
     bool valid_ = true;
     std::map<server_id, server_slot> slots_;
--- a/libs/core/include/barleyfork/core/configuration_state.hpp
+++ b/libs/core/include/barleyfork/core/configuration_state.hpp
@@ -55,10 +55,16 @@
                   time_point now);
 
     /// What this daemon passes on to peers.
-    const configuration_head& known() const noexcept { return known_; }
+    const configuration_head& known() const noexcept
+    {
+        return known_;
+    }
 
     /// The newest accepted number whose body is known; 0 before the first.
-    std::uint64_t revision() const noexcept { return revision_in_force_; }
+    std::uint64_t revision() const noexcept
+    {
+        return revision_in_force_;
+    }
 
     /// The catalog in force, or null before the first.
     const std::shared_ptr<const catalog>& in_force() const noexcept
@@ -85,8 +91,7 @@
     std::uint64_t revision_in_force_ = 0;
     std::shared_ptr<const catalog> in_force_;
     std::string in_force_digest_;
-    std::vector<std::pair<std::string, std::shared_ptr<const catalog>>>
-        bodies_;
+    std::vector<std::pair<std::string, std::shared_ptr<const catalog>>> bodies_;
     time_point staged_since_{};
 };
 
--- a/libs/core/include/barleyfork/core/crash_quarantine.hpp
+++ b/libs/core/include/barleyfork/core/crash_quarantine.hpp
@@ -37,9 +37,8 @@
     void on_answer(std::uint64_t fingerprint);
 
     /// A peer's count; the larger one wins.
-    void merge(std::uint64_t fingerprint,
-               std::uint32_t crashes,
-               time_point now);
+    void
+    merge(std::uint64_t fingerprint, std::uint32_t crashes, time_point now);
 
     /// True where the request is to be refused.
     bool refused(std::uint64_t fingerprint, time_point now) const;
--- a/libs/core/include/barleyfork/core/demand_estimator.hpp
+++ b/libs/core/include/barleyfork/core/demand_estimator.hpp
@@ -25,8 +25,14 @@
     /// Takes in the demand seen since the last call.
     void observe(double demand, time_point now);
 
-    double fast() const noexcept { return fast_; }
-    double peak() const noexcept { return peak_; }
+    double fast() const noexcept
+    {
+        return fast_;
+    }
+    double peak() const noexcept
+    {
+        return peak_;
+    }
 
 private:
     demand_options options_;
--- /dev/null
+++ b/libs/core/include/barleyfork/core/event_splitter.hpp
@@ -0,0 +1,47 @@
+#ifndef BARLEYFORK_CORE_EVENT_SPLITTER_HPP
+#define BARLEYFORK_CORE_EVENT_SPLITTER_HPP
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace barleyfork {
+
+/// Cuts a server-sent-event stream into whole events (WHATWG HTML, 9.2).
+///
+/// Only whole events are passed on, so a stream that breaks within one can be
+/// resumed at `events` without a doubled or torn event.
+class event_splitter
+{
+public:
+    /// Takes in bytes; the whole events they complete, end marks included.
+    std::vector<std::string> feed(std::string_view bytes);
+
+    /// Drops a torn event, for a stream that is resumed elsewhere.
+    void drop_partial()
+    {
+        partial_.clear();
+    }
+
+    /// Data events so far, the end mark not counted.
+    std::uint64_t events() const noexcept
+    {
+        return events_;
+    }
+
+    /// True once `data: [DONE]` came.
+    bool done() const noexcept
+    {
+        return done_;
+    }
+
+private:
+    std::string partial_;
+    std::uint64_t events_ = 0;
+    bool done_ = false;
+};
+
+} // namespace barleyfork
+
+#endif
--- a/libs/core/include/barleyfork/core/fair_queue.hpp
+++ b/libs/core/include/barleyfork/core/fair_queue.hpp
@@ -42,7 +42,10 @@
     /// Takes out a request whose caller left or whose time is up.
     void remove(queue_ticket ticket);
 
-    std::size_t size() const noexcept { return size_; }
+    std::size_t size() const noexcept
+    {
+        return size_;
+    }
 
 private:
     struct organisation_queue
--- a/libs/core/include/barleyfork/core/lease.hpp
+++ b/libs/core/include/barleyfork/core/lease.hpp
@@ -51,12 +51,8 @@
     std::optional<lease_row>
     next_write(bool candidate, std::string write_id, time_point now);
 
-    /// The row to write in order to raise the epoch while holding.
-    std::optional<lease_row> raise_epoch(std::string write_id, time_point now);
-
     /// The write of `row` took effect as `version`.
-    void
-    written(const lease_row& row, std::uint64_t version, time_point now);
+    void written(const lease_row& row, std::uint64_t version, time_point now);
 
     /// The row to write to give the lease up, where it is held.
     std::optional<lease_row> release(std::string write_id, time_point now);
@@ -65,13 +61,22 @@
     bool held(time_point now) const noexcept;
 
     /// The epoch under which this daemon acts.
-    std::uint64_t epoch() const noexcept { return row_.epoch; }
+    std::uint64_t epoch() const noexcept
+    {
+        return row_.epoch;
+    }
 
     /// The row's version as last known, for the conditional write.
-    std::uint64_t version() const noexcept { return version_; }
+    std::uint64_t version() const noexcept
+    {
+        return version_;
+    }
 
     /// The holder as last seen.
-    const instance_id& holder() const noexcept { return row_.holder; }
+    const instance_id& holder() const noexcept
+    {
+        return row_.holder;
+    }
 
 private:
     struct pending_write
--- a/libs/core/include/barleyfork/core/membership.hpp
+++ b/libs/core/include/barleyfork/core/membership.hpp
@@ -23,6 +23,8 @@
     region_id region;
     failure_domain_id failure_domain;
     bool leaving = false;
+    /// A backend server rather than a daemon.
+    bool is_backend_server = false;
 };
 
 /// A peer as this daemon sees it.
@@ -98,13 +100,25 @@
     /// Peers that may receive messages: alive, suspect or leaving.
     std::vector<const member_view*> members() const;
 
+    /// All peers on the platform's list, reachable or not.
+    std::vector<const member_view*> listed() const;
+
+    /// This instance's own incarnation.
+    std::uint64_t incarnation() const noexcept
+    {
+        return incarnation_;
+    }
+
     /// Live instances, this one included.
     std::size_t live_count() const noexcept;
 
     /// A peer by its id, or null.
     const member_view* find(const instance_id& id) const;
 
-    const listed_instance& self() const noexcept { return self_; }
+    const listed_instance& self() const noexcept
+    {
+        return self_;
+    }
 
 private:
     struct pending_probe
--- a/libs/core/include/barleyfork/core/memory_ledger.hpp
+++ b/libs/core/include/barleyfork/core/memory_ledger.hpp
@@ -125,6 +125,11 @@
               const model_id& model,
               std::uint32_t version);
 
+/// True where an unload of the model version is outstanding.
+bool is_unloading(const ledger_row& row,
+                  const model_id& model,
+                  std::uint32_t version);
+
 /// True where an order for the model version is outstanding.
 bool has_order(const ledger_row& row,
                const model_id& model,
--- a/libs/core/include/barleyfork/core/request_progress.hpp
+++ b/libs/core/include/barleyfork/core/request_progress.hpp
@@ -61,19 +61,23 @@
 
     /// Decides after a try. `delivered` says whether the caller has got a
     /// part of the answer; `budget` whether the retry budget has room.
-    next_step after_attempt(attempt_end end,
-                            bool delivered,
-                            bool budget,
-                            time_point now);
+    next_step
+    after_attempt(attempt_end end, bool delivered, bool budget, time_point now);
 
     /// No replica can be tried; decides how the request ends.
     next_step no_candidate() const noexcept;
 
     /// Tries so far.
-    std::uint32_t tries() const noexcept { return tries_; }
+    std::uint32_t tries() const noexcept
+    {
+        return tries_;
+    }
 
     /// True where an earlier try may have run.
-    bool may_have_run() const noexcept { return may_have_run_; }
+    bool may_have_run() const noexcept
+    {
+        return may_have_run_;
+    }
 
 private:
     next_step give_up(bool delivered) const noexcept;
--- a/libs/core/include/barleyfork/core/retry_budget.hpp
+++ b/libs/core/include/barleyfork/core/retry_budget.hpp
@@ -20,7 +20,10 @@
     bool try_take();
 
     /// Retries left now.
-    double left() const noexcept { return credit_; }
+    double left() const noexcept
+    {
+        return credit_;
+    }
 
 private:
     double per_try_;
--- a/libs/core/src/admission.cpp
+++ b/libs/core/src/admission.cpp
@@ -82,15 +82,15 @@
     std::uint64_t largest = 0;
     for (const auto& room : rooms)
         largest = std::max(largest, room.free_mib);
-    return make_failure(
-        errc::does_not_fit,
-        "old and new floors need " + std::to_string(needed) + " MiB of " +
-            std::to_string(available) + " MiB; model " +
-            misfit.model->id.value() + " needs " +
-            std::to_string(misfit.model->memory_mib) + " MiB on " +
-            std::to_string(misfit.replicas) +
-            " servers and the largest room left is " +
-            std::to_string(largest) + " MiB");
+    return make_failure(errc::does_not_fit,
+                        "old and new floors need " + std::to_string(needed) +
+                            " MiB of " + std::to_string(available) +
+                            " MiB; model " + misfit.model->id.value() +
+                            " needs " +
+                            std::to_string(misfit.model->memory_mib) +
+                            " MiB on " + std::to_string(misfit.replicas) +
+                            " servers and the largest room left is " +
+                            std::to_string(largest) + " MiB");
 }
 
 } // namespace
--- a/libs/core/src/catalog.cpp
+++ b/libs/core/src/catalog.cpp
@@ -83,8 +83,7 @@
     return organisation_index_.contains(name);
 }
 
-failure
-catalog::add_organisations(const schema::deployment_record& deployment)
+failure catalog::add_organisations(const schema::deployment_record& deployment)
 {
     for (const auto& spec : deployment.organisations) {
         const auto index = organisations_.size();
@@ -172,9 +171,10 @@
         };
         if (spec->service.empty() ||
             std::none_of(servers_.begin(), servers_.end(), served))
-            return invalid("route " + spec->path + ": no backend_server has "
-                           "the service '" + spec->service +
-                           "'; declare one");
+            return invalid("route " + spec->path +
+                           ": no backend_server has "
+                           "the service '" +
+                           spec->service + "'; declare one");
         routes_.push_back({organisation_id(spec->owner),
                            spec->path,
                            spec->service,
@@ -187,9 +187,8 @@
 catalog::organisation_by_key(std::string_view key_digest) const
 {
     const auto found = organisation_of_key_.find(std::string(key_digest));
-    return found == organisation_of_key_.end()
-               ? nullptr
-               : &organisations_[found->second];
+    return found == organisation_of_key_.end() ? nullptr
+                                               : &organisations_[found->second];
 }
 
 const model_entry* catalog::find_model(const organisation_id& owner,
--- a/libs/core/src/cell_controller.cpp
+++ b/libs/core/src/cell_controller.cpp
@@ -20,17 +20,15 @@
 
 bool contains_order(const ledger_row& row, const order_id& id)
 {
-    return std::any_of(
-        row.orders.begin(), row.orders.end(), [&id](const auto& order) {
-            return order.id == id;
-        });
+    return std::any_of(row.orders.begin(),
+                       row.orders.end(),
+                       [&id](const auto& order) { return order.id == id; });
 }
 
 } // namespace
 
-cell_controller::cell_controller(instance_id self, std::uint64_t epoch)
-    : self_(std::move(self))
-    , epoch_(epoch)
+cell_controller::cell_controller(instance_id self, std::uint64_t lease_epoch)
+    : self_(std::move(self)), lease_epoch_(lease_epoch)
 {
 }
 
@@ -41,9 +39,21 @@
     slot.written = row;
     slot.wanted = std::move(row);
     slot.version = version;
+    slot.epoch = std::max(slot.written.epoch + 1, lease_epoch_);
     slots_.insert_or_assign(id, std::move(slot));
 }
 
+void cell_controller::update_server(const server_id& server,
+                                    std::uint32_t capacity_mib,
+                                    bool checks_fencing)
+{
+    const auto found = slots_.find(server);
+    if (found == slots_.end())
+        return;
+    found->second.wanted.capacity_mib = capacity_mib;
+    found->second.wanted.checks_fencing = checks_fencing;
+}
+
 void cell_controller::remove_server(const server_id& server)
 {
     slots_.erase(server);
@@ -67,8 +77,7 @@
         mark_senders_gone(slot.wanted, gone);
 }
 
-bool cell_controller::request(const planned_step& step,
-                              std::string order_name)
+bool cell_controller::request(const planned_step& step, std::string order_name)
 {
     const auto found = slots_.find(step.server);
     if (found == slots_.end())
@@ -78,8 +87,7 @@
         return false;
     const bool load = step.kind == order_kind::load;
     const bool allowed =
-        load ? may_load(
-                   slot.wanted, step.model, step.version, step.memory_mib)
+        load ? may_load(slot.wanted, step.model, step.version, step.memory_mib)
              : is_ready(slot.wanted, step.model, step.version);
     if (!allowed)
         return false;
@@ -89,7 +97,7 @@
     order.model = step.model;
     order.version = step.version;
     order.memory_mib = step.memory_mib;
-    order.epoch = epoch_;
+    order.epoch = slot.epoch;
     order.sender = self_;
     order.boot = slot.wanted.boot;
     begin_order(slot.wanted, order);
@@ -151,17 +159,33 @@
     return effects;
 }
 
+/// Orders without an answer are closed by a fence of a larger epoch.
+void cell_controller::raise_epoch(server_slot& slot)
+{
+    std::erase_if(slot.unanswered, [&slot](const order_id& id) {
+        return !contains_order(slot.wanted, id);
+    });
+    if (slot.unanswered.empty() || !slot.wanted.checks_fencing)
+        return;
+    slot.unanswered.clear();
+    slot.epoch = slot.written.epoch + 1;
+    slot.fence_sent = false;
+}
+
 void cell_controller::collect_write(server_slot& slot,
                                     controller_effects& effects)
 {
     if (slot.awaiting_outcome)
         return;
     if (!slot.in_flight) {
-        if (slot.adopted && !differs(slot.wanted, slot.written))
+        raise_epoch(slot);
+        if (slot.adopted && slot.epoch == slot.written.epoch &&
+            !differs(slot.wanted, slot.written))
             return;
-        slot.wanted.epoch = epoch_;
-        slot.wanted.write_id = self_.value() + "/" + std::to_string(epoch_) +
-                               "/" + std::to_string(++writes_);
+        slot.wanted.epoch = slot.epoch;
+        slot.wanted.write_id = self_.value() + "/" +
+                               std::to_string(lease_epoch_) + "/" +
+                               std::to_string(++writes_);
         slot.in_flight = slot.wanted;
     }
     slot.awaiting_outcome = true;
@@ -174,12 +198,12 @@
 {
     const auto& row = slot.written;
     if (!row.checks_fencing || !slot.adopted || slot.fence_sent ||
-        row.boot == 0 || slot.wanted.fenced_epoch >= epoch_)
+        row.boot == 0 || slot.wanted.fenced_epoch >= row.epoch)
         return;
     engine_order order;
     order.id = order_id(row.write_id + "/fence");
     order.kind = order_kind::fence;
-    order.epoch = epoch_;
+    order.epoch = row.epoch;
     order.sender = self_;
     order.boot = row.boot;
     slot.fence_sent = true;
@@ -198,19 +222,6 @@
     });
 }
 
-bool cell_controller::wants_new_epoch() const
-{
-    return std::any_of(slots_.begin(), slots_.end(), [](const auto& entry) {
-        const auto& slot = entry.second;
-        return slot.wanted.checks_fencing &&
-               std::any_of(slot.unanswered.begin(),
-                           slot.unanswered.end(),
-                           [&slot](const order_id& id) {
-                               return contains_order(slot.wanted, id);
-                           });
-    });
-}
-
 const ledger_row* cell_controller::written_row(const server_id& server) const
 {
     const auto found = slots_.find(server);
--- a/libs/core/src/configuration_state.cpp
+++ b/libs/core/src/configuration_state.cpp
@@ -31,8 +31,7 @@
 
 } // namespace
 
-bool configuration_state::learn(const configuration_head& head,
-                                time_point now)
+bool configuration_state::learn(const configuration_head& head, time_point now)
 {
     const auto merged = merge_heads(known_, head);
     if (merged == known_)
@@ -113,9 +112,8 @@
 configuration_head merge_heads(const configuration_head& a,
                                const configuration_head& b)
 {
-    const bool b_newer =
-        std::pair(b.decided, b.staged_revision) >
-        std::pair(a.decided, a.staged_revision);
+    const bool b_newer = std::pair(b.decided, b.staged_revision) >
+                         std::pair(a.decided, a.staged_revision);
     configuration_head merged = b_newer ? b : a;
     const auto& other = b_newer ? a : b;
     if (other.revision > merged.revision) {
@@ -124,7 +122,8 @@
     }
     // A peer may know the staged number without the decision before it.
     if (other.staged_revision > merged.decided &&
-        other.staged_revision > merged.staged_revision) {
+        other.staged_revision > merged.staged_revision)
+    {
         merged.staged_revision = other.staged_revision;
         merged.staged_digest = other.staged_digest;
         merged.coordinator = other.coordinator;
@@ -168,8 +167,8 @@
     return next;
 }
 
-std::optional<configuration_head>
-abandon_staged(const configuration_head& head, std::string write_id)
+std::optional<configuration_head> abandon_staged(const configuration_head& head,
+                                                 std::string write_id)
 {
     if (head.staged_revision == 0)
         return std::nullopt;
--- a/libs/core/src/crash_quarantine.cpp
+++ b/libs/core/src/crash_quarantine.cpp
@@ -4,18 +4,14 @@
 
 namespace barleyfork {
 
-crash_quarantine::crash_quarantine(duration memory)
-    : memory_(memory)
-{
-}
+crash_quarantine::crash_quarantine(duration memory) : memory_(memory) {}
 
 std::vector<std::uint64_t>
 crash_quarantine::on_crash(std::span<const std::uint64_t> in_flight,
                            time_point now)
 {
     std::vector<std::uint64_t> changed;
-    const std::set<std::uint64_t> distinct(in_flight.begin(),
-                                           in_flight.end());
+    const std::set<std::uint64_t> distinct(in_flight.begin(), in_flight.end());
     // Whoever was present at an earlier crash is the likelier cause; the
     // newcomers beside it are not counted.
     const bool any_known =
@@ -36,8 +32,7 @@
 void crash_quarantine::on_answer(std::uint64_t fingerprint)
 {
     const auto found = entries_.find(fingerprint);
-    if (found != entries_.end() &&
-        found->second.crashes < refusal_threshold)
+    if (found != entries_.end() && found->second.crashes < refusal_threshold)
         entries_.erase(found);
 }
 
@@ -52,8 +47,7 @@
     entry.changed_at = now;
 }
 
-bool crash_quarantine::refused(std::uint64_t fingerprint,
-                               time_point now) const
+bool crash_quarantine::refused(std::uint64_t fingerprint, time_point now) const
 {
     const auto found = entries_.find(fingerprint);
     return found != entries_.end() &&
--- a/libs/core/src/demand_estimator.cpp
+++ b/libs/core/src/demand_estimator.cpp
@@ -15,8 +15,7 @@
 
 } // namespace
 
-demand_estimator::demand_estimator(demand_options options)
-    : options_(options)
+demand_estimator::demand_estimator(demand_options options) : options_(options)
 {
 }
 
@@ -33,8 +32,8 @@
     last_ = now;
     const double kept = kept_share(elapsed, options_.fast_half_life);
     fast_ = kept * fast_ + (1.0 - kept) * demand;
-    peak_ = std::max(fast_, peak_ * kept_share(elapsed,
-                                               options_.peak_half_life));
+    peak_ =
+        std::max(fast_, peak_ * kept_share(elapsed, options_.peak_half_life));
 }
 
 } // namespace barleyfork
--- a/libs/core/src/fair_queue.cpp
+++ b/libs/core/src/fair_queue.cpp
@@ -4,10 +4,7 @@
 
 namespace barleyfork {
 
-fair_queue::fair_queue(std::size_t limit)
-    : limit_(limit)
-{
-}
+fair_queue::fair_queue(std::size_t limit) : limit_(limit) {}
 
 fair_queue::push_result fair_queue::push(const organisation_id& owner,
                                          std::uint32_t weight)
@@ -62,8 +59,8 @@
 void fair_queue::remove(queue_ticket ticket)
 {
     for (auto& [owner, queue] : queues_) {
-        const auto found = std::find(
-            queue.waiting.begin(), queue.waiting.end(), ticket);
+        const auto found =
+            std::find(queue.waiting.begin(), queue.waiting.end(), ticket);
         if (found == queue.waiting.end())
             continue;
         queue.waiting.erase(found);
@@ -77,8 +74,7 @@
     return std::max_element(
         queues_.begin(), queues_.end(), [](const auto& a, const auto& b) {
             const auto share = [](const organisation_queue& queue) {
-                return static_cast<double>(queue.waiting.size()) /
-                       queue.weight;
+                return static_cast<double>(queue.waiting.size()) / queue.weight;
             };
             return share(a.second) < share(b.second);
         });
--- a/libs/core/src/lease.cpp
+++ b/libs/core/src/lease.cpp
@@ -6,14 +6,11 @@
 namespace barleyfork {
 
 lease::lease(instance_id self, lease_options options)
-    : self_(std::move(self))
-    , options_(options)
+    : self_(std::move(self)), options_(options)
 {
 }
 
-void lease::observe(const lease_row& row,
-                    std::uint64_t version,
-                    time_point now)
+void lease::observe(const lease_row& row, std::uint64_t version, time_point now)
 {
     if (observed_ && version <= version_)
         return;
@@ -34,9 +31,8 @@
     pending_.clear();
 }
 
-std::optional<lease_row> lease::next_write(bool candidate,
-                                           std::string write_id,
-                                           time_point now)
+std::optional<lease_row>
+lease::next_write(bool candidate, std::string write_id, time_point now)
 {
     if (!observed_)
         return std::nullopt;
@@ -52,17 +48,7 @@
     return begin_write({self_, row_.epoch + 1, std::move(write_id)}, now);
 }
 
-std::optional<lease_row> lease::raise_epoch(std::string write_id,
-                                            time_point now)
-{
-    if (!held(now))
-        return std::nullopt;
-    return begin_write({self_, row_.epoch + 1, std::move(write_id)}, now);
-}
-
-void lease::written(const lease_row& row,
-                    std::uint64_t version,
-                    time_point now)
+void lease::written(const lease_row& row, std::uint64_t version, time_point now)
 {
     observe(row, version, now);
 }
--- a/libs/core/src/load_estimate.cpp
+++ b/libs/core/src/load_estimate.cpp
@@ -69,10 +69,8 @@
     result.unserved.assign(input.models.size(), 0.0);
     for (int round = 0; round < balance_rounds; ++round)
         for (std::size_t m = 0; m < shares.size(); ++m)
-            rebalance(input,
-                      input.models[m].demand,
-                      shares[m],
-                      result.server_load);
+            rebalance(
+                input, input.models[m].demand, shares[m], result.server_load);
     for (std::size_t m = 0; m < shares.size(); ++m) {
         if (shares[m].empty())
             result.unserved[m] = input.models[m].demand;
--- a/libs/core/src/membership.cpp
+++ b/libs/core/src/membership.cpp
@@ -21,10 +21,8 @@
                        std::uint64_t incarnation,
                        membership_options options,
                        std::uint64_t seed)
-    : self_(std::move(self))
-    , incarnation_(incarnation)
-    , options_(options)
-    , random_state_(seed)
+    : self_(std::move(self)), incarnation_(incarnation), options_(options),
+      random_state_(seed)
 {
 }
 
@@ -130,8 +128,7 @@
         if (now >= since + options_.suspicion)
             overdue.push_back(id);
     for (const auto& id : overdue)
-        change_state(
-            id, member_state::gone, members_.at(id).incarnation, now);
+        change_state(id, member_state::gone, members_.at(id).incarnation, now);
 }
 
 /// Goes through all peers in a shuffled order, so that each is probed within
@@ -156,8 +153,7 @@
             continue;
         auto message = compose(message_kind::probe);
         message.sequence = next_sequence_++;
-        probes_[id] = {
-            message.sequence, now + options_.probe_timeout, false};
+        probes_[id] = {message.sequence, now + options_.probe_timeout, false};
         out.push_back({id, std::move(message)});
     }
 }
@@ -215,8 +211,7 @@
 }
 
 std::optional<outgoing_message>
-membership::receive(const schema::peer_message_record& message,
-                    time_point now)
+membership::receive(const schema::peer_message_record& message, time_point now)
 {
     if (!message.sender)
         return std::nullopt;
@@ -297,6 +292,14 @@
     return result;
 }
 
+std::vector<const member_view*> membership::listed() const
+{
+    std::vector<const member_view*> result;
+    for (const auto& [id, view] : members_)
+        result.push_back(&view);
+    return result;
+}
+
 std::size_t membership::live_count() const noexcept
 {
     return 1 + static_cast<std::size_t>(std::count_if(
--- a/libs/core/src/memory_ledger.cpp
+++ b/libs/core/src/memory_ledger.cpp
@@ -44,9 +44,8 @@
         });
 }
 
-std::ptrdiff_t count_loads(const ledger_row& row,
-                           const model_id& model,
-                           std::uint32_t version)
+std::ptrdiff_t
+count_loads(const ledger_row& row, const model_id& model, std::uint32_t version)
 {
     return std::count_if(
         row.orders.begin(), row.orders.end(), [&](const auto& order) {
@@ -117,8 +116,7 @@
 void close_seen_unloads(ledger_row& row, const engine_report& report)
 {
     std::erase_if(row.orders, [&](const engine_order& order) {
-        return order.kind == order_kind::unload &&
-               order.boot == row.boot &&
+        return order.kind == order_kind::unload && order.boot == row.boot &&
                find_resident(row.residents, order.model, order.version) ==
                    nullptr &&
                find_resident(report.residents, order.model, order.version) ==
@@ -179,9 +177,15 @@
               const model_id& model,
               std::uint32_t version)
 {
-    if (find_resident(row.residents, model, version) == nullptr)
-        return false;
-    return std::none_of(
+    return find_resident(row.residents, model, version) != nullptr &&
+           !is_unloading(row, model, version);
+}
+
+bool is_unloading(const ledger_row& row,
+                  const model_id& model,
+                  std::uint32_t version)
+{
+    return std::any_of(
         row.orders.begin(), row.orders.end(), [&](const auto& order) {
             return order.kind == order_kind::unload &&
                    same_version(order, model, version);
@@ -207,10 +211,10 @@
                  const order_id& id,
                  const order_answer& answer)
 {
-    const auto found = std::find_if(
-        row.orders.begin(), row.orders.end(), [&id](const auto& order) {
-            return order.id == id;
-        });
+    const auto found =
+        std::find_if(row.orders.begin(),
+                     row.orders.end(),
+                     [&id](const auto& order) { return order.id == id; });
     if (found == row.orders.end() || answer.outcome == order_outcome::unknown)
         return;
     const bool done = answer.outcome == order_outcome::done;
--- a/libs/core/src/placement_round.cpp
+++ b/libs/core/src/placement_round.cpp
@@ -18,18 +18,16 @@
 
 bool is_clearing(const planner_server& server)
 {
-    return std::any_of(
-        server.replicas.begin(),
-        server.replicas.end(),
-        [](const auto& replica) { return replica.unloading; });
+    return std::any_of(server.replicas.begin(),
+                       server.replicas.end(),
+                       [](const auto& replica) { return replica.unloading; });
 }
 
 } // namespace
 
 placement_round::placement_round(planner_input input)
-    : input_(std::move(input))
-    , estimate_(estimate_load(input_))
-    , budget_(input_.options.load_budget)
+    : input_(std::move(input)), estimate_(estimate_load(input_)),
+      budget_(input_.options.load_budget)
 {
     for (std::size_t m = 0; m < input_.models.size(); ++m)
         model_index_.emplace(input_.models[m].id, m);
@@ -153,13 +151,13 @@
         return std::nullopt;
     const double keep = static_cast<double>(replicas.ready - 1);
     const auto shortfall = [&](double demand) {
-        return std::max(0.0, demand - keep * input_.servers[server].capacity *
-                                          input_.options.target_utilisation);
+        return std::max(0.0,
+                        demand - keep * input_.servers[server].capacity *
+                                     input_.options.target_utilisation);
     };
     const double now = shortfall(wanted.demand);
     const double later = return_share * shortfall(wanted.peak_demand);
-    const double share =
-        wanted.demand / static_cast<double>(replicas.ready);
+    const double share = wanted.demand / static_cast<double>(replicas.ready);
     return now + later + return_share * share -
            idle_credit * replica.idle_seconds;
 }
@@ -238,8 +236,13 @@
                       wanted.memory_mib,
                       reason});
     target.committed_mib += wanted.memory_mib;
-    target.replicas.push_back(
-        {wanted.id, wanted.version, wanted.memory_mib, false, true, false, 0.0});
+    target.replicas.push_back({wanted.id,
+                               wanted.version,
+                               wanted.memory_mib,
+                               false,
+                               true,
+                               false,
+                               0.0});
     --budget_;
 }
 
@@ -308,8 +311,7 @@
         const auto replicas = count(m);
         const bool behind = replicas.ready > replicas.ready_current;
         const auto floor = input_.models[m].min_replicas;
-        if (behind &&
-            replicas.ready_current + replicas.loading_current < floor)
+        if (behind && replicas.ready_current + replicas.loading_current < floor)
             load_with_room(m, step_reason::new_version);
     }
 }
--- a/libs/core/src/replica_picker.cpp
+++ b/libs/core/src/replica_picker.cpp
@@ -37,8 +37,7 @@
 
 double cost_of(const replica_candidate& candidate, time_point now)
 {
-    const auto age =
-        static_cast<double>((now - candidate.reported_at).count());
+    const auto age = static_cast<double>((now - candidate.reported_at).count());
     const double trust = report_half_life_ms / (report_half_life_ms + age);
     double cost = candidate.own_outstanding;
     cost += trust * candidate.reported_outstanding;
@@ -52,10 +51,10 @@
 class power_of_two_picker : public replica_picker
 {
 public:
-    std::optional<std::size_t> pick(
-        std::span<const replica_candidate> candidates,
-        const pick_request& request,
-        time_point now) const override
+    std::optional<std::size_t>
+    pick(std::span<const replica_candidate> candidates,
+         const pick_request& request,
+         time_point now) const override
     {
         if (candidates.empty())
             return std::nullopt;
@@ -97,10 +96,10 @@
 class random_picker : public replica_picker
 {
 public:
-    std::optional<std::size_t> pick(
-        std::span<const replica_candidate> candidates,
-        const pick_request& request,
-        time_point) const override
+    std::optional<std::size_t>
+    pick(std::span<const replica_candidate> candidates,
+         const pick_request& request,
+         time_point) const override
     {
         if (candidates.empty())
             return std::nullopt;
@@ -112,10 +111,10 @@
 class least_reported_picker : public replica_picker
 {
 public:
-    std::optional<std::size_t> pick(
-        std::span<const replica_candidate> candidates,
-        const pick_request&,
-        time_point) const override
+    std::optional<std::size_t>
+    pick(std::span<const replica_candidate> candidates,
+         const pick_request&,
+         time_point) const override
     {
         if (candidates.empty())
             return std::nullopt;
--- a/libs/core/src/request_progress.cpp
+++ b/libs/core/src/request_progress.cpp
@@ -2,10 +2,7 @@
 
 namespace barleyfork {
 
-request_progress::request_progress(request_traits traits)
-    : traits_(traits)
-{
-}
+request_progress::request_progress(request_traits traits) : traits_(traits) {}
 
 next_step request_progress::after_attempt(attempt_end end,
                                           bool delivered,
--- a/libs/core/src/retry_budget.cpp
+++ b/libs/core/src/retry_budget.cpp
@@ -13,8 +13,7 @@
 } // namespace
 
 retry_budget::retry_budget(std::uint32_t percent)
-    : per_try_(percent / 100.0)
-    , credit_(percent == 0 ? 0.0 : first_credit)
+    : per_try_(percent / 100.0), credit_(percent == 0 ? 0.0 : first_credit)
 {
 }
 
--- a/libs/core/src/token_bucket.cpp
+++ b/libs/core/src/token_bucket.cpp
@@ -58,8 +58,7 @@
         return;
     const auto elapsed = static_cast<double>((now - refilled_at_).count());
     level_ = std::min(std::max(1.0, per_second_),
-                      level_ +
-                          per_second_ * elapsed / milliseconds_per_second);
+                      level_ + per_second_ * elapsed / milliseconds_per_second);
     refilled_at_ = now;
 }
 
--- /dev/null
+++ b/libs/daemon/src/backend_client.cpp
@@ -0,0 +1,238 @@
+#include "backend_client.hpp"
+
+#include <barleyfork/base/log.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+
+namespace barleyfork {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t read_size = 16 * 1024;
+constexpr std::size_t idle_connections = 32;
+constexpr unsigned status_unavailable = 503;
+constexpr duration report_timeout{1000};
+
+std::string endpoint_key(const http_endpoint& endpoint)
+{
+    return endpoint.host + ":" + std::to_string(endpoint.port);
+}
+
+std::int32_t parse_load(std::string_view text)
+{
+    std::int32_t load = -1;
+    std::from_chars(text.data(), text.data() + text.size(), load);
+    return load;
+}
+
+/// A kept connection that its other end closed, or that holds bytes nobody
+/// asked for, must not be used again: the next answer could be another's.
+bool is_clean(tcp::socket& socket)
+{
+    char byte = 0;
+    beast::error_code error;
+    socket.non_blocking(true, error);
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+} // namespace
+
+struct backend_client::attempt
+{
+    attempt(std::shared_ptr<exchange> given,
+            const asio::any_io_executor& executor)
+        : work(std::move(given)), stream(executor)
+    {
+    }
+
+    std::shared_ptr<exchange> work;
+    beast::tcp_stream stream;
+    bool reusable = false;
+};
+
+backend_client::backend_client(daemon_context& context) : context_(context) {}
+
+asio::awaitable<void> backend_client::run(std::shared_ptr<exchange> work)
+{
+    attempt current(work, co_await asio::this_coro::executor);
+    work->on_cancel([&current] { current.stream.cancel(); });
+    exchange_event last;
+    last.part = exchange_part::end;
+    try {
+        last.end = co_await attempt_on(current);
+    }
+    catch (const std::exception& error) {
+        log_event(log_level::error, "attempt_failed")
+            .with("error", error.what());
+        last.end = attempt_end::lost_before_answer;
+    }
+    work->on_cancel({});
+    const auto& endpoint = work->request().endpoint;
+    if (current.reusable && !work->cancelled()) {
+        auto& pool = idle_[endpoint_key(endpoint)];
+        current.stream.expires_never();
+        if (pool.size() < idle_connections)
+            pool.push_back(current.stream.release_socket());
+    }
+    else {
+        current.stream.close();
+    }
+    const bool lost = last.end == attempt_end::lost_before_answer ||
+                      last.end == attempt_end::lost_in_answer;
+    if (lost && !work->cancelled()) {
+        const auto known = boots_.find(endpoint_key(endpoint));
+        last.crashed_boot = known == boots_.end() ? 0 : known->second;
+        last.server_crashed = co_await crashed(endpoint, last.crashed_boot);
+    }
+    co_await work->push(std::move(last));
+}
+
+/// Takes a kept connection or opens one; false where none could be had.
+asio::awaitable<bool> backend_client::connect(attempt& current)
+{
+    const auto& request = current.work->request();
+    auto& pool = idle_[endpoint_key(request.endpoint)];
+    while (request.may_reuse_connection && !pool.empty()) {
+        auto socket = std::move(pool.back());
+        pool.pop_back();
+        if (!is_clean(socket))
+            continue;
+        current.stream.socket() = std::move(socket);
+        co_return true;
+    }
+    beast::error_code error;
+    const auto address = asio::ip::make_address(request.endpoint.host, error);
+    if (error)
+        co_return false;
+    current.stream.expires_after(request.connect_timeout);
+    auto [connect_error] = co_await current.stream.async_connect(
+        tcp::endpoint(address, request.endpoint.port), as_result);
+    if (connect_error)
+        co_return false;
+    current.stream.socket().set_option(tcp::no_delay(true), error);
+    co_return true;
+}
+
+asio::awaitable<attempt_end> backend_client::attempt_on(attempt& current)
+{
+    auto& work = *current.work;
+    const auto& request = work.request();
+    if (work.cancelled() || !co_await connect(current))
+        co_return attempt_end::not_sent;
+    http::request<http::string_body> message;
+    message.method_string(request.method);
+    message.target(request.endpoint.base_path + request.target);
+    message.version(11);
+    message.set(http::field::host, endpoint_key(request.endpoint));
+    for (const auto& [name, value] : request.headers)
+        message.set(name, value);
+    message.body() = request.body;
+    message.prepare_payload();
+    current.stream.expires_after(request.first_byte_timeout);
+    auto [write_error, written] =
+        co_await http::async_write(current.stream, message, as_result);
+    if (write_error)
+        co_return attempt_end::lost_before_answer;
+
+    beast::flat_buffer buffer;
+    http::response_parser<http::buffer_body> parser;
+    parser.body_limit(boost::none);
+    auto [head_error, head_size] = co_await http::async_read_header(
+        current.stream, buffer, parser, as_result);
+    if (head_error)
+        co_return attempt_end::lost_before_answer;
+    if (parser.get().result_int() == status_unavailable &&
+        parser.get()["x-not-run"] == "true")
+        co_return attempt_end::refused_by_server;
+    exchange_event head;
+    head.part = exchange_part::head;
+    head.status = parser.get().result_int();
+    head.content_type = std::string(parser.get()[http::field::content_type]);
+    head.server_load = parse_load(parser.get()["x-engine-load"]);
+    if (!co_await work.push(std::move(head)))
+        co_return attempt_end::lost_in_answer;
+
+    std::string bytes(read_size, '\0');
+    while (!parser.is_done()) {
+        parser.get().body().data = bytes.data();
+        parser.get().body().size = bytes.size();
+        current.stream.expires_after(request.progress_timeout);
+        auto [read_error, read_bytes] = co_await http::async_read_some(
+            current.stream, buffer, parser, as_result);
+        if (read_error && read_error != http::error::need_buffer)
+            co_return attempt_end::lost_in_answer;
+        const auto filled = bytes.size() - parser.get().body().size;
+        if (filled == 0)
+            continue;
+        exchange_event data;
+        data.bytes.assign(bytes, 0, filled);
+        if (!co_await work.push(std::move(data)))
+            co_return attempt_end::lost_in_answer;
+    }
+    current.reusable = parser.get().keep_alive();
+    co_return attempt_end::answered;
+}
+
+/// Tests a suspicion on a new connection before the server is blamed: a
+/// refused connection or a new process shows a crash.
+asio::awaitable<bool> backend_client::crashed(const http_endpoint& endpoint,
+                                              std::uint64_t boot)
+{
+    http_client probe;
+    http_call call;
+    call.target = "/report";
+    call.timeout = report_timeout;
+    const auto reply = co_await probe.call(endpoint, std::move(call));
+    if (reply.not_sent)
+        co_return true;
+    engine_status status;
+    if (reply.error || decode(reply.body, status))
+        co_return false;
+    co_return boot != 0 && status.report.boot != boot;
+}
+
+asio::awaitable<std::optional<engine_status>>
+backend_client::report(http_endpoint endpoint)
+{
+    http_call call;
+    call.target = "/report";
+    call.timeout = report_timeout;
+    const auto reply = co_await control_client_.call(endpoint, std::move(call));
+    engine_status status;
+    if (reply.error || reply.status != 200 || decode(reply.body, status))
+        co_return std::nullopt;
+    boots_[endpoint_key(endpoint)] = status.report.boot;
+    co_return status;
+}
+
+asio::awaitable<order_answer> backend_client::send(http_endpoint endpoint,
+                                                   engine_order order)
+{
+    http_client connection;
+    http_call call;
+    call.method = "POST";
+    call.target = "/orders";
+    call.body = encode(order);
+    call.timeout = duration(context_.settings.controller->order_timeout_ms);
+    const auto reply = co_await connection.call(endpoint, std::move(call));
+    order_answer answer;
+    if (reply.not_sent)
+        answer.outcome = order_outcome::refused;
+    if (reply.error || decode(reply.body, answer))
+        co_return answer;
+    co_return answer;
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/daemon/src/caller_front.hpp
@@ -0,0 +1,135 @@
+#ifndef BARLEYFORK_DAEMON_SRC_CALLER_FRONT_HPP
+#define BARLEYFORK_DAEMON_SRC_CALLER_FRONT_HPP
+
+#include "backend_client.hpp"
+#include "daemon_context.hpp"
+#include "load_board.hpp"
+#include "serving_view.hpp"
+#include "table_duty.hpp"
+
+#include <barleyfork/core/crash_quarantine.hpp>
+#include <barleyfork/core/fair_queue.hpp>
+#include <barleyfork/core/replica_picker.hpp>
+#include <barleyfork/core/retry_budget.hpp>
+#include <barleyfork/core/token_bucket.hpp>
+#include <barleyfork/net/http_server.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <pcg_random.hpp>
+#include <string>
+
+namespace barleyfork {
+
+/// Work per model since the last call, in server-seconds.
+using demand_counts = std::map<model_id, double>;
+
+/// What one request is, once it has been identified.
+struct caller_request
+{
+    const http_incoming* incoming = nullptr;
+    std::shared_ptr<const serving_view> view;
+    organisation_entry owner;
+    trace_context trace;
+    std::string request_id;
+    std::uint64_t fingerprint = 0;
+    time_point arrived{};
+};
+
+/// Serves callers: identity, limits, routing, retries and true outcomes.
+/// Lives on the caller duty.
+class caller_front
+{
+public:
+    caller_front(daemon_context& context,
+                 backend_client& backends,
+                 table_duty& table);
+
+    /// Takes in a new view from the control duty.
+    void set_view(std::shared_ptr<const serving_view> view);
+
+    /// Takes in a server's reported load.
+    void set_reported(const server_id& server, std::uint32_t load);
+
+    /// Called with each fingerprint whose crash count changed.
+    void
+    on_quarantine(std::function<void(std::uint64_t, std::uint32_t)> announce);
+
+    /// Takes the demand counted since the last call.
+    demand_counts take_demand();
+
+    /// Handles one HTTP request.
+    boost::asio::awaitable<void> handle(const http_incoming& incoming,
+                                        http_responder& out);
+
+private:
+    friend class model_request;
+    friend class service_request;
+
+    boost::asio::awaitable<void> dispatch(caller_request& request,
+                                          http_responder& out);
+    boost::asio::awaitable<bool>
+    answer_plain_path(const http_incoming& incoming, http_responder& out);
+    boost::asio::awaitable<void> list_models(const caller_request& request,
+                                             http_responder& out);
+    failure admit(const caller_request& request, double& wait_seconds);
+    bool is_undecided(const caller_request& request,
+                      std::string_view key_digest,
+                      std::string_view model) const;
+    token_bucket& request_bucket(const organisation_entry& owner,
+                                 time_point now);
+    token_bucket& token_bucket_of(const organisation_entry& owner,
+                                  time_point now);
+
+    /// Sends the refusal of `error` and counts it as the outcome.
+    boost::asio::awaitable<void> refuse(const caller_request& request,
+                                        http_responder& out,
+                                        failure error,
+                                        double retry_after_seconds);
+
+    /// Starts a try on the backend duty; null where its ring is full.
+    std::shared_ptr<exchange> start_exchange(exchange_request request);
+
+    /// Candidates with room, and whether there are any at all.
+    std::vector<replica_candidate>
+    fill_candidates(const serving_view& view,
+                    const std::vector<std::size_t>& servers,
+                    time_point now) const;
+
+    /// Counts the end of one process of a server against the requests that
+    /// were on it; every lost try reports the same end, which counts once.
+    void
+    blame_crash(const server_id& server, std::uint64_t boot, time_point now);
+
+    /// A try ended: the next waiting request may go on.
+    void release_slot();
+
+    daemon_context& context_;
+    backend_client& backends_;
+    table_duty& table_;
+    std::shared_ptr<const serving_view> view_;
+    std::unique_ptr<replica_picker> picker_;
+    retry_budget budget_;
+    crash_quarantine quarantine_;
+    load_board loads_;
+    fair_queue queue_;
+    std::map<queue_ticket, std::shared_ptr<notifier>> waiting_;
+    std::map<organisation_id, token_bucket> request_buckets_;
+    std::map<organisation_id, token_bucket> token_buckets_;
+    demand_counts demand_;
+    std::map<server_id, std::uint64_t> crashed_boots_;
+    std::function<void(std::uint64_t, std::uint32_t)> announce_;
+    pcg64 random_;
+};
+
+/// The JSON body of an error answer.
+std::string error_body(const failure& error, std::string_view request_id);
+
+/// The HTTP status of an error.
+unsigned status_of(errc kind) noexcept;
+
+} // namespace barleyfork
+
+#endif
--- /dev/null
+++ b/libs/daemon/src/catalog_difference.cpp
@@ -0,0 +1,64 @@
+#include "catalog_difference.hpp"
+
+#include <map>
+
+namespace barleyfork {
+
+namespace {
+
+/// Names and a text of all that is declared of each.
+using entry_texts = std::map<std::string, std::string>;
+
+entry_texts texts_of(const catalog& declaration)
+{
+    entry_texts texts;
+    for (const auto& entry : declaration.organisations())
+        texts["organisation " + entry.id.value()] =
+            "requests_per_second=" + std::to_string(entry.requests_per_second) +
+            " tokens_per_second=" + std::to_string(entry.tokens_per_second) +
+            " weight=" + std::to_string(entry.weight);
+    for (const auto& entry : declaration.models())
+        texts["model " + entry.id.value()] =
+            "version=" + std::to_string(entry.version) +
+            " memory_mib=" + std::to_string(entry.memory_mib) +
+            " min_replicas=" + std::to_string(entry.min_replicas) +
+            " max_replicas=" + std::to_string(entry.max_replicas) +
+            " priority=" + std::to_string(entry.priority) +
+            " source=" + entry.source;
+    for (const auto& entry : declaration.adapters())
+        texts["adapter " + entry.id.value()] =
+            "base_model=" + entry.base_model.value() +
+            " memory_mib=" + std::to_string(entry.memory_mib);
+    for (const auto& entry : declaration.routes())
+        texts["route " + entry.owner.value() + entry.path] =
+            "service=" + entry.service +
+            " idempotent=" + (entry.idempotent ? "true" : "false");
+    for (const auto& entry : declaration.servers())
+        texts["backend_server " + entry.id.value()] =
+            "url=" + entry.url +
+            " model_memory_mib=" + std::to_string(entry.model_memory_mib) +
+            " failure_domain=" + entry.failure_domain.value();
+    return texts;
+}
+
+} // namespace
+
+std::vector<std::string> difference(const catalog* current, const catalog& next)
+{
+    const auto before = current ? texts_of(*current) : entry_texts();
+    const auto after = texts_of(next);
+    std::vector<std::string> lines;
+    for (const auto& [name, text] : after) {
+        const auto found = before.find(name);
+        if (found == before.end())
+            lines.push_back("+ " + name + " " + text);
+        else if (found->second != text)
+            lines.push_back("~ " + name + " " + found->second + " -> " + text);
+    }
+    for (const auto& [name, text] : before)
+        if (!after.contains(name))
+            lines.push_back("- " + name);
+    return lines;
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/daemon/src/control.cpp
@@ -0,0 +1,428 @@
+#include "control.hpp"
+
+#include <barleyfork/base/log.hpp>
+#include <barleyfork/net/ask.hpp>
+#include <barleyfork/platform/row_codec.hpp>
+
+#include <algorithm>
+#include <pcg_random.hpp>
+
+namespace barleyfork {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::int64_t tick_ms = 50;
+constexpr duration demand_interval{1000};
+constexpr duration undecided_bound{3000};
+/// Polls of a service that is away grow apart up to this factor.
+constexpr std::int64_t largest_backoff = 8;
+/// Report polls that one round starts.
+constexpr std::size_t polls_per_round = 64;
+constexpr double milliseconds_per_second = 1000.0;
+
+listed_instance self_of(const schema::daemon_settings_record& settings,
+                        std::uint16_t peer_port)
+{
+    listed_instance self;
+    self.id = instance_id(settings.instance);
+    self.address = settings.peer_listen->address;
+    self.port = peer_port;
+    self.region = region_id(settings.region);
+    self.failure_domain = failure_domain_id(settings.failure_domain);
+    return self;
+}
+
+membership_options options_of(const schema::peer_settings_record& settings)
+{
+    membership_options options;
+    options.probe_interval = duration(settings.probe_interval_ms);
+    options.probe_timeout = duration(settings.probe_timeout_ms);
+    options.suspicion = duration(settings.suspicion_ms);
+    return options;
+}
+
+/// Spreads polls of many daemons; grows with failures in a row.
+std::int64_t next_wait(std::int64_t interval, int failures, pcg32& random)
+{
+    const auto factor =
+        std::min<std::int64_t>(largest_backoff, std::int64_t{1} << failures);
+    const auto base = interval * factor;
+    return base * 3 / 4 + static_cast<std::int64_t>(
+                              random(static_cast<std::uint32_t>(base / 2 + 1)));
+}
+
+} // namespace
+
+control::control(daemon_context& context,
+                 table_duty& table,
+                 backend_client& backends,
+                 caller_front& callers,
+                 std::uint16_t peer_port)
+    : context_(context), table_(table), backends_(backends), callers_(callers),
+      members_(self_of(context.settings, peer_port),
+               static_cast<std::uint64_t>(wall_clock_ms()),
+               options_of(*context.settings.peer),
+               hash64(context.run_id)),
+      configuration_(context,
+                     table,
+                     members_,
+                     [this](const auto& to, auto message) {
+                         send(to, std::move(message));
+                     }),
+      placement_(context, table, backends, members_, reports_)
+{
+    parse_url(context.settings.platform->instance_list_url, list_endpoint_);
+}
+
+asio::awaitable<void> control::run_ticks()
+{
+    for (;;) {
+        tick(steady_now());
+        co_await sleep_for_ms(tick_ms);
+    }
+}
+
+void control::tick(time_point now)
+{
+    for (auto& out : members_.tick(now))
+        send(out.to, std::move(out.message));
+    configuration_.tick(now);
+    abandon_overdue(now);
+    exchange_demand(now);
+    const auto& state = configuration_.state();
+    if (state.in_force() && state.revision() != placed_revision_) {
+        placed_revision_ = state.revision();
+        placement_.set_catalog(state.in_force());
+        dirty_ = true;
+    }
+    placement_.tick(now);
+    const bool undecided = state.undecided(now, undecided_bound);
+    dirty_ |= configuration_.take_changed() || undecided != was_undecided_ ||
+              reports_.take_expired(now) ||
+              members_.live_count() != live_count_;
+    was_undecided_ = undecided;
+    live_count_ = members_.live_count();
+    if (dirty_)
+        publish(now);
+}
+
+asio::awaitable<void> control::poll_table()
+{
+    pcg32 random(hash64(context_.run_id, 1));
+    const auto interval = context_.settings.platform->poll_interval_ms;
+    int failures = 0;
+    for (;;) {
+        const auto scan =
+            co_await table_.scan(std::string(control_prefix), table_version_);
+        const auto now = steady_now();
+        failures = scan.error ? std::min(failures + 1, 10) : 0;
+        if (scan.error) {
+            log_event(log_level::warn, "table_unreachable")
+                .with("error", scan.error.message());
+        }
+        else {
+            table_version_ = scan.version;
+            placement_.on_table_known();
+            for (const auto& row : scan.rows) {
+                configuration_head head;
+                if (row.key == configuration_key && !decode(row.value, head))
+                    configuration_.learn(head, now);
+                placement_.on_row(row, now);
+            }
+            dirty_ |= !scan.rows.empty();
+        }
+        co_await sleep_for_ms(next_wait(interval, failures, random));
+    }
+}
+
+asio::awaitable<void> control::poll_instances()
+{
+    pcg32 random(hash64(context_.run_id, 2));
+    const auto& platform = *context_.settings.platform;
+    std::string etag;
+    int failures = 0;
+    for (;;) {
+        http_call call;
+        call.target = "/instances";
+        call.timeout = duration(platform.request_timeout_ms);
+        if (!etag.empty())
+            call.headers.emplace_back("If-None-Match", etag);
+        const auto work = [this, call] {
+            return list_client_.call(list_endpoint_, call);
+        };
+        const auto reply = co_await ask<http_reply>(context_.store, work);
+        std::vector<listed_instance> list;
+        const bool answered = reply && !reply->error;
+        if (answered && reply->status == 200 && !decode(reply->body, list)) {
+            etag = reply->etag;
+            take_list(list);
+        }
+        failures = answered ? 0 : std::min(failures + 1, 10);
+        co_await sleep_for_ms(
+            next_wait(platform.instance_list_interval_ms, failures, random));
+    }
+}
+
+void control::take_list(const std::vector<listed_instance>& list)
+{
+    std::vector<listed_instance> daemons;
+    leaving_servers_.clear();
+    for (const auto& entry : list) {
+        if (!entry.is_backend_server)
+            daemons.push_back(entry);
+        else if (entry.leaving)
+            leaving_servers_.insert(server_id(entry.id.value()));
+    }
+    const auto gone = members_.set_listed(daemons);
+    for (const auto& id : gone) {
+        gone_.insert(id);
+        log_event(log_level::info, "instance_gone").with("peer", id.value());
+    }
+    placement_.on_instances_gone(gone);
+    dirty_ = true;
+}
+
+/// Starts a poll of each engine in turn, a bounded number a round.
+asio::awaitable<void> control::poll_reports()
+{
+    std::size_t next = 0;
+    for (;;) {
+        const auto config = configuration_.state().in_force();
+        const auto size = config ? config->servers().size() : 0;
+        for (std::size_t i = 0; i < std::min(size, polls_per_round); ++i) {
+            const auto& server = config->servers()[next++ % size];
+            http_endpoint endpoint;
+            if (!server.service.empty() || parse_url(server.url, endpoint) ||
+                !polling_.insert(server.id).second)
+                continue;
+            context_.control.spawn(poll_server(server.id, endpoint));
+        }
+        co_await sleep_for_ms(context_.settings.routing->report_interval_ms);
+    }
+}
+
+asio::awaitable<void> control::poll_server(server_id server,
+                                           http_endpoint endpoint)
+{
+    const auto work = [this, endpoint] {
+        return backends_.report(endpoint);
+    };
+    const auto answer =
+        co_await ask<std::optional<engine_status>>(context_.backend, work);
+    polling_.erase(server);
+    if (!answer || !*answer)
+        co_return;
+    const auto& status = **answer;
+    dirty_ |= reports_.add(server, status, steady_now());
+    placement_.on_report(server, status);
+    context_.caller.try_post([this, server, load = status.outstanding] {
+        callers_.set_reported(server, load);
+    });
+}
+
+void control::on_message(const schema::peer_message_record& message)
+{
+    const auto now = steady_now();
+    if (!message.sender)
+        return;
+    const instance_id from(message.sender->instance);
+    if (auto answer = members_.receive(message, now))
+        send(answer->to, std::move(answer->message));
+    for (const auto& entry : message.quarantine) {
+        auto& crashes = quarantine_[entry->fingerprint];
+        dirty_ |= entry->crashes > crashes;
+        crashes = std::max(crashes, entry->crashes);
+    }
+    if (message.kind == schema::message_kind::demand) {
+        std::map<model_id, double> demand;
+        for (const auto& entry : message.demand)
+            demand[model_id(entry->model)] = entry->work;
+        placement_.on_demand(from, demand, now);
+        return;
+    }
+    configuration_.on_message(message, now);
+}
+
+void control::on_quarantine(std::uint64_t fingerprint, std::uint32_t crashes)
+{
+    quarantine_[fingerprint] = crashes;
+    members_.add_quarantine(fingerprint, crashes);
+    for (auto& out : members_.push())
+        send(out.to, std::move(out.message));
+}
+
+void control::hear_head(const configuration_head& head)
+{
+    configuration_.learn(head, steady_now());
+}
+
+asio::awaitable<void> control::leave()
+{
+    members_.set_leaving();
+    for (auto& out : members_.push())
+        send(out.to, std::move(out.message));
+    co_await placement_.release();
+}
+
+std::vector<instance_id> control::required_confirmations() const
+{
+    std::vector<instance_id> required{context_.self};
+    for (const auto* member : members_.listed())
+        if (!member->place.leaving)
+            required.push_back(member->place.id);
+    return required;
+}
+
+void control::send(const instance_id& to, schema::peer_message_record message)
+{
+    const auto* member = members_.find(to);
+    if (member == nullptr || link_ == nullptr)
+        return;
+    if (!message.sender) {
+        message.sender = std::make_unique<schema::member_record>();
+        message.sender->instance = context_.self.value();
+        message.sender->incarnation = members_.incarnation();
+        message.sender->state = context_.draining
+                                    ? schema::member_state::leaving
+                                    : schema::member_state::alive;
+    }
+    link_->send({member->place.address, member->place.port},
+                std::move(message));
+}
+
+/// Sends what this daemon's callers ask for to the holders of the leases.
+void control::exchange_demand(time_point now)
+{
+    if (now < next_demand_)
+        return;
+    const auto elapsed = static_cast<double>((now - last_demand_).count()) /
+                         milliseconds_per_second;
+    next_demand_ = now + demand_interval;
+    last_demand_ = now;
+    context_.caller.try_post([this, elapsed] {
+        auto demand = callers_.take_demand();
+        for (auto& [model, work] : demand)
+            work /= elapsed;
+        context_.control.try_post([this, demand = std::move(demand)] {
+            placement_.on_demand(context_.self, demand, steady_now());
+            std::set<instance_id> told{context_.self};
+            for (const auto& holder : placement_.holders()) {
+                if (holder.empty() || !told.insert(holder).second)
+                    continue;
+                schema::peer_message_record message;
+                message.kind = schema::message_kind::demand;
+                for (const auto& [model, work] : demand) {
+                    auto entry =
+                        std::make_unique<schema::model_demand_record>();
+                    entry->model = model.value();
+                    entry->work = static_cast<float>(work);
+                    message.demand.push_back(std::move(entry));
+                }
+                send(holder, std::move(message));
+            }
+        });
+    });
+}
+
+void control::abandon_overdue(time_point now)
+{
+    if (abandoning_ || !configuration_.overdue(now))
+        return;
+    abandoning_ = true;
+    context_.control.spawn(abandon());
+}
+
+/// Any daemon may end a number whose coordinator is gone; the conditional
+/// write lets exactly one decision stand.
+asio::awaitable<void> control::abandon()
+{
+    const auto standing = co_await table_.read(std::string(configuration_key));
+    configuration_head head;
+    if (!standing.error && !decode(standing.row.value, head)) {
+        const auto next = abandon_staged(head, context_.next_id());
+        const bool same = head.staged_revision ==
+                          configuration_.state().known().staged_revision;
+        if (next && same) {
+            const auto write =
+                co_await table_.write(std::string(configuration_key),
+                                      standing.row.version,
+                                      encode(*next));
+            if (write.outcome == write_outcome::done) {
+                head = *next;
+                log_event(log_level::warn, "staged_revision_abandoned")
+                    .with("revision", static_cast<std::int64_t>(next->decided));
+            }
+        }
+        configuration_.learn(head, steady_now());
+    }
+    abandoning_ = false;
+}
+
+void control::publish(time_point now)
+{
+    dirty_ = false;
+    std::shared_ptr<const serving_view> view = build_view(now);
+    const bool taken =
+        context_.caller.try_post([this, view] { callers_.set_view(view); });
+    // A full ring: the next tick tries again.
+    dirty_ = !taken;
+}
+
+std::shared_ptr<serving_view> control::build_view(time_point now) const
+{
+    auto view = std::make_shared<serving_view>();
+    const auto& state = configuration_.state();
+    view->revision = state.revision();
+    view->config = state.in_force();
+    view->live_daemons = members_.live_count();
+    view->gone = gone_;
+    view->quarantine.assign(quarantine_.begin(), quarantine_.end());
+    if (state.undecided(now, undecided_bound))
+        view->undecided = state.staged();
+    if (view->config) {
+        add_servers(*view);
+        add_replicas(*view, now);
+    }
+    return view;
+}
+
+void control::add_servers(serving_view& view) const
+{
+    for (const auto& entry : view.config->servers()) {
+        serving_server server;
+        server.entry = entry;
+        server.usable = !parse_url(entry.url, server.endpoint) &&
+                        !leaving_servers_.contains(entry.id) &&
+                        !reports_.leaving(entry.id);
+        if (!entry.service.empty())
+            view.services[entry.service].push_back(view.servers.size());
+        view.servers.push_back(std::move(server));
+    }
+}
+
+/// A fresh report says what is resident; without one, the ledger does.
+void control::add_replicas(serving_view& view, time_point now) const
+{
+    const auto& rows = placement_.rows();
+    for (std::size_t i = 0; i < view.servers.size(); ++i) {
+        const auto& id = view.servers[i].entry.id;
+        const auto row = rows.find(id);
+        const auto* status = reports_.fresh(id, now);
+        const auto* residents = status != nullptr   ? &status->report.residents
+                                : row != rows.end() ? &row->second.residents
+                                                    : nullptr;
+        if (residents == nullptr)
+            continue;
+        for (const auto& held : *residents) {
+            const bool going =
+                row != rows.end() &&
+                is_unloading(row->second, held.model, held.version);
+            if (!going)
+                view.replicas[held.model].push_back({i, held.version});
+        }
+    }
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/daemon/src/control.hpp
@@ -0,0 +1,119 @@
+#ifndef BARLEYFORK_DAEMON_SRC_CONTROL_HPP
+#define BARLEYFORK_DAEMON_SRC_CONTROL_HPP
+
+#include "backend_client.hpp"
+#include "caller_front.hpp"
+#include "configuration_duty.hpp"
+#include "daemon_context.hpp"
+#include "peer_link.hpp"
+#include "placement_duty.hpp"
+#include "server_reports.hpp"
+#include "serving_view.hpp"
+#include "table_duty.hpp"
+
+#include <barleyfork/core/membership.hpp>
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace barleyfork {
+
+/// Makes the decisions: joins list, peers, table and reports, and publishes
+/// the serving view. Lives on the control duty; the other duties post to it.
+class control
+{
+public:
+    control(daemon_context& context,
+            table_duty& table,
+            backend_client& backends,
+            caller_front& callers,
+            std::uint16_t peer_port);
+
+    /// Connects the peers' side; called before `run`.
+    void set_link(peer_link& link) noexcept
+    {
+        link_ = &link;
+    }
+
+    /// The duty's loops; to be spawned on the control duty.
+    boost::asio::awaitable<void> run_ticks();
+    boost::asio::awaitable<void> poll_table();
+    boost::asio::awaitable<void> poll_instances();
+    boost::asio::awaitable<void> poll_reports();
+
+    /// Takes in a peer's message.
+    void on_message(const schema::peer_message_record& message);
+
+    /// A fingerprint's crash count changed here.
+    void on_quarantine(std::uint64_t fingerprint, std::uint32_t crashes);
+
+    /// Reads the table at once rather than at the next poll.
+    void hear_head(const configuration_head& head);
+
+    /// Says goodbye to peers and gives up the leases.
+    boost::asio::awaitable<void> leave();
+
+    /// State for the operators' address.
+    const configuration_duty& configuration() const noexcept
+    {
+        return configuration_;
+    }
+    const placement_duty& placement() const noexcept
+    {
+        return placement_;
+    }
+    const membership& members() const noexcept
+    {
+        return members_;
+    }
+    const server_reports& reports() const noexcept
+    {
+        return reports_;
+    }
+
+    /// Instances on the platform's list that must confirm a staged revision.
+    std::vector<instance_id> required_confirmations() const;
+
+private:
+    void send(const instance_id& to, schema::peer_message_record message);
+    void tick(time_point now);
+    void exchange_demand(time_point now);
+    void abandon_overdue(time_point now);
+    boost::asio::awaitable<void> abandon();
+    boost::asio::awaitable<void> poll_server(server_id server,
+                                             http_endpoint endpoint);
+    void publish(time_point now);
+    std::shared_ptr<serving_view> build_view(time_point now) const;
+    void add_servers(serving_view& view) const;
+    void add_replicas(serving_view& view, time_point now) const;
+    void take_list(const std::vector<listed_instance>& list);
+
+    daemon_context& context_;
+    table_duty& table_;
+    backend_client& backends_;
+    caller_front& callers_;
+    peer_link* link_ = nullptr;
+    membership members_;
+    server_reports reports_;
+    configuration_duty configuration_;
+    placement_duty placement_;
+    std::set<server_id> polling_;
+    std::set<server_id> leaving_servers_;
+    std::set<instance_id> gone_;
+    std::map<std::uint64_t, std::uint32_t> quarantine_;
+    std::uint64_t table_version_ = 0;
+    std::uint64_t placed_revision_ = 0;
+    std::size_t live_count_ = 1;
+    bool was_undecided_ = false;
+    bool abandoning_ = false;
+    bool dirty_ = true;
+    time_point next_demand_{};
+    time_point last_demand_{};
+    http_endpoint list_endpoint_;
+    http_client list_client_;
+};
+
+} // namespace barleyfork
+
+#endif
--- /dev/null
+++ b/libs/daemon/src/model_request.cpp
@@ -0,0 +1,428 @@
+#include "model_request.hpp"
+
+#include <barleyfork/base/digest.hpp>
+#include <barleyfork/base/log.hpp>
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace barleyfork {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr std::size_t prefix_bytes = 256;
+constexpr duration suspicion{2000};
+constexpr double retry_after_seconds = 1.0;
+/// Nested deeper, a body is refused rather than parsed.
+constexpr std::size_t largest_depth = 32;
+
+json::value parse_body(const std::string& body)
+{
+    json::parse_options options;
+    options.max_depth = largest_depth;
+    json::error_code error;
+    auto value = json::parse(body, error, {}, options);
+    return error ? json::value() : value;
+}
+
+std::chrono::steady_clock::time_point to_deadline(time_point at)
+{
+    return std::chrono::steady_clock::time_point(at.time_since_epoch());
+}
+
+} // namespace
+
+model_request::model_request(caller_front& front,
+                             caller_request& request,
+                             http_responder& out)
+    : front_(front), request_(request), out_(out)
+{
+}
+
+std::string model_request::model_name(const http_incoming& incoming)
+{
+    const auto value = parse_body(incoming.body);
+    const auto* object = value.if_object();
+    if (object == nullptr)
+        return {};
+    const auto* name = object->if_contains("model");
+    if (name == nullptr || !name->is_string())
+        return {};
+    return json::value_to<std::string>(*name);
+}
+
+/// Reads what routing needs: streaming, and the prompt's prefix under the
+/// organisation's own salt, so that no other organisation shares it.
+void model_request::read_body()
+{
+    const auto value = parse_body(request_.incoming->body);
+    const auto& object = value.as_object();
+    const auto* stream = object.if_contains("stream");
+    stream_ = stream != nullptr && stream->is_bool() && stream->as_bool();
+    const auto* prompt = object.if_contains("messages");
+    if (prompt == nullptr)
+        prompt = object.if_contains("prompt");
+    if (prompt == nullptr)
+        return;
+    const auto text = json::serialize(*prompt).substr(0, prefix_bytes);
+    affinity_key_ = hash64(text, hash64(model_->id.value()));
+}
+
+asio::awaitable<void> model_request::run(const std::string& name)
+{
+    model_ = request_.view->config->find_model(request_.owner.id, name);
+    if (model_ == nullptr) {
+        co_await front_.refuse(
+            request_, out_, make_failure(errc::not_found, ""), 0.0);
+        co_return;
+    }
+    read_body();
+    const auto& routing = *front_.context_.settings.routing;
+    deadline_ = request_.arrived +
+                duration(front_.context_.settings.caller->request_timeout_ms);
+    request_traits traits;
+    traits.idempotent = true;
+    traits.resumable = stream_;
+    traits.max_tries = routing.max_tries;
+    traits.deadline = deadline_;
+    progress_.emplace(traits);
+    front_.budget_.on_first_try();
+    front_.demand_[model_->id] +=
+        1.0 / std::max(model_->requests_per_second_per_replica, 1e-3);
+
+    auto step = next_step::retry;
+    while (step == next_step::retry || step == next_step::resume) {
+        const auto server = co_await choose();
+        if (!server) {
+            step = begun_ ? next_step::abort_answer : progress_->no_candidate();
+            break;
+        }
+        const auto result = co_await attempt(*server);
+        if (result.caller_gone) {
+            caller_gone_ = true;
+            co_return;
+        }
+        const bool failed = result.end != attempt_end::answered;
+        const bool budget =
+            failed &&
+            (result.end == attempt_end::refused_by_server ||
+             result.end == attempt_end::not_sent || front_.budget_.try_take());
+        step =
+            progress_->after_attempt(result.end, begun_, budget, steady_now());
+        if (failed)
+            front_.context_.measures.count_retry();
+    }
+    co_await conclude(step);
+}
+
+/// Replicas of the current version where there are any; else the newest old
+/// one. A stream that has begun stays with its version.
+std::vector<serving_replica> model_request::current_replicas() const
+{
+    const auto& all = front_.view_->replicas;
+    const auto found = all.find(model_->id);
+    if (found == all.end())
+        return {};
+    std::uint32_t version = version_;
+    if (!begun_) {
+        version = 0;
+        for (const auto& replica : found->second)
+            if (replica.version <= model_->version)
+                version = std::max(version, replica.version);
+    }
+    std::vector<serving_replica> result;
+    for (const auto& replica : found->second)
+        if (replica.version == version)
+            result.push_back(replica);
+    return result;
+}
+
+std::optional<std::size_t> model_request::choose_now(bool& any)
+{
+    const auto now = steady_now();
+    const auto& view = *front_.view_;
+    const auto slots = front_.context_.settings.routing->server_slots;
+    const bool under_suspicion =
+        front_.quarantine_.crashes(request_.fingerprint) != 0;
+    std::vector<std::size_t> servers;
+    any = false;
+    for (const auto& replica : current_replicas()) {
+        const auto& server = view.servers[replica.server];
+        if (!server.usable || excluded_.contains(server.entry.id))
+            continue;
+        any = true;
+        version_ = replica.version;
+        const auto outstanding = front_.loads_.outstanding(server.entry.id);
+        // A request that may crash its server runs apart from others.
+        if (outstanding < (under_suspicion ? 1 : slots))
+            servers.push_back(replica.server);
+    }
+    const auto candidates = front_.fill_candidates(view, servers, now);
+    pick_request wanted;
+    wanted.affinity_key = affinity_key_;
+    wanted.random = front_.random_();
+    const auto choice = front_.picker_->pick(candidates, wanted, now);
+    if (!choice)
+        return std::nullopt;
+    return servers[*choice];
+}
+
+/// Chooses a replica, waiting in the fair queue while all are full.
+asio::awaitable<std::optional<std::size_t>> model_request::choose()
+{
+    bool any = false;
+    for (;;) {
+        const auto choice = choose_now(any);
+        if (choice)
+            co_return choice;
+        if (!any && !excluded_.empty()) {
+            // Every replica was tried; another round may find one again.
+            excluded_.clear();
+            if (const auto again = choose_now(any))
+                co_return again;
+        }
+        if (!any || !co_await wait_in_queue())
+            co_return std::nullopt;
+    }
+}
+
+/// Waits for a slot; false where the target can't be met any more.
+asio::awaitable<bool> model_request::wait_in_queue()
+{
+    const auto begin = steady_now();
+    const auto until = std::min(
+        deadline_, request_.arrived + duration(model_->first_token_ms));
+    queue_refused_ = true;
+    if (begin >= until)
+        co_return false;
+    const auto place =
+        front_.queue_.push(request_.owner.id, request_.owner.weight);
+    if (place.displaced) {
+        const auto other = front_.waiting_.find(*place.displaced);
+        if (other != front_.waiting_.end()) {
+            auto wake = other->second;
+            front_.waiting_.erase(other);
+            wake->notify();
+        }
+    }
+    if (!place.ticket)
+        co_return false;
+    const auto ticket = *place.ticket;
+    const auto wake =
+        std::make_shared<notifier>(front_.context_.caller.executor());
+    front_.waiting_[ticket] = wake;
+    const bool woken = co_await wake->wait(to_deadline(until));
+    // Displaced requests are taken off the list before they are woken.
+    const bool displaced = front_.waiting_.erase(ticket) == 0;
+    front_.queue_.remove(ticket);
+    const auto waited = (steady_now() - begin).count();
+    front_.context_.measures.record_queue_time(static_cast<double>(waited));
+    queue_refused_ = !woken || displaced;
+    co_return woken && !displaced;
+}
+
+exchange_request model_request::make_request(const serving_server& server) const
+{
+    const auto& routing = *front_.context_.settings.routing;
+    exchange_request request;
+    request.endpoint = server.endpoint;
+    request.method = "POST";
+    request.target = request_.incoming->path;
+    request.body = request_.incoming->body;
+    request.connect_timeout = duration(routing.connect_timeout_ms);
+    request.first_byte_timeout = duration(routing.first_byte_timeout_ms);
+    request.progress_timeout = duration(routing.progress_timeout_ms);
+    request.headers = {
+        {"Content-Type", "application/json"},
+        {"X-Model", model_->id.value()},
+        {"X-Model-Version", std::to_string(version_)},
+        {"X-Priority", std::to_string(model_->priority)},
+        {"X-Cache-Salt", content_digest(request_.owner.id.value())},
+        {"X-Request-Id", request_.request_id},
+        {"X-Deadline-Ms", std::to_string((deadline_ - steady_now()).count())},
+        {"traceparent", request_.trace.child().to_header()}};
+    if (begun_ && stream_)
+        request.headers.emplace_back("X-Resume-From",
+                                     std::to_string(events_.events()));
+    return request;
+}
+
+asio::awaitable<model_request::attempt_result>
+model_request::attempt(std::size_t server_index)
+{
+    const auto view = front_.view_;
+    const auto& server = view->servers[server_index];
+    const auto id = server.entry.id;
+    const auto started = wall_clock_ms();
+    const auto begin = steady_now();
+    attempt_result result;
+    last_server_ = id;
+    events_.drop_partial();
+    whole_body_.clear();
+    const auto work = front_.start_exchange(make_request(server));
+    if (!work)
+        co_return result;
+    front_.loads_.begin(id, request_.fingerprint);
+    exchange_event event;
+    bool ended = false;
+    while (!ended) {
+        if (!co_await work->pop(event, to_deadline(deadline_))) {
+            work->cancel();
+            result.end = attempt_end::lost_before_answer;
+            break;
+        }
+        ended = event.part == exchange_part::end;
+        if (ended) {
+            result.end = event.end;
+            result.server_crashed = event.server_crashed;
+            result.crashed_boot = event.crashed_boot;
+        }
+        else if (!co_await forward(event)) {
+            work->cancel();
+            result.caller_gone = true;
+            break;
+        }
+    }
+    if (result.end == attempt_end::answered && stream_ &&
+        status_ == status_ok && !events_.done())
+        result.end = attempt_end::lost_in_answer;
+    const auto now = steady_now();
+    if (result.server_crashed)
+        front_.blame_crash(id, result.crashed_boot, now);
+    front_.loads_.end(id, request_.fingerprint);
+    front_.release_slot();
+    if (result.end != attempt_end::answered && !result.caller_gone) {
+        excluded_.insert(id);
+        if (result.end != attempt_end::refused_by_server)
+            front_.loads_.suspect(id, now + suspicion);
+    }
+    const std::string note = "server=" + id.value() + " end=" +
+                             std::to_string(static_cast<int>(result.end)) +
+                             " request=" + request_.request_id;
+    front_.context_.traces.record({request_.trace.child(),
+                                   "attempt",
+                                   started,
+                                   (now - begin).count(),
+                                   note});
+    co_return result;
+}
+
+asio::awaitable<bool> model_request::forward(const exchange_event& event)
+{
+    if (event.part == exchange_part::head)
+        co_return co_await forward_head(event);
+    co_return co_await forward_data(event);
+}
+
+asio::awaitable<bool> model_request::forward_head(const exchange_event& event)
+{
+    if (event.server_load >= 0)
+        front_.loads_.reported(last_server_,
+                               static_cast<std::uint32_t>(event.server_load),
+                               steady_now());
+    status_ = event.status;
+    content_type_ = event.content_type;
+    const bool streamed = stream_ && status_ == status_ok;
+    if (!streamed || begun_)
+        co_return true;
+    begun_ = true;
+    http_outgoing head;
+    head.status = status_;
+    head.content_type = content_type_;
+    head.headers.emplace_back("X-Request-Id", request_.request_id);
+    co_return co_await out_.begin(std::move(head));
+}
+
+asio::awaitable<bool> model_request::forward_data(const exchange_event& event)
+{
+    if (!begun_) {
+        whole_body_ += event.bytes;
+        co_return true;
+    }
+    const auto before = events_.events();
+    const auto whole = events_.feed(event.bytes);
+    std::string joined;
+    for (const auto& text : whole)
+        joined += text;
+    if (events_.events() != before)
+        note_token(steady_now());
+    const auto tokens = events_.events() - before;
+    front_.context_.measures.count_tokens(tokens);
+    front_.token_bucket_of(request_.owner, steady_now())
+        .take(static_cast<double>(tokens), steady_now());
+    if (joined.empty())
+        co_return true;
+    co_return co_await out_.write(joined);
+}
+
+void model_request::note_token(time_point now)
+{
+    if (first_token_at_ == time_point{}) {
+        first_token_at_ = now;
+        const auto waited =
+            static_cast<double>((now - request_.arrived).count());
+        front_.context_.measures.record_first_token(waited);
+        front_.loads_.first_token(last_server_, waited);
+    }
+    else {
+        const auto gap = static_cast<double>((now - last_token_at_).count());
+        slowest_gap_ms_ = std::max(slowest_gap_ms_, gap);
+        front_.context_.measures.record_between_tokens(gap);
+    }
+    last_token_at_ = now;
+}
+
+asio::awaitable<void> model_request::conclude(next_step step)
+{
+    if (step == next_step::finish) {
+        front_.quarantine_.on_answer(request_.fingerprint);
+        co_await finish();
+        co_return;
+    }
+    auto kind = errc::no_replica;
+    if (step == next_step::report_unknown)
+        kind = errc::outcome_unknown;
+    else if (queue_refused_)
+        kind = errc::overloaded;
+    else if (steady_now() >= deadline_)
+        kind = errc::timeout;
+    if (front_.quarantine_.refused(request_.fingerprint, steady_now()))
+        kind = errc::quarantined;
+    if (step != next_step::abort_answer) {
+        co_await front_.refuse(
+            request_, out_, make_failure(kind, ""), retry_after_seconds);
+        co_return;
+    }
+    // The answer has begun: say so in the stream, then cut it, so that it
+    // can't be taken for a whole one.
+    front_.context_.measures.count_outcome(errc::connection_lost);
+    const auto error = make_failure(errc::connection_lost, "the answer broke");
+    co_await out_.write("event: error\ndata: " +
+                        error_body(error, request_.request_id) + "\n\n");
+    out_.abort();
+}
+
+asio::awaitable<void> model_request::finish()
+{
+    auto& measures = front_.context_.measures;
+    measures.count_outcome(errc::ok);
+    if (begun_) {
+        co_await out_.finish();
+        const auto first = (first_token_at_ - request_.arrived).count();
+        measures.count_attainment(first <= model_->first_token_ms &&
+                                  slowest_gap_ms_ <= model_->between_tokens_ms);
+        co_return;
+    }
+    http_outgoing answer;
+    answer.status = status_;
+    answer.content_type = content_type_;
+    answer.headers.emplace_back("X-Request-Id", request_.request_id);
+    answer.body = std::move(whole_body_);
+    co_await out_.send(std::move(answer));
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/daemon/src/model_request.hpp
@@ -0,0 +1,78 @@
+#ifndef BARLEYFORK_DAEMON_SRC_MODEL_REQUEST_HPP
+#define BARLEYFORK_DAEMON_SRC_MODEL_REQUEST_HPP
+
+#include "caller_front.hpp"
+
+#include <barleyfork/core/event_splitter.hpp>
+#include <barleyfork/core/request_progress.hpp>
+
+#include <optional>
+#include <set>
+#include <string>
+
+namespace barleyfork {
+
+/// One call of a model, over all its tries.
+class model_request
+{
+public:
+    model_request(caller_front& front,
+                  caller_request& request,
+                  http_responder& out);
+
+    /// The `model` field of a completion call; empty where there is none or
+    /// the body is no JSON object.
+    static std::string model_name(const http_incoming& incoming);
+
+    /// Runs the call to its one outcome.
+    boost::asio::awaitable<void> run(const std::string& name);
+
+private:
+    struct attempt_result
+    {
+        attempt_end end = attempt_end::not_sent;
+        bool server_crashed = false;
+        std::uint64_t crashed_boot = 0;
+        bool caller_gone = false;
+    };
+
+    void read_body();
+    std::vector<serving_replica> current_replicas() const;
+    boost::asio::awaitable<std::optional<std::size_t>> choose();
+    std::optional<std::size_t> choose_now(bool& any);
+    boost::asio::awaitable<bool> wait_in_queue();
+    exchange_request make_request(const serving_server& server) const;
+    boost::asio::awaitable<attempt_result> attempt(std::size_t server);
+    boost::asio::awaitable<bool> forward(const exchange_event& event);
+    boost::asio::awaitable<bool> forward_head(const exchange_event& event);
+    boost::asio::awaitable<bool> forward_data(const exchange_event& event);
+    void note_token(time_point now);
+    boost::asio::awaitable<void> conclude(next_step step);
+    boost::asio::awaitable<void> finish();
+
+    caller_front& front_;
+    caller_request& request_;
+    http_responder& out_;
+    const model_entry* model_ = nullptr;
+    std::optional<request_progress> progress_;
+    std::set<server_id> excluded_;
+    server_id last_server_;
+    std::uint32_t version_ = 0;
+    std::uint64_t affinity_key_ = 0;
+    bool stream_ = false;
+    bool begun_ = false;
+    bool caller_gone_ = false;
+    bool queue_refused_ = false;
+    unsigned status_ = 0;
+    std::string content_type_;
+    std::string whole_body_;
+    event_splitter events_;
+    time_point deadline_{};
+    time_point first_token_at_{};
+    time_point last_token_at_{};
+    double slowest_gap_ms_ = 0.0;
+};
+
+} // namespace barleyfork
+
+#endif
--- /dev/null
+++ b/libs/daemon/src/peer_link.cpp
@@ -0,0 +1,150 @@
+#include "peer_link.hpp"
+
+#include <barleyfork/base/log.hpp>
+#include <barleyfork/net/frame.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+namespace barleyfork {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t kept_connections = 64;
+constexpr duration connect_timeout{1000};
+constexpr duration write_timeout{2000};
+constexpr duration frame_timeout{5000};
+constexpr std::int64_t accept_pause_ms = 20;
+
+} // namespace
+
+peer_link::peer_link(daemon_context& context, receiver receive)
+    : context_(context), receive_(std::move(receive)),
+      acceptor_(context.peer.executor())
+{
+}
+
+std::uint16_t peer_link::listen(const std::string& address, std::uint16_t port)
+{
+    boost::system::error_code error;
+    const auto ip = asio::ip::make_address(address, error);
+    const tcp::endpoint endpoint(ip, port);
+    if (!error)
+        acceptor_.open(endpoint.protocol(), error);
+    if (!error)
+        acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor_.bind(endpoint, error);
+    if (!error)
+        acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    if (error) {
+        log_event(log_level::error, "listen_failed")
+            .with("address", address)
+            .with("port", port)
+            .with("error", error.message());
+        return 0;
+    }
+    context_.peer.spawn(accept_loop());
+    return acceptor_.local_endpoint().port();
+}
+
+void peer_link::send(peer_address to, schema::peer_message_record message)
+{
+    auto frame = encode_frame(message, context_.settings.peer->secret);
+    context_.peer.try_post([this, to, frame = std::move(frame)] {
+        context_.peer.spawn(deliver(to, frame));
+    });
+}
+
+asio::awaitable<void> peer_link::accept_loop()
+{
+    for (;;) {
+        auto [error, connection] = co_await acceptor_.async_accept(as_result);
+        if (error) {
+            co_await sleep_for_ms(accept_pause_ms);
+            continue;
+        }
+        context_.peer.spawn(receive_loop(std::move(connection)));
+    }
+}
+
+/// Reads frames until the peer closes or breaks the protocol. The wait for a
+/// frame's first bytes has no limit; a frame that began must end in time.
+asio::awaitable<void> peer_link::receive_loop(socket connection)
+{
+    boost::beast::tcp_stream stream(std::move(connection));
+    std::string header(frame_header_bytes, '\0');
+    std::string payload;
+    for (;;) {
+        stream.expires_never();
+        auto [header_error, header_size] =
+            co_await asio::async_read(stream, asio::buffer(header), as_result);
+        std::size_t length = 0;
+        if (header_error || decode_frame_length(header, length))
+            co_return;
+        payload.resize(length);
+        stream.expires_after(frame_timeout);
+        auto [payload_error, payload_size] =
+            co_await asio::async_read(stream, asio::buffer(payload), as_result);
+        if (payload_error)
+            co_return;
+        bytes_received_ += header.size() + payload.size();
+        schema::peer_message_record message;
+        const auto error = decode_frame(
+            header, payload, context_.settings.peer->secret, message);
+        if (error) {
+            log_event(log_level::warn, "peer_frame_refused")
+                .with("error", error.message());
+            co_return;
+        }
+        receive_(std::move(message));
+    }
+}
+
+/// Sends on the kept connection, or on a new one where that fails. Frames to
+/// one peer may overtake each other, so a connection carries one at a time.
+asio::awaitable<void> peer_link::deliver(peer_address to, std::string frame)
+{
+    const auto key = to.address + ":" + std::to_string(to.port);
+    std::shared_ptr<socket> kept;
+    const auto found = connections_.find(key);
+    if (found != connections_.end()) {
+        kept = found->second;
+        connections_.erase(found);
+    }
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        boost::beast::tcp_stream stream(context_.peer.executor());
+        if (kept) {
+            stream.socket() = std::move(*kept);
+            kept.reset();
+        }
+        else {
+            boost::system::error_code error;
+            const auto ip = asio::ip::make_address(to.address, error);
+            stream.expires_after(connect_timeout);
+            auto [connect_error] = co_await stream.async_connect(
+                tcp::endpoint(ip, to.port), as_result);
+            if (error || connect_error)
+                co_return;
+        }
+        stream.expires_after(write_timeout);
+        auto [error, size] =
+            co_await asio::async_write(stream, asio::buffer(frame), as_result);
+        if (error)
+            continue;
+        bytes_sent_ += size;
+        if (connections_.size() < kept_connections)
+            connections_[key] =
+                std::make_shared<socket>(stream.release_socket());
+        co_return;
+    }
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/daemon/src/peer_link.hpp
@@ -0,0 +1,71 @@
+#ifndef BARLEYFORK_DAEMON_SRC_PEER_LINK_HPP
+#define BARLEYFORK_DAEMON_SRC_PEER_LINK_HPP
+
+#include "daemon_context.hpp"
+
+#include <barleyfork/base/time.hpp>
+#include <barleyfork/schema/peer_generated.h>
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace barleyfork {
+
+/// Where a peer listens.
+struct peer_address
+{
+    std::string address;
+    std::uint16_t port = 0;
+};
+
+/// Carries authenticated frames between daemons; lives on the peer duty.
+///
+/// Messages are one-way. A message that can't be delivered is dropped: all
+/// of them are repeated by their senders until they are out of date.
+class peer_link
+{
+public:
+    using receiver = std::function<void(schema::peer_message_record)>;
+
+    /// `receive` is called on the peer duty.
+    peer_link(daemon_context& context, receiver receive);
+
+    /// Listens; the port taken, or 0.
+    std::uint16_t listen(const std::string& address, std::uint16_t port);
+
+    /// Sends a message; from any thread.
+    void send(peer_address to, schema::peer_message_record message);
+
+    /// Bytes sent and received since the start.
+    std::uint64_t bytes_sent() const noexcept
+    {
+        return bytes_sent_;
+    }
+    std::uint64_t bytes_received() const noexcept
+    {
+        return bytes_received_;
+    }
+
+private:
+    using socket = boost::asio::ip::tcp::socket;
+
+    boost::asio::awaitable<void> accept_loop();
+    boost::asio::awaitable<void> receive_loop(socket connection);
+    boost::asio::awaitable<void> deliver(peer_address to, std::string frame);
+
+    daemon_context& context_;
+    receiver receive_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::map<std::string, std::shared_ptr<socket>> connections_;
+    std::atomic<std::uint64_t> bytes_sent_{0};
+    std::atomic<std::uint64_t> bytes_received_{0};
+};
+
+} // namespace barleyfork
+
+#endif
--- /dev/null
+++ b/libs/daemon/src/placement_duty.cpp
@@ -0,0 +1,495 @@
+#include "placement_duty.hpp"
+
+#include <barleyfork/base/log.hpp>
+#include <barleyfork/net/ask.hpp>
+#include <barleyfork/platform/row_codec.hpp>
+
+#include <algorithm>
+
+namespace barleyfork {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Demand that an instance has not repeated for this long is forgotten.
+constexpr duration demand_lifetime{10000};
+constexpr duration estimate_interval{1000};
+constexpr double seconds_of_shortfall = 60.0;
+/// The shares of a lease's term that go to its margin and its renewal.
+constexpr std::int64_t margin_divisor = 4;
+constexpr std::int64_t renewal_divisor = 3;
+
+std::string lease_key(std::size_t index)
+{
+    return std::string(lease_prefix) + "cell-" + std::to_string(index);
+}
+
+std::string ledger_key(const server_id& server)
+{
+    return std::string(ledger_prefix) + server.value();
+}
+
+lease_options to_options(const schema::controller_settings_record& settings)
+{
+    const duration term(settings.lease_ms);
+    return {term, term / margin_divisor, term / renewal_divisor};
+}
+
+planner_replica to_replica(const ledger_row& row, const resident_model& held)
+{
+    planner_replica replica;
+    replica.model = held.model;
+    replica.version = held.version;
+    replica.memory_mib = held.memory_mib;
+    replica.ready = is_ready(row, held.model, held.version);
+    replica.changing = has_order(row, held.model, held.version);
+    replica.unloading = is_unloading(row, held.model, held.version);
+    return replica;
+}
+
+planner_replica to_replica(const engine_order& order)
+{
+    planner_replica replica;
+    replica.model = order.model;
+    replica.version = order.version;
+    replica.memory_mib = order.memory_mib;
+    replica.changing = true;
+    return replica;
+}
+
+bool holds(const ledger_row& row, const engine_order& order)
+{
+    return std::any_of(row.residents.begin(),
+                       row.residents.end(),
+                       [&order](const resident_model& held) {
+                           return held.model == order.model &&
+                                  held.version == order.version;
+                       });
+}
+
+} // namespace
+
+placement_duty::placement_duty(daemon_context& context,
+                               table_duty& table,
+                               backend_client& backends,
+                               membership& members,
+                               server_reports& reports)
+    : context_(context), table_(table), backends_(backends), members_(members),
+      reports_(reports)
+{
+}
+
+void placement_duty::set_catalog(std::shared_ptr<const catalog> config)
+{
+    config_ = std::move(config);
+    std::size_t engines = 0;
+    for (const auto& server : config_->servers())
+        engines += server.service.empty() ? 1 : 0;
+    const std::size_t size = config_->policy().cell_servers;
+    const auto wanted = std::max<std::size_t>(1, (engines + size - 1) / size);
+    const auto& settings = *context_.settings.controller;
+    while (cells_.size() < wanted)
+        cells_.push_back(
+            std::make_unique<cell>(lease(context_.self, to_options(settings))));
+    load_rate_.set_rate(config_->policy().loads_per_second /
+                            static_cast<double>(wanted),
+                        steady_now());
+    const bool regrouped = wanted != cell_count_;
+    cell_count_ = wanted;
+    for (auto& entry : cells_) {
+        entry->stale = true;
+        if (regrouped)
+            entry->controller.reset();
+    }
+}
+
+void placement_duty::on_row(const table_row& row, time_point now)
+{
+    if (row.key.starts_with(lease_prefix)) {
+        lease_row decoded;
+        const auto name = row.key.substr(lease_prefix.size());
+        for (std::size_t i = 0; i < cells_.size(); ++i)
+            if (lease_key(i) == row.key && !decode(row.value, decoded))
+                cells_[i]->holding.observe(decoded, row.version, now);
+        return;
+    }
+    if (!row.key.starts_with(ledger_prefix))
+        return;
+    ledger_row decoded;
+    if (decode(row.value, decoded))
+        return;
+    auto& version = row_versions_[decoded.server];
+    if (row.version <= version)
+        return;
+    version = row.version;
+    rows_[decoded.server] = std::move(decoded);
+}
+
+void placement_duty::on_report(const server_id& server,
+                               const engine_status& status)
+{
+    if (cell_count_ == 0)
+        return;
+    auto& owner = *cells_[cell_of(server)];
+    if (owner.controller)
+        owner.controller->on_report(server, status.report);
+}
+
+void placement_duty::on_demand(const instance_id& from,
+                               const std::map<model_id, double>& demand,
+                               time_point now)
+{
+    demand_[from] = {demand, now};
+}
+
+void placement_duty::on_instances_gone(const std::vector<instance_id>& gone)
+{
+    gone_.insert(gone_.end(), gone.begin(), gone.end());
+    for (const auto& id : gone)
+        demand_.erase(id);
+    for (auto& entry : cells_)
+        if (entry->controller)
+            entry->controller->on_instances_gone(gone_);
+}
+
+void placement_duty::tick(time_point now)
+{
+    if (!config_ || !table_known_ || releasing_)
+        return;
+    estimate_demand(now);
+    for (std::size_t i = 0; i < cell_count_; ++i) {
+        tick_lease(i, now);
+        tick_controller(i, now);
+    }
+}
+
+std::vector<instance_id> placement_duty::holders() const
+{
+    std::vector<instance_id> result;
+    for (const auto& entry : cells_)
+        result.push_back(entry->holding.holder());
+    return result;
+}
+
+double placement_duty::demand_of(const model_id& model) const
+{
+    const auto found = estimators_.find(model);
+    return found == estimators_.end() ? 0.0 : found->second.fast();
+}
+
+std::size_t placement_duty::cell_of(const server_id& server) const
+{
+    return hash64(server.value()) % cell_count_;
+}
+
+/// Rendezvous hashing over the live members says who tries first, so that
+/// leases spread and few move when the members change.
+bool placement_duty::is_candidate(std::size_t index) const
+{
+    const auto score = [index](const instance_id& id) {
+        return hash64(id.value(), index);
+    };
+    const auto own = score(context_.self);
+    for (const auto* member : members_.members())
+        if (member->state == schema::member_state::alive &&
+            score(member->place.id) > own)
+            return false;
+    return true;
+}
+
+void placement_duty::tick_lease(std::size_t index, time_point now)
+{
+    auto& entry = *cells_[index];
+    if (entry.writing_lease)
+        return;
+    // A row that was never written counts as seen, with version 0.
+    if (entry.holding.version() == 0)
+        entry.holding.observe(lease_row{}, 0, now);
+    const auto row =
+        entry.holding.next_write(is_candidate(index), context_.next_id(), now);
+    if (!row)
+        return;
+    entry.writing_lease = true;
+    context_.control.spawn(write_lease(index, *row));
+}
+
+asio::awaitable<void> placement_duty::write_lease(std::size_t index,
+                                                  lease_row row)
+{
+    const auto version = cells_[index]->holding.version();
+    const auto write =
+        co_await table_.write(lease_key(index), version, encode(row));
+    auto& entry = *cells_[index];
+    const auto now = steady_now();
+    const bool was_held = entry.holding.held(now);
+    entry.writing_lease = false;
+    if (write.outcome == write_outcome::done) {
+        entry.holding.written(row, write.version, now);
+        if (!was_held)
+            log_event(log_level::info, "lease_taken")
+                .with("cell", static_cast<std::int64_t>(index))
+                .with("epoch", static_cast<std::int64_t>(row.epoch));
+    }
+    else if (write.outcome == write_outcome::conflict) {
+        const auto standing = co_await table_.read(lease_key(index));
+        if (!standing.error && standing.row.version != 0)
+            on_row(standing.row, steady_now());
+    }
+}
+
+void placement_duty::tick_controller(std::size_t index, time_point now)
+{
+    auto& entry = *cells_[index];
+    if (!entry.holding.held(now)) {
+        if (entry.controller)
+            log_event(log_level::info, "lease_lost")
+                .with("cell", static_cast<std::int64_t>(index));
+        entry.controller.reset();
+        return;
+    }
+    if (entry.controller && !entry.controller->valid()) {
+        log_event(log_level::warn, "ledger_conflict")
+            .with("cell", static_cast<std::int64_t>(index));
+        entry.controller.reset();
+    }
+    const bool wants_rows = !entry.controller || entry.stale;
+    if (wants_rows && !entry.reading_rows) {
+        entry.reading_rows = true;
+        context_.control.spawn(read_rows(index));
+    }
+    if (!entry.controller)
+        return;
+    plan(index, now);
+    execute(index, now);
+}
+
+/// A new holder reads the ledger afresh: what it polled may be behind.
+asio::awaitable<void> placement_duty::read_rows(std::size_t index)
+{
+    const auto scan = co_await table_.scan(std::string(ledger_prefix), 0);
+    auto& entry = *cells_[index];
+    entry.reading_rows = false;
+    const auto now = steady_now();
+    if (scan.error || !entry.holding.held(now))
+        co_return;
+    std::map<server_id, table_row> standing;
+    for (const auto& row : scan.rows) {
+        on_row(row, now);
+        standing.emplace(server_id(row.key.substr(ledger_prefix.size())), row);
+    }
+    entry.stale = false;
+    if (!entry.controller) {
+        entry.controller.emplace(context_.self, entry.holding.epoch());
+        ++entry.generation;
+    }
+    add_declared_servers(index, standing);
+    entry.controller->on_instances_gone(gone_);
+}
+
+void placement_duty::add_declared_servers(
+    std::size_t index, const std::map<server_id, table_row>& standing)
+{
+    auto& controller = *cells_[index]->controller;
+    for (const auto& id : controller.servers()) {
+        const auto* declared = config_->find_server(id);
+        if (declared == nullptr || !declared->service.empty())
+            controller.remove_server(id);
+        else
+            controller.update_server(
+                id, declared->model_memory_mib, declared->checks_fencing);
+    }
+    for (const auto& server : config_->servers()) {
+        if (!server.service.empty() || cell_of(server.id) != index ||
+            controller.written_row(server.id) != nullptr)
+            continue;
+        ledger_row row;
+        std::uint64_t version = 0;
+        const auto found = standing.find(server.id);
+        if (found != standing.end()) {
+            if (decode(found->second.value, row)) {
+                log_event(log_level::error, "ledger_row_unreadable")
+                    .with("server", server.id.value());
+                continue;
+            }
+            version = found->second.version;
+        }
+        row.server = server.id;
+        row.capacity_mib = server.model_memory_mib;
+        row.checks_fencing = server.checks_fencing;
+        drop_unsent_orders(row);
+        controller.add_server(std::move(row), version);
+    }
+}
+
+/// Orders that this very process recorded and never handed to a connection
+/// can't act any more.
+void placement_duty::drop_unsent_orders(ledger_row& row) const
+{
+    const auto own = context_.self.value() + "-" + context_.run_id + "-";
+    std::erase_if(row.orders, [this, &own](const engine_order& order) {
+        return order.id.value().starts_with(own) && !sent_.contains(order.id);
+    });
+}
+
+void placement_duty::plan(std::size_t index, time_point now)
+{
+    auto& entry = *cells_[index];
+    if (now < entry.next_plan)
+        return;
+    entry.next_plan = now + duration(context_.settings.controller->interval_ms);
+    for (const auto& step : plan_placement(make_input(index, now))) {
+        const bool load = step.kind == order_kind::load;
+        if (!entry.controller->request(step, context_.next_id()))
+            continue;
+        if (load)
+            load_rate_.take(1.0, now);
+        log_event(log_level::info, load ? "load_planned" : "unload_planned")
+            .with("server", step.server.value())
+            .with("model", step.model.value())
+            .with("version", step.version)
+            .with("reason", reason_name(step.reason));
+    }
+}
+
+planner_input placement_duty::make_input(std::size_t index, time_point now)
+{
+    planner_input input;
+    auto& controller = *cells_[index]->controller;
+    std::uint32_t loading = 0;
+    for (const auto& id : controller.servers()) {
+        const auto* row = controller.written_row(id);
+        const auto* declared = config_->find_server(id);
+        if (declared == nullptr)
+            continue;
+        planner_server server;
+        server.id = id;
+        server.failure_domain = declared->failure_domain;
+        server.memory_mib = row->capacity_mib;
+        server.committed_mib = committed_mib(*row);
+        server.usable = row->boot != 0 && !reports_.leaving(id) &&
+                        reports_.fresh(id, now) != nullptr;
+        for (const auto& held : row->residents)
+            server.replicas.push_back(to_replica(*row, held));
+        for (const auto& order : row->orders) {
+            if (order.kind != order_kind::load || holds(*row, order))
+                continue;
+            server.replicas.push_back(to_replica(order));
+            ++loading;
+        }
+        input.servers.push_back(std::move(server));
+    }
+    for (const auto& model : config_->models()) {
+        if (cell_count_ > 1 && hash64(model.id.value()) % cell_count_ != index)
+            continue;
+        planner_model wanted;
+        wanted.id = model.id;
+        wanted.version = model.version;
+        wanted.memory_mib = model.memory_mib;
+        wanted.min_replicas = model.min_replicas;
+        wanted.max_replicas = model.max_replicas;
+        const auto found = estimators_.find(model.id);
+        if (found != estimators_.end()) {
+            wanted.demand = found->second.fast();
+            wanted.peak_demand = found->second.peak();
+        }
+        input.models.push_back(std::move(wanted));
+    }
+    const auto at_once = config_->policy().loads_at_once;
+    input.options.move_price = config_->policy().move_price;
+    input.options.horizon_seconds = seconds_of_shortfall;
+    input.options.load_budget = at_once > loading ? at_once - loading : 0;
+    if (load_rate_.wait_for(1.0, now) > duration{0})
+        input.options.load_budget = 0;
+    return input;
+}
+
+void placement_duty::execute(std::size_t index, time_point now)
+{
+    auto& entry = *cells_[index];
+    auto effects = entry.controller->collect();
+    for (auto& write : effects.writes)
+        context_.control.spawn(write_row(index, std::move(write)));
+    for (auto& [server, order] : effects.orders)
+        if (entry.holding.held(now))
+            context_.control.spawn(send_order(index, server, std::move(order)));
+}
+
+asio::awaitable<void> placement_duty::write_row(std::size_t index,
+                                                ledger_write write)
+{
+    const auto server = write.row.server;
+    const auto generation = cells_[index]->generation;
+    const auto result = co_await table_.write(
+        ledger_key(server), write.expected_version, encode(write.row));
+    auto& entry = *cells_[index];
+    if (result.outcome == write_outcome::done) {
+        table_row row{ledger_key(server), result.version, encode(write.row)};
+        on_row(row, steady_now());
+    }
+    if (entry.controller && entry.generation == generation)
+        entry.controller->on_write(server, result.outcome, result.version);
+}
+
+asio::awaitable<void> placement_duty::send_order(std::size_t index,
+                                                 server_id server,
+                                                 engine_order order)
+{
+    const auto* declared = config_->find_server(server);
+    http_endpoint endpoint;
+    if (declared == nullptr || parse_url(declared->url, endpoint))
+        co_return;
+    const auto generation = cells_[index]->generation;
+    sent_.insert(order.id);
+    const auto work = [this, endpoint, order] {
+        return backends_.send(endpoint, order);
+    };
+    const auto started = steady_now();
+    const auto answer = co_await ask<order_answer>(context_.backend, work);
+    const auto result = answer.value_or(order_answer{});
+    if (result.outcome == order_outcome::done)
+        context_.measures.count_move(order.kind);
+    log_event(log_level::info, "order_answered")
+        .with("server", server.value())
+        .with("order", order.id.value())
+        .with("model", order.model.value())
+        .with("outcome", static_cast<std::int64_t>(result.outcome))
+        .with("ms", (steady_now() - started).count());
+    if (result.outcome != order_outcome::unknown)
+        sent_.erase(order.id);
+    auto& entry = *cells_[index];
+    if (entry.controller && entry.generation == generation)
+        entry.controller->on_answer(server, order, result);
+}
+
+void placement_duty::estimate_demand(time_point now)
+{
+    if (now < next_estimate_)
+        return;
+    next_estimate_ = now + estimate_interval;
+    std::erase_if(demand_, [now](const auto& source) {
+        return now >= source.second.at + demand_lifetime;
+    });
+    std::map<model_id, double> total;
+    for (const auto& [from, source] : demand_)
+        for (const auto& [model, work] : source.work)
+            total[model] += work;
+    for (const auto& model : config_->models())
+        estimators_[model.id].observe(total[model.id], now);
+}
+
+asio::awaitable<void> placement_duty::release()
+{
+    releasing_ = true;
+    for (std::size_t i = 0; i < cells_.size(); ++i) {
+        auto& entry = *cells_[i];
+        entry.controller.reset();
+        const auto version = entry.holding.version();
+        const auto row =
+            entry.holding.release(context_.next_id(), steady_now());
+        if (row)
+            co_await table_.write(lease_key(i), version, encode(*row));
+    }
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/daemon/src/serving_view.hpp
@@ -0,0 +1,54 @@
+#ifndef BARLEYFORK_DAEMON_SRC_SERVING_VIEW_HPP
+#define BARLEYFORK_DAEMON_SRC_SERVING_VIEW_HPP
+
+#include <barleyfork/core/catalog.hpp>
+#include <barleyfork/net/url.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace barleyfork {
+
+/// A backend server that requests may be sent to.
+struct serving_server
+{
+    server_entry entry;
+    http_endpoint endpoint;
+    /// False while it is leaving: nothing new is sent to it.
+    bool usable = true;
+};
+
+/// A model version that is ready on a server.
+struct serving_replica
+{
+    /// Index into `serving_view::servers`.
+    std::size_t server = 0;
+    std::uint32_t version = 0;
+};
+
+/// All that the caller duty needs to route; immutable and shared.
+struct serving_view
+{
+    std::uint64_t revision = 0;
+    std::shared_ptr<const catalog> config;
+    /// The staged catalog, once it has had no decision for too long.
+    std::shared_ptr<const catalog> undecided;
+    std::vector<serving_server> servers;
+    std::unordered_map<model_id, std::vector<serving_replica>> replicas;
+    /// Servers of each plain service.
+    std::unordered_map<std::string, std::vector<std::size_t>> services;
+    /// Live daemons, over which organisation limits are shared.
+    std::size_t live_daemons = 1;
+    /// Instances that left the platform's list.
+    std::set<instance_id> gone;
+    /// Quarantined fingerprints from peers.
+    std::vector<std::pair<std::uint64_t, std::uint32_t>> quarantine;
+};
+
+} // namespace barleyfork
+
+#endif
--- /dev/null
+++ b/libs/daemon/src/table_duty.cpp
@@ -0,0 +1,92 @@
+#include "table_duty.hpp"
+
+#include <barleyfork/net/ask.hpp>
+
+namespace barleyfork {
+
+namespace asio = boost::asio;
+
+namespace {
+
+failure ring_full()
+{
+    return make_failure(errc::store_unavailable, "the store duty is busy");
+}
+
+} // namespace
+
+table_duty::table_duty(daemon_context& context,
+                       http_endpoint table,
+                       http_endpoint objects)
+    : context_(context),
+      table_(std::move(table),
+             duration(context.settings.platform->request_timeout_ms)),
+      objects_(std::move(objects),
+               duration(context.settings.platform->request_timeout_ms))
+{
+}
+
+asio::awaitable<table_read> table_duty::read(std::string key)
+{
+    const auto work = [this, key] {
+        return table_.read(key);
+    };
+    auto result = co_await ask<table_read>(context_.store, work);
+    if (result)
+        co_return std::move(*result);
+    table_read failed;
+    failed.error = ring_full();
+    co_return failed;
+}
+
+asio::awaitable<table_scan> table_duty::scan(std::string prefix,
+                                             std::uint64_t since)
+{
+    const auto work = [this, prefix, since] {
+        return table_.scan(prefix, since);
+    };
+    auto result = co_await ask<table_scan>(context_.store, work);
+    if (result)
+        co_return std::move(*result);
+    table_scan failed;
+    failed.error = ring_full();
+    co_return failed;
+}
+
+asio::awaitable<table_write> table_duty::write(std::string key,
+                                               std::uint64_t expected_version,
+                                               std::string value)
+{
+    const auto work = [this, key, expected_version, value] {
+        return table_.write_and_verify(key, expected_version, value);
+    };
+    auto result = co_await ask<table_write>(context_.store, work);
+    if (result)
+        co_return std::move(*result);
+    table_write failed;
+    failed.error = ring_full();
+    co_return failed;
+}
+
+asio::awaitable<failure> table_duty::put_object(std::string digest,
+                                                std::string bytes)
+{
+    const auto work = [this, digest, bytes] {
+        return objects_.put(digest, bytes);
+    };
+    auto result = co_await ask<failure>(context_.store, work);
+    co_return result ? std::move(*result) : ring_full();
+}
+
+asio::awaitable<std::string> table_duty::get_object(std::string digest)
+{
+    const auto work = [this, digest]() -> asio::awaitable<std::string> {
+        std::string bytes;
+        const auto error = co_await objects_.get(digest, bytes);
+        co_return error ? std::string() : bytes;
+    };
+    auto result = co_await ask<std::string>(context_.store, work);
+    co_return result.value_or(std::string());
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/daemon/src/tracer.hpp
@@ -0,0 +1,84 @@
+#ifndef BARLEYFORK_DAEMON_SRC_TRACER_HPP
+#define BARLEYFORK_DAEMON_SRC_TRACER_HPP
+
+#include <barleyfork/net/duty.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <fstream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace barleyfork {
+
+/// Where a span stands in its trace (W3C Trace Context).
+struct trace_context
+{
+    /// 32 hexadecimal digits.
+    std::string trace_id;
+    /// 16 hexadecimal digits.
+    std::string span_id;
+    /// The parent's span id, or empty.
+    std::string parent_id;
+
+    /// The `traceparent` header for what this span calls.
+    std::string to_header() const;
+
+    /// A span under this one.
+    trace_context child() const;
+};
+
+/// Takes up a caller's `traceparent`, or begins a trace where it is absent
+/// or malformed.
+trace_context accept_trace(std::string_view traceparent);
+
+/// A finished span.
+struct trace_span
+{
+    trace_context context;
+    /// The hop: caller, queue, claim, attempt, order.
+    std::string name;
+    std::int64_t start_ms = 0;
+    std::int64_t duration_ms = 0;
+    /// key=value pairs.
+    std::string note;
+};
+
+/// Keeps the newest spans and writes them to a file, on a thread of its own.
+/// Spans that the ring has no room for are dropped and counted.
+class tracer
+{
+public:
+    explicit tracer(std::string file);
+
+    void start()
+    {
+        duty_.start();
+    }
+
+    /// Records a finished span. Any thread.
+    void record(trace_span span);
+
+    /// The spans of one trace as JSON, for the operators' address.
+    boost::asio::awaitable<std::string> find(std::string trace_id);
+
+    duty& owner() noexcept
+    {
+        return duty_;
+    }
+
+private:
+    void keep(trace_span span);
+
+    /// Spans kept in memory.
+    static constexpr std::size_t capacity = 4096;
+
+    duty duty_;
+    std::ofstream file_;
+    std::deque<trace_span> spans_;
+};
+
+} // namespace barleyfork
+
+#endif
--- a/libs/net/include/barleyfork/net/duty.hpp
+++ b/libs/net/include/barleyfork/net/duty.hpp
@@ -36,6 +36,10 @@
     /// Ends the loop without waiting for what is pending; joins the thread.
     void stop();
 
+    /// After `stop`: drops what is pending. Duties that hold parts of each
+    /// other are all discarded before any of them is destroyed.
+    void discard();
+
     /// Hands a task over; false where the ring is full. Any thread.
     bool try_post(task work);
 
--- a/libs/net/include/barleyfork/net/exchange.hpp
+++ b/libs/net/include/barleyfork/net/exchange.hpp
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <boost/lockfree/spsc_queue.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -23,6 +24,9 @@
     std::string target;
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
+    /// False for calls that may not be repeated: a fresh connection keeps an
+    /// unknown outcome from a connection that was closing.
+    bool may_reuse_connection = true;
     duration connect_timeout{1000};
     duration first_byte_timeout{30000};
     duration progress_timeout{5000};
@@ -52,13 +56,16 @@
     attempt_end end = attempt_end::answered;
     /// With `end`: a new connection was refused after the break.
     bool server_crashed = false;
+    /// With `server_crashed`: the process that ended, by its last report; 0
+    /// where it is not known.
+    std::uint64_t crashed_boot = 0;
 };
 
 /// One try at a backend server, shared by the caller and backend duties.
 ///
 /// Parts travel through a bounded ring. A caller that reads slowly fills it
 /// and holds back its own stream only. One producer, one consumer.
-class exchange
+class exchange : public std::enable_shared_from_this<exchange>
 {
 public:
     /// Parts that the ring holds.
@@ -68,7 +75,10 @@
              const boost::asio::any_io_executor& producer,
              const boost::asio::any_io_executor& consumer);
 
-    const exchange_request& request() const noexcept { return request_; }
+    const exchange_request& request() const noexcept
+    {
+        return request_;
+    }
 
     /// Producer: adds a part, waiting while the ring is full. False where
     /// the consumer gave up.
@@ -76,26 +86,28 @@
 
     /// Consumer: the next part; false where `deadline` came first.
     boost::asio::awaitable<bool>
-    pop(exchange_event& event,
-        std::chrono::steady_clock::time_point deadline);
+    pop(exchange_event& event, std::chrono::steady_clock::time_point deadline);
 
     /// Consumer: no more parts are wanted; the try is to be cancelled.
     void cancel();
 
     /// True once the consumer gave up. Any thread.
-    bool cancelled() const noexcept { return cancelled_; }
-
-    /// Woken on the producer's thread by `cancel` and by room in the ring.
-    const std::shared_ptr<notifier>& producer_wake() const noexcept
+    bool cancelled() const noexcept
     {
-        return producer_wake_;
+        return cancelled_;
     }
 
+    /// Producer: sets what `cancel` runs on the producer's thread; empty to
+    /// take it back.
+    void on_cancel(std::function<void()> hook);
+
 private:
     exchange_request request_;
     boost::lockfree::spsc_queue<exchange_event,
                                 boost::lockfree::capacity<ring_capacity>>
         ring_;
+    boost::asio::any_io_executor producer_;
+    std::function<void()> cancel_hook_;
     std::shared_ptr<notifier> producer_wake_;
     std::shared_ptr<notifier> consumer_wake_;
     std::atomic<bool> cancelled_{false};
--- a/libs/net/include/barleyfork/net/http_server.hpp
+++ b/libs/net/include/barleyfork/net/http_server.hpp
@@ -23,8 +23,11 @@
     std::uint32_t max_connections = 1024;
     std::uint32_t max_body_bytes = 4 * 1024 * 1024;
     std::uint32_t max_header_bytes = 16 * 1024;
+    /// From a request's first byte to its last.
     duration header_timeout{15000};
     duration write_timeout{30000};
+    /// An open connection without a request is closed after this time.
+    duration idle_timeout{60000};
 };
 
 /// A request whose body has been read whole.
@@ -93,10 +96,13 @@
     /// logged. Call before the duty starts, or on its thread.
     std::uint16_t listen(const std::string& address, std::uint16_t port);
 
-    /// Takes no further connections; open ones finish their request. On the
-    /// duty's thread.
+    /// Takes no further connections and closes idle ones; open ones finish
+    /// their request. On the duty's thread.
     void stop_accepting();
 
+    /// Cuts every connection at once. On the duty's thread.
+    void abort_connections();
+
     /// Open connections. On the duty's thread.
     std::size_t connections() const noexcept;
 
--- a/libs/net/include/barleyfork/net/url.hpp
+++ b/libs/net/include/barleyfork/net/url.hpp
@@ -24,6 +24,9 @@
 /// Takes a URL apart; fails with `invalid_input`.
 failure parse_url(std::string_view text, http_endpoint& out);
 
+/// The decoded value of a query's parameter; empty where it is absent.
+std::string query_value(std::string_view query, std::string_view name);
+
 /// Escapes a path segment or query value (RFC 3986).
 std::string percent_encode(std::string_view text);
 
--- a/libs/net/src/duty.cpp
+++ b/libs/net/src/duty.cpp
@@ -18,13 +18,24 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// An I/O loop whose pending work can be dropped before it is destroyed.
+class event_loop : public asio::io_context
+{
+public:
+    event_loop() : asio::io_context(1) {}
+
+    using asio::execution_context::shutdown;
+};
+
+} // namespace
+
 struct duty::state
 {
     state(std::string duty_name, std::size_t capacity)
-        : name(std::move(duty_name))
-        , loop(1)
-        , guard(asio::make_work_guard(loop))
-        , ring(capacity)
+        : name(std::move(duty_name)), guard(asio::make_work_guard(loop)),
+          ring(capacity)
     {
     }
 
@@ -47,7 +58,7 @@
     }
 
     std::string name;
-    asio::io_context loop;
+    event_loop loop;
     asio::executor_work_guard<asio::io_context::executor_type> guard;
     boost::lockfree::queue<task*, boost::lockfree::fixed_sized<true>> ring;
     std::atomic<bool> draining{false};
@@ -77,6 +88,15 @@
         state_->thread.join();
 }
 
+void duty::discard()
+{
+    state_->guard.reset();
+    state_->loop.shutdown();
+    task* left = nullptr;
+    while (state_->ring.pop(left))
+        delete left;
+}
+
 bool duty::try_post(task work)
 {
     auto owned = std::make_unique<task>(std::move(work));
@@ -93,9 +113,7 @@
 void duty::spawn(asio::awaitable<void> work)
 {
     asio::co_spawn(
-        state_->loop,
-        std::move(work),
-        [this](const std::exception_ptr& error) {
+        state_->loop, std::move(work), [this](const std::exception_ptr& error) {
             if (!error)
                 return;
             try {
--- a/libs/net/src/exchange.cpp
+++ b/libs/net/src/exchange.cpp
@@ -1,5 +1,7 @@
 #include <barleyfork/net/exchange.hpp>
 
+#include <boost/asio/post.hpp>
+
 namespace barleyfork {
 
 namespace asio = boost::asio;
@@ -7,9 +9,9 @@
 exchange::exchange(exchange_request request,
                    const asio::any_io_executor& producer,
                    const asio::any_io_executor& consumer)
-    : request_(std::move(request))
-    , producer_wake_(std::make_shared<notifier>(producer))
-    , consumer_wake_(std::make_shared<notifier>(consumer))
+    : request_(std::move(request)), producer_(producer),
+      producer_wake_(std::make_shared<notifier>(producer)),
+      consumer_wake_(std::make_shared<notifier>(consumer))
 {
 }
 
@@ -53,6 +55,17 @@
 {
     cancelled_ = true;
     producer_wake_->notify();
+    asio::post(producer_, [self = shared_from_this()] {
+        if (self->cancel_hook_)
+            self->cancel_hook_();
+    });
+}
+
+void exchange::on_cancel(std::function<void()> hook)
+{
+    cancel_hook_ = std::move(hook);
+    if (cancelled_ && cancel_hook_)
+        cancel_hook_();
 }
 
 } // namespace barleyfork
--- a/libs/net/src/frame.cpp
+++ b/libs/net/src/frame.cpp
@@ -21,9 +21,8 @@
         reinterpret_cast<const char*>(builder.GetBufferPointer()),
         builder.GetSize());
     std::string frame(length_bytes, '\0');
-    boost::endian::store_big_u32(
-        reinterpret_cast<unsigned char*>(frame.data()),
-        static_cast<std::uint32_t>(payload.size()));
+    boost::endian::store_big_u32(reinterpret_cast<unsigned char*>(frame.data()),
+                                 static_cast<std::uint32_t>(payload.size()));
     frame += authentication_tag(secret, payload);
     frame += payload;
     return frame;
@@ -49,8 +48,7 @@
     if (!equal_in_constant_time(tag, authentication_tag(secret, payload)))
         return make_failure(errc::forbidden, "the peer frame's tag");
     flatbuffers::Verifier verifier(
-        reinterpret_cast<const std::uint8_t*>(payload.data()),
-        payload.size());
+        reinterpret_cast<const std::uint8_t*>(payload.data()), payload.size());
     if (!verifier.VerifyBuffer<schema::peer_message>())
         return make_failure(errc::protocol_error, "the peer message");
     out = schema::peer_message_record();
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -25,8 +25,7 @@
     char byte = 0;
     beast::error_code error;
     socket.non_blocking(true, error);
-    socket.receive(
-        asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
     return error == asio::error::would_block;
 }
 
@@ -49,8 +48,8 @@
 failure to_failure(const beast::error_code& error,
                    const http_endpoint& endpoint)
 {
-    const auto kind = error == beast::error::timeout ? errc::timeout
-                                                     : errc::connection_lost;
+    const auto kind =
+        error == beast::error::timeout ? errc::timeout : errc::connection_lost;
     return make_failure(kind,
                         endpoint.host + ":" + std::to_string(endpoint.port) +
                             " (" + error.message() + ")");
@@ -77,8 +76,7 @@
     }
     if (!reused) {
         beast::error_code parse_error;
-        const auto address =
-            asio::ip::make_address(endpoint.host, parse_error);
+        const auto address = asio::ip::make_address(endpoint.host, parse_error);
         const tcp::endpoint target(address, endpoint.port);
         auto [error] = co_await stream.async_connect(target, as_result);
         if (error || parse_error) {
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -10,7 +10,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <cctype>
-#include <optional>
+#include <set>
 
 namespace barleyfork {
 
@@ -70,9 +70,8 @@
     connection_responder(beast::tcp_stream& stream,
                          duration write_timeout,
                          bool keep_alive)
-        : stream_(stream)
-        , write_timeout_(write_timeout)
-        , keep_alive_(keep_alive)
+        : stream_(stream), write_timeout_(write_timeout),
+          keep_alive_(keep_alive)
     {
     }
 
@@ -141,7 +140,10 @@
                error == asio::error::bad_descriptor;
     }
 
-    bool answered() const noexcept { return answered_; }
+    bool answered() const noexcept
+    {
+        return answered_;
+    }
 
 private:
     beast::tcp_stream& stream_;
@@ -155,10 +157,8 @@
 struct http_server::state : std::enable_shared_from_this<state>
 {
     state(duty& owner_duty, http_limits given, http_handler handle)
-        : owner(owner_duty)
-        , limits(given)
-        , handler(std::move(handle))
-        , acceptor(owner_duty.executor())
+        : owner(owner_duty), limits(given), handler(std::move(handle)),
+          acceptor(owner_duty.executor())
     {
     }
 
@@ -188,7 +188,10 @@
             beast::error_code ignored;
             stream.socket().set_option(tcp::no_delay(true), ignored);
             beast::flat_buffer buffer;
-            while (!stopping && co_await serve_request(stream, buffer)) {
+            const registration entry(*this, stream);
+            while (co_await wait_for_request(stream, buffer) &&
+                   co_await serve_request(stream, buffer))
+            {
             }
             stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
         }
@@ -199,6 +202,38 @@
         --connections;
     }
 
+    /// Waits for a request's first byte; false where there will be none.
+    asio::awaitable<bool> wait_for_request(beast::tcp_stream& stream,
+                                           const beast::flat_buffer& buffer)
+    {
+        if (stopping)
+            co_return false;
+        if (buffer.size() != 0)
+            co_return true;
+        idle_since[&stream] = steady_now();
+        auto [error] = co_await stream.socket().async_wait(
+            tcp::socket::wait_read, as_result);
+        idle_since.erase(&stream);
+        co_return !error;
+    }
+
+    /// Closes connections that have been idle since before `limit`.
+    void close_idle(time_point limit)
+    {
+        for (const auto& [stream, since] : idle_since)
+            if (since <= limit)
+                stream->socket().cancel();
+    }
+
+    asio::awaitable<void> sweep_loop()
+    {
+        const auto self = shared_from_this();
+        while (!stopping) {
+            co_await sleep_for_ms(sweep_interval_ms);
+            close_idle(steady_now() - limits.idle_timeout);
+        }
+    }
+
     asio::awaitable<bool> serve_request(beast::tcp_stream& stream,
                                         beast::flat_buffer& buffer)
     {
@@ -263,7 +298,30 @@
         return answer;
     }
 
+    /// Keeps a connection on the list of open ones while it is served.
+    class registration
+    {
+    public:
+        registration(state& owner, beast::tcp_stream& stream)
+            : owner_(owner), stream_(&stream)
+        {
+            owner_.open.insert(stream_);
+        }
+        registration(const registration&) = delete;
+        registration& operator=(const registration&) = delete;
+        ~registration()
+        {
+            owner_.open.erase(stream_);
+            owner_.idle_since.erase(stream_);
+        }
+
+    private:
+        state& owner_;
+        beast::tcp_stream* stream_;
+    };
+
     static constexpr std::int64_t accept_pause_ms = 20;
+    static constexpr std::int64_t sweep_interval_ms = 1000;
 
     duty& owner;
     http_limits limits;
@@ -272,6 +330,8 @@
     bool stopping = false;
     std::size_t connections = 0;
     std::size_t active = 0;
+    std::set<beast::tcp_stream*> open;
+    std::map<beast::tcp_stream*, time_point> idle_since;
 };
 
 std::string_view http_incoming::header(std::string_view name) const
@@ -310,6 +370,7 @@
         return 0;
     }
     state_->owner.spawn(state_->accept_loop());
+    state_->owner.spawn(state_->sweep_loop());
     return acceptor.local_endpoint().port();
 }
 
@@ -318,6 +379,14 @@
     beast::error_code ignored;
     state_->stopping = true;
     state_->acceptor.close(ignored);
+    state_->close_idle(time_point::max());
+}
+
+void http_server::abort_connections()
+{
+    beast::error_code ignored;
+    for (auto* stream : state_->open)
+        stream->socket().close(ignored);
 }
 
 std::size_t http_server::connections() const noexcept
--- a/libs/net/src/notifier.cpp
+++ b/libs/net/src/notifier.cpp
@@ -8,10 +8,7 @@
 
 namespace asio = boost::asio;
 
-notifier::notifier(const asio::any_io_executor& executor)
-    : timer_(executor)
-{
-}
+notifier::notifier(const asio::any_io_executor& executor) : timer_(executor) {}
 
 void notifier::notify()
 {
--- a/libs/net/src/url.cpp
+++ b/libs/net/src/url.cpp
@@ -1,7 +1,9 @@
 #include <barleyfork/net/url.hpp>
 
+#include <boost/url/decode_view.hpp>
 #include <boost/url/encode.hpp>
 #include <boost/url/parse.hpp>
+#include <boost/url/parse_query.hpp>
 #include <boost/url/rfc/unreserved_chars.hpp>
 
 namespace barleyfork {
@@ -22,6 +24,17 @@
     return {};
 }
 
+std::string query_value(std::string_view query, std::string_view name)
+{
+    const auto parsed = boost::urls::parse_query(query);
+    if (!parsed)
+        return {};
+    for (const auto& param : *parsed)
+        if (*param.key == name)
+            return {(*param.value).begin(), (*param.value).end()};
+    return {};
+}
+
 std::string percent_encode(std::string_view text)
 {
     return boost::urls::encode(text, boost::urls::unreserved_chars);
--- a/libs/platform/include/barleyfork/platform/object_client.hpp
+++ b/libs/platform/include/barleyfork/platform/object_client.hpp
@@ -19,8 +19,7 @@
     boost::asio::awaitable<failure> put(std::string digest, std::string bytes);
 
     /// Reads an object and checks its digest.
-    boost::asio::awaitable<failure> get(std::string digest,
-                                        std::string& bytes);
+    boost::asio::awaitable<failure> get(std::string digest, std::string& bytes);
 
 private:
     http_endpoint endpoint_;
--- a/libs/platform/include/barleyfork/platform/table_client.hpp
+++ b/libs/platform/include/barleyfork/platform/table_client.hpp
@@ -61,21 +61,24 @@
                                             std::uint64_t since);
 
     /// Writes one row if it still has `expected_version` (0: is absent).
-    boost::asio::awaitable<table_write> write(std::string key,
-                                              std::uint64_t expected_version,
-                                              std::string value);
+    boost::asio::awaitable<table_write>
+    write(std::string key, std::uint64_t expected_version, std::string value);
 
     /// As `write`, and where the answer is lost or another row stands, reads
     /// the row again: a row that equals `value` byte for byte is this
     /// write's own, so `value` must carry an id of its own.
-    boost::asio::awaitable<table_write>
-    write_and_verify(std::string key,
-                     std::uint64_t expected_version,
-                     std::string value);
+    boost::asio::awaitable<table_write> write_and_verify(
+        std::string key, std::uint64_t expected_version, std::string value);
 
     /// Requests sent since the start: reads and writes.
-    std::uint64_t reads() const noexcept { return reads_; }
-    std::uint64_t writes() const noexcept { return writes_; }
+    std::uint64_t reads() const noexcept
+    {
+        return reads_;
+    }
+    std::uint64_t writes() const noexcept
+    {
+        return writes_;
+    }
 
 private:
     http_endpoint endpoint_;
--- a/libs/platform/src/object_client.cpp
+++ b/libs/platform/src/object_client.cpp
@@ -22,8 +22,7 @@
 } // namespace
 
 object_client::object_client(http_endpoint endpoint, duration timeout)
-    : endpoint_(std::move(endpoint))
-    , timeout_(timeout)
+    : endpoint_(std::move(endpoint)), timeout_(timeout)
 {
 }
 
--- a/libs/platform/src/row_codec.cpp
+++ b/libs/platform/src/row_codec.cpp
@@ -1,5 +1,7 @@
 #include <barleyfork/platform/row_codec.hpp>
 
+#include <barleyfork/base/digest.hpp>
+
 #include <array>
 #include <boost/json.hpp>
 
@@ -200,7 +202,7 @@
                      {"claim_id", record.claim_id},
                      {"status", record.status},
                      {"content_type", record.content_type},
-                     {"body", record.body}});
+                     {"body", encode_base64(record.body)}});
 }
 
 failure decode(std::string_view text, claim_record& out)
@@ -212,7 +214,7 @@
         out.claim_id = text_of(value, "claim_id");
         out.status = number_of<std::uint32_t>(value, "status");
         out.content_type = text_of(value, "content_type");
-        out.body = text_of(value, "body");
+        out.body = decode_base64(text_of(value, "body"));
     });
 }
 
@@ -256,6 +258,8 @@
             instance.failure_domain =
                 failure_domain_id(text_of(entry, "failure_domain"));
             instance.leaving = text_of(entry, "state") != "live";
+            instance.is_backend_server =
+                text_of(entry, "role") == "backend_server";
             out.push_back(std::move(instance));
         }
     });
--- a/libs/platform/src/table_client.cpp
+++ b/libs/platform/src/table_client.cpp
@@ -46,8 +46,7 @@
 } // namespace
 
 table_client::table_client(http_endpoint endpoint, duration timeout)
-    : endpoint_(std::move(endpoint))
-    , timeout_(timeout)
+    : endpoint_(std::move(endpoint)), timeout_(timeout)
 {
 }
 
@@ -85,17 +84,17 @@
         co_return result;
     }
     result.error = decode_answer(reply, [&result](const auto& value) {
-        result.version = value.at("version").template to_number<std::uint64_t>();
+        result.version =
+            value.at("version").template to_number<std::uint64_t>();
         for (const auto& row : value.at("rows").as_array())
             result.rows.push_back(to_row(row));
     });
     co_return result;
 }
 
-asio::awaitable<table_write>
-table_client::write(std::string key,
-                    std::uint64_t expected_version,
-                    std::string value)
+asio::awaitable<table_write> table_client::write(std::string key,
+                                                 std::uint64_t expected_version,
+                                                 std::string value)
 {
     ++writes_;
     http_call call;
@@ -126,10 +125,8 @@
     co_return result;
 }
 
-asio::awaitable<table_write>
-table_client::write_and_verify(std::string key,
-                               std::uint64_t expected_version,
-                               std::string value)
+asio::awaitable<table_write> table_client::write_and_verify(
+    std::string key, std::uint64_t expected_version, std::string value)
 {
     auto result = co_await write(key, expected_version, value);
     if (result.outcome == write_outcome::done)
--- a/libs/schema/include/barleyfork/schema/peer_generated.h
+++ b/libs/schema/include/barleyfork/schema/peer_generated.h
@@ -28,6 +28,10 @@
 struct configuration_digestBuilder;
 struct configuration_digest_record;
 
+struct model_demand;
+struct model_demandBuilder;
+struct model_demand_record;
+
 struct peer_message;
 struct peer_messageBuilder;
 struct peer_message_record;
@@ -76,37 +80,40 @@
   confirmation = 3,
   body_request = 4,
   body_answer = 5,
+  demand = 6,
   MIN = probe,
-  MAX = body_answer
+  MAX = demand
 };
 
-inline const message_kind (&EnumValuesmessage_kind())[6] {
+inline const message_kind (&EnumValuesmessage_kind())[7] {
   static const message_kind values[] = {
     message_kind::probe,
     message_kind::acknowledgement,
     message_kind::push,
     message_kind::confirmation,
     message_kind::body_request,
-    message_kind::body_answer
+    message_kind::body_answer,
+    message_kind::demand
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage_kind() {
-  static const char * const names[7] = {
+  static const char * const names[8] = {
     "probe",
     "acknowledgement",
     "push",
     "confirmation",
     "body_request",
     "body_answer",
+    "demand",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage_kind(message_kind e) {
-  if (flatbuffers::IsOutRange(e, message_kind::probe, message_kind::body_answer)) return "";
+  if (flatbuffers::IsOutRange(e, message_kind::probe, message_kind::demand)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage_kind()[index];
 }
@@ -419,6 +426,89 @@
 
 flatbuffers::Offset<configuration_digest> Createconfiguration_digest(flatbuffers::FlatBufferBuilder &_fbb, const configuration_digest_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct model_demand_record : public flatbuffers::NativeTable {
+  typedef model_demand TableType;
+  std::string model{};
+  float work = 0.0f;
+};
+
+/// Work that one daemon's callers ask of a model, in server-seconds a second.
+struct model_demand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef model_demand_record NativeTableType;
+  typedef model_demandBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_MODEL = 4,
+    VT_WORK = 6
+  };
+  const flatbuffers::String *model() const {
+    return GetPointer<const flatbuffers::String *>(VT_MODEL);
+  }
+  float work() const {
+    return GetField<float>(VT_WORK, 0.0f);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_MODEL) &&
+           verifier.VerifyString(model()) &&
+           VerifyField<float>(verifier, VT_WORK, 4) &&
+           verifier.EndTable();
+  }
+  model_demand_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(model_demand_record *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<model_demand> Pack(flatbuffers::FlatBufferBuilder &_fbb, const model_demand_record* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct model_demandBuilder {
+  typedef model_demand Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_model(flatbuffers::Offset<flatbuffers::String> model) {
+    fbb_.AddOffset(model_demand::VT_MODEL, model);
+  }
+  void add_work(float work) {
+    fbb_.AddElement<float>(model_demand::VT_WORK, work, 0.0f);
+  }
+  explicit model_demandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<model_demand> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<model_demand>(end);
+    fbb_.Required(o, model_demand::VT_MODEL);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<model_demand> Createmodel_demand(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> model = 0,
+    float work = 0.0f) {
+  model_demandBuilder builder_(_fbb);
+  builder_.add_work(work);
+  builder_.add_model(model);
+  return builder_.Finish();
+}
+
+struct model_demand::Traits {
+  using type = model_demand;
+  static auto constexpr Create = Createmodel_demand;
+};
+
+inline flatbuffers::Offset<model_demand> Createmodel_demandDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *model = nullptr,
+    float work = 0.0f) {
+  auto model__ = model ? _fbb.CreateString(model) : 0;
+  return barleyfork::schema::Createmodel_demand(
+      _fbb,
+      model__,
+      work);
+}
+
+flatbuffers::Offset<model_demand> Createmodel_demand(flatbuffers::FlatBufferBuilder &_fbb, const model_demand_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct peer_message_record : public flatbuffers::NativeTable {
   typedef peer_message TableType;
   barleyfork::schema::message_kind kind = barleyfork::schema::message_kind::probe;
@@ -429,6 +519,7 @@
   std::vector<std::unique_ptr<barleyfork::schema::quarantine_entry_record>> quarantine{};
   std::string digest{};
   std::vector<uint8_t> body{};
+  std::vector<std::unique_ptr<barleyfork::schema::model_demand_record>> demand{};
   peer_message_record() = default;
   peer_message_record(const peer_message_record &o);
   peer_message_record(peer_message_record&&) FLATBUFFERS_NOEXCEPT = default;
@@ -448,7 +539,8 @@
     VT_MEMBERS = 12,
     VT_QUARANTINE = 14,
     VT_DIGEST = 16,
-    VT_BODY = 18
+    VT_BODY = 18,
+    VT_DEMAND = 20
   };
   barleyfork::schema::message_kind kind() const {
     return static_cast<barleyfork::schema::message_kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -474,6 +566,9 @@
   const flatbuffers::Vector<uint8_t> *body() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BODY);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::model_demand>> *demand() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::model_demand>> *>(VT_DEMAND);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -492,6 +587,9 @@
            verifier.VerifyString(digest()) &&
            VerifyOffset(verifier, VT_BODY) &&
            verifier.VerifyVector(body()) &&
+           VerifyOffset(verifier, VT_DEMAND) &&
+           verifier.VerifyVector(demand()) &&
+           verifier.VerifyVectorOfTables(demand()) &&
            verifier.EndTable();
   }
   peer_message_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -527,6 +625,9 @@
   void add_body(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body) {
     fbb_.AddOffset(peer_message::VT_BODY, body);
   }
+  void add_demand(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::model_demand>>> demand) {
+    fbb_.AddOffset(peer_message::VT_DEMAND, demand);
+  }
   explicit peer_messageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -548,9 +649,11 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::member>>> members = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::quarantine_entry>>> quarantine = 0,
     flatbuffers::Offset<flatbuffers::String> digest = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::model_demand>>> demand = 0) {
   peer_messageBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
+  builder_.add_demand(demand);
   builder_.add_body(body);
   builder_.add_digest(digest);
   builder_.add_quarantine(quarantine);
@@ -575,11 +678,13 @@
     const std::vector<flatbuffers::Offset<barleyfork::schema::member>> *members = nullptr,
     const std::vector<flatbuffers::Offset<barleyfork::schema::quarantine_entry>> *quarantine = nullptr,
     const char *digest = nullptr,
-    const std::vector<uint8_t> *body = nullptr) {
+    const std::vector<uint8_t> *body = nullptr,
+    const std::vector<flatbuffers::Offset<barleyfork::schema::model_demand>> *demand = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::member>>(*members) : 0;
   auto quarantine__ = quarantine ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::quarantine_entry>>(*quarantine) : 0;
   auto digest__ = digest ? _fbb.CreateString(digest) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
+  auto demand__ = demand ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::model_demand>>(*demand) : 0;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       kind,
@@ -589,7 +694,8 @@
       members__,
       quarantine__,
       digest__,
-      body__);
+      body__,
+      demand__);
 }
 
 flatbuffers::Offset<peer_message> Createpeer_message(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -696,6 +802,35 @@
       _coordinator);
 }
 
+inline model_demand_record *model_demand::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<model_demand_record>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void model_demand::UnPackTo(model_demand_record *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = model(); if (_e) _o->model = _e->str(); }
+  { auto _e = work(); _o->work = _e; }
+}
+
+inline flatbuffers::Offset<model_demand> model_demand::Pack(flatbuffers::FlatBufferBuilder &_fbb, const model_demand_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createmodel_demand(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<model_demand> Createmodel_demand(flatbuffers::FlatBufferBuilder &_fbb, const model_demand_record *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const model_demand_record* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _model = _fbb.CreateString(_o->model);
+  auto _work = _o->work;
+  return barleyfork::schema::Createmodel_demand(
+      _fbb,
+      _model,
+      _work);
+}
+
 inline peer_message_record::peer_message_record(const peer_message_record &o)
       : kind(o.kind),
         sequence(o.sequence),
@@ -707,6 +842,8 @@
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new barleyfork::schema::member_record(*members_) : nullptr); }
   quarantine.reserve(o.quarantine.size());
   for (const auto &quarantine_ : o.quarantine) { quarantine.emplace_back((quarantine_) ? new barleyfork::schema::quarantine_entry_record(*quarantine_) : nullptr); }
+  demand.reserve(o.demand.size());
+  for (const auto &demand_ : o.demand) { demand.emplace_back((demand_) ? new barleyfork::schema::model_demand_record(*demand_) : nullptr); }
 }
 
 inline peer_message_record &peer_message_record::operator=(peer_message_record o) FLATBUFFERS_NOEXCEPT {
@@ -718,6 +855,7 @@
   std::swap(quarantine, o.quarantine);
   std::swap(digest, o.digest);
   std::swap(body, o.body);
+  std::swap(demand, o.demand);
   return *this;
 }
 
@@ -738,6 +876,7 @@
   { auto _e = quarantine(); if (_e) { _o->quarantine.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quarantine[_i] = std::unique_ptr<barleyfork::schema::quarantine_entry_record>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = digest(); if (_e) _o->digest = _e->str(); }
   { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
+  { auto _e = demand(); if (_e) { _o->demand.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demand[_i] = std::unique_ptr<barleyfork::schema::model_demand_record>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<peer_message> peer_message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -756,6 +895,7 @@
   auto _quarantine = _o->quarantine.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::quarantine_entry>> (_o->quarantine.size(), [](size_t i, _VectorArgs *__va) { return Createquarantine_entry(*__va->__fbb, __va->__o->quarantine[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _digest = _o->digest.empty() ? 0 : _fbb.CreateString(_o->digest);
   auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
+  auto _demand = _o->demand.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::model_demand>> (_o->demand.size(), [](size_t i, _VectorArgs *__va) { return Createmodel_demand(*__va->__fbb, __va->__o->demand[i].get(), __va->__rehasher); }, &_va ) : 0;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       _kind,
@@ -765,7 +905,8 @@
       _members,
       _quarantine,
       _digest,
-      _body);
+      _body,
+      _demand);
 }
 
 inline const barleyfork::schema::peer_message *Getpeer_message(const void *buf) {
--- a/libs/schema/include/barleyfork/schema/settings_generated.h
+++ b/libs/schema/include/barleyfork/schema/settings_generated.h
@@ -396,6 +396,7 @@
   uint32_t retry_percent = 10;
   uint32_t max_tries = 3;
   uint32_t queue_limit = 256;
+  uint32_t server_slots = 64;
 };
 
 /// How requests are routed to backend servers and repeated.
@@ -411,7 +412,8 @@
     VT_REPORT_INTERVAL_MS = 12,
     VT_RETRY_PERCENT = 14,
     VT_MAX_TRIES = 16,
-    VT_QUEUE_LIMIT = 18
+    VT_QUEUE_LIMIT = 18,
+    VT_SERVER_SLOTS = 20
   };
   const flatbuffers::String *strategy() const {
     return GetPointer<const flatbuffers::String *>(VT_STRATEGY);
@@ -437,6 +439,9 @@
   uint32_t queue_limit() const {
     return GetField<uint32_t>(VT_QUEUE_LIMIT, 256);
   }
+  uint32_t server_slots() const {
+    return GetField<uint32_t>(VT_SERVER_SLOTS, 64);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_STRATEGY) &&
@@ -448,6 +453,7 @@
            VerifyField<uint32_t>(verifier, VT_RETRY_PERCENT, 4) &&
            VerifyField<uint32_t>(verifier, VT_MAX_TRIES, 4) &&
            VerifyField<uint32_t>(verifier, VT_QUEUE_LIMIT, 4) &&
+           VerifyField<uint32_t>(verifier, VT_SERVER_SLOTS, 4) &&
            verifier.EndTable();
   }
   routing_settings_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -483,6 +489,9 @@
   void add_queue_limit(uint32_t queue_limit) {
     fbb_.AddElement<uint32_t>(routing_settings::VT_QUEUE_LIMIT, queue_limit, 256);
   }
+  void add_server_slots(uint32_t server_slots) {
+    fbb_.AddElement<uint32_t>(routing_settings::VT_SERVER_SLOTS, server_slots, 64);
+  }
   explicit routing_settingsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -503,8 +512,10 @@
     uint32_t report_interval_ms = 500,
     uint32_t retry_percent = 10,
     uint32_t max_tries = 3,
-    uint32_t queue_limit = 256) {
+    uint32_t queue_limit = 256,
+    uint32_t server_slots = 64) {
   routing_settingsBuilder builder_(_fbb);
+  builder_.add_server_slots(server_slots);
   builder_.add_queue_limit(queue_limit);
   builder_.add_max_tries(max_tries);
   builder_.add_retry_percent(retry_percent);
@@ -530,7 +541,8 @@
     uint32_t report_interval_ms = 500,
     uint32_t retry_percent = 10,
     uint32_t max_tries = 3,
-    uint32_t queue_limit = 256) {
+    uint32_t queue_limit = 256,
+    uint32_t server_slots = 64) {
   auto strategy__ = strategy ? _fbb.CreateString(strategy) : 0;
   return barleyfork::schema::Createrouting_settings(
       _fbb,
@@ -541,7 +553,8 @@
       report_interval_ms,
       retry_percent,
       max_tries,
-      queue_limit);
+      queue_limit,
+      server_slots);
 }
 
 flatbuffers::Offset<routing_settings> Createrouting_settings(flatbuffers::FlatBufferBuilder &_fbb, const routing_settings_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -661,6 +674,7 @@
   uint32_t lease_ms = 6000;
   uint32_t order_timeout_ms = 60000;
   uint32_t leaving_bound_ms = 3000;
+  uint32_t stage_timeout_ms = 5000;
 };
 
 /// Leases and orders of the cell controllers.
@@ -672,7 +686,8 @@
     VT_INTERVAL_MS = 4,
     VT_LEASE_MS = 6,
     VT_ORDER_TIMEOUT_MS = 8,
-    VT_LEAVING_BOUND_MS = 10
+    VT_LEAVING_BOUND_MS = 10,
+    VT_STAGE_TIMEOUT_MS = 12
   };
   uint32_t interval_ms() const {
     return GetField<uint32_t>(VT_INTERVAL_MS, 500);
@@ -686,12 +701,16 @@
   uint32_t leaving_bound_ms() const {
     return GetField<uint32_t>(VT_LEAVING_BOUND_MS, 3000);
   }
+  uint32_t stage_timeout_ms() const {
+    return GetField<uint32_t>(VT_STAGE_TIMEOUT_MS, 5000);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_INTERVAL_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_LEASE_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_ORDER_TIMEOUT_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_LEAVING_BOUND_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_STAGE_TIMEOUT_MS, 4) &&
            verifier.EndTable();
   }
   controller_settings_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -715,6 +734,9 @@
   void add_leaving_bound_ms(uint32_t leaving_bound_ms) {
     fbb_.AddElement<uint32_t>(controller_settings::VT_LEAVING_BOUND_MS, leaving_bound_ms, 3000);
   }
+  void add_stage_timeout_ms(uint32_t stage_timeout_ms) {
+    fbb_.AddElement<uint32_t>(controller_settings::VT_STAGE_TIMEOUT_MS, stage_timeout_ms, 5000);
+  }
   explicit controller_settingsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -731,8 +753,10 @@
     uint32_t interval_ms = 500,
     uint32_t lease_ms = 6000,
     uint32_t order_timeout_ms = 60000,
-    uint32_t leaving_bound_ms = 3000) {
+    uint32_t leaving_bound_ms = 3000,
+    uint32_t stage_timeout_ms = 5000) {
   controller_settingsBuilder builder_(_fbb);
+  builder_.add_stage_timeout_ms(stage_timeout_ms);
   builder_.add_leaving_bound_ms(leaving_bound_ms);
   builder_.add_order_timeout_ms(order_timeout_ms);
   builder_.add_lease_ms(lease_ms);
@@ -1227,6 +1251,7 @@
   { auto _e = retry_percent(); _o->retry_percent = _e; }
   { auto _e = max_tries(); _o->max_tries = _e; }
   { auto _e = queue_limit(); _o->queue_limit = _e; }
+  { auto _e = server_slots(); _o->server_slots = _e; }
 }
 
 inline flatbuffers::Offset<routing_settings> routing_settings::Pack(flatbuffers::FlatBufferBuilder &_fbb, const routing_settings_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1245,6 +1270,7 @@
   auto _retry_percent = _o->retry_percent;
   auto _max_tries = _o->max_tries;
   auto _queue_limit = _o->queue_limit;
+  auto _server_slots = _o->server_slots;
   return barleyfork::schema::Createrouting_settings(
       _fbb,
       _strategy,
@@ -1254,7 +1280,8 @@
       _report_interval_ms,
       _retry_percent,
       _max_tries,
-      _queue_limit);
+      _queue_limit,
+      _server_slots);
 }
 
 inline peer_settings_record *peer_settings::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1305,6 +1332,7 @@
   { auto _e = lease_ms(); _o->lease_ms = _e; }
   { auto _e = order_timeout_ms(); _o->order_timeout_ms = _e; }
   { auto _e = leaving_bound_ms(); _o->leaving_bound_ms = _e; }
+  { auto _e = stage_timeout_ms(); _o->stage_timeout_ms = _e; }
 }
 
 inline flatbuffers::Offset<controller_settings> controller_settings::Pack(flatbuffers::FlatBufferBuilder &_fbb, const controller_settings_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1319,12 +1347,14 @@
   auto _lease_ms = _o->lease_ms;
   auto _order_timeout_ms = _o->order_timeout_ms;
   auto _leaving_bound_ms = _o->leaving_bound_ms;
+  auto _stage_timeout_ms = _o->stage_timeout_ms;
   return barleyfork::schema::Createcontroller_settings(
       _fbb,
       _interval_ms,
       _lease_ms,
       _order_timeout_ms,
-      _leaving_bound_ms);
+      _leaving_bound_ms,
+      _stage_timeout_ms);
 }
 
 inline log_settings_record *log_settings::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/libs/schema/src/schema_check.cpp
+++ b/libs/schema/src/schema_check.cpp
@@ -152,9 +152,8 @@
     const auto key = field.name()->string_view();
     const auto type = field.type()->base_type();
     if (type == reflection::Bool)
-        return node.is_boolean()
-                   ? failure{}
-                   : reject(context, node, key, "true or false");
+        return node.is_boolean() ? failure{}
+                                 : reject(context, node, key, "true or false");
     if (is_integer(type) || is_floating(type))
         return check_number(context, node, field);
     if (type == reflection::String)
--- a/libs/schema/src/toml_reader.cpp
+++ b/libs/schema/src/toml_reader.cpp
@@ -13,9 +13,8 @@
 
 namespace {
 
-failure parse_text(std::string_view text,
-                   std::string_view source,
-                   toml::table& out)
+failure
+parse_text(std::string_view text, std::string_view source, toml::table& out)
 {
     try {
         out = toml::parse(text, source);
@@ -38,9 +37,8 @@
 
 /// `BinarySchema` is the generated embedding of the record's schema.
 template <typename BinarySchema, typename Table, typename Record>
-failure parse_record(std::string_view text,
-                     std::string_view source,
-                     Record& out)
+failure
+parse_record(std::string_view text, std::string_view source, Record& out)
 {
     toml::table table;
     if (auto result = parse_text(text, source, table))
@@ -54,8 +52,8 @@
         !parser.Parse(to_json(table).c_str()))
         return make_failure(errc::invalid_input,
                             std::string(source) + ": " + parser.error_);
-    const auto* root = flatbuffers::GetRoot<Table>(
-        parser.builder_.GetBufferPointer());
+    const auto* root =
+        flatbuffers::GetRoot<Table>(parser.builder_.GetBufferPointer());
     out = Record();
     root->UnPackTo(&out);
     return {};
@@ -89,8 +87,9 @@
                          std::string_view source,
                          schema::deployment_record& out)
 {
-    auto result = parse_record<schema::deploymentBinarySchema,
-                               schema::deployment>(toml, source, out);
+    auto result =
+        parse_record<schema::deploymentBinarySchema, schema::deployment>(
+            toml, source, out);
     if (!result)
         ensure(out.policy);
     return result;
