--- a/libs/core/include/barleyfork/core/memory_ledger.hpp
+++ b/libs/core/include/barleyfork/core/memory_ledger.hpp
@@ -34,6 +34,12 @@
     std::uint64_t boot = 0;
     /// Set once the platform's list shows that the sender is gone.
     bool sender_gone = false;
+    /// Reports since then, up to two: the poll of the second one began after
+    /// the sender was known to be gone.
+    std::uint32_t reports_since_gone = 0;
+    /// The engine process of that second report; only a later process is
+    /// sure to hold no connection of the sender.
+    std::uint64_t gone_boot = 0;
 
     friend bool operator==(const engine_order&, const engine_order&) = default;
 };
@@ -111,10 +117,8 @@
     std::uint64_t sequence = 0;
 };
 
-/// True where loading leaves the worst case within the capacity.
-///
-/// A checking engine must have acknowledged a fence since it started, and a
-/// later report must be known: what it forgot at the restart can't act then.
+/// True where loading leaves the worst case within the capacity. Nothing may
+/// be loaded before the engine's first report.
 bool may_load(const ledger_row& row,
               const model_id& model,
               std::uint32_t version,
@@ -161,7 +165,10 @@
 /// Closes: an unload whose model the report shows gone; the only outstanding
 /// load of a model version that the report shows resident; on a checking
 /// engine, orders older than an acknowledged fence; on an engine that ignores
-/// fencing, orders of senders known to be gone before it restarted.
+/// fencing, orders of senders known to be gone before it restarted. A checking
+/// engine is taken to keep its highest number over a restart; one that does
+/// not is to be declared as ignoring. Reports of one engine are polled one
+/// after the other.
 bool apply_report(ledger_row& row, const engine_report& report);
 
 } // namespace barleyfork
--- a/libs/core/src/cell_controller.cpp
+++ b/libs/core/src/cell_controller.cpp
@@ -137,8 +137,7 @@
     if (order.kind == order_kind::fence) {
         if (answer.outcome == order_outcome::done)
             acknowledge_fence(slot.wanted, order.epoch, answer);
-        else
-            slot.fence_sent = false;
+        slot.fence_sent = slot.wanted.fenced_epoch >= order.epoch;
         return;
     }
     if (answer.outcome == order_outcome::unknown)
--- a/libs/core/src/memory_ledger.cpp
+++ b/libs/core/src/memory_ledger.cpp
@@ -6,12 +6,6 @@
 
 namespace {
 
-bool is_fenced(const ledger_row& row)
-{
-    return !row.checks_fencing ||
-           (row.fenced_epoch != 0 && row.report_sequence > row.fenced_sequence);
-}
-
 template <typename Entry>
 bool same_version(const Entry& entry,
                   const model_id& model,
@@ -72,17 +66,23 @@
 {
     row.boot = boot;
     row.report_sequence = 0;
-    row.fenced_epoch = 0;
     row.fenced_sequence = 0;
     for (auto& entry : row.residents)
         entry.since_sequence = 0;
 }
 
-/// Orders of senders known to be gone before the restart can't act any more.
-void drop_orders_of_gone_senders(ledger_row& row)
+/// Orders of senders known to be gone before the engine restarted can't act
+/// any more: their connections ended with the old process.
+void close_orders_of_gone_senders(ledger_row& row, std::uint64_t boot)
 {
-    std::erase_if(row.orders, [&row](const engine_order& order) {
-        return !row.checks_fencing && order.sender_gone;
+    for (auto& order : row.orders) {
+        if (!order.sender_gone || order.gone_boot != 0)
+            continue;
+        if (++order.reports_since_gone >= 2)
+            order.gone_boot = boot;
+    }
+    std::erase_if(row.orders, [boot](const engine_order& order) {
+        return order.gone_boot != 0 && order.gone_boot < boot;
     });
 }
 
@@ -167,7 +167,7 @@
               std::uint32_t version,
               std::uint32_t memory_mib)
 {
-    if (row.boot == 0 || !is_fenced(row))
+    if (row.boot == 0)
         return false;
     const auto added = is_counted(row, model, version) ? 0 : memory_mib;
     return committed_mib(row) + added <= row.capacity_mib;
@@ -249,10 +249,9 @@
         return false;
     if (report.boot == row.boot && report.sequence <= row.report_sequence)
         return false;
-    if (report.boot > row.boot) {
+    if (report.boot > row.boot)
         start_boot(row, report.boot);
-        drop_orders_of_gone_senders(row);
-    }
+    close_orders_of_gone_senders(row, report.boot);
     row.report_sequence = report.sequence;
     drop_fenced_orders(row, report.sequence);
     close_seen_loads(row, report);
--- a/libs/platform/src/row_codec.cpp
+++ b/libs/platform/src/row_codec.cpp
@@ -86,7 +86,9 @@
             {"fence", order.epoch},
             {"sender", order.sender.value()},
             {"boot", order.boot},
-            {"sender_gone", order.sender_gone}};
+            {"sender_gone", order.sender_gone},
+            {"reports_since_gone", order.reports_since_gone},
+            {"gone_boot", order.gone_boot}};
 }
 
 engine_order to_order(const json::value& value)
@@ -101,6 +103,9 @@
     order.sender = instance_id(text_of(value, "sender"));
     order.boot = number_of<std::uint64_t>(value, "boot");
     order.sender_gone = value.at("sender_gone").as_bool();
+    order.reports_since_gone =
+        number_of<std::uint32_t>(value, "reports_since_gone");
+    order.gone_boot = number_of<std::uint64_t>(value, "gone_boot");
     return order;
 }
 
--- /dev/null
+++ b/libs/testing/src/test_main.cpp
@@ -0,0 +1,65 @@
+/// Runs every registered CppUnit test and prints a closing line that counts.
+
+#include <barleyfork/testing/property.hpp>
+
+#include <cppunit/BriefTestProgressListener.h>
+#include <cppunit/CompilerOutputter.h>
+#include <cppunit/TestResult.h>
+#include <cppunit/TestResultCollector.h>
+#include <cppunit/TestRunner.h>
+#include <cppunit/extensions/TestFactoryRegistry.h>
+#include <cstdlib>
+#include <iostream>
+#include <rapidcheck/detail/Configuration.h>
+#include <sstream>
+
+namespace barleyfork::testing {
+
+namespace {
+
+constexpr std::uint64_t default_seed = 20261204;
+
+std::uint64_t number_from(const char* variable, std::uint64_t fallback)
+{
+    const char* text = std::getenv(variable);
+    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+} // namespace
+
+void check_property(const std::string& name,
+                    int cases,
+                    const std::function<void()>& property)
+{
+    rc::detail::TestParams params;
+    params.seed = number_from("BARLEYFORK_SEED", default_seed);
+    params.maxSuccess = static_cast<int>(
+        number_from("BARLEYFORK_CASES", static_cast<std::uint64_t>(cases)));
+    rc::detail::TestMetadata metadata;
+    metadata.id = name;
+    metadata.description = name;
+    const auto result = rc::detail::checkTestable(property, metadata, params);
+    std::ostringstream text;
+    rc::detail::printResultMessage(result, text);
+    CPPUNIT_ASSERT_MESSAGE(name + ": " + text.str(),
+                           result.is<rc::detail::SuccessResult>());
+}
+
+} // namespace barleyfork::testing
+
+int main()
+{
+    CppUnit::TestResult events;
+    CppUnit::TestResultCollector results;
+    CppUnit::BriefTestProgressListener progress;
+    events.addListener(&results);
+    events.addListener(&progress);
+    CppUnit::TestRunner runner;
+    runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
+    runner.run(events);
+    CppUnit::CompilerOutputter(&results, std::cerr).write();
+    const auto failed = results.testFailuresTotal();
+    std::cout << results.runTests() - failed << " passed, " << failed
+              << " failed" << std::endl;
+    return results.wasSuccessful() ? 0 : 1;
+}
