--- a/libs/core/src/placement_round.cpp
+++ b/libs/core/src/placement_round.cpp
@@ -367,6 +367,8 @@
 void placement_round::remove_leftovers()
 {
     for (std::size_t s = 0; s < input_.servers.size(); ++s) {
+        if (!input_.servers[s].usable)
+            continue;
         auto& replicas = input_.servers[s].replicas;
         for (std::size_t r = 0; r < replicas.size(); ++r) {
             if (!replicas[r].ready || replicas[r].changing)
--- a/libs/testing/include/barleyfork/testing/property.hpp
+++ b/libs/testing/include/barleyfork/testing/property.hpp
@@ -5,9 +5,11 @@
 #include <cstdint>
 #include <functional>
 #include <initializer_list>
+#include <ostream>
 #include <rapidcheck.h>
 #include <string>
 #include <tuple>
+#include <type_traits>
 #include <utility>
 #include <vector>
 
@@ -23,7 +25,25 @@
 
 /// One command of a stateful test: what to do, and two choices for it.
 template <typename Action>
-using command = std::tuple<Action, int, int>;
+struct command
+{
+    command(Action what, int one, int two)
+        : action(what), first(one), second(two)
+    {
+    }
+
+    Action action;
+    int first;
+    int second;
+};
+
+/// Prints a command with its action's place in the enumeration.
+template <typename Action>
+std::ostream& operator<<(std::ostream& out, const command<Action>& step)
+{
+    return out << '#' << static_cast<int>(step.action) << '(' << step.first
+               << ' ' << step.second << ')';
+}
 
 /// Actions with how often each is to come, relative to the others.
 template <typename Action>
@@ -35,12 +55,12 @@
 gen_commands(weighted_actions<Action> actions, int longest)
 {
     constexpr int choices = 60;
-    return rc::gen::resize(
-        longest,
-        rc::gen::container<std::vector<command<Action>>>(
-            rc::gen::tuple(rc::gen::weightedElement<Action>(actions),
-                           rc::gen::inRange(0, choices),
-                           rc::gen::inRange(0, choices))));
+    return rc::gen::resize(longest,
+                           rc::gen::container<std::vector<command<Action>>>(
+                               rc::gen::construct<command<Action>>(
+                                   rc::gen::weightedElement<Action>(actions),
+                                   rc::gen::inRange(0, choices),
+                                   rc::gen::inRange(0, choices))));
 }
 
 } // namespace barleyfork::testing
