--- a/libs/core/include/barleyfork/core/placement_planner.hpp
+++ b/libs/core/include/barleyfork/core/placement_planner.hpp
@@ -18,6 +18,7 @@
     floor,
     domain_spread,
     demand,
+    spare,
     make_room,
     not_declared,
     old_version,
@@ -102,7 +103,7 @@
     planner_options options;
 };
 
-/// How demand spreads over ready replicas.
+/// How demand spreads over replicas that serve or are being loaded.
 struct load_estimate
 {
     /// Work on each server, in the order of the input.
@@ -111,7 +112,7 @@
     std::vector<double> unserved;
 };
 
-/// Spreads each model's demand over its ready replicas, evening out servers.
+/// Spreads each model's demand over its replicas, evening out servers.
 load_estimate estimate_load(const planner_input& input);
 
 /// Plans the next steps, the most urgent first.
--- a/libs/core/src/load_estimate.cpp
+++ b/libs/core/src/load_estimate.cpp
@@ -30,7 +30,9 @@
             continue;
         for (const auto& replica : input.servers[s].replicas) {
             const auto found = index.find(replica.model);
-            if (replica.ready && found != index.end())
+            const bool serves =
+                replica.ready || (replica.changing && !replica.unloading);
+            if (serves && found != index.end())
                 shares[found->second].push_back({s, 0.0});
         }
     }
--- a/libs/core/src/placement_planner.cpp
+++ b/libs/core/src/placement_planner.cpp
@@ -8,11 +8,12 @@
 
 const char* reason_name(step_reason reason) noexcept
 {
-    constexpr std::array<const char*, 8> names{"reachability",
+    constexpr std::array<const char*, 9> names{"reachability",
                                                "new_version",
                                                "floor",
                                                "domain_spread",
                                                "demand",
+                                               "spare",
                                                "make_room",
                                                "not_declared",
                                                "old_version"};
--- a/libs/core/src/placement_round.cpp
+++ b/libs/core/src/placement_round.cpp
@@ -11,10 +11,12 @@
 
 /// Work below this is not worth a step, in server-seconds a second.
 constexpr double negligible_work = 0.02;
-/// How much of a victim's past peak counts as work that will come back.
-constexpr double return_share = 0.25;
-/// Breaks ties towards the replica that was idle longest.
-constexpr double idle_credit = 1e-9;
+/// A quiet model's demand may grow by this factor within an hour.
+constexpr double burst_factor = 10.0;
+/// Chance that a model asks for its potential within the horizon.
+constexpr double burst_chance = 0.1;
+/// Models that one step weighs.
+constexpr std::size_t weighed_models = 4;
 
 bool is_clearing(const planner_server& server)
 {
@@ -26,9 +28,9 @@
 } // namespace
 
 placement_round::placement_round(planner_input input)
-    : input_(std::move(input)), estimate_(estimate_load(input_)),
-      budget_(input_.options.load_budget)
+    : input_(std::move(input)), budget_(input_.options.load_budget)
 {
+    update_estimate();
     for (std::size_t m = 0; m < input_.models.size(); ++m)
         model_index_.emplace(input_.models[m].id, m);
     // A load waits for each unload in progress, so it is taken off now.
@@ -45,6 +47,7 @@
                                &placement_round::repair_floors,
                                &placement_round::follow_demand,
                                &placement_round::spread_domains,
+                               &placement_round::fill_idle_memory,
                                &placement_round::remove_leftovers};
     for (const auto step : duties)
         (this->*step)();
@@ -134,9 +137,45 @@
     return best;
 }
 
-/// What unloading costs in work, or nothing where it is not allowed.
+/// Models in falling order of a need, without those that need nothing.
+std::vector<std::size_t>
+placement_round::models_by(const std::vector<double>& need) const
+{
+    std::vector<std::size_t> order;
+    for (std::size_t m = 0; m < need.size(); ++m) {
+        const auto replicas = count(m);
+        const auto present = replicas.ready_current + replicas.loading_current;
+        if (need[m] >= negligible_work &&
+            present < input_.models[m].max_replicas)
+            order.push_back(m);
+    }
+    std::stable_sort(order.begin(), order.end(), [&need](auto a, auto b) {
+        return need[a] > need[b];
+    });
+    if (order.size() > weighed_models)
+        order.resize(weighed_models);
+    return order;
+}
+
+/// Work of the model's potential demand that is served with so many more
+/// replicas than now; negative where replicas are taken away.
+double placement_round::potential_change(std::size_t model, int replicas) const
+{
+    const auto& wanted = input_.models[model];
+    const double potential =
+        std::max(wanted.peak_demand, burst_factor * wanted.demand);
+    const auto present = count(model);
+    const auto now =
+        static_cast<double>(present.ready + present.loading_current);
+    const auto served = [&](double copies) {
+        return std::min(potential, copies * input_.options.target_utilisation);
+    };
+    return served(now + replicas) - served(now);
+}
+
+/// What unloading puts at risk in work, or nothing where it is not allowed.
 std::optional<double>
-placement_round::eviction_loss(std::size_t server,
+placement_round::eviction_loss(std::size_t,
                                const planner_replica& replica) const
 {
     if (!replica.ready || replica.changing)
@@ -144,26 +183,16 @@
     const auto found = model_index_.find(replica.model);
     if (found == model_index_.end())
         return 0.0;
-    const auto model = found->second;
-    const auto& wanted = input_.models[model];
-    const auto replicas = count(model);
+    const auto& wanted = input_.models[found->second];
+    const auto replicas = count(found->second);
     if (replicas.ready <= wanted.min_replicas)
         return std::nullopt;
-    const double keep = static_cast<double>(replicas.ready - 1);
-    const auto shortfall = [&](double demand) {
-        return std::max(0.0,
-                        demand - keep * input_.servers[server].capacity *
-                                     input_.options.target_utilisation);
-    };
-    const double now = shortfall(wanted.demand);
-    const double later = return_share * shortfall(wanted.peak_demand);
     const double share = wanted.demand / static_cast<double>(replicas.ready);
-    return now + later + return_share * share -
-           idle_credit * replica.idle_seconds;
+    return share - burst_chance * potential_change(found->second, -1);
 }
 
 /// The cheapest replicas whose unloads free `needed_mib`.
-std::optional<placement_round::victim_choice>
+std::optional<std::vector<std::size_t>>
 placement_round::choose_victims(std::size_t server,
                                 std::uint64_t needed_mib) const
 {
@@ -173,18 +202,17 @@
         if (const auto loss = eviction_loss(server, replicas[r]))
             candidates.emplace_back(*loss, r);
     std::sort(candidates.begin(), candidates.end());
-    victim_choice choice;
+    std::vector<std::size_t> victims;
     std::uint64_t freed = free_mib(server);
     for (const auto& [loss, index] : candidates) {
         if (freed >= needed_mib)
             break;
-        choice.replicas.push_back(index);
-        choice.loss += loss;
+        victims.push_back(index);
         freed += replicas[index].memory_mib;
     }
     if (freed < needed_mib)
         return std::nullopt;
-    return choice;
+    return victims;
 }
 
 bool placement_round::waits_for_room(std::size_t server) const
@@ -196,33 +224,63 @@
         });
 }
 
-/// Weighs every server by the work it would take, less what that costs.
+/// Spreads the demand over the placement with the choice carried out, and
+/// compares; moves and the risk to victims are taken off.
+double placement_round::evaluate(const load_choice& choice)
+{
+    auto& server = input_.servers[choice.server];
+    const auto& wanted = input_.models[choice.model];
+    const auto before = server.replicas;
+    double potential = potential_change(choice.model, 1);
+    for (const auto victim : choice.victims) {
+        const auto found = model_index_.find(before[victim].model);
+        if (found != model_index_.end())
+            potential += potential_change(found->second, -1);
+        server.replicas[victim].ready = false;
+    }
+    server.replicas.push_back(
+        {wanted.id, wanted.version, wanted.memory_mib, true});
+    const auto after = estimate_load(input_);
+    server.replicas = before;
+    const double gain =
+        total_unserved_ -
+        std::accumulate(after.unserved.begin(), after.unserved.end(), 0.0);
+    const auto moves = static_cast<double>(1 + choice.victims.size());
+    const auto& options = input_.options;
+    return options.horizon_seconds * (gain + burst_chance * potential) -
+           moves * options.move_price;
+}
+
+/// Weighs every server for each of the models.
 std::optional<placement_round::load_choice>
-placement_round::best_choice(std::size_t model, double wanted)
+placement_round::best_choice(std::span<const std::size_t> models,
+                             bool may_evict)
 {
     std::optional<load_choice> best;
-    const auto& options = input_.options;
-    for (std::size_t s = 0; s < input_.servers.size(); ++s) {
-        const auto& server = input_.servers[s];
-        if (!server.usable || holds(s, model))
-            continue;
-        auto victims = choose_victims(s, input_.models[model].memory_mib);
-        if (!victims || (!victims->replicas.empty() && waits_for_room(s)))
-            continue;
-        const double room = server.capacity * options.target_utilisation -
-                            estimate_.server_load[s];
-        const double gain =
-            std::min(wanted, std::max(room, 0.0)) - victims->loss;
-        const auto moves = static_cast<double>(1 + victims->replicas.size());
-        const double value =
-            gain * options.horizon_seconds - moves * options.move_price;
-        if (best && value <= best->value)
-            continue;
-        best = load_choice{s, std::move(*victims), value};
+    for (const auto model : models) {
+        for (std::size_t s = 0; s < input_.servers.size(); ++s) {
+            if (!input_.servers[s].usable || holds(s, model))
+                continue;
+            auto victims = choose_victims(s, input_.models[model].memory_mib);
+            if (!victims ||
+                (!victims->empty() && (!may_evict || waits_for_room(s))))
+                continue;
+            load_choice choice{model, s, std::move(*victims), 0.0};
+            choice.value = evaluate(choice);
+            if (!best || choice.value > best->value)
+                best = std::move(choice);
+        }
     }
     return best;
 }
 
+void placement_round::update_estimate()
+{
+    estimate_ = estimate_load(input_);
+    total_unserved_ = std::accumulate(
+        estimate_.unserved.begin(), estimate_.unserved.end(), 0.0);
+}
+
 void placement_round::load(std::size_t server,
                            std::size_t model,
                            step_reason reason)
@@ -263,16 +321,19 @@
     entry.unloading = true;
 }
 
-void placement_round::take_choice(std::size_t model,
-                                  const load_choice& choice,
-                                  step_reason reason)
+/// Loads at once where there is room; else only makes room, and the load is
+/// planned again once the memory is known to be free.
+void placement_round::take_choice(const load_choice& choice, step_reason reason)
 {
-    if (choice.victims.replicas.empty()) {
-        load(choice.server, model, reason);
-        return;
+    if (choice.victims.empty()) {
+        load(choice.server, choice.model, reason);
+    }
+    else {
+        for (const auto victim : choice.victims)
+            unload(choice.server, victim, step_reason::make_room);
+        --budget_;
     }
-    for (const auto victim : choice.victims.replicas)
-        unload(choice.server, victim, step_reason::make_room);
+    update_estimate();
 }
 
 /// Loads where there is room; else makes room for a later round.
@@ -282,10 +343,10 @@
         load(*server, model, reason);
         return true;
     }
-    const auto choice = best_choice(model, input_.models[model].demand);
+    const auto choice = best_choice(std::span(&model, 1), true);
     if (!choice)
         return false;
-    take_choice(model, *choice, reason);
+    take_choice(*choice, reason);
     return true;
 }
 
@@ -343,23 +404,27 @@
 
 void placement_round::follow_demand()
 {
-    std::vector<std::size_t> order(input_.models.size());
-    std::iota(order.begin(), order.end(), std::size_t{0});
-    std::stable_sort(order.begin(), order.end(), [this](auto a, auto b) {
-        return estimate_.unserved[a] > estimate_.unserved[b];
-    });
-    for (const auto model : order) {
-        const double wanted = estimate_.unserved[model];
-        if (budget_ == 0 || wanted < negligible_work)
+    while (budget_ > 0 && total_unserved_ >= negligible_work) {
+        const auto models = models_by(estimate_.unserved);
+        const auto choice = best_choice(models, true);
+        if (!choice || choice->value <= 0.0)
             return;
-        const auto replicas = count(model);
-        const auto present = replicas.ready_current + replicas.loading_current;
-        if (replicas.loading_current > 0 ||
-            present >= input_.models[model].max_replicas)
-            continue;
-        const auto choice = best_choice(model, wanted);
-        if (choice && choice->value > 0.0)
-            take_choice(model, *choice, step_reason::demand);
+        take_choice(*choice, step_reason::demand);
+    }
+}
+
+/// Idle memory holds spare replicas of the models that may need them most;
+/// they give way as soon as the memory is wanted.
+void placement_round::fill_idle_memory()
+{
+    while (budget_ > 0) {
+        std::vector<double> need;
+        for (std::size_t m = 0; m < input_.models.size(); ++m)
+            need.push_back(potential_change(m, 1));
+        const auto choice = best_choice(models_by(need), false);
+        if (!choice || choice->value <= 0.0)
+            return;
+        take_choice(*choice, step_reason::spare);
     }
 }
 
--- a/libs/core/src/placement_round.hpp
+++ b/libs/core/src/placement_round.hpp
@@ -4,6 +4,7 @@
 #include <barleyfork/core/placement_planner.hpp>
 
 #include <optional>
+#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -30,16 +31,13 @@
         std::size_t loading_current = 0;
     };
 
-    struct victim_choice
-    {
-        std::vector<std::size_t> replicas;
-        double loss = 0.0;
-    };
-
+    /// A load, and the replicas on its server that have to give way.
     struct load_choice
     {
+        std::size_t model = 0;
         std::size_t server = 0;
-        victim_choice victims;
+        std::vector<std::size_t> victims;
+        /// Server-seconds of work gained, the price of the moves taken off.
         double value = 0.0;
     };
 
@@ -48,6 +46,7 @@
     void repair_floors();
     void spread_domains();
     void follow_demand();
+    void fill_idle_memory();
     void remove_leftovers();
 
     replica_count count(std::size_t model) const;
@@ -57,22 +56,26 @@
     std::uint64_t free_mib(std::size_t server) const;
 
     std::optional<std::size_t> best_free_server(std::size_t model) const;
-    std::optional<load_choice> best_choice(std::size_t model, double wanted);
-    std::optional<victim_choice> choose_victims(std::size_t server,
-                                                std::uint64_t needed_mib) const;
+    std::vector<std::size_t> models_by(const std::vector<double>& need) const;
+    std::optional<load_choice> best_choice(std::span<const std::size_t> models,
+                                           bool may_evict);
+    std::optional<std::vector<std::size_t>>
+    choose_victims(std::size_t server, std::uint64_t needed_mib) const;
     std::optional<double> eviction_loss(std::size_t server,
                                         const planner_replica& replica) const;
+    double evaluate(const load_choice& choice);
+    double potential_change(std::size_t model, int replicas) const;
     bool waits_for_room(std::size_t server) const;
+    void update_estimate();
 
     bool load_with_room(std::size_t model, step_reason reason);
     void load(std::size_t server, std::size_t model, step_reason reason);
     void unload(std::size_t server, std::size_t replica, step_reason reason);
-    void take_choice(std::size_t model,
-                     const load_choice& choice,
-                     step_reason reason);
+    void take_choice(const load_choice& choice, step_reason reason);
 
     planner_input input_;
     load_estimate estimate_;
+    double total_unserved_ = 0.0;
     std::unordered_map<model_id, std::size_t> model_index_;
     std::uint32_t budget_ = 0;
     std::vector<planned_step> steps_;
--- a/samples/make_examples.py
+++ b/samples/make_examples.py
@@ -82,7 +82,7 @@
               for i, o in enumerate(owners)]
     for i in range(20):
         parts.append(model(f"drafter-{i:02}", owners[i % 4],
-                           [14336, 16384, 20480, 24576][i % 4], 1, 2.0,
+                           [28672, 30720, 32768, 36864][i % 4], 1, 2.0,
                            5 if i % 4 == 2 else 1))
     for i in range(60):
         parts.append(adapter(f"adapter-{i:02}",
@@ -109,7 +109,7 @@
     parts += [organisation(o, 80, 80000, 1) for o in owners]
     for i in range(21):
         parts.append(model(f"writer-{i:02}", owners[i % 3],
-                           [12288, 16384, 24576][i % 3], 1, 2.0, 1))
+                           [24576, 30720, 36864][i % 3], 1, 2.0, 1))
     for i in range(120):
         parts.append(adapter(f"adapter-{i:03}",
                              f"{owners[i % 21 % 3]}/writer-{i % 21:02}", 128))
