--- a/libs/core/include/barleyfork/core/cell_controller.hpp
+++ b/libs/core/include/barleyfork/core/cell_controller.hpp
@@ -100,6 +100,13 @@
         return valid_;
     }
 
+    /// True where no answer to an outstanding order is to come any more.
+    bool is_unanswered(const server_id& server,
+                       const engine_order& order) const;
+
+    /// Lets fences that failed be sent again; called at a bounded rate.
+    void retry_fences();
+
     /// The rows as last known to be written, for the planner and status.
     const ledger_row* written_row(const server_id& server) const;
 
@@ -121,12 +128,17 @@
         bool awaiting_outcome = false;
         bool adopted = false;
         bool fence_sent = false;
+        bool fence_failed = false;
         /// Orders in `wanted` that are not sent yet.
         std::vector<engine_order> unsent;
         /// Orders of this epoch that no answer came for.
         std::vector<order_id> unanswered;
     };
 
+    static bool is_unanswered(const server_slot& slot,
+                              const engine_order& order);
+    static bool may_repeat_load(const server_slot& slot,
+                                const planned_step& step);
     void raise_epoch(server_slot& slot);
     void collect_write(server_slot& slot, controller_effects& effects);
     void collect_orders(const server_id& id,
--- a/libs/core/include/barleyfork/core/crash_quarantine.hpp
+++ b/libs/core/include/barleyfork/core/crash_quarantine.hpp
@@ -12,6 +12,16 @@
 
 namespace barleyfork {
 
+/// A request that was on an engine process when it ended.
+struct crash_blame
+{
+    std::uint64_t fingerprint = 0;
+    /// Tells one end of one process from every other.
+    std::uint64_t crash = 0;
+
+    friend auto operator<=>(const crash_blame&, const crash_blame&) = default;
+};
+
 /// Finds requests that crash each backend server that runs them.
 ///
 /// A request is blamed for a crash only if it was alone on the server, or if
@@ -23,28 +33,28 @@
 {
 public:
     /// Blamed crashes after which a fingerprint is refused everywhere.
-    static constexpr std::uint32_t refusal_threshold = 2;
+    static constexpr std::size_t refusal_threshold = 2;
 
     /// `memory` is how long a fingerprint is remembered without news.
     explicit crash_quarantine(duration memory);
 
-    /// A server crashed with these requests in flight on it from this daemon.
-    /// Returns the fingerprints whose count changed.
-    std::vector<std::uint64_t>
-    on_crash(std::span<const std::uint64_t> in_flight, time_point now);
+    /// A server crashed with these requests in flight on it from this daemon;
+    /// the same crash may be told several times. Returns who is newly blamed.
+    std::vector<crash_blame> on_crash(std::span<const std::uint64_t> in_flight,
+                                      std::uint64_t crash,
+                                      time_point now);
 
     /// The request ended with a whole answer: it is innocent.
     void on_answer(std::uint64_t fingerprint);
 
-    /// A peer's count; the larger one wins.
-    void
-    merge(std::uint64_t fingerprint, std::uint32_t crashes, time_point now);
+    /// Takes in what a peer or this daemon blames on a request.
+    void merge(const crash_blame& blame, time_point now);
 
     /// True where the request is to be refused.
     bool refused(std::uint64_t fingerprint, time_point now) const;
 
     /// Crashes counted against it.
-    std::uint32_t crashes(std::uint64_t fingerprint) const;
+    std::size_t crashes(std::uint64_t fingerprint) const;
 
     /// Forgets what is older than the memory.
     void expire(time_point now);
@@ -52,7 +62,7 @@
 private:
     struct entry
     {
-        std::uint32_t crashes = 0;
+        std::set<std::uint64_t> crashes;
         time_point changed_at{};
     };
 
--- a/libs/core/include/barleyfork/core/membership.hpp
+++ b/libs/core/include/barleyfork/core/membership.hpp
@@ -3,6 +3,7 @@
 
 #include <barleyfork/base/strong_id.hpp>
 #include <barleyfork/base/time.hpp>
+#include <barleyfork/core/crash_quarantine.hpp>
 #include <barleyfork/schema/peer_generated.h>
 
 #include <cstdint>
@@ -40,6 +41,8 @@
 {
     instance_id to;
     schema::peer_message_record message;
+    /// Not to be sent on a connection that was used before.
+    bool fresh_connection = false;
 };
 
 /// Limits of probing and of the news on each message.
@@ -81,8 +84,8 @@
     /// The news every message carries from now on.
     void set_configuration(const schema::configuration_digest_record& digest);
 
-    /// Adds a request fingerprint to pass on; the larger count wins.
-    void add_quarantine(std::uint64_t fingerprint, std::uint32_t crashes);
+    /// Adds what is blamed on a request, to pass on.
+    void add_quarantine(const crash_blame& blame);
 
     /// Says on every message from now on that this instance is leaving.
     void set_leaving();
@@ -133,12 +136,6 @@
         std::uint32_t transmissions = 0;
     };
 
-    struct quarantine_news
-    {
-        std::uint32_t crashes = 0;
-        std::uint32_t transmissions = 0;
-    };
-
     void check_probes(time_point now, std::vector<outgoing_message>& out);
     void check_suspects(time_point now);
     void start_probes(time_point now, std::vector<outgoing_message>& out);
@@ -166,7 +163,8 @@
     std::map<instance_id, time_point> suspected_since_;
     std::map<instance_id, pending_probe> probes_;
     std::map<instance_id, news_entry> news_;
-    std::map<std::uint64_t, quarantine_news> quarantine_;
+    /// Blames and how often each was passed on.
+    std::map<crash_blame, std::uint32_t> quarantine_;
     schema::configuration_digest_record configuration_;
     std::vector<instance_id> probe_order_;
 };
--- a/libs/core/include/barleyfork/core/placement_planner.hpp
+++ b/libs/core/include/barleyfork/core/placement_planner.hpp
@@ -39,6 +39,9 @@
 };
 
 /// A model version that holds or will hold memory on a server.
+///
+/// Neither `ready` nor `changing`: an order without an answer keeps the memory
+/// counted; the load may be ordered again without counting it twice.
 struct planner_replica
 {
     model_id model;
--- a/libs/core/src/cell_controller.cpp
+++ b/libs/core/src/cell_controller.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Loads of one model version that may be outstanding at once.
+constexpr std::size_t largest_repeats = 4;
+
 /// A new report sequence or write id alone is not worth a write.
 bool differs(const ledger_row& wanted, const ledger_row& written)
 {
@@ -83,9 +86,11 @@
     if (found == slots_.end())
         return false;
     auto& slot = found->second;
-    if (!slot.adopted || has_order(slot.wanted, step.model, step.version))
-        return false;
     const bool load = step.kind == order_kind::load;
+    const bool outstanding = has_order(slot.wanted, step.model, step.version);
+    if (!slot.adopted ||
+        (outstanding && !(load && may_repeat_load(slot, step))))
+        return false;
     const bool allowed =
         load ? may_load(slot.wanted, step.model, step.version, step.memory_mib)
              : is_ready(slot.wanted, step.model, step.version);
@@ -105,6 +110,47 @@
     return true;
 }
 
+/// The same model version counts once however many loads may still act.
+bool cell_controller::may_repeat_load(const server_slot& slot,
+                                      const planned_step& step)
+{
+    std::size_t outstanding = 0;
+    for (const auto& order : slot.wanted.orders) {
+        if (order.model != step.model || order.version != step.version)
+            continue;
+        ++outstanding;
+        if (order.kind != order_kind::load || !is_unanswered(slot, order))
+            return false;
+    }
+    return outstanding < largest_repeats;
+}
+
+bool cell_controller::is_unanswered(const server_slot& slot,
+                                    const engine_order& order)
+{
+    return order.epoch < slot.epoch ||
+           std::find(slot.unanswered.begin(),
+                     slot.unanswered.end(),
+                     order.id) != slot.unanswered.end();
+}
+
+bool cell_controller::is_unanswered(const server_id& server,
+                                    const engine_order& order) const
+{
+    const auto found = slots_.find(server);
+    return found != slots_.end() && is_unanswered(found->second, order);
+}
+
+void cell_controller::retry_fences()
+{
+    for (auto& [id, slot] : slots_) {
+        if (!slot.fence_failed)
+            continue;
+        slot.fence_failed = false;
+        slot.fence_sent = false;
+    }
+}
+
 void cell_controller::on_write(const server_id& server,
                                write_outcome outcome,
                                std::uint64_t version)
@@ -137,7 +183,7 @@
     if (order.kind == order_kind::fence) {
         if (answer.outcome == order_outcome::done)
             acknowledge_fence(slot.wanted, order.epoch, answer);
-        slot.fence_sent = slot.wanted.fenced_epoch >= order.epoch;
+        slot.fence_failed = slot.wanted.fenced_epoch < order.epoch;
         return;
     }
     if (answer.outcome == order_outcome::unknown)
@@ -169,6 +215,7 @@
     slot.unanswered.clear();
     slot.epoch = slot.written.epoch + 1;
     slot.fence_sent = false;
+    slot.fence_failed = false;
 }
 
 void cell_controller::collect_write(server_slot& slot,
--- a/libs/core/src/load_estimate.cpp
+++ b/libs/core/src/load_estimate.cpp
@@ -1,4 +1,4 @@
-#include <barleyfork/core/placement_planner.hpp>
+#include "demand_spread.hpp"
 
 #include <algorithm>
 #include <unordered_map>
@@ -11,20 +11,34 @@
 /// Keeps a full server in the running so that shares can return to it.
 constexpr double least_weight = 1e-3;
 
-struct replica_share
+/// Re-splits one model's work by the room that the others leave.
+void rebalance(const planner_input& input,
+               double demand,
+               std::span<const std::size_t> servers,
+               std::vector<double>& work,
+               std::vector<double>& load)
 {
-    std::size_t server = 0;
-    double work = 0.0;
-};
+    double total_weight = 0.0;
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        const auto s = servers[i];
+        load[s] -= work[i];
+        work[i] = std::max(input.servers[s].capacity - load[s], least_weight);
+        total_weight += work[i];
+    }
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        work[i] *= demand / total_weight;
+        load[servers[i]] += work[i];
+    }
+}
 
-using model_shares = std::vector<std::vector<replica_share>>;
+} // namespace
 
-model_shares collect_shares(const planner_input& input)
+serving_servers collect_serving(const planner_input& input)
 {
     std::unordered_map<model_id, std::size_t> index;
     for (std::size_t m = 0; m < input.models.size(); ++m)
         index.emplace(input.models[m].id, m);
-    model_shares shares(input.models.size());
+    serving_servers serving(input.models.size());
     for (std::size_t s = 0; s < input.servers.size(); ++s) {
         if (!input.servers[s].usable)
             continue;
@@ -33,58 +47,47 @@
             const bool serves =
                 replica.ready || (replica.changing && !replica.unloading);
             if (serves && found != index.end())
-                shares[found->second].push_back({s, 0.0});
+                serving[found->second].push_back(s);
         }
     }
-    return shares;
-}
-
-/// Re-splits one model's work by the room that the others leave.
-void rebalance(const planner_input& input,
-               double demand,
-               std::vector<replica_share>& shares,
-               std::vector<double>& load)
-{
-    double total_weight = 0.0;
-    std::vector<double> weights;
-    weights.reserve(shares.size());
-    for (auto& share : shares) {
-        load[share.server] -= share.work;
-        const double room =
-            input.servers[share.server].capacity - load[share.server];
-        weights.push_back(std::max(room, least_weight));
-        total_weight += weights.back();
-    }
-    for (std::size_t i = 0; i < shares.size(); ++i) {
-        shares[i].work = demand * weights[i] / total_weight;
-        load[shares[i].server] += shares[i].work;
-    }
+    return serving;
 }
 
-} // namespace
-
-load_estimate estimate_load(const planner_input& input)
+load_estimate spread_demand(const planner_input& input,
+                            const serving_servers& serving)
 {
-    auto shares = collect_shares(input);
+    std::vector<std::vector<double>> work(serving.size());
+    for (std::size_t m = 0; m < serving.size(); ++m)
+        work[m].assign(serving[m].size(), 0.0);
     load_estimate result;
     result.server_load.assign(input.servers.size(), 0.0);
-    result.unserved.assign(input.models.size(), 0.0);
+    result.unserved.assign(serving.size(), 0.0);
     for (int round = 0; round < balance_rounds; ++round)
-        for (std::size_t m = 0; m < shares.size(); ++m)
-            rebalance(
-                input, input.models[m].demand, shares[m], result.server_load);
-    for (std::size_t m = 0; m < shares.size(); ++m) {
-        if (shares[m].empty())
+        for (std::size_t m = 0; m < serving.size(); ++m)
+            if (!serving[m].empty())
+                rebalance(input,
+                          input.models[m].demand,
+                          serving[m],
+                          work[m],
+                          result.server_load);
+    for (std::size_t m = 0; m < serving.size(); ++m) {
+        if (serving[m].empty())
             result.unserved[m] = input.models[m].demand;
-        for (const auto& share : shares[m]) {
-            const double load = result.server_load[share.server];
-            const double limit = input.servers[share.server].capacity *
-                                 input.options.target_utilisation;
+        for (std::size_t i = 0; i < serving[m].size(); ++i) {
+            const auto s = serving[m][i];
+            const double load = result.server_load[s];
+            const double limit =
+                input.servers[s].capacity * input.options.target_utilisation;
             if (load > limit)
-                result.unserved[m] += share.work * (load - limit) / load;
+                result.unserved[m] += work[m][i] * (load - limit) / load;
         }
     }
     return result;
 }
 
+load_estimate estimate_load(const planner_input& input)
+{
+    return spread_demand(input, collect_serving(input));
+}
+
 } // namespace barleyfork
--- a/libs/core/src/membership.cpp
+++ b/libs/core/src/membership.cpp
@@ -58,12 +58,9 @@
     configuration_ = digest;
 }
 
-void membership::add_quarantine(std::uint64_t fingerprint,
-                                std::uint32_t crashes)
+void membership::add_quarantine(const crash_blame& blame)
 {
-    auto& entry = quarantine_[fingerprint];
-    if (crashes > entry.crashes)
-        entry = {crashes, 0};
+    quarantine_.try_emplace(blame, 0);
 }
 
 void membership::set_leaving()
@@ -107,7 +104,7 @@
         probe.deadline = now + options_.probe_timeout;
         auto message = compose(message_kind::probe);
         message.sequence = probe.sequence;
-        out.push_back({id, std::move(message)});
+        out.push_back({id, std::move(message), true});
     }
     for (const auto& id : silent) {
         probes_.erase(id);
@@ -197,15 +194,15 @@
 
 void membership::attach_quarantine(schema::peer_message_record& message)
 {
-    for (auto& [fingerprint, entry] : quarantine_) {
+    for (auto& [blame, transmissions] : quarantine_) {
         if (message.quarantine.size() >= quarantine_limit)
             return;
-        if (entry.transmissions >= transmit_limit())
+        if (transmissions >= transmit_limit())
             continue;
-        ++entry.transmissions;
+        ++transmissions;
         auto said = std::make_unique<schema::quarantine_entry_record>();
-        said->fingerprint = fingerprint;
-        said->crashes = entry.crashes;
+        said->fingerprint = blame.fingerprint;
+        said->crash = blame.crash;
         message.quarantine.push_back(std::move(said));
     }
 }
@@ -222,7 +219,7 @@
             merge_member(*said, false, now);
     for (const auto& said : message.quarantine)
         if (said)
-            add_quarantine(said->fingerprint, said->crashes);
+            add_quarantine({said->fingerprint, said->crash});
     if (message.kind == message_kind::acknowledgement) {
         const auto probe = probes_.find(from);
         if (probe != probes_.end() &&
--- a/libs/core/src/memory_ledger.cpp
+++ b/libs/core/src/memory_ledger.cpp
@@ -253,8 +253,10 @@
         start_boot(row, report.boot);
     close_orders_of_gone_senders(row, report.boot);
     row.report_sequence = report.sequence;
-    drop_fenced_orders(row, report.sequence);
+    // Before fenced orders are dropped: one of them may be what loaded a
+    // model that a later load was repeated for.
     close_seen_loads(row, report);
+    drop_fenced_orders(row, report.sequence);
     merge_residents(row, report);
     close_seen_unloads(row, report);
     return true;
--- a/libs/core/src/placement_round.cpp
+++ b/libs/core/src/placement_round.cpp
@@ -18,6 +18,12 @@
 /// Models that one step weighs.
 constexpr std::size_t weighed_models = 4;
 
+/// An order for it was sent and nobody knows whether it still acts.
+bool is_dormant(const planner_replica& replica)
+{
+    return !replica.ready && !replica.changing;
+}
+
 bool is_clearing(const planner_server& server)
 {
     return std::any_of(server.replicas.begin(),
@@ -74,6 +80,7 @@
     return result;
 }
 
+/// Serves the model's version, or will, or is giving it up.
 bool placement_round::holds(std::size_t server, std::size_t model) const
 {
     const auto& wanted = input_.models[model];
@@ -81,8 +88,22 @@
     return std::any_of(
         replicas.begin(), replicas.end(), [&wanted](const auto& replica) {
             return replica.model == wanted.id &&
-                   replica.version == wanted.version;
+                   replica.version == wanted.version && !is_dormant(replica);
+        });
+}
+
+/// Memory that a load would add; a dormant replica's counts already.
+std::uint64_t placement_round::needed_mib(std::size_t server,
+                                          std::size_t model) const
+{
+    const auto& wanted = input_.models[model];
+    const auto& replicas = input_.servers[server].replicas;
+    const bool counted = std::any_of(
+        replicas.begin(), replicas.end(), [&wanted](const auto& replica) {
+            return replica.model == wanted.id &&
+                   replica.version == wanted.version && is_dormant(replica);
         });
+    return counted ? 0 : wanted.memory_mib;
 }
 
 std::size_t placement_round::domain_replicas(std::size_t model,
@@ -123,7 +144,7 @@
     for (std::size_t s = 0; s < input_.servers.size(); ++s) {
         const auto& server = input_.servers[s];
         if (!server.usable || holds(s, model) ||
-            free_mib(s) < input_.models[model].memory_mib)
+            free_mib(s) < needed_mib(s, model))
             continue;
         const std::pair<std::size_t, double> cost{
             domain_replicas(model, s),
@@ -226,22 +247,20 @@
 
 /// Spreads the demand over the placement with the choice carried out, and
 /// compares; moves and the risk to victims are taken off.
-double placement_round::evaluate(const load_choice& choice)
+double placement_round::evaluate(const load_choice& choice) const
 {
-    auto& server = input_.servers[choice.server];
-    const auto& wanted = input_.models[choice.model];
-    const auto before = server.replicas;
+    const auto& server = input_.servers[choice.server];
+    auto serving = serving_;
     double potential = potential_change(choice.model, 1);
     for (const auto victim : choice.victims) {
-        const auto found = model_index_.find(before[victim].model);
-        if (found != model_index_.end())
-            potential += potential_change(found->second, -1);
-        server.replicas[victim].ready = false;
+        const auto found = model_index_.find(server.replicas[victim].model);
+        if (found == model_index_.end())
+            continue;
+        potential += potential_change(found->second, -1);
+        std::erase(serving[found->second], choice.server);
     }
-    server.replicas.push_back(
-        {wanted.id, wanted.version, wanted.memory_mib, true});
-    const auto after = estimate_load(input_);
-    server.replicas = before;
+    serving[choice.model].push_back(choice.server);
+    const auto after = spread_demand(input_, serving);
     const double gain =
         total_unserved_ -
         std::accumulate(after.unserved.begin(), after.unserved.end(), 0.0);
@@ -261,7 +280,7 @@
         for (std::size_t s = 0; s < input_.servers.size(); ++s) {
             if (!input_.servers[s].usable || holds(s, model))
                 continue;
-            auto victims = choose_victims(s, input_.models[model].memory_mib);
+            auto victims = choose_victims(s, needed_mib(s, model));
             if (!victims ||
                 (!victims->empty() && (!may_evict || waits_for_room(s))))
                 continue;
@@ -276,7 +295,8 @@
 
 void placement_round::update_estimate()
 {
-    estimate_ = estimate_load(input_);
+    serving_ = collect_serving(input_);
+    estimate_ = spread_demand(input_, serving_);
     total_unserved_ = std::accumulate(
         estimate_.unserved.begin(), estimate_.unserved.end(), 0.0);
 }
@@ -293,7 +313,7 @@
                       wanted.version,
                       wanted.memory_mib,
                       reason});
-    target.committed_mib += wanted.memory_mib;
+    target.committed_mib += needed_mib(server, model);
     target.replicas.push_back({wanted.id,
                                wanted.version,
                                wanted.memory_mib,
--- a/libs/core/src/placement_round.hpp
+++ b/libs/core/src/placement_round.hpp
@@ -1,6 +1,8 @@
 #ifndef BARLEYFORK_CORE_SRC_PLACEMENT_ROUND_HPP
 #define BARLEYFORK_CORE_SRC_PLACEMENT_ROUND_HPP
 
+#include "demand_spread.hpp"
+
 #include <barleyfork/core/placement_planner.hpp>
 
 #include <optional>
@@ -54,6 +56,7 @@
     std::size_t domain_replicas(std::size_t model, std::size_t server) const;
     std::size_t domains_of(std::size_t model) const;
     std::uint64_t free_mib(std::size_t server) const;
+    std::uint64_t needed_mib(std::size_t server, std::size_t model) const;
 
     std::optional<std::size_t> best_free_server(std::size_t model) const;
     std::vector<std::size_t> models_by(const std::vector<double>& need) const;
@@ -63,7 +66,7 @@
     choose_victims(std::size_t server, std::uint64_t needed_mib) const;
     std::optional<double> eviction_loss(std::size_t server,
                                         const planner_replica& replica) const;
-    double evaluate(const load_choice& choice);
+    double evaluate(const load_choice& choice) const;
     double potential_change(std::size_t model, int replicas) const;
     bool waits_for_room(std::size_t server) const;
     void update_estimate();
@@ -74,6 +77,7 @@
     void take_choice(const load_choice& choice, step_reason reason);
 
     planner_input input_;
+    serving_servers serving_;
     load_estimate estimate_;
     double total_unserved_ = 0.0;
     std::unordered_map<model_id, std::size_t> model_index_;
--- a/libs/daemon/include/barleyfork/daemon/daemon.hpp
+++ b/libs/daemon/include/barleyfork/daemon/daemon.hpp
@@ -4,6 +4,7 @@
 #include <barleyfork/base/error.hpp>
 #include <barleyfork/schema/settings_generated.h>
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 
@@ -35,6 +36,9 @@
     /// settings' drain timeout; true where nothing was cut.
     bool drain();
 
+    /// Holds every duty still for `time`, as a paused process would be.
+    void stall(std::chrono::milliseconds time);
+
     /// True once an operator asked for a graceful shutdown.
     bool drain_asked() const noexcept;
 
--- a/libs/daemon/src/backend_client.cpp
+++ b/libs/daemon/src/backend_client.cpp
@@ -91,7 +91,7 @@
     }
     const bool lost = last.end == attempt_end::lost_before_answer ||
                       last.end == attempt_end::lost_in_answer;
-    if (lost && !work->cancelled()) {
+    if (lost && !work->cancelled() && work->request().is_engine) {
         const auto known = boots_.find(endpoint_key(endpoint));
         last.crashed_boot = known == boots_.end() ? 0 : known->second;
         last.server_crashed = co_await crashed(endpoint, last.crashed_boot);
--- a/libs/daemon/src/caller_front.cpp
+++ b/libs/daemon/src/caller_front.cpp
@@ -91,8 +91,8 @@
 void caller_front::set_view(std::shared_ptr<const serving_view> view)
 {
     const auto now = steady_now();
-    for (const auto& [fingerprint, crashes] : view->quarantine)
-        quarantine_.merge(fingerprint, crashes, now);
+    for (const auto& blame : view->quarantine)
+        quarantine_.merge(blame, now);
     view_ = std::move(view);
 }
 
@@ -102,7 +102,7 @@
 }
 
 void caller_front::on_quarantine(
-    std::function<void(std::uint64_t, std::uint32_t)> announce)
+    std::function<void(const crash_blame&)> announce)
 {
     announce_ = std::move(announce);
 }
@@ -321,20 +321,18 @@
                                std::uint64_t boot,
                                time_point now)
 {
-    auto& counted = crashed_boots_[server];
-    if (boot != 0 && boot == counted)
-        return;
-    counted = boot;
-    for (const auto fingerprint :
-         quarantine_.on_crash(loads_.in_flight(server), now))
+    const auto crash = hash64(server.value(), boot);
+    for (const auto& blame :
+         quarantine_.on_crash(loads_.in_flight(server), crash, now))
     {
-        const auto crashes = quarantine_.crashes(fingerprint);
         log_event(log_level::warn, "request_blamed_for_crash")
             .with("server", server.value())
-            .with("fingerprint", std::to_string(fingerprint))
-            .with("crashes", crashes);
+            .with("fingerprint", std::to_string(blame.fingerprint))
+            .with("crashes",
+                  static_cast<std::int64_t>(
+                      quarantine_.crashes(blame.fingerprint)));
         if (announce_)
-            announce_(fingerprint, crashes);
+            announce_(blame);
     }
 }
 
--- a/libs/daemon/src/caller_front.hpp
+++ b/libs/daemon/src/caller_front.hpp
@@ -53,9 +53,8 @@
     /// Takes in a server's reported load.
     void set_reported(const server_id& server, std::uint32_t load);
 
-    /// Called with each fingerprint whose crash count changed.
-    void
-    on_quarantine(std::function<void(std::uint64_t, std::uint32_t)> announce);
+    /// Called with each new blame.
+    void on_quarantine(std::function<void(const crash_blame&)> announce);
 
     /// Takes the demand counted since the last call.
     demand_counts take_demand();
@@ -119,8 +118,7 @@
     std::map<organisation_id, token_bucket> request_buckets_;
     std::map<organisation_id, token_bucket> token_buckets_;
     demand_counts demand_;
-    std::map<server_id, std::uint64_t> crashed_boots_;
-    std::function<void(std::uint64_t, std::uint32_t)> announce_;
+    std::function<void(const crash_blame&)> announce_;
     pcg64 random_;
 };
 
--- a/libs/daemon/src/control.cpp
+++ b/libs/daemon/src/control.cpp
@@ -87,7 +87,7 @@
 void control::tick(time_point now)
 {
     for (auto& out : members_.tick(now))
-        send(out.to, std::move(out.message));
+        send(out.to, std::move(out.message), out.fresh_connection);
     configuration_.tick(now);
     abandon_overdue(now);
     exchange_demand(now);
@@ -230,11 +230,8 @@
     const instance_id from(message.sender->instance);
     if (auto answer = members_.receive(message, now))
         send(answer->to, std::move(answer->message));
-    for (const auto& entry : message.quarantine) {
-        auto& crashes = quarantine_[entry->fingerprint];
-        dirty_ |= entry->crashes > crashes;
-        crashes = std::max(crashes, entry->crashes);
-    }
+    for (const auto& entry : message.quarantine)
+        dirty_ |= quarantine_.insert({entry->fingerprint, entry->crash}).second;
     if (message.kind == schema::message_kind::demand) {
         std::map<model_id, double> demand;
         for (const auto& entry : message.demand)
@@ -245,10 +242,10 @@
     configuration_.on_message(message, now);
 }
 
-void control::on_quarantine(std::uint64_t fingerprint, std::uint32_t crashes)
+void control::on_quarantine(const crash_blame& blame)
 {
-    quarantine_[fingerprint] = crashes;
-    members_.add_quarantine(fingerprint, crashes);
+    quarantine_.insert(blame);
+    members_.add_quarantine(blame);
     for (auto& out : members_.push())
         send(out.to, std::move(out.message));
 }
@@ -275,7 +272,9 @@
     return required;
 }
 
-void control::send(const instance_id& to, schema::peer_message_record message)
+void control::send(const instance_id& to,
+                   schema::peer_message_record message,
+                   bool fresh_connection)
 {
     const auto* member = members_.find(to);
     if (member == nullptr || link_ == nullptr)
@@ -289,7 +288,8 @@
                                     : schema::member_state::alive;
     }
     link_->send({member->place.address, member->place.port},
-                std::move(message));
+                std::move(message),
+                fresh_connection);
 }
 
 /// Sends what this daemon's callers ask for to the holders of the leases.
--- a/libs/daemon/src/control.hpp
+++ b/libs/daemon/src/control.hpp
@@ -45,8 +45,8 @@
     /// Takes in a peer's message.
     void on_message(const schema::peer_message_record& message);
 
-    /// A fingerprint's crash count changed here.
-    void on_quarantine(std::uint64_t fingerprint, std::uint32_t crashes);
+    /// A request was blamed for a crash here.
+    void on_quarantine(const crash_blame& blame);
 
     /// Reads the table at once rather than at the next poll.
     void hear_head(const configuration_head& head);
@@ -76,7 +76,9 @@
     std::vector<instance_id> required_confirmations() const;
 
 private:
-    void send(const instance_id& to, schema::peer_message_record message);
+    void send(const instance_id& to,
+              schema::peer_message_record message,
+              bool fresh_connection = false);
     void tick(time_point now);
     void exchange_demand(time_point now);
     void abandon_overdue(time_point now);
@@ -101,7 +103,7 @@
     std::set<server_id> polling_;
     std::set<server_id> leaving_servers_;
     std::set<instance_id> gone_;
-    std::map<std::uint64_t, std::uint32_t> quarantine_;
+    std::set<crash_blame> quarantine_;
     std::uint64_t table_version_ = 0;
     std::uint64_t placed_revision_ = 0;
     std::size_t live_count_ = 1;
--- a/libs/daemon/src/daemon.cpp
+++ b/libs/daemon/src/daemon.cpp
@@ -132,10 +132,9 @@
     decisions.emplace(context, *table, backends, *callers, peer_port);
     decisions->set_link(*peers);
     operators.emplace(context, *table, *decisions);
-    callers->on_quarantine([this](auto fingerprint, auto crashes) {
-        context.control.try_post([this, fingerprint, crashes] {
-            decisions->on_quarantine(fingerprint, crashes);
-        });
+    callers->on_quarantine([this](const crash_blame& blame) {
+        context.control.try_post(
+            [this, blame] { decisions->on_quarantine(blame); });
     });
     caller_server.emplace(
         context.caller,
@@ -244,6 +243,17 @@
     return whole;
 }
 
+void daemon::stall(std::chrono::milliseconds time)
+{
+    auto& context = state_->context;
+    for (auto* each : {&context.caller,
+                       &context.backend,
+                       &context.control,
+                       &context.store,
+                       &context.peer})
+        each->try_post([time] { std::this_thread::sleep_for(time); });
+}
+
 bool daemon::drain_asked() const noexcept
 {
     return state_->context.drain_asked;
--- a/libs/daemon/src/model_request.cpp
+++ b/libs/daemon/src/model_request.cpp
@@ -230,6 +230,7 @@
     const auto& routing = *front_.context_.settings.routing;
     exchange_request request;
     request.endpoint = server.endpoint;
+    request.is_engine = true;
     request.method = "POST";
     request.target = request_.incoming->path;
     request.body = request_.incoming->body;
--- a/libs/daemon/src/peer_link.cpp
+++ b/libs/daemon/src/peer_link.cpp
@@ -55,12 +55,15 @@
     return acceptor_.local_endpoint().port();
 }
 
-void peer_link::send(peer_address to, schema::peer_message_record message)
+void peer_link::send(peer_address to,
+                     schema::peer_message_record message,
+                     bool fresh_connection)
 {
     auto frame = encode_frame(message, context_.settings.peer->secret);
-    context_.peer.try_post([this, to, frame = std::move(frame)] {
-        context_.peer.spawn(deliver(to, frame));
-    });
+    context_.peer.try_post(
+        [this, to, frame = std::move(frame), fresh_connection] {
+            context_.peer.spawn(deliver(to, frame, fresh_connection));
+        });
 }
 
 asio::awaitable<void> peer_link::accept_loop()
@@ -108,15 +111,31 @@
     }
 }
 
+/// Peers see this daemon under the address of its settings.
+void peer_link::bind_source(socket& connection,
+                            boost::system::error_code& error) const
+{
+    const auto own =
+        asio::ip::make_address(context_.settings.peer_listen->address, error);
+    if (error || own.is_unspecified())
+        return;
+    const tcp::endpoint source(own, 0);
+    connection.open(source.protocol(), error);
+    if (!error)
+        connection.bind(source, error);
+}
+
 /// Sends on the kept connection, or on a new one where that fails. Frames to
 /// one peer may overtake each other, so a connection carries one at a time.
-asio::awaitable<void> peer_link::deliver(peer_address to, std::string frame)
+asio::awaitable<void>
+peer_link::deliver(peer_address to, std::string frame, bool fresh_connection)
 {
     const auto key = to.address + ":" + std::to_string(to.port);
     std::shared_ptr<socket> kept;
     const auto found = connections_.find(key);
     if (found != connections_.end()) {
-        kept = found->second;
+        if (!fresh_connection)
+            kept = found->second;
         connections_.erase(found);
     }
     for (int attempt = 0; attempt < 2; ++attempt) {
@@ -128,6 +147,8 @@
         else {
             boost::system::error_code error;
             const auto ip = asio::ip::make_address(to.address, error);
+            if (!error)
+                bind_source(stream.socket(), error);
             stream.expires_after(connect_timeout);
             auto [connect_error] = co_await stream.async_connect(
                 tcp::endpoint(ip, to.port), as_result);
--- a/libs/daemon/src/peer_link.hpp
+++ b/libs/daemon/src/peer_link.hpp
@@ -38,8 +38,11 @@
     /// Listens; the port taken, or 0.
     std::uint16_t listen(const std::string& address, std::uint16_t port);
 
-    /// Sends a message; from any thread.
-    void send(peer_address to, schema::peer_message_record message);
+    /// Sends a message; from any thread. `fresh_connection` gives up the kept
+    /// connection first: it may have gone silent.
+    void send(peer_address to,
+              schema::peer_message_record message,
+              bool fresh_connection);
 
     /// Bytes sent and received since the start.
     std::uint64_t bytes_sent() const noexcept
@@ -56,7 +59,10 @@
 
     boost::asio::awaitable<void> accept_loop();
     boost::asio::awaitable<void> receive_loop(socket connection);
-    boost::asio::awaitable<void> deliver(peer_address to, std::string frame);
+    void bind_source(socket& connection,
+                     boost::system::error_code& error) const;
+    boost::asio::awaitable<void>
+    deliver(peer_address to, std::string frame, bool fresh_connection);
 
     daemon_context& context_;
     receiver receive_;
--- a/libs/daemon/src/placement_duty.cpp
+++ b/libs/daemon/src/placement_duty.cpp
@@ -48,13 +48,13 @@
     return replica;
 }
 
-planner_replica to_replica(const engine_order& order)
+planner_replica to_replica(const engine_order& order, bool changing)
 {
     planner_replica replica;
     replica.model = order.model;
     replica.version = order.version;
     replica.memory_mib = order.memory_mib;
-    replica.changing = true;
+    replica.changing = changing;
     return replica;
 }
 
@@ -338,6 +338,7 @@
     if (now < entry.next_plan)
         return;
     entry.next_plan = now + duration(context_.settings.controller->interval_ms);
+    entry.controller->retry_fences();
     for (const auto& step : plan_placement(make_input(index, now))) {
         const bool load = step.kind == order_kind::load;
         if (!entry.controller->request(step, context_.next_id()))
@@ -374,8 +375,9 @@
         for (const auto& order : row->orders) {
             if (order.kind != order_kind::load || holds(*row, order))
                 continue;
-            server.replicas.push_back(to_replica(order));
-            ++loading;
+            const bool unanswered = controller.is_unanswered(id, order);
+            server.replicas.push_back(to_replica(order, !unanswered));
+            loading += unanswered ? 0 : 1;
         }
         input.servers.push_back(std::move(server));
     }
--- a/libs/daemon/src/serving_view.hpp
+++ b/libs/daemon/src/serving_view.hpp
@@ -2,6 +2,7 @@
 #define BARLEYFORK_DAEMON_SRC_SERVING_VIEW_HPP
 
 #include <barleyfork/core/catalog.hpp>
+#include <barleyfork/core/crash_quarantine.hpp>
 #include <barleyfork/net/url.hpp>
 
 #include <cstdint>
@@ -45,8 +46,8 @@
     std::size_t live_daemons = 1;
     /// Instances that left the platform's list.
     std::set<instance_id> gone;
-    /// Quarantined fingerprints from peers.
-    std::vector<std::pair<std::uint64_t, std::uint32_t>> quarantine;
+    /// What is blamed on requests, here and by peers.
+    std::vector<crash_blame> quarantine;
 };
 
 } // namespace barleyfork
--- a/libs/net/include/barleyfork/net/exchange.hpp
+++ b/libs/net/include/barleyfork/net/exchange.hpp
@@ -27,6 +27,9 @@
     /// False for calls that may not be repeated: a fresh connection keeps an
     /// unknown outcome from a connection that was closing.
     bool may_reuse_connection = true;
+    /// True for engines: after a break its report is asked for. A plain
+    /// service is only connected to, since any request may act.
+    bool is_engine = false;
     duration connect_timeout{1000};
     duration first_byte_timeout{30000};
     duration progress_timeout{5000};
--- a/libs/schema/include/barleyfork/schema/peer_generated.h
+++ b/libs/schema/include/barleyfork/schema/peer_generated.h
@@ -218,28 +218,29 @@
 struct quarantine_entry_record : public flatbuffers::NativeTable {
   typedef quarantine_entry TableType;
   uint64_t fingerprint = 0;
-  uint32_t crashes = 0;
+  uint64_t crash = 0;
 };
 
-/// A request fingerprint under suspicion or refused.
+/// A request fingerprint that is blamed for the end of one engine process;
+/// `crash` tells such ends apart.
 struct quarantine_entry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef quarantine_entry_record NativeTableType;
   typedef quarantine_entryBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_FINGERPRINT = 4,
-    VT_CRASHES = 6
+    VT_CRASH = 6
   };
   uint64_t fingerprint() const {
     return GetField<uint64_t>(VT_FINGERPRINT, 0);
   }
-  uint32_t crashes() const {
-    return GetField<uint32_t>(VT_CRASHES, 0);
+  uint64_t crash() const {
+    return GetField<uint64_t>(VT_CRASH, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_FINGERPRINT, 8) &&
-           VerifyField<uint32_t>(verifier, VT_CRASHES, 4) &&
+           VerifyField<uint64_t>(verifier, VT_CRASH, 8) &&
            verifier.EndTable();
   }
   quarantine_entry_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -254,8 +255,8 @@
   void add_fingerprint(uint64_t fingerprint) {
     fbb_.AddElement<uint64_t>(quarantine_entry::VT_FINGERPRINT, fingerprint, 0);
   }
-  void add_crashes(uint32_t crashes) {
-    fbb_.AddElement<uint32_t>(quarantine_entry::VT_CRASHES, crashes, 0);
+  void add_crash(uint64_t crash) {
+    fbb_.AddElement<uint64_t>(quarantine_entry::VT_CRASH, crash, 0);
   }
   explicit quarantine_entryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -271,10 +272,10 @@
 inline flatbuffers::Offset<quarantine_entry> Createquarantine_entry(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t fingerprint = 0,
-    uint32_t crashes = 0) {
+    uint64_t crash = 0) {
   quarantine_entryBuilder builder_(_fbb);
+  builder_.add_crash(crash);
   builder_.add_fingerprint(fingerprint);
-  builder_.add_crashes(crashes);
   return builder_.Finish();
 }
 
@@ -742,7 +743,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = fingerprint(); _o->fingerprint = _e; }
-  { auto _e = crashes(); _o->crashes = _e; }
+  { auto _e = crash(); _o->crash = _e; }
 }
 
 inline flatbuffers::Offset<quarantine_entry> quarantine_entry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const quarantine_entry_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -754,11 +755,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const quarantine_entry_record* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _fingerprint = _o->fingerprint;
-  auto _crashes = _o->crashes;
+  auto _crash = _o->crash;
   return barleyfork::schema::Createquarantine_entry(
       _fbb,
       _fingerprint,
-      _crashes);
+      _crash);
 }
 
 inline configuration_digest_record *configuration_digest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/libs/standins/include/barleyfork/standins/platform_standin.hpp
+++ b/libs/standins/include/barleyfork/standins/platform_standin.hpp
@@ -14,6 +14,7 @@
 /// A stand-in of the table service, object store and instance list.
 ///
 /// Faults are asked for by `POST /faults` with a JSON object: `outage` (bool),
+/// `table_outage` (bool; the list goes on),
 /// `lose_answers` (number of writes whose answer is lost after they took
 /// effect), `delay_ms`. Instances register by `PUT /instances/NAME`.
 class platform_standin
--- a/samples/make_examples.py
+++ b/samples/make_examples.py
@@ -77,7 +77,7 @@
 
 def electric():
     owners = ["outage-desk", "call-centre", "emergency-office", "crews"]
-    parts = ['name = "electrica-litoral-sur"\n', policy(1.0, 1.6, 2)]
+    parts = ['name = "electrica-litoral-sur"\n', policy(3.0, 1.6, 2)]
     parts += [organisation(o, 60, 60000, 2 if i == 2 else 1)
               for i, o in enumerate(owners)]
     for i in range(20):
@@ -105,7 +105,7 @@
 
 def drinks():
     owners = ["drivers", "shops", "office"]
-    parts = ['name = "gosbrunnur"\n', policy(20.0, 2.0, 9)]
+    parts = ['name = "gosbrunnur"\n', policy(10.0, 2.0, 9)]
     parts += [organisation(o, 80, 80000, 1) for o in owners]
     for i in range(21):
         parts.append(model(f"writer-{i:02}", owners[i % 3],
