Refuse early by a concurrency limit for each server

Change: a limit for each backend server grows by one a round of first tokens within target and shrinks by 15 % when one is late; what finds no slot waits in the fair queue no longer than the target and is refused at once with Retry-After.

--- a/build.sh
+++ b/build.sh
@@ -98,6 +98,36 @@
     echo "demo: every step held"
 }
 
+# One daemon before fast stand-ins; its process is measured from outside.
+bench() {
+    local bin="$build_dir/tools" tool
+    mkdir -p "$run_dir"
+    trap stop_started EXIT
+    "$bin/standins/standins" --engines 3 --first_token_ms 5 \
+        --between_tokens_ms 20 & started+=($!)
+    eventually curl -sf http://127.0.0.1:7100/counters
+    register 0
+    "$bin/barleyforkd/barleyforkd" --config samples/demo/daemon-0.toml &
+    started+=($!)
+    tool=("$bin/barleyfork/barleyfork" --key_file samples/demo/operator.key
+        --operator_name bench)
+    eventually curl -sf http://127.0.0.1:7300/healthz
+    eventually "${tool[@]}" --wait apply samples/demo/demo.toml
+    eventually stream
+    sleep 2
+    local port
+    for port in 7200 7201 7202; do
+        curl -s "http://127.0.0.1:$port/report" | grep -q drafter-0 && break
+    done
+    "$bin/benchmark/benchmark" --daemon_pid "${started[1]}" \
+        --engine_port "$port"
+    kill -TERM "${started[1]}"
+    wait "${started[1]}"
+    kill -TERM "${started[0]}"
+    wait "${started[0]}"
+    started=()
+}
+
 run_tests() {
     ctest --test-dir "$build_dir" --output-on-failure
 }
@@ -106,8 +136,7 @@
     build) install_packages; build ;;
     demo) install_packages; build; demo ;;
     test) install_packages; build; run_tests ;;
-    bench) install_packages; build
-        "$build_dir/tools/benchmark/benchmark" ;;
+    bench) install_packages; build; bench ;;
     capacity) install_packages; build
         "$build_dir/tools/capacity/capacity" ;;
     policy) install_packages; build
--- a/libs/core/src/admission.cpp
+++ b/libs/core/src/admission.cpp
@@ -56,6 +56,7 @@
 bool place(const floor_entry& floor, std::vector<server_room>& rooms)
 {
     std::vector<server_room*> order;
+    order.reserve(rooms.size());
     for (auto& room : rooms)
         order.push_back(&room);
     std::stable_sort(order.begin(), order.end(), [](auto* a, auto* b) {
--- a/libs/daemon/src/load_board.cpp
+++ b/libs/daemon/src/load_board.cpp
@@ -11,14 +11,24 @@
 
 } // namespace
 
+load_board::load_board(std::uint32_t largest_limit)
+    : largest_limit_(largest_limit)
+{
+}
+
+load_board::server_load& load_board::at(const server_id& server)
+{
+    return loads_.try_emplace(server, largest_limit_).first->second;
+}
+
 void load_board::begin(const server_id& server, std::uint64_t fingerprint)
 {
-    loads_[server].fingerprints.push_back(fingerprint);
+    at(server).fingerprints.push_back(fingerprint);
 }
 
 void load_board::end(const server_id& server, std::uint64_t fingerprint)
 {
-    auto& prints = loads_[server].fingerprints;
+    auto& prints = at(server).fingerprints;
     const auto found = std::find(prints.begin(), prints.end(), fingerprint);
     if (found != prints.end())
         prints.erase(found);
@@ -28,20 +38,25 @@
                           std::uint32_t load,
                           time_point now)
 {
-    auto& entry = loads_[server];
+    auto& entry = at(server);
     entry.reported = load;
     entry.reported_at = now;
 }
 
-void load_board::first_token(const server_id& server, double milliseconds)
+void load_board::first_token(const server_id& server,
+                             double milliseconds,
+                             double target_ms,
+                             time_point now)
 {
-    auto& average = loads_[server].first_token_ms;
-    average += newest_share * (milliseconds - average);
+    auto& load = at(server);
+    load.first_token_ms += newest_share * (milliseconds - load.first_token_ms);
+    load.limit.on_first_token(
+        milliseconds, target_ms, outstanding(server), now);
 }
 
 void load_board::suspect(const server_id& server, time_point until)
 {
-    loads_[server].suspect_until = until;
+    at(server).suspect_until = until;
 }
 
 void load_board::fill(replica_candidate& candidate, time_point now) const
@@ -66,6 +81,12 @@
                : static_cast<std::uint32_t>(found->second.fingerprints.size());
 }
 
+std::uint32_t load_board::limit(const server_id& server) const
+{
+    const auto found = loads_.find(server);
+    return found == loads_.end() ? largest_limit_ : found->second.limit.limit();
+}
+
 std::vector<std::uint64_t> load_board::in_flight(const server_id& server) const
 {
     const auto found = loads_.find(server);
--- a/libs/daemon/src/model_request.cpp
+++ b/libs/daemon/src/model_request.cpp
@@ -146,6 +146,10 @@
     const auto now = steady_now();
     const auto& view = *front_.view_;
     const auto slots = front_.context_.settings.routing->server_slots;
+    const auto limit_of = [&](const server_id& server) {
+        // A whole answer has no first token that a limit could learn from.
+        return stream_ ? front_.loads_.limit(server) : slots;
+    };
     const bool under_suspicion =
         front_.quarantine_.crashes(request_.fingerprint) != 0;
     std::vector<std::size_t> servers;
@@ -158,7 +162,8 @@
         version_ = replica.version;
         const auto outstanding = front_.loads_.outstanding(server.entry.id);
         // A request that may crash its server runs apart from others.
-        if (outstanding < (under_suspicion ? 1 : slots))
+        const auto limit = limit_of(server.entry.id);
+        if (outstanding < (under_suspicion ? 1 : limit))
             servers.push_back(replica.server);
     }
     const auto candidates = front_.fill_candidates(view, servers, now);
@@ -367,7 +372,8 @@
         const auto waited =
             static_cast<double>((now - request_.arrived).count());
         front_.context_.measures.record_first_token(waited);
-        front_.loads_.first_token(last_server_, waited);
+        front_.loads_.first_token(
+            last_server_, waited, model_->first_token_ms, now);
     }
     else {
         const auto gap = static_cast<double>((now - last_token_at_).count());
--- a/libs/scenario/src/caller.hpp
+++ b/libs/scenario/include/barleyfork/scenario/caller.hpp
@@ -1,5 +1,5 @@
-#ifndef BARLEYFORK_SCENARIO_SRC_CALLER_HPP
-#define BARLEYFORK_SCENARIO_SRC_CALLER_HPP
+#ifndef BARLEYFORK_SCENARIO_CALLER_HPP
+#define BARLEYFORK_SCENARIO_CALLER_HPP
 
 #include <atomic>
 #include <chrono>
@@ -33,6 +33,10 @@
     bool whole = false;
     /// Parts of the answer that arrived one by one.
     std::size_t parts = 0;
+    /// From the request's first byte to the answer's first part and end, in
+    /// microseconds.
+    std::int64_t first_part_us = 0;
+    std::int64_t end_us = 0;
 };
 
 /// A caller on a thread of its own, with a connection of its own.
--- a/libs/scenario/src/caller.cpp
+++ b/libs/scenario/src/caller.cpp
@@ -1,4 +1,4 @@
-#include "caller.hpp"
+#include <barleyfork/scenario/caller.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core.hpp>
@@ -72,6 +72,12 @@
         request.set(name, value);
     request.body() = call_.body;
     request.prepare_payload();
+    const auto begin = std::chrono::steady_clock::now();
+    const auto elapsed_us = [begin] {
+        return std::chrono::duration_cast<std::chrono::microseconds>(
+                   std::chrono::steady_clock::now() - begin)
+            .count();
+    };
     http::write(stream, request, error);
     if (error)
         return;
@@ -96,11 +102,14 @@
         if (filled == 0)
             continue;
         answer_.body.append(bytes, 0, filled);
+        if (answer_.parts == 0)
+            answer_.first_part_us = elapsed_us();
         answer_.parts = ++parts_;
         if (call_.slow_ms != 0)
             std::this_thread::sleep_for(
                 std::chrono::milliseconds(call_.slow_ms));
     }
+    answer_.end_us = elapsed_us();
     const bool streamed =
         answer_.headers["Content-Type"] == "text/event-stream";
     answer_.whole =
--- a/libs/scenario/src/cluster.hpp
+++ b/libs/scenario/src/cluster.hpp
@@ -1,7 +1,7 @@
 #ifndef BARLEYFORK_SCENARIO_SRC_CLUSTER_HPP
 #define BARLEYFORK_SCENARIO_SRC_CLUSTER_HPP
 
-#include "caller.hpp"
+#include <barleyfork/scenario/caller.hpp>
 
 #include <barleyfork/daemon/daemon.hpp>
 #include <barleyfork/net/duty.hpp>
--- a/libs/scenario/src/runner.cpp
+++ b/libs/scenario/src/runner.cpp
@@ -213,12 +213,14 @@
         return counter_of(target_of(line), line.text("name", "")) >=
                line.number("at_least", 1);
     if (what == "answer") {
-        auto probe = line;
-        probe.arguments.push_back({"", "awaited"});
-        call_model(probe, true);
-        const auto& answer = callers_.at(line.subject())->wait();
+        call_model(line, true);
+        const auto& answer = callers_.at(what)->wait();
         return answer.status == 200 && answer.whole;
     }
+    if (what == "refusal") {
+        call_model(line, true);
+        return callers_.at(what)->wait().code == line.text("code", "");
+    }
     throw check_failed("line " + std::to_string(line.line) +
                        ": nothing to await is called " + what);
 }
--- a/libs/scenario/src/runner.hpp
+++ b/libs/scenario/src/runner.hpp
@@ -1,8 +1,8 @@
 #ifndef BARLEYFORK_SCENARIO_SRC_RUNNER_HPP
 #define BARLEYFORK_SCENARIO_SRC_RUNNER_HPP
 
-#include "caller.hpp"
 #include "cluster.hpp"
+#include <barleyfork/scenario/caller.hpp>
 
 #include <barleyfork/scenario/script.hpp>
 
