Send configuration changes as deltas

Change: entries have one canonical order; the coordinator writes the change beside the whole body, daemons read the change, carry it out on the body in force and check the digest; without it they read the whole.

--- a/libs/daemon/src/apply_coordinator.cpp
+++ b/libs/daemon/src/apply_coordinator.cpp
@@ -6,6 +6,7 @@
 #include <barleyfork/core/admission.hpp>
 #include <barleyfork/net/ask.hpp>
 #include <barleyfork/platform/row_codec.hpp>
+#include <barleyfork/schema/deployment_delta.hpp>
 #include <barleyfork/schema/toml_reader.hpp>
 
 #include <boost/json.hpp>
@@ -80,6 +81,8 @@
     const auto bytes = encode_deployment(deployment);
     const auto digest = content_digest(bytes);
     result.error = co_await table_.put_object(digest, bytes);
+    if (!result.error)
+        co_await write_change(standing.head.digest, deployment, digest);
     if (!result.error)
         result.error =
             co_await stage_and_accept(request, digest, standing, result);
@@ -156,6 +159,24 @@
     co_return answer.value_or(nullptr);
 }
 
+/// Daemons read the change in place of the whole; without it they read that.
+asio::awaitable<void>
+apply_coordinator::write_change(std::string base_digest,
+                                const schema::deployment_record& next,
+                                std::string digest)
+{
+    const auto work = [this, base_digest]() -> asio::awaitable<std::string> {
+        co_return control_.configuration().body_bytes(base_digest);
+    };
+    const auto answer = co_await ask<std::string>(context_.control, work);
+    const auto base = answer.value_or(std::string());
+    schema::deployment_record deployment;
+    if (base.empty() || decode_deployment(base, deployment))
+        co_return;
+    co_await table_.put_object(delta_name(base_digest, digest),
+                               encode_delta(deployment, base_digest, next));
+}
+
 /// Instances that have not confirmed a staged or accepted number.
 asio::awaitable<std::vector<std::string>>
 apply_coordinator::missing(std::uint64_t number, bool accepted)
--- a/libs/daemon/src/apply_coordinator.hpp
+++ b/libs/daemon/src/apply_coordinator.hpp
@@ -63,6 +63,10 @@
 
     boost::asio::awaitable<standing_head> read_head();
     boost::asio::awaitable<std::shared_ptr<const catalog>> current();
+    boost::asio::awaitable<void>
+    write_change(std::string base_digest,
+                 const schema::deployment_record& next,
+                 std::string digest);
     boost::asio::awaitable<std::vector<std::string>>
     missing(std::uint64_t number, bool accepted);
     boost::asio::awaitable<std::vector<std::string>>
--- a/libs/daemon/src/configuration_duty.cpp
+++ b/libs/daemon/src/configuration_duty.cpp
@@ -1,6 +1,7 @@
 #include "configuration_duty.hpp"
 
 #include <barleyfork/base/log.hpp>
+#include <barleyfork/schema/deployment_delta.hpp>
 #include <barleyfork/schema/toml_reader.hpp>
 
 #include <algorithm>
@@ -135,10 +136,37 @@
             context_.control.spawn(fetch_body(digest));
 }
 
+/// Reads only what changed from the body in force; empty where that is not
+/// to be had, or does not give the wanted body.
+asio::awaitable<std::string>
+configuration_duty::fetch_change(std::string digest)
+{
+    const auto base_digest = state_.known().digest;
+    const auto base = body_bytes(base_digest);
+    if (base.empty() || base_digest == digest)
+        co_return std::string();
+    const auto change =
+        co_await table_.get_unchecked(delta_name(base_digest, digest));
+    schema::deployment_record deployment;
+    if (change.empty() || decode_deployment(base, deployment) ||
+        apply_delta(deployment, base_digest, change))
+        co_return std::string();
+    const auto bytes = encode_deployment(deployment);
+    co_return content_digest(bytes) == digest ? bytes : std::string();
+}
+
+std::string configuration_duty::body_bytes(const std::string& digest) const
+{
+    const auto found = bodies_.find(digest);
+    return found == bodies_.end() ? std::string() : found->second;
+}
+
 /// Asks the object store, and a few peers where it does not answer.
 asio::awaitable<void> configuration_duty::fetch_body(std::string digest)
 {
-    const auto bytes = co_await table_.get_object(digest);
+    auto bytes = co_await fetch_change(digest);
+    if (bytes.empty())
+        bytes = co_await table_.get_object(digest);
     fetching_.erase(digest);
     if (!bytes.empty()) {
         take_body(digest, bytes);
--- a/libs/daemon/src/configuration_duty.hpp
+++ b/libs/daemon/src/configuration_duty.hpp
@@ -62,6 +62,9 @@
         return confirmations_;
     }
 
+    /// The bytes of a body that is held here, or empty.
+    std::string body_bytes(const std::string& digest) const;
+
     /// True where something that the serving view depends on changed since
     /// the last call.
     bool take_changed() noexcept
@@ -72,6 +75,7 @@
 private:
     void fetch_bodies(time_point now);
     boost::asio::awaitable<void> fetch_body(std::string digest);
+    boost::asio::awaitable<std::string> fetch_change(std::string digest);
     void take_body(const std::string& digest, const std::string& bytes);
     void confirm();
     void note_own_state();
--- a/libs/daemon/src/table_duty.cpp
+++ b/libs/daemon/src/table_duty.cpp
@@ -68,11 +68,11 @@
     co_return failed;
 }
 
-asio::awaitable<failure> table_duty::put_object(std::string digest,
+asio::awaitable<failure> table_duty::put_object(std::string name,
                                                 std::string bytes)
 {
-    const auto work = [this, digest, bytes] {
-        return objects_.put(digest, bytes);
+    const auto work = [this, name, bytes] {
+        return objects_.put(name, bytes);
     };
     auto result = co_await ask<failure>(context_.store, work);
     co_return result ? std::move(*result) : ring_full();
@@ -89,4 +89,15 @@
     co_return result.value_or(std::string());
 }
 
+asio::awaitable<std::string> table_duty::get_unchecked(std::string name)
+{
+    const auto work = [this, name]() -> asio::awaitable<std::string> {
+        std::string bytes;
+        const auto error = co_await objects_.get_unchecked(name, bytes);
+        co_return error ? std::string() : bytes;
+    };
+    auto result = co_await ask<std::string>(context_.store, work);
+    co_return result.value_or(std::string());
+}
+
 } // namespace barleyfork
--- a/libs/daemon/src/table_duty.hpp
+++ b/libs/daemon/src/table_duty.hpp
@@ -29,12 +29,15 @@
     boost::asio::awaitable<table_write>
     write(std::string key, std::uint64_t expected_version, std::string value);
 
-    boost::asio::awaitable<failure> put_object(std::string digest,
+    boost::asio::awaitable<failure> put_object(std::string name,
                                                std::string bytes);
 
     /// The object's bytes, or empty where they could not be had.
     boost::asio::awaitable<std::string> get_object(std::string digest);
 
+    /// As `get_object` for an object whose name is not its digest.
+    boost::asio::awaitable<std::string> get_unchecked(std::string name);
+
 private:
     daemon_context& context_;
     table_client table_;
--- a/libs/platform/include/barleyfork/platform/object_client.hpp
+++ b/libs/platform/include/barleyfork/platform/object_client.hpp
@@ -15,12 +15,16 @@
 public:
     object_client(http_endpoint endpoint, duration timeout);
 
-    /// Writes an object; idempotent, since its name is its digest.
-    boost::asio::awaitable<failure> put(std::string digest, std::string bytes);
+    /// Writes an object; idempotent, since its name tells its bytes.
+    boost::asio::awaitable<failure> put(std::string name, std::string bytes);
 
     /// Reads an object and checks its digest.
     boost::asio::awaitable<failure> get(std::string digest, std::string& bytes);
 
+    /// Reads an object by its name; what it holds is for the caller to check.
+    boost::asio::awaitable<failure> get_unchecked(std::string name,
+                                                  std::string& bytes);
+
 private:
     http_endpoint endpoint_;
     duration timeout_;
--- a/libs/platform/src/object_client.cpp
+++ b/libs/platform/src/object_client.cpp
@@ -26,12 +26,11 @@
 {
 }
 
-asio::awaitable<failure> object_client::put(std::string digest,
-                                            std::string bytes)
+asio::awaitable<failure> object_client::put(std::string name, std::string bytes)
 {
     http_call call;
     call.method = "PUT";
-    call.target = "/objects/" + digest;
+    call.target = "/objects/" + name;
     call.body = std::move(bytes);
     call.timeout = timeout_;
     const auto reply = co_await client_.call(endpoint_, std::move(call));
@@ -39,19 +38,30 @@
                                                        : failure{};
 }
 
-asio::awaitable<failure> object_client::get(std::string digest,
-                                            std::string& bytes)
+asio::awaitable<failure> object_client::get_unchecked(std::string name,
+                                                      std::string& bytes)
 {
     http_call call;
-    call.target = "/objects/" + digest;
+    call.target = "/objects/" + name;
     call.timeout = timeout_;
     auto reply = co_await client_.call(endpoint_, std::move(call));
     if (reply.error || reply.status != status_ok)
         co_return unavailable(reply);
-    if (content_digest(reply.body) != digest)
+    bytes = std::move(reply.body);
+    co_return failure{};
+}
+
+asio::awaitable<failure> object_client::get(std::string digest,
+                                            std::string& bytes)
+{
+    std::string read;
+    auto error = co_await get_unchecked(digest, read);
+    if (error)
+        co_return error;
+    if (content_digest(read) != digest)
         co_return make_failure(errc::protocol_error,
                                "object " + digest + ": its bytes differ");
-    bytes = std::move(reply.body);
+    bytes = std::move(read);
     co_return failure{};
 }
 
--- a/libs/schema/include/barleyfork/schema/deployment_generated.h
+++ b/libs/schema/include/barleyfork/schema/deployment_generated.h
@@ -44,6 +44,10 @@
 struct deploymentBuilder;
 struct deployment_record;
 
+struct deployment_delta;
+struct deployment_deltaBuilder;
+struct deployment_delta_record;
+
 struct organisation_spec_record : public flatbuffers::NativeTable {
   typedef organisation_spec TableType;
   std::string name{};
@@ -1033,6 +1037,176 @@
 
 flatbuffers::Offset<deployment> Createdeployment(flatbuffers::FlatBufferBuilder &_fbb, const deployment_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct deployment_delta_record : public flatbuffers::NativeTable {
+  typedef deployment_delta TableType;
+  std::string base_digest{};
+  std::unique_ptr<barleyfork::schema::deployment_record> changed{};
+  std::vector<std::string> gone_organisations{};
+  std::vector<std::string> gone_models{};
+  std::vector<std::string> gone_adapters{};
+  std::vector<std::string> gone_routes{};
+  std::vector<std::string> gone_servers{};
+  deployment_delta_record() = default;
+  deployment_delta_record(const deployment_delta_record &o);
+  deployment_delta_record(deployment_delta_record&&) FLATBUFFERS_NOEXCEPT = default;
+  deployment_delta_record &operator=(deployment_delta_record o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// What changes from one declaration to the next: `changed` has whole entries
+/// that were added or differ; the lists name entries that are gone.
+struct deployment_delta FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef deployment_delta_record NativeTableType;
+  typedef deployment_deltaBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BASE_DIGEST = 4,
+    VT_CHANGED = 6,
+    VT_GONE_ORGANISATIONS = 8,
+    VT_GONE_MODELS = 10,
+    VT_GONE_ADAPTERS = 12,
+    VT_GONE_ROUTES = 14,
+    VT_GONE_SERVERS = 16
+  };
+  const flatbuffers::String *base_digest() const {
+    return GetPointer<const flatbuffers::String *>(VT_BASE_DIGEST);
+  }
+  const barleyfork::schema::deployment *changed() const {
+    return GetPointer<const barleyfork::schema::deployment *>(VT_CHANGED);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *gone_organisations() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_GONE_ORGANISATIONS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *gone_models() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_GONE_MODELS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *gone_adapters() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_GONE_ADAPTERS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *gone_routes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_GONE_ROUTES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *gone_servers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_GONE_SERVERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_BASE_DIGEST) &&
+           verifier.VerifyString(base_digest()) &&
+           VerifyOffsetRequired(verifier, VT_CHANGED) &&
+           verifier.VerifyTable(changed()) &&
+           VerifyOffset(verifier, VT_GONE_ORGANISATIONS) &&
+           verifier.VerifyVector(gone_organisations()) &&
+           verifier.VerifyVectorOfStrings(gone_organisations()) &&
+           VerifyOffset(verifier, VT_GONE_MODELS) &&
+           verifier.VerifyVector(gone_models()) &&
+           verifier.VerifyVectorOfStrings(gone_models()) &&
+           VerifyOffset(verifier, VT_GONE_ADAPTERS) &&
+           verifier.VerifyVector(gone_adapters()) &&
+           verifier.VerifyVectorOfStrings(gone_adapters()) &&
+           VerifyOffset(verifier, VT_GONE_ROUTES) &&
+           verifier.VerifyVector(gone_routes()) &&
+           verifier.VerifyVectorOfStrings(gone_routes()) &&
+           VerifyOffset(verifier, VT_GONE_SERVERS) &&
+           verifier.VerifyVector(gone_servers()) &&
+           verifier.VerifyVectorOfStrings(gone_servers()) &&
+           verifier.EndTable();
+  }
+  deployment_delta_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(deployment_delta_record *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<deployment_delta> Pack(flatbuffers::FlatBufferBuilder &_fbb, const deployment_delta_record* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct deployment_deltaBuilder {
+  typedef deployment_delta Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_base_digest(flatbuffers::Offset<flatbuffers::String> base_digest) {
+    fbb_.AddOffset(deployment_delta::VT_BASE_DIGEST, base_digest);
+  }
+  void add_changed(flatbuffers::Offset<barleyfork::schema::deployment> changed) {
+    fbb_.AddOffset(deployment_delta::VT_CHANGED, changed);
+  }
+  void add_gone_organisations(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> gone_organisations) {
+    fbb_.AddOffset(deployment_delta::VT_GONE_ORGANISATIONS, gone_organisations);
+  }
+  void add_gone_models(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> gone_models) {
+    fbb_.AddOffset(deployment_delta::VT_GONE_MODELS, gone_models);
+  }
+  void add_gone_adapters(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> gone_adapters) {
+    fbb_.AddOffset(deployment_delta::VT_GONE_ADAPTERS, gone_adapters);
+  }
+  void add_gone_routes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> gone_routes) {
+    fbb_.AddOffset(deployment_delta::VT_GONE_ROUTES, gone_routes);
+  }
+  void add_gone_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> gone_servers) {
+    fbb_.AddOffset(deployment_delta::VT_GONE_SERVERS, gone_servers);
+  }
+  explicit deployment_deltaBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<deployment_delta> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<deployment_delta>(end);
+    fbb_.Required(o, deployment_delta::VT_BASE_DIGEST);
+    fbb_.Required(o, deployment_delta::VT_CHANGED);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<deployment_delta> Createdeployment_delta(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> base_digest = 0,
+    flatbuffers::Offset<barleyfork::schema::deployment> changed = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> gone_organisations = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> gone_models = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> gone_adapters = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> gone_routes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> gone_servers = 0) {
+  deployment_deltaBuilder builder_(_fbb);
+  builder_.add_gone_servers(gone_servers);
+  builder_.add_gone_routes(gone_routes);
+  builder_.add_gone_adapters(gone_adapters);
+  builder_.add_gone_models(gone_models);
+  builder_.add_gone_organisations(gone_organisations);
+  builder_.add_changed(changed);
+  builder_.add_base_digest(base_digest);
+  return builder_.Finish();
+}
+
+struct deployment_delta::Traits {
+  using type = deployment_delta;
+  static auto constexpr Create = Createdeployment_delta;
+};
+
+inline flatbuffers::Offset<deployment_delta> Createdeployment_deltaDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *base_digest = nullptr,
+    flatbuffers::Offset<barleyfork::schema::deployment> changed = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *gone_organisations = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *gone_models = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *gone_adapters = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *gone_routes = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *gone_servers = nullptr) {
+  auto base_digest__ = base_digest ? _fbb.CreateString(base_digest) : 0;
+  auto gone_organisations__ = gone_organisations ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*gone_organisations) : 0;
+  auto gone_models__ = gone_models ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*gone_models) : 0;
+  auto gone_adapters__ = gone_adapters ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*gone_adapters) : 0;
+  auto gone_routes__ = gone_routes ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*gone_routes) : 0;
+  auto gone_servers__ = gone_servers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*gone_servers) : 0;
+  return barleyfork::schema::Createdeployment_delta(
+      _fbb,
+      base_digest__,
+      changed,
+      gone_organisations__,
+      gone_models__,
+      gone_adapters__,
+      gone_routes__,
+      gone_servers__);
+}
+
+flatbuffers::Offset<deployment_delta> Createdeployment_delta(flatbuffers::FlatBufferBuilder &_fbb, const deployment_delta_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 inline organisation_spec_record *organisation_spec::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<organisation_spec_record>();
   UnPackTo(_o.get(), _resolver);
@@ -1349,6 +1523,71 @@
       _backend_servers);
 }
 
+inline deployment_delta_record::deployment_delta_record(const deployment_delta_record &o)
+      : base_digest(o.base_digest),
+        changed((o.changed) ? new barleyfork::schema::deployment_record(*o.changed) : nullptr),
+        gone_organisations(o.gone_organisations),
+        gone_models(o.gone_models),
+        gone_adapters(o.gone_adapters),
+        gone_routes(o.gone_routes),
+        gone_servers(o.gone_servers) {
+}
+
+inline deployment_delta_record &deployment_delta_record::operator=(deployment_delta_record o) FLATBUFFERS_NOEXCEPT {
+  std::swap(base_digest, o.base_digest);
+  std::swap(changed, o.changed);
+  std::swap(gone_organisations, o.gone_organisations);
+  std::swap(gone_models, o.gone_models);
+  std::swap(gone_adapters, o.gone_adapters);
+  std::swap(gone_routes, o.gone_routes);
+  std::swap(gone_servers, o.gone_servers);
+  return *this;
+}
+
+inline deployment_delta_record *deployment_delta::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<deployment_delta_record>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void deployment_delta::UnPackTo(deployment_delta_record *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = base_digest(); if (_e) _o->base_digest = _e->str(); }
+  { auto _e = changed(); if (_e) _o->changed = std::unique_ptr<barleyfork::schema::deployment_record>(_e->UnPack(_resolver)); }
+  { auto _e = gone_organisations(); if (_e) { _o->gone_organisations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->gone_organisations[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = gone_models(); if (_e) { _o->gone_models.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->gone_models[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = gone_adapters(); if (_e) { _o->gone_adapters.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->gone_adapters[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = gone_routes(); if (_e) { _o->gone_routes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->gone_routes[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = gone_servers(); if (_e) { _o->gone_servers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->gone_servers[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<deployment_delta> deployment_delta::Pack(flatbuffers::FlatBufferBuilder &_fbb, const deployment_delta_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createdeployment_delta(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<deployment_delta> Createdeployment_delta(flatbuffers::FlatBufferBuilder &_fbb, const deployment_delta_record *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const deployment_delta_record* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _base_digest = _fbb.CreateString(_o->base_digest);
+  auto _changed = _o->changed ? Createdeployment(_fbb, _o->changed.get(), _rehasher) : 0;
+  auto _gone_organisations = _o->gone_organisations.size() ? _fbb.CreateVectorOfStrings(_o->gone_organisations) : 0;
+  auto _gone_models = _o->gone_models.size() ? _fbb.CreateVectorOfStrings(_o->gone_models) : 0;
+  auto _gone_adapters = _o->gone_adapters.size() ? _fbb.CreateVectorOfStrings(_o->gone_adapters) : 0;
+  auto _gone_routes = _o->gone_routes.size() ? _fbb.CreateVectorOfStrings(_o->gone_routes) : 0;
+  auto _gone_servers = _o->gone_servers.size() ? _fbb.CreateVectorOfStrings(_o->gone_servers) : 0;
+  return barleyfork::schema::Createdeployment_delta(
+      _fbb,
+      _base_digest,
+      _changed,
+      _gone_organisations,
+      _gone_models,
+      _gone_adapters,
+      _gone_routes,
+      _gone_servers);
+}
+
 inline const barleyfork::schema::deployment *Getdeployment(const void *buf) {
   return flatbuffers::GetRoot<barleyfork::schema::deployment>(buf);
 }
--- a/libs/schema/src/toml_reader.cpp
+++ b/libs/schema/src/toml_reader.cpp
@@ -2,6 +2,8 @@
 
 #include "schema_check.hpp"
 
+#include <barleyfork/schema/deployment_delta.hpp>
+
 #include <barleyfork/schema/deployment_bfbs_generated.h>
 #include <barleyfork/schema/settings_bfbs_generated.h>
 
@@ -90,9 +92,11 @@
     auto result =
         parse_record<schema::deploymentBinarySchema, schema::deployment>(
             toml, source, out);
-    if (!result)
-        ensure(out.policy);
-    return result;
+    if (result)
+        return result;
+    ensure(out.policy);
+    sort_entries(out);
+    return {};
 }
 
 std::string encode_deployment(const schema::deployment_record& deployment)
