Poll engines within a budget and test the small parts

Cause: every daemon polled every engine, 64 at once each 0.5 s: at 5800 servers 100 KB/s, at today's 15 servers 24 KB/s, of 12 KB/s allowed. Change: a daemon asks at most report_polls_per_second (10); the holder of a cell asks its own cell, others a fifth of that; the ledger row carries that a server is leaving. Before/after: 128 polls/s of 800 bytes to 10.

--- a/libs/core/include/barleyfork/core/memory_ledger.hpp
+++ b/libs/core/include/barleyfork/core/memory_ledger.hpp
@@ -65,6 +65,7 @@
     std::uint64_t boot = 0;
     /// Grows with every report and answer of one process.
     std::uint64_t sequence = 0;
+    bool leaving = false;
     std::vector<resident_model> residents;
 };
 
@@ -93,6 +94,8 @@
     /// Tells a writer its own write from another's after a lost answer.
     std::string write_id;
     std::uint64_t boot = 0;
+    /// The server said that it is leaving: nothing new is sent to it.
+    bool leaving = false;
     std::uint64_t report_sequence = 0;
     /// The newest epoch a checking engine acknowledged, and its sequence then.
     std::uint64_t fenced_epoch = 0;
@@ -160,6 +163,9 @@
 /// Marks the orders of instances that are gone for good.
 void mark_senders_gone(ledger_row& row, std::span<const instance_id> gone);
 
+/// True where a report was made after all that the row knows of the engine.
+bool is_newer(const engine_report& report, const ledger_row& row);
+
 /// Takes in a report; returns false where it is older than what is known.
 ///
 /// Closes: an unload whose model the report shows gone; the only outstanding
--- a/libs/core/src/cell_controller.cpp
+++ b/libs/core/src/cell_controller.cpp
@@ -13,7 +13,7 @@
 /// A new report sequence or write id alone is not worth a write.
 bool differs(const ledger_row& wanted, const ledger_row& written)
 {
-    return wanted.boot != written.boot ||
+    return wanted.boot != written.boot || wanted.leaving != written.leaving ||
            wanted.capacity_mib != written.capacity_mib ||
            wanted.checks_fencing != written.checks_fencing ||
            wanted.fenced_epoch != written.fenced_epoch ||
--- a/libs/core/src/memory_ledger.cpp
+++ b/libs/core/src/memory_ledger.cpp
@@ -243,6 +243,18 @@
             order.sender_gone = true;
 }
 
+bool is_newer(const engine_report& report, const ledger_row& row)
+{
+    if (report.boot != row.boot)
+        return report.boot > row.boot;
+    return report.sequence > row.report_sequence &&
+           std::all_of(row.residents.begin(),
+                       row.residents.end(),
+                       [&report](const auto& entry) {
+                           return report.sequence > entry.since_sequence;
+                       });
+}
+
 bool apply_report(ledger_row& row, const engine_report& report)
 {
     if (report.boot < row.boot)
@@ -253,6 +265,7 @@
         start_boot(row, report.boot);
     close_orders_of_gone_senders(row, report.boot);
     row.report_sequence = report.sequence;
+    row.leaving = report.leaving;
     // Before fenced orders are dropped: one of them may be what loaded a
     // model that a later load was repeated for.
     close_seen_loads(row, report);
--- /dev/null
+++ b/libs/core/tests/admission_test.cpp
@@ -0,0 +1,88 @@
+#include <barleyfork/core/admission.hpp>
+#include <barleyfork/testing/property.hpp>
+
+namespace barleyfork::testing {
+
+namespace {
+
+std::shared_ptr<const catalog>
+make_catalog(int models, std::uint32_t version, std::uint32_t replicas = 1)
+{
+    schema::deployment_record record;
+    record.name = "d";
+    auto owner = std::make_unique<schema::organisation_spec_record>();
+    owner->name = "o";
+    record.organisations.push_back(std::move(owner));
+    for (int i = 0; i < models; ++i) {
+        auto model = std::make_unique<schema::model_spec_record>();
+        model->name = "m" + std::to_string(i);
+        model->owner = "o";
+        model->memory_mib = 10;
+        model->version = version;
+        model->min_replicas = replicas;
+        record.models.push_back(std::move(model));
+    }
+    for (int i = 0; i < 2; ++i) {
+        auto server = std::make_unique<schema::server_spec_record>();
+        server->name = "s" + std::to_string(i);
+        server->memory_mib = 40;
+        record.backend_servers.push_back(std::move(server));
+    }
+    std::shared_ptr<const catalog> built;
+    CPPUNIT_ASSERT(!catalog::build(record, built));
+    return built;
+}
+
+class admission_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(admission_test);
+    CPPUNIT_TEST(what_fits_is_admitted);
+    CPPUNIT_TEST(what_does_not_fit_is_refused_with_the_sum);
+    CPPUNIT_TEST(the_transition_is_counted);
+    CPPUNIT_TEST(references_are_checked);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void what_fits_is_admitted()
+    {
+        CPPUNIT_ASSERT(!check_admission(nullptr, *make_catalog(8, 1)));
+        CPPUNIT_ASSERT(!check_admission(nullptr, *make_catalog(4, 1, 2)));
+    }
+
+    void what_does_not_fit_is_refused_with_the_sum()
+    {
+        const auto error = check_admission(nullptr, *make_catalog(9, 1));
+        CPPUNIT_ASSERT(kind_of(error.code) == errc::does_not_fit);
+        CPPUNIT_ASSERT(error.detail.find("90 MiB of 80 MiB") !=
+                       std::string::npos);
+        CPPUNIT_ASSERT(check_admission(nullptr, *make_catalog(1, 1, 3)));
+    }
+
+    void the_transition_is_counted()
+    {
+        const auto now = make_catalog(5, 1);
+        CPPUNIT_ASSERT(!check_admission(now.get(), *make_catalog(5, 1)));
+        CPPUNIT_ASSERT(check_admission(now.get(), *make_catalog(5, 2)));
+        const auto small = make_catalog(4, 1);
+        CPPUNIT_ASSERT(!check_admission(small.get(), *make_catalog(4, 2)));
+    }
+
+    void references_are_checked()
+    {
+        schema::deployment_record record;
+        auto model = std::make_unique<schema::model_spec_record>();
+        model->name = "m";
+        model->owner = "nobody";
+        record.models.push_back(std::move(model));
+        std::shared_ptr<const catalog> built;
+        const auto error = catalog::build(record, built);
+        CPPUNIT_ASSERT(kind_of(error.code) == errc::invalid_input);
+        CPPUNIT_ASSERT(error.detail.find("nobody") != std::string::npos);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(admission_test);
+
+} // namespace
+
+} // namespace barleyfork::testing
--- /dev/null
+++ b/libs/core/tests/membership_test.cpp
@@ -0,0 +1,171 @@
+#include <barleyfork/core/membership.hpp>
+#include <barleyfork/testing/property.hpp>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace barleyfork::testing {
+
+namespace {
+
+using schema::member_state;
+
+/// Members in one process; messages arrive in the next step, or not at all.
+class small_cluster
+{
+public:
+    explicit small_cluster(std::size_t size)
+    {
+        for (std::size_t i = 0; i < size; ++i) {
+            listed_instance place;
+            place.id = instance_id("m" + std::to_string(i));
+            list_.push_back(place);
+        }
+        for (const auto& place : list_) {
+            nodes_[place.id] = std::make_unique<membership>(
+                place, 1, membership_options{}, nodes_.size() + 1);
+            nodes_[place.id]->set_listed(list_);
+        }
+    }
+
+    void run(std::int64_t ms)
+    {
+        constexpr std::int64_t step = 50;
+        for (std::int64_t i = 0; i < ms; i += step) {
+            now_ += duration(step);
+            deliver();
+            for (auto& [id, node] : nodes_)
+                if (!silent_.contains(id))
+                    queue(id, node->tick(now_));
+        }
+    }
+
+    void silence(const std::string& name)
+    {
+        silent_.emplace(name);
+    }
+    void speak(const std::string& name)
+    {
+        silent_.erase(instance_id(name));
+    }
+
+    void unlist(const std::string& name)
+    {
+        std::erase_if(list_, [&name](const auto& place) {
+            return place.id.value() == name;
+        });
+        for (auto& [id, node] : nodes_)
+            node->set_listed(list_);
+    }
+
+    std::size_t live(const std::string& name)
+    {
+        return nodes_.at(instance_id(name))->live_count();
+    }
+
+    member_state state(const std::string& viewer, const std::string& name)
+    {
+        return nodes_.at(instance_id(viewer))->find(instance_id(name))->state;
+    }
+
+    bool knows(const std::string& viewer, const std::string& name)
+    {
+        return nodes_.at(instance_id(viewer))->find(instance_id(name)) !=
+               nullptr;
+    }
+
+private:
+    struct travelling
+    {
+        instance_id from;
+        outgoing_message out;
+    };
+
+    void queue(const instance_id& from, std::vector<outgoing_message> all)
+    {
+        for (auto& out : all)
+            travelling_.push_back({from, std::move(out)});
+    }
+
+    void deliver()
+    {
+        auto arriving = std::exchange(travelling_, {});
+        for (auto& each : arriving) {
+            const bool lost =
+                silent_.contains(each.from) || silent_.contains(each.out.to);
+            if (lost)
+                continue;
+            auto answer =
+                nodes_.at(each.out.to)->receive(each.out.message, now_);
+            if (answer)
+                travelling_.push_back({each.out.to, std::move(*answer)});
+        }
+    }
+
+    time_point now_{duration(1000)};
+    std::vector<listed_instance> list_;
+    std::map<instance_id, std::unique_ptr<membership>> nodes_;
+    std::set<instance_id> silent_;
+    std::vector<travelling> travelling_;
+};
+
+class membership_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(membership_test);
+    CPPUNIT_TEST(quiet_members_stay_alive);
+    CPPUNIT_TEST(silent_member_is_found_everywhere);
+    CPPUNIT_TEST(member_that_speaks_again_is_alive);
+    CPPUNIT_TEST(list_decides_who_is_gone_for_good);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void quiet_members_stay_alive()
+    {
+        small_cluster cluster(9);
+        cluster.run(60000);
+        for (int i = 0; i < 9; ++i)
+            CPPUNIT_ASSERT_EQUAL(std::size_t{9},
+                                 cluster.live("m" + std::to_string(i)));
+    }
+
+    void silent_member_is_found_everywhere()
+    {
+        small_cluster cluster(9);
+        cluster.run(5000);
+        cluster.silence("m3");
+        cluster.run(15000);
+        for (const auto* viewer : {"m0", "m8"})
+            CPPUNIT_ASSERT(cluster.state(viewer, "m3") == member_state::gone);
+    }
+
+    void member_that_speaks_again_is_alive()
+    {
+        small_cluster cluster(9);
+        cluster.silence("m3");
+        cluster.run(15000);
+        cluster.speak("m3");
+        cluster.run(20000);
+        for (const auto* viewer : {"m0", "m8"})
+            CPPUNIT_ASSERT(cluster.state(viewer, "m3") == member_state::alive);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{9}, cluster.live("m3"));
+    }
+
+    void list_decides_who_is_gone_for_good()
+    {
+        small_cluster cluster(4);
+        cluster.run(2000);
+        cluster.silence("m2");
+        cluster.unlist("m2");
+        cluster.run(3000);
+        CPPUNIT_ASSERT(!cluster.knows("m0", "m2"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, cluster.live("m0"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(membership_test);
+
+} // namespace
+
+} // namespace barleyfork::testing
--- a/libs/daemon/src/control.cpp
+++ b/libs/daemon/src/control.cpp
@@ -18,8 +18,11 @@
 constexpr duration undecided_bound{3000};
 /// Polls of a service that is away grow apart up to this factor.
 constexpr std::int64_t largest_backoff = 8;
-/// Report polls that one round starts.
-constexpr std::size_t polls_per_round = 64;
+/// Daemons without a cell ask engines at this part of the rate.
+constexpr double trickle_divisor = 5.0;
+/// A report counts as fresh for so many cycles of polls, and at least so long.
+constexpr std::int64_t fresh_cycles = 3;
+constexpr duration least_freshness{4000};
 constexpr double milliseconds_per_second = 1000.0;
 
 listed_instance self_of(const schema::daemon_settings_record& settings,
@@ -184,25 +187,57 @@
     dirty_ = true;
 }
 
-/// Starts a poll of each engine in turn, a bounded number a round.
+/// The engines to ask, and how many a second. A controller asks its own
+/// cells; others ask a few, to see what the ledger can't tell while the table
+/// is away, and all they may until they know a ledger.
+control::poll_plan control::plan_polls(time_point now) const
+{
+    poll_plan plan;
+    const double rate = context_.settings.routing->report_polls_per_second;
+    plan.servers = placement_.held_servers(now);
+    plan.per_second = rate;
+    if (!plan.servers.empty())
+        return plan;
+    const auto config = configuration_.state().in_force();
+    if (!config)
+        return plan;
+    for (const auto& server : config->servers())
+        if (server.service.empty())
+            plan.servers.push_back(server.id);
+    if (!placement_.rows().empty())
+        plan.per_second = std::max(1.0, rate / trickle_divisor);
+    return plan;
+}
+
 asio::awaitable<void> control::poll_reports()
 {
     std::size_t next = 0;
     for (;;) {
-        const auto config = configuration_.state().in_force();
-        const auto size = config ? config->servers().size() : 0;
-        for (std::size_t i = 0; i < std::min(size, polls_per_round); ++i) {
-            const auto& server = config->servers()[next++ % size];
-            http_endpoint endpoint;
-            if (!server.service.empty() || parse_url(server.url, endpoint) ||
-                !polling_.insert(server.id).second)
-                continue;
-            context_.control.spawn(poll_server(server.id, endpoint));
+        const auto plan = plan_polls(steady_now());
+        const auto pause = static_cast<std::int64_t>(milliseconds_per_second /
+                                                     plan.per_second);
+        if (!plan.servers.empty()) {
+            const auto cycle =
+                pause * static_cast<std::int64_t>(plan.servers.size());
+            reports_.set_freshness(
+                std::max(least_freshness, duration(fresh_cycles * cycle)));
+            start_poll(plan.servers[next++ % plan.servers.size()]);
         }
-        co_await sleep_for_ms(context_.settings.routing->report_interval_ms);
+        co_await sleep_for_ms(std::max<std::int64_t>(1, pause));
     }
 }
 
+void control::start_poll(const server_id& server)
+{
+    const auto config = configuration_.state().in_force();
+    const auto* declared = config ? config->find_server(server) : nullptr;
+    http_endpoint endpoint;
+    if (declared == nullptr || parse_url(declared->url, endpoint) ||
+        !polling_.insert(server).second)
+        return;
+    context_.control.spawn(poll_server(server, endpoint));
+}
+
 asio::awaitable<void> control::poll_server(server_id server,
                                            http_endpoint endpoint)
 {
@@ -390,38 +425,40 @@
 
 void control::add_servers(serving_view& view) const
 {
+    const auto& rows = placement_.rows();
     for (const auto& entry : view.config->servers()) {
         serving_server server;
         server.entry = entry;
-        server.usable = !parse_url(entry.url, server.endpoint) &&
-                        !leaving_servers_.contains(entry.id) &&
-                        !reports_.leaving(entry.id);
+        const auto row = rows.find(entry.id);
+        const bool leaving = leaving_servers_.contains(entry.id) ||
+                             reports_.leaving(entry.id) ||
+                             (row != rows.end() && row->second.leaving);
+        server.usable = !parse_url(entry.url, server.endpoint) && !leaving;
         if (!entry.service.empty())
             view.services[entry.service].push_back(view.servers.size());
         view.servers.push_back(std::move(server));
     }
 }
 
-/// A fresh report says what is resident; without one, the ledger does.
+/// What was said last counts: a fresh report or the ledger's row.
 void control::add_replicas(serving_view& view, time_point now) const
 {
     const auto& rows = placement_.rows();
     for (std::size_t i = 0; i < view.servers.size(); ++i) {
         const auto& id = view.servers[i].entry.id;
-        const auto row = rows.find(id);
+        const auto found = rows.find(id);
+        const auto* row = found == rows.end() ? nullptr : &found->second;
         const auto* status = reports_.fresh(id, now);
-        const auto* residents = status != nullptr   ? &status->report.residents
-                                : row != rows.end() ? &row->second.residents
-                                                    : nullptr;
-        if (residents == nullptr)
+        const bool reported =
+            status != nullptr &&
+            (row == nullptr || is_newer(status->report, *row));
+        if (!reported && row == nullptr)
             continue;
-        for (const auto& held : *residents) {
-            const bool going =
-                row != rows.end() &&
-                is_unloading(row->second, held.model, held.version);
-            if (!going)
+        const auto& residents =
+            reported ? status->report.residents : row->residents;
+        for (const auto& held : residents)
+            if (row == nullptr || !is_unloading(*row, held.model, held.version))
                 view.replicas[held.model].push_back({i, held.version});
-        }
     }
 }
 
--- a/libs/daemon/src/control.hpp
+++ b/libs/daemon/src/control.hpp
@@ -83,6 +83,14 @@
     void exchange_demand(time_point now);
     void abandon_overdue(time_point now);
     boost::asio::awaitable<void> abandon();
+    struct poll_plan
+    {
+        std::vector<server_id> servers;
+        double per_second = 1.0;
+    };
+
+    poll_plan plan_polls(time_point now) const;
+    void start_poll(const server_id& server);
     boost::asio::awaitable<void> poll_server(server_id server,
                                              http_endpoint endpoint);
     void publish(time_point now);
--- a/libs/daemon/src/placement_duty.cpp
+++ b/libs/daemon/src/placement_duty.cpp
@@ -164,6 +164,18 @@
     }
 }
 
+std::vector<server_id> placement_duty::held_servers(time_point now) const
+{
+    std::vector<server_id> held;
+    if (!config_)
+        return held;
+    for (const auto& server : config_->servers())
+        if (server.service.empty() &&
+            cells_[cell_of(server.id)]->holding.held(now))
+            held.push_back(server.id);
+    return held;
+}
+
 std::vector<instance_id> placement_duty::holders() const
 {
     std::vector<instance_id> result;
--- a/libs/daemon/src/placement_duty.hpp
+++ b/libs/daemon/src/placement_duty.hpp
@@ -63,6 +63,9 @@
     /// Gives up every lease; waits for the writes.
     boost::asio::awaitable<void> release();
 
+    /// Servers of the cells whose lease is held here.
+    std::vector<server_id> held_servers(time_point now) const;
+
     /// The holder of each cell's lease as last seen.
     std::vector<instance_id> holders() const;
 
--- a/libs/daemon/src/server_reports.cpp
+++ b/libs/daemon/src/server_reports.cpp
@@ -9,7 +9,7 @@
     auto& known = entries_[server];
     const bool changed =
         !known.fresh || known.at == time_point{} ||
-        known.status.leaving != status.leaving ||
+        known.status.report.leaving != status.report.leaving ||
         known.status.report.boot != status.report.boot ||
         known.status.report.residents != status.report.residents;
     known = {status, now, true};
@@ -20,7 +20,7 @@
                                            time_point now) const
 {
     const auto found = entries_.find(server);
-    if (found == entries_.end() || now >= found->second.at + freshness)
+    if (found == entries_.end() || now >= found->second.at + freshness_)
         return nullptr;
     return &found->second.status;
 }
@@ -28,14 +28,14 @@
 bool server_reports::leaving(const server_id& server) const
 {
     const auto found = entries_.find(server);
-    return found != entries_.end() && found->second.status.leaving;
+    return found != entries_.end() && found->second.status.report.leaving;
 }
 
 bool server_reports::take_expired(time_point now)
 {
     bool changed = false;
     for (auto& [server, known] : entries_) {
-        if (!known.fresh || now < known.at + freshness)
+        if (!known.fresh || now < known.at + freshness_)
             continue;
         known.fresh = false;
         changed = true;
--- a/libs/daemon/src/server_reports.hpp
+++ b/libs/daemon/src/server_reports.hpp
@@ -15,8 +15,11 @@
 class server_reports
 {
 public:
-    /// A report older than this says nothing about now.
-    static constexpr duration freshness{4000};
+    /// Sets how old a report may be to say something about now.
+    void set_freshness(duration freshness) noexcept
+    {
+        freshness_ = freshness;
+    }
 
     /// Takes in a report; true where routing depends on what changed.
     bool
@@ -39,6 +42,7 @@
         bool fresh = true;
     };
 
+    duration freshness_{4000};
     std::map<server_id, entry> entries_;
 };
 
--- a/libs/platform/include/barleyfork/platform/row_codec.hpp
+++ b/libs/platform/include/barleyfork/platform/row_codec.hpp
@@ -29,12 +29,11 @@
 /// Prefix of the rows that record each accepted file.
 inline constexpr std::string_view history_prefix = "history/";
 
-/// What an engine's report says, load and leaving included.
+/// What an engine's report says, its load included.
 struct engine_status
 {
     engine_report report;
     std::uint32_t outstanding = 0;
-    bool leaving = false;
 };
 
 std::string encode(const configuration_head& head);
--- a/libs/platform/src/row_codec.cpp
+++ b/libs/platform/src/row_codec.cpp
@@ -170,6 +170,7 @@
                      {"epoch", row.epoch},
                      {"write_id", row.write_id},
                      {"boot", row.boot},
+                     {"leaving", row.leaving},
                      {"report_sequence", row.report_sequence},
                      {"fenced_epoch", row.fenced_epoch},
                      {"fenced_sequence", row.fenced_sequence},
@@ -186,6 +187,7 @@
         out.epoch = number_of<std::uint64_t>(value, "epoch");
         out.write_id = text_of(value, "write_id");
         out.boot = number_of<std::uint64_t>(value, "boot");
+        out.leaving = value.at("leaving").as_bool();
         out.report_sequence =
             number_of<std::uint64_t>(value, "report_sequence");
         out.fenced_epoch = number_of<std::uint64_t>(value, "fenced_epoch");
@@ -245,7 +247,7 @@
         out.report.boot = number_of<std::uint64_t>(value, "boot");
         out.report.sequence = number_of<std::uint64_t>(value, "sequence");
         out.outstanding = number_of<std::uint32_t>(value, "outstanding");
-        out.leaving = value.at("leaving").as_bool();
+        out.report.leaving = value.at("leaving").as_bool();
         for (const auto& entry : value.at("residents").as_array())
             out.report.residents.push_back(to_resident(entry));
     });
--- a/libs/scenario/src/cluster.cpp
+++ b/libs/scenario/src/cluster.cpp
@@ -184,7 +184,7 @@
         << "instance_list_url = " << platform
         << "poll_interval_ms = 100\ninstance_list_interval_ms = 100\n"
         << "request_timeout_ms = 400\n"
-        << "[routing]\nreport_interval_ms = 100\nconnect_timeout_ms = 300\n"
+        << "[routing]\nreport_polls_per_second = 50\nconnect_timeout_ms = 300\n"
         << "first_byte_timeout_ms = 2000\nprogress_timeout_ms = 800\n"
         << "retry_percent = " << options_.retry_percent << "\n"
         << "server_slots = " << options_.server_slots << "\n"
--- a/libs/scenario/src/runner.cpp
+++ b/libs/scenario/src/runner.cpp
@@ -108,6 +108,8 @@
 
 std::uint16_t runner::target_of(const statement& line)
 {
+    if (line.has("platform"))
+        return world().platform_port();
     if (line.has("engine"))
         return world().engine_port(
             static_cast<std::size_t>(line.number("engine", 0)));
--- a/libs/schema/include/barleyfork/schema/settings_generated.h
+++ b/libs/schema/include/barleyfork/schema/settings_generated.h
@@ -392,7 +392,7 @@
   uint32_t connect_timeout_ms = 1000;
   uint32_t first_byte_timeout_ms = 30000;
   uint32_t progress_timeout_ms = 5000;
-  uint32_t report_interval_ms = 500;
+  uint32_t report_polls_per_second = 10;
   uint32_t retry_percent = 10;
   uint32_t max_tries = 3;
   uint32_t queue_limit = 256;
@@ -409,7 +409,7 @@
     VT_CONNECT_TIMEOUT_MS = 6,
     VT_FIRST_BYTE_TIMEOUT_MS = 8,
     VT_PROGRESS_TIMEOUT_MS = 10,
-    VT_REPORT_INTERVAL_MS = 12,
+    VT_REPORT_POLLS_PER_SECOND = 12,
     VT_RETRY_PERCENT = 14,
     VT_MAX_TRIES = 16,
     VT_QUEUE_LIMIT = 18,
@@ -427,8 +427,8 @@
   uint32_t progress_timeout_ms() const {
     return GetField<uint32_t>(VT_PROGRESS_TIMEOUT_MS, 5000);
   }
-  uint32_t report_interval_ms() const {
-    return GetField<uint32_t>(VT_REPORT_INTERVAL_MS, 500);
+  uint32_t report_polls_per_second() const {
+    return GetField<uint32_t>(VT_REPORT_POLLS_PER_SECOND, 10);
   }
   uint32_t retry_percent() const {
     return GetField<uint32_t>(VT_RETRY_PERCENT, 10);
@@ -449,7 +449,7 @@
            VerifyField<uint32_t>(verifier, VT_CONNECT_TIMEOUT_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_FIRST_BYTE_TIMEOUT_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_PROGRESS_TIMEOUT_MS, 4) &&
-           VerifyField<uint32_t>(verifier, VT_REPORT_INTERVAL_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_REPORT_POLLS_PER_SECOND, 4) &&
            VerifyField<uint32_t>(verifier, VT_RETRY_PERCENT, 4) &&
            VerifyField<uint32_t>(verifier, VT_MAX_TRIES, 4) &&
            VerifyField<uint32_t>(verifier, VT_QUEUE_LIMIT, 4) &&
@@ -477,8 +477,8 @@
   void add_progress_timeout_ms(uint32_t progress_timeout_ms) {
     fbb_.AddElement<uint32_t>(routing_settings::VT_PROGRESS_TIMEOUT_MS, progress_timeout_ms, 5000);
   }
-  void add_report_interval_ms(uint32_t report_interval_ms) {
-    fbb_.AddElement<uint32_t>(routing_settings::VT_REPORT_INTERVAL_MS, report_interval_ms, 500);
+  void add_report_polls_per_second(uint32_t report_polls_per_second) {
+    fbb_.AddElement<uint32_t>(routing_settings::VT_REPORT_POLLS_PER_SECOND, report_polls_per_second, 10);
   }
   void add_retry_percent(uint32_t retry_percent) {
     fbb_.AddElement<uint32_t>(routing_settings::VT_RETRY_PERCENT, retry_percent, 10);
@@ -509,7 +509,7 @@
     uint32_t connect_timeout_ms = 1000,
     uint32_t first_byte_timeout_ms = 30000,
     uint32_t progress_timeout_ms = 5000,
-    uint32_t report_interval_ms = 500,
+    uint32_t report_polls_per_second = 10,
     uint32_t retry_percent = 10,
     uint32_t max_tries = 3,
     uint32_t queue_limit = 256,
@@ -519,7 +519,7 @@
   builder_.add_queue_limit(queue_limit);
   builder_.add_max_tries(max_tries);
   builder_.add_retry_percent(retry_percent);
-  builder_.add_report_interval_ms(report_interval_ms);
+  builder_.add_report_polls_per_second(report_polls_per_second);
   builder_.add_progress_timeout_ms(progress_timeout_ms);
   builder_.add_first_byte_timeout_ms(first_byte_timeout_ms);
   builder_.add_connect_timeout_ms(connect_timeout_ms);
@@ -538,7 +538,7 @@
     uint32_t connect_timeout_ms = 1000,
     uint32_t first_byte_timeout_ms = 30000,
     uint32_t progress_timeout_ms = 5000,
-    uint32_t report_interval_ms = 500,
+    uint32_t report_polls_per_second = 10,
     uint32_t retry_percent = 10,
     uint32_t max_tries = 3,
     uint32_t queue_limit = 256,
@@ -550,7 +550,7 @@
       connect_timeout_ms,
       first_byte_timeout_ms,
       progress_timeout_ms,
-      report_interval_ms,
+      report_polls_per_second,
       retry_percent,
       max_tries,
       queue_limit,
@@ -1247,7 +1247,7 @@
   { auto _e = connect_timeout_ms(); _o->connect_timeout_ms = _e; }
   { auto _e = first_byte_timeout_ms(); _o->first_byte_timeout_ms = _e; }
   { auto _e = progress_timeout_ms(); _o->progress_timeout_ms = _e; }
-  { auto _e = report_interval_ms(); _o->report_interval_ms = _e; }
+  { auto _e = report_polls_per_second(); _o->report_polls_per_second = _e; }
   { auto _e = retry_percent(); _o->retry_percent = _e; }
   { auto _e = max_tries(); _o->max_tries = _e; }
   { auto _e = queue_limit(); _o->queue_limit = _e; }
@@ -1266,7 +1266,7 @@
   auto _connect_timeout_ms = _o->connect_timeout_ms;
   auto _first_byte_timeout_ms = _o->first_byte_timeout_ms;
   auto _progress_timeout_ms = _o->progress_timeout_ms;
-  auto _report_interval_ms = _o->report_interval_ms;
+  auto _report_polls_per_second = _o->report_polls_per_second;
   auto _retry_percent = _o->retry_percent;
   auto _max_tries = _o->max_tries;
   auto _queue_limit = _o->queue_limit;
@@ -1277,7 +1277,7 @@
       _connect_timeout_ms,
       _first_byte_timeout_ms,
       _progress_timeout_ms,
-      _report_interval_ms,
+      _report_polls_per_second,
       _retry_percent,
       _max_tries,
       _queue_limit,
--- a/libs/standins/src/platform_standin.cpp
+++ b/libs/standins/src/platform_standin.cpp
@@ -107,8 +107,9 @@
         if (in.path.starts_with("/instances/"))
             return one_instance(in, in.path.substr(11));
         if (in.path == "/counters")
-            return answer_json(
-                json::object{{"reads", reads}, {"writes", writes}});
+            return answer_json(json::object{{"reads", reads},
+                                            {"writes", writes},
+                                            {"change_reads", change_reads}});
         return answer_json(json::object{{"error", "no such path"}}, 404);
     }
 
@@ -154,8 +155,10 @@
         }
         const auto found = objects.find(name);
         answer.status = found == objects.end() ? 404 : 200;
-        if (found != objects.end())
+        if (found != objects.end()) {
             answer.body = found->second;
+            change_reads += name.starts_with("delta-") ? 1 : 0;
+        }
         return answer;
     }
 
@@ -198,6 +201,7 @@
     std::uint64_t list_version = 1;
     std::uint64_t reads = 0;
     std::uint64_t writes = 0;
+    std::uint64_t change_reads = 0;
     bool outage = false;
     bool table_outage = false;
     int lose_answers = 0;
