Join what stood twice

Cause: duplicates found the same code in two places: head and digest of peers, opening an acceptor, testing a kept connection, questions to the store duty. Change: one piece each (configuration_digest, sockets, on_store). Conclusion: behaviour as before, each piece in one place.

--- a/libs/daemon/src/backend_client.cpp
+++ b/libs/daemon/src/backend_client.cpp
@@ -1,6 +1,7 @@
 #include "backend_client.hpp"
 
 #include <barleyfork/base/log.hpp>
+#include <barleyfork/net/sockets.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -24,11 +25,6 @@
 constexpr unsigned status_unavailable = 503;
 constexpr duration report_timeout{1000};
 
-std::string endpoint_key(const http_endpoint& endpoint)
-{
-    return endpoint.host + ":" + std::to_string(endpoint.port);
-}
-
 std::int32_t parse_load(std::string_view text)
 {
     std::int32_t load = -1;
@@ -36,17 +32,6 @@
     return load;
 }
 
-/// A kept connection that its other end closed, or that holds bytes nobody
-/// asked for, must not be used again: the next answer could be another's.
-bool is_clean(tcp::socket& socket)
-{
-    char byte = 0;
-    beast::error_code error;
-    socket.non_blocking(true, error);
-    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error == asio::error::would_block;
-}
-
 } // namespace
 
 struct backend_client::attempt
@@ -81,7 +66,7 @@
     work->on_cancel({});
     const auto& endpoint = work->request().endpoint;
     if (current.reusable && !work->cancelled()) {
-        auto& pool = idle_[endpoint_key(endpoint)];
+        auto& pool = idle_[to_string(endpoint)];
         current.stream.expires_never();
         if (pool.size() < idle_connections)
             pool.push_back(current.stream.release_socket());
@@ -92,7 +77,7 @@
     const bool lost = last.end == attempt_end::lost_before_answer ||
                       last.end == attempt_end::lost_in_answer;
     if (lost && !work->cancelled() && work->request().is_engine) {
-        const auto known = boots_.find(endpoint_key(endpoint));
+        const auto known = boots_.find(to_string(endpoint));
         last.crashed_boot = known == boots_.end() ? 0 : known->second;
         last.server_crashed = co_await crashed(endpoint, last.crashed_boot);
     }
@@ -103,11 +88,11 @@
 asio::awaitable<bool> backend_client::connect(attempt& current)
 {
     const auto& request = current.work->request();
-    auto& pool = idle_[endpoint_key(request.endpoint)];
+    auto& pool = idle_[to_string(request.endpoint)];
     while (request.may_reuse_connection && !pool.empty()) {
         auto socket = std::move(pool.back());
         pool.pop_back();
-        if (!is_clean(socket))
+        if (!is_quiet(socket))
             continue;
         current.stream.socket() = std::move(socket);
         co_return true;
@@ -135,7 +120,7 @@
     message.method_string(request.method);
     message.target(request.endpoint.base_path + request.target);
     message.version(11);
-    message.set(http::field::host, endpoint_key(request.endpoint));
+    message.set(http::field::host, to_string(request.endpoint));
     for (const auto& [name, value] : request.headers)
         message.set(name, value);
     message.body() = request.body;
@@ -213,7 +198,7 @@
     engine_status status;
     if (reply.error || reply.status != 200 || decode(reply.body, status))
         co_return std::nullopt;
-    boots_[endpoint_key(endpoint)] = status.report.boot;
+    boots_[to_string(endpoint)] = status.report.boot;
     co_return status;
 }
 
--- a/libs/daemon/src/configuration_duty.cpp
+++ b/libs/daemon/src/configuration_duty.cpp
@@ -1,6 +1,7 @@
 #include "configuration_duty.hpp"
 
 #include <barleyfork/base/log.hpp>
+#include <barleyfork/core/configuration_digest.hpp>
 #include <barleyfork/schema/deployment_delta.hpp>
 #include <barleyfork/schema/toml_reader.hpp>
 
@@ -19,30 +20,6 @@
 /// A coordinator that decides nothing for so many stage timeouts is gone.
 constexpr int overdue_factor = 3;
 
-configuration_head to_head(const schema::configuration_digest_record& digest)
-{
-    configuration_head head;
-    head.revision = digest.revision;
-    head.digest = digest.body_digest;
-    head.decided = digest.decided;
-    head.staged_revision = digest.staged_revision;
-    head.staged_digest = digest.staged_digest;
-    head.coordinator = digest.coordinator;
-    return head;
-}
-
-schema::configuration_digest_record to_digest(const configuration_head& head)
-{
-    schema::configuration_digest_record digest;
-    digest.revision = head.revision;
-    digest.body_digest = head.digest;
-    digest.decided = head.decided;
-    digest.staged_revision = head.staged_revision;
-    digest.staged_digest = head.staged_digest;
-    digest.coordinator = head.coordinator;
-    return digest;
-}
-
 } // namespace
 
 configuration_duty::configuration_duty(daemon_context& context,
--- a/libs/daemon/src/model_request.cpp
+++ b/libs/daemon/src/model_request.cpp
@@ -2,6 +2,7 @@
 
 #include <barleyfork/base/digest.hpp>
 #include <barleyfork/base/log.hpp>
+#include <barleyfork/net/sockets.hpp>
 
 #include <algorithm>
 #include <boost/json.hpp>
@@ -29,11 +30,6 @@
     return error ? json::value() : value;
 }
 
-std::chrono::steady_clock::time_point to_deadline(time_point at)
-{
-    return std::chrono::steady_clock::time_point(at.time_since_epoch());
-}
-
 } // namespace
 
 model_request::model_request(caller_front& front,
--- a/libs/daemon/src/peer_link.cpp
+++ b/libs/daemon/src/peer_link.cpp
@@ -2,6 +2,7 @@
 
 #include <barleyfork/base/log.hpp>
 #include <barleyfork/net/frame.hpp>
+#include <barleyfork/net/sockets.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/read.hpp>
@@ -33,24 +34,8 @@
 
 std::uint16_t peer_link::listen(const std::string& address, std::uint16_t port)
 {
-    boost::system::error_code error;
-    const auto ip = asio::ip::make_address(address, error);
-    const tcp::endpoint endpoint(ip, port);
-    if (!error)
-        acceptor_.open(endpoint.protocol(), error);
-    if (!error)
-        acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        acceptor_.bind(endpoint, error);
-    if (!error)
-        acceptor_.listen(asio::socket_base::max_listen_connections, error);
-    if (error) {
-        log_event(log_level::error, "listen_failed")
-            .with("address", address)
-            .with("port", port)
-            .with("error", error.message());
+    if (!open_acceptor(acceptor_, address, port))
         return 0;
-    }
     context_.peer.spawn(accept_loop());
     return acceptor_.local_endpoint().port();
 }
--- a/libs/daemon/src/service_request.cpp
+++ b/libs/daemon/src/service_request.cpp
@@ -2,6 +2,7 @@
 
 #include <barleyfork/base/digest.hpp>
 #include <barleyfork/base/log.hpp>
+#include <barleyfork/net/sockets.hpp>
 #include <barleyfork/platform/row_codec.hpp>
 
 #include <utility>
@@ -19,11 +20,6 @@
 constexpr std::int64_t settle_pause_ms = 500;
 constexpr duration suspicion{2000};
 
-std::chrono::steady_clock::time_point to_deadline(time_point at)
-{
-    return std::chrono::steady_clock::time_point(at.time_since_epoch());
-}
-
 bool is_safe_method(std::string_view method)
 {
     return method == "GET" || method == "HEAD";
--- a/libs/daemon/src/table_duty.cpp
+++ b/libs/daemon/src/table_duty.cpp
@@ -28,44 +28,23 @@
 
 asio::awaitable<table_read> table_duty::read(std::string key)
 {
-    const auto work = [this, key] {
-        return table_.read(key);
-    };
-    auto result = co_await ask<table_read>(context_.store, work);
-    if (result)
-        co_return std::move(*result);
-    table_read failed;
-    failed.error = ring_full();
-    co_return failed;
+    return on_store<table_read>([this, key] { return table_.read(key); });
 }
 
 asio::awaitable<table_scan> table_duty::scan(std::string prefix,
                                              std::uint64_t since)
 {
-    const auto work = [this, prefix, since] {
-        return table_.scan(prefix, since);
-    };
-    auto result = co_await ask<table_scan>(context_.store, work);
-    if (result)
-        co_return std::move(*result);
-    table_scan failed;
-    failed.error = ring_full();
-    co_return failed;
+    return on_store<table_scan>(
+        [this, prefix, since] { return table_.scan(prefix, since); });
 }
 
 asio::awaitable<table_write> table_duty::write(std::string key,
                                                std::uint64_t expected_version,
                                                std::string value)
 {
-    const auto work = [this, key, expected_version, value] {
+    return on_store<table_write>([this, key, expected_version, value] {
         return table_.write_and_verify(key, expected_version, value);
-    };
-    auto result = co_await ask<table_write>(context_.store, work);
-    if (result)
-        co_return std::move(*result);
-    table_write failed;
-    failed.error = ring_full();
-    co_return failed;
+    });
 }
 
 asio::awaitable<failure> table_duty::put_object(std::string name,
@@ -80,20 +59,32 @@
 
 asio::awaitable<std::string> table_duty::get_object(std::string digest)
 {
-    const auto work = [this, digest]() -> asio::awaitable<std::string> {
-        std::string bytes;
-        const auto error = co_await objects_.get(digest, bytes);
-        co_return error ? std::string() : bytes;
-    };
-    auto result = co_await ask<std::string>(context_.store, work);
-    co_return result.value_or(std::string());
+    return read_object(&object_client::get, std::move(digest));
 }
 
 asio::awaitable<std::string> table_duty::get_unchecked(std::string name)
 {
-    const auto work = [this, name]() -> asio::awaitable<std::string> {
+    return read_object(&object_client::get_unchecked, std::move(name));
+}
+
+template <typename Result>
+asio::awaitable<Result>
+table_duty::on_store(std::function<asio::awaitable<Result>()> work)
+{
+    auto result = co_await ask<Result>(context_.store, work);
+    if (result)
+        co_return std::move(*result);
+    Result failed;
+    failed.error = ring_full();
+    co_return failed;
+}
+
+asio::awaitable<std::string> table_duty::read_object(object_reader reader,
+                                                     std::string name)
+{
+    const auto work = [this, reader, name]() -> asio::awaitable<std::string> {
         std::string bytes;
-        const auto error = co_await objects_.get_unchecked(name, bytes);
+        const auto error = co_await (objects_.*reader)(name, bytes);
         co_return error ? std::string() : bytes;
     };
     auto result = co_await ask<std::string>(context_.store, work);
--- a/libs/daemon/src/table_duty.hpp
+++ b/libs/daemon/src/table_duty.hpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
+#include <functional>
 #include <string>
 
 namespace barleyfork {
@@ -39,6 +40,17 @@
     boost::asio::awaitable<std::string> get_unchecked(std::string name);
 
 private:
+    using object_reader = boost::asio::awaitable<failure> (object_client::*)(
+        std::string, std::string&);
+
+    /// Runs a call on the store duty; a full ring is its failure.
+    template <typename Result>
+    boost::asio::awaitable<Result>
+    on_store(std::function<boost::asio::awaitable<Result>()> work);
+
+    boost::asio::awaitable<std::string> read_object(object_reader reader,
+                                                    std::string name);
+
     daemon_context& context_;
     table_client table_;
     object_client objects_;
--- a/libs/net/include/barleyfork/net/url.hpp
+++ b/libs/net/include/barleyfork/net/url.hpp
@@ -21,6 +21,9 @@
                            const http_endpoint&) = default;
 };
 
+/// `IP:PORT`.
+std::string to_string(const http_endpoint& endpoint);
+
 /// Takes a URL apart; fails with `invalid_input`.
 failure parse_url(std::string_view text, http_endpoint& out);
 
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -1,5 +1,7 @@
 #include <barleyfork/net/http_client.hpp>
 
+#include <barleyfork/net/sockets.hpp>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -19,16 +21,6 @@
 constexpr std::size_t idle_connections = 4;
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 
-/// A kept connection is unusable once its other end closed it.
-bool is_still_open(tcp::socket& socket)
-{
-    char byte = 0;
-    beast::error_code error;
-    socket.non_blocking(true, error);
-    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error == asio::error::would_block;
-}
-
 http::request<http::string_body> to_request(const http_endpoint& endpoint,
                                             http_call& call)
 {
@@ -36,8 +28,7 @@
     request.method_string(call.method);
     request.target(endpoint.base_path + call.target);
     request.version(11);
-    request.set(http::field::host,
-                endpoint.host + ":" + std::to_string(endpoint.port));
+    request.set(http::field::host, to_string(endpoint));
     for (const auto& [name, value] : call.headers)
         request.set(name, value);
     request.body() = std::move(call.body);
@@ -51,8 +42,7 @@
     const auto kind =
         error == beast::error::timeout ? errc::timeout : errc::connection_lost;
     return make_failure(kind,
-                        endpoint.host + ":" + std::to_string(endpoint.port) +
-                            " (" + error.message() + ")");
+                        to_string(endpoint) + " (" + error.message() + ")");
 }
 
 } // namespace
@@ -61,7 +51,7 @@
                                               http_call request)
 {
     http_reply reply;
-    const auto key = endpoint.host + ":" + std::to_string(endpoint.port);
+    const auto key = to_string(endpoint);
     const auto timeout = request.timeout;
     beast::tcp_stream stream(co_await asio::this_coro::executor);
     stream.expires_after(timeout);
@@ -70,7 +60,7 @@
     while (!kept.empty() && !reused) {
         auto socket = std::move(kept.back());
         kept.pop_back();
-        reused = is_still_open(socket);
+        reused = is_quiet(socket);
         if (reused)
             stream.socket() = std::move(socket);
     }
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -1,6 +1,7 @@
 #include <barleyfork/net/http_server.hpp>
 
 #include <barleyfork/base/log.hpp>
+#include <barleyfork/net/sockets.hpp>
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -350,25 +351,9 @@
 std::uint16_t http_server::listen(const std::string& address,
                                   std::uint16_t port)
 {
-    beast::error_code error;
-    const auto ip = asio::ip::make_address(address, error);
     auto& acceptor = state_->acceptor;
-    const tcp::endpoint endpoint(ip, port);
-    if (!error)
-        acceptor.open(endpoint.protocol(), error);
-    if (!error)
-        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        acceptor.bind(endpoint, error);
-    if (!error)
-        acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error) {
-        log_event(log_level::error, "listen_failed")
-            .with("address", address)
-            .with("port", port)
-            .with("error", error.message());
+    if (!open_acceptor(acceptor, address, port))
         return 0;
-    }
     state_->owner.spawn(state_->accept_loop());
     state_->owner.spawn(state_->sweep_loop());
     return acceptor.local_endpoint().port();
--- a/libs/net/src/url.cpp
+++ b/libs/net/src/url.cpp
@@ -8,6 +8,11 @@
 
 namespace barleyfork {
 
+std::string to_string(const http_endpoint& endpoint)
+{
+    return endpoint.host + ":" + std::to_string(endpoint.port);
+}
+
 failure parse_url(std::string_view text, http_endpoint& out)
 {
     const auto parsed = boost::urls::parse_uri(text);
