Load adapters on demand within their slabs

Cause: adapters were declared and counted but could not be asked for. Change: a caller names an adapter in place of a model; the request goes to the base model's replicas, by affinity to where the adapter was; the engine brings it into its slab. Admission refuses an adapter that a slab can't take. Conclusion: the bound on adapters in transit stays open (docs/DESIGN.md).

--- a/libs/core/include/barleyfork/core/catalog.hpp
+++ b/libs/core/include/barleyfork/core/catalog.hpp
@@ -41,10 +41,13 @@
     std::uint32_t priority = 1;
 };
 
-/// An adapter over a model; `id` is `organisation/name`.
+/// An adapter over a model; `id` is `organisation/name`. Callers name it in
+/// place of a model; the engine takes it into the slab reserved for adapters.
 struct adapter_entry
 {
     model_id id;
+    organisation_id owner;
+    std::string name;
     model_id base_model;
     std::uint32_t memory_mib = 0;
 };
@@ -106,6 +109,10 @@
     /// A model by its id, or null.
     const model_entry* find_model(const model_id& id) const;
 
+    /// An adapter by its owner and its name, or null.
+    const adapter_entry* find_adapter(const organisation_id& owner,
+                                      std::string_view name) const;
+
     /// The longest route of `owner` that is a prefix of `path`, or null.
     const route_entry* find_route(const organisation_id& owner,
                                   std::string_view path) const;
@@ -162,6 +169,7 @@
     std::unordered_map<std::string, std::size_t> organisation_of_key_;
     std::unordered_map<std::string, std::size_t> organisation_index_;
     std::unordered_map<std::string, std::size_t> model_index_;
+    std::unordered_map<std::string, std::size_t> adapter_index_;
     std::unordered_map<std::string, std::size_t> server_index_;
 };
 
--- a/libs/core/src/admission.cpp
+++ b/libs/core/src/admission.cpp
@@ -94,10 +94,29 @@
                             std::to_string(largest) + " MiB");
 }
 
+/// A replica may stand on any engine, so each slab must take each adapter.
+failure check_adapters(const catalog& next)
+{
+    for (const auto& adapter : next.adapters())
+        for (const auto& server : next.servers())
+            if (server.service.empty() &&
+                server.adapter_slab_mib < adapter.memory_mib)
+                return make_failure(
+                    errc::does_not_fit,
+                    "adapter " + adapter.id.value() + " needs " +
+                        std::to_string(adapter.memory_mib) +
+                        " MiB and the adapter_slab_mib of " +
+                        server.id.value() + " is " +
+                        std::to_string(server.adapter_slab_mib));
+    return {};
+}
+
 } // namespace
 
 failure check_admission(const catalog* current, const catalog& next)
 {
+    if (auto error = check_adapters(next))
+        return error;
     const auto floors = union_of_floors(current, next);
     auto rooms = rooms_of(next);
     std::uint64_t available = 0;
--- a/libs/core/src/catalog.cpp
+++ b/libs/core/src/catalog.cpp
@@ -138,9 +138,13 @@
             return invalid("adapter " + spec->name + ": its base_model " +
                            spec->base_model +
                            " is not declared; write organisation/name");
-        adapters_.push_back({make_model_id(base->owner, spec->name),
-                             base->id,
-                             spec->memory_mib});
+        const auto id = make_model_id(base->owner, spec->name);
+        if (find_model(id) != nullptr ||
+            !adapter_index_.emplace(id.value(), adapters_.size()).second)
+            return invalid("adapter " + id.value() +
+                           ": its name is taken; choose another");
+        adapters_.push_back(
+            {id, base->owner, spec->name, base->id, spec->memory_mib});
     }
     return {};
 }
@@ -203,6 +207,13 @@
     return found == model_index_.end() ? nullptr : &models_[found->second];
 }
 
+const adapter_entry* catalog::find_adapter(const organisation_id& owner,
+                                           std::string_view name) const
+{
+    const auto found = adapter_index_.find(make_model_id(owner, name).value());
+    return found == adapter_index_.end() ? nullptr : &adapters_[found->second];
+}
+
 const route_entry* catalog::find_route(const organisation_id& owner,
                                        std::string_view path) const
 {
--- a/libs/daemon/src/caller_front.cpp
+++ b/libs/daemon/src/caller_front.cpp
@@ -214,6 +214,12 @@
             list.push_back(json::object{{"id", model.name},
                                         {"object", "model"},
                                         {"owned_by", model.owner.value()}});
+    for (const auto& adapter : request.view->config->adapters())
+        if (adapter.owner == request.owner.id)
+            list.push_back(json::object{{"id", adapter.name},
+                                        {"object", "model"},
+                                        {"parent", adapter.base_model.value()},
+                                        {"owned_by", adapter.owner.value()}});
     const json::object body{{"object", "list"}, {"data", std::move(list)}};
     co_await out.send(json_answer(200, json::serialize(body)));
 }
--- a/libs/daemon/src/model_request.cpp
+++ b/libs/daemon/src/model_request.cpp
@@ -51,6 +51,17 @@
     return json::value_to<std::string>(*name);
 }
 
+void model_request::find_target(const std::string& name)
+{
+    const auto& config = *request_.view->config;
+    model_ = config.find_model(request_.owner.id, name);
+    if (model_ != nullptr)
+        return;
+    adapter_ = config.find_adapter(request_.owner.id, name);
+    if (adapter_ != nullptr)
+        model_ = config.find_model(adapter_->base_model);
+}
+
 /// Reads what routing needs: streaming, and the prompt's prefix under the
 /// organisation's own salt, so that no other organisation shares it.
 void model_request::read_body()
@@ -59,6 +70,11 @@
     const auto& object = value.as_object();
     const auto* stream = object.if_contains("stream");
     stream_ = stream != nullptr && stream->is_bool() && stream->as_bool();
+    if (adapter_ != nullptr) {
+        // Where the adapter was used before, its slab has it already.
+        affinity_key_ = hash64(adapter_->id.value());
+        return;
+    }
     const auto* prompt = object.if_contains("messages");
     if (prompt == nullptr)
         prompt = object.if_contains("prompt");
@@ -70,7 +86,7 @@
 
 asio::awaitable<void> model_request::run(const std::string& name)
 {
-    model_ = request_.view->config->find_model(request_.owner.id, name);
+    find_target(name);
     if (model_ == nullptr) {
         co_await front_.refuse(
             request_, out_, make_failure(errc::not_found, ""), 0.0);
@@ -247,6 +263,11 @@
         {"X-Request-Id", request_.request_id},
         {"X-Deadline-Ms", std::to_string((deadline_ - steady_now()).count())},
         {"traceparent", request_.trace.child().to_header()}};
+    if (adapter_ != nullptr) {
+        request.headers.emplace_back("X-Adapter", adapter_->id.value());
+        request.headers.emplace_back("X-Adapter-Mib",
+                                     std::to_string(adapter_->memory_mib));
+    }
     if (begun_ && stream_)
         request.headers.emplace_back("X-Resume-From",
                                      std::to_string(events_.events()));
--- a/libs/daemon/src/model_request.hpp
+++ b/libs/daemon/src/model_request.hpp
@@ -36,6 +36,7 @@
         bool caller_gone = false;
     };
 
+    void find_target(const std::string& name);
     void read_body();
     std::vector<serving_replica> current_replicas() const;
     boost::asio::awaitable<std::optional<std::size_t>> choose();
@@ -54,6 +55,8 @@
     caller_request& request_;
     http_responder& out_;
     const model_entry* model_ = nullptr;
+    /// Set where the caller named an adapter over the model.
+    const adapter_entry* adapter_ = nullptr;
     std::optional<request_progress> progress_;
     std::set<server_id> excluded_;
     server_id last_server_;
--- a/libs/scenario/src/cluster.cpp
+++ b/libs/scenario/src/cluster.cpp
@@ -36,6 +36,7 @@
         engine_standin_options engine;
         engine.name = "engine-" + std::to_string(i);
         engine.memory_mib = options.engine_memory_mib;
+        engine.adapter_slab_mib = options.adapter_slab_mib;
         engine.checks_fencing = i < options.ignoring_from;
         engine.load_ms = options.load_ms;
         engine.between_tokens_ms = options.between_tokens_ms;
@@ -223,11 +224,16 @@
             << "\nsource = \"weights/m" << i
             << "\"\nmin_replicas = " << options.min_replicas
             << "\nrequests_per_second_per_replica = 50.0\n";
+    for (std::size_t i = 0; i < options.adapters; ++i)
+        out << "[[adapters]]\nname = \"a" << i
+            << "\"\nbase_model = \"desk/m0\"\nmemory_mib = "
+            << options.adapter_mib << "\n";
     for (std::size_t i = 0; i < engine_ports_.size(); ++i)
         out << "[[backend_servers]]\nname = \"engine-" << i
             << "\"\nurl = \"http://127.0.0.1:" << engine_ports_[i]
             << "\"\nregion = \"" << region_of(i) << "\"\nfailure_domain = \""
             << domain_of(i) << "\"\nmemory_mib = " << options_.engine_memory_mib
+            << "\nadapter_slab_mib = " << options_.adapter_slab_mib
             << "\nchecks_fencing = "
             << (i < options_.ignoring_from ? "true" : "false") << "\n";
     for (std::size_t i = 0; i < service_ports_.size(); ++i)
--- a/libs/scenario/src/cluster.hpp
+++ b/libs/scenario/src/cluster.hpp
@@ -26,6 +26,7 @@
     /// Engines from this one on ignore fencing numbers.
     std::size_t ignoring_from = 1000;
     std::uint32_t engine_memory_mib = 40960;
+    std::uint32_t adapter_slab_mib = 512;
     std::int64_t load_ms = 30;
     std::int64_t between_tokens_ms = 5;
     std::uint32_t server_slots = 64;
@@ -40,6 +41,9 @@
     std::uint32_t memory_mib = 10240;
     std::uint32_t requests_per_second = 10000;
     std::uint32_t min_replicas = 1;
+    /// Adapters over the first model.
+    std::size_t adapters = 0;
+    std::uint32_t adapter_mib = 256;
     /// Makes two declarations differ.
     std::string note = "scenario";
 };
--- a/libs/scenario/src/runner.cpp
+++ b/libs/scenario/src/runner.cpp
@@ -128,6 +128,8 @@
     take("memory_mib", options.memory_mib);
     take("requests_per_second", options.requests_per_second);
     take("min_replicas", options.min_replicas);
+    take("adapter_mib", options.adapter_mib);
+    options.adapters = static_cast<std::size_t>(line.number("adapters", 0));
     options.note = line.text("note", options.note);
     return options;
 }
--- a/libs/standins/include/barleyfork/standins/engine_standin.hpp
+++ b/libs/standins/include/barleyfork/standins/engine_standin.hpp
@@ -14,6 +14,9 @@
 {
     std::string name;
     std::uint32_t memory_mib = 0;
+    /// Memory for adapters; the least recently used gives way.
+    std::uint32_t adapter_slab_mib = 0;
+    std::int64_t adapter_load_ms = 8;
     bool checks_fencing = true;
     std::int64_t load_ms = 50;
     std::int64_t first_token_ms = 10;
--- a/libs/standins/src/engine_standin.cpp
+++ b/libs/standins/src/engine_standin.cpp
@@ -7,6 +7,7 @@
 #include <boost/json.hpp>
 #include <map>
 #include <set>
+#include <vector>
 
 namespace barleyfork {
 
@@ -115,6 +116,7 @@
                 {"crashes", crashes},
                 {"peak_mib", peak_mib},
                 {"used_mib", used_mib()},
+                {"adapter_loads", adapter_loads},
                 {"orders", orders}};
     }
 
@@ -216,6 +218,12 @@
             co_await out.send(std::move(refusal));
             co_return;
         }
+        if (!co_await take_adapter(in)) {
+            auto refusal = answer_json("the adapter does not fit", 503);
+            refusal.headers.emplace_back("x-not-run", "true");
+            co_await out.send(std::move(refusal));
+            co_return;
+        }
         ++outstanding;
         ++ran;
         if (in.body.find("crash-engine") != std::string::npos) {
@@ -228,6 +236,38 @@
         --outstanding;
     }
 
+    /// Brings a request's adapter into the slab; false where it is too large.
+    asio::awaitable<bool> take_adapter(const http_incoming& in)
+    {
+        const std::string name(in.header("x-adapter"));
+        if (name.empty())
+            co_return true;
+        const auto size = static_cast<std::uint32_t>(
+            std::stoul(std::string(in.header("x-adapter-mib"))));
+        if (size > options.adapter_slab_mib)
+            co_return false;
+        const auto held = std::find_if(
+            adapters.begin(), adapters.end(), [&name](const auto& entry) {
+                return entry.first == name;
+            });
+        const bool present = held != adapters.end();
+        if (present)
+            adapters.erase(held);
+        adapters.emplace_back(name, size);
+        std::uint32_t total = 0;
+        for (const auto& [other, mib] : adapters)
+            total += mib;
+        while (total > options.adapter_slab_mib) {
+            total -= adapters.front().second;
+            adapters.erase(adapters.begin());
+        }
+        if (!present) {
+            ++adapter_loads;
+            co_await sleep_for_ms(options.adapter_load_ms);
+        }
+        co_return true;
+    }
+
     asio::awaitable<void> stream_tokens(const http_incoming& in,
                                         http_responder& out)
     {
@@ -312,6 +352,9 @@
     std::uint64_t cancelled = 0;
     std::uint64_t crashes = 0;
     std::uint64_t orders = 0;
+    std::uint64_t adapter_loads = 0;
+    /// The most recently used stands last.
+    std::vector<std::pair<std::string, std::uint32_t>> adapters;
     std::int64_t lose_orders = 0;
     std::int64_t late_order_ms = 0;
     std::int64_t silent = 0;
--- a/tools/standins/main.cpp
+++ b/tools/standins/main.cpp
@@ -19,6 +19,7 @@
 DEFINE_uint32(engine_port, 7200, "first port of the engines");
 DEFINE_uint32(engines, 3, "engines, named engine-0, engine-1, ...");
 DEFINE_uint32(engine_memory_mib, 81920, "accelerator memory of each engine");
+DEFINE_uint32(adapter_slab_mib, 8192, "memory for adapters of each engine");
 DEFINE_uint32(load_ms, 200, "time that a model load takes");
 DEFINE_uint32(first_token_ms, 20, "time to the first token");
 DEFINE_uint32(between_tokens_ms, 10, "time between tokens");
@@ -41,6 +42,7 @@
     barleyfork::engine_standin_options options;
     options.name = "engine-" + std::to_string(index);
     options.memory_mib = FLAGS_engine_memory_mib;
+    options.adapter_slab_mib = FLAGS_adapter_slab_mib;
     options.checks_fencing = FLAGS_checks_fencing;
     options.load_ms = FLAGS_load_ms;
     options.first_token_ms = FLAGS_first_token_ms;
