Write stream parts without a timer each

Cause: a profile at 10000 tokens/s showed arming and cancelling a timer for each written part, and two look-ups of the organisation's bucket for each token.

--- a/libs/daemon/src/model_request.cpp
+++ b/libs/daemon/src/model_request.cpp
@@ -371,12 +371,14 @@
     std::string joined;
     for (const auto& text : whole)
         joined += text;
-    if (events_.events() != before)
-        note_token(steady_now());
     const auto tokens = events_.events() - before;
-    front_.context_.measures.count_tokens(tokens);
-    front_.token_bucket_of(request_.owner, steady_now())
-        .take(static_cast<double>(tokens), steady_now());
+    if (tokens != 0) {
+        const auto now = steady_now();
+        note_token(now);
+        front_.context_.measures.count_tokens(tokens);
+        front_.token_bucket_of(request_.owner, now)
+            .take(static_cast<double>(tokens), now);
+    }
     if (joined.empty())
         co_return true;
     co_return co_await out_.write(joined);
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -103,16 +103,27 @@
         co_return !error;
     }
 
+    /// A timer for each part of a stream costs more than the part; the
+    /// server's sweep looks after writes that hang.
     asio::awaitable<bool> write(std::string_view bytes) override
     {
-        stream_.expires_after(write_timeout_);
+        writing_since_ = steady_now();
         auto [error, size] = co_await asio::async_write(
-            stream_,
+            stream_.socket(),
             http::make_chunk(asio::buffer(bytes.data(), bytes.size())),
             as_result);
+        writing_since_ = time_point{};
         co_return !error;
     }
 
+    /// Cuts the connection where a write has hung for too long.
+    void check_write(time_point now)
+    {
+        if (writing_since_ != time_point{} &&
+            now >= writing_since_ + write_timeout_)
+            abort();
+    }
+
     asio::awaitable<bool> finish() override
     {
         stream_.expires_after(write_timeout_);
@@ -151,6 +162,8 @@
     duration write_timeout_;
     bool keep_alive_;
     bool answered_ = false;
+    /// When the part being written was begun; zero while none is.
+    time_point writing_since_{};
 };
 
 } // namespace
@@ -229,9 +242,12 @@
     asio::awaitable<void> sweep_loop()
     {
         const auto self = shared_from_this();
-        while (!stopping) {
+        while (!stopping || active != 0) {
             co_await sleep_for_ms(sweep_interval_ms);
-            close_idle(steady_now() - limits.idle_timeout);
+            const auto now = steady_now();
+            close_idle(now - limits.idle_timeout);
+            for (auto* responder : responders)
+                responder->check_write(now);
         }
     }
 
@@ -259,6 +275,7 @@
         const auto incoming = to_incoming(parser.release());
         stream.expires_never();
         ++active;
+        responders.insert(&responder);
         try {
             co_await handler(incoming, responder);
         }
@@ -268,6 +285,7 @@
                 .with("error", caught.what());
             responder.abort();
         }
+        responders.erase(&responder);
         --active;
         co_return responder.answered() && keep_alive;
     }
@@ -333,6 +351,7 @@
     std::size_t active = 0;
     std::set<beast::tcp_stream*> open;
     std::map<beast::tcp_stream*, time_point> idle_since;
+    std::set<connection_responder*> responders;
 };
 
 std::string_view http_incoming::header(std::string_view name) const
