Keep models reachable while cells are regrouped

Change: the cell map is a function of the declaration: a model goes to the first cell in its own order with room for its floor; admission packs cell by cell; a model stays in another cell until its own serves it. Inputs of a cell are a module of their own. Conclusion: several cells are safe to turn on; a model can't outgrow one yet.

--- /dev/null
+++ b/libs/core/include/barleyfork/core/cell_map.hpp
@@ -0,0 +1,40 @@
+#ifndef BARLEYFORK_CORE_CELL_MAP_HPP
+#define BARLEYFORK_CORE_CELL_MAP_HPP
+
+#include <barleyfork/base/strong_id.hpp>
+#include <barleyfork/core/catalog.hpp>
+
+#include <cstddef>
+#include <unordered_map>
+
+namespace barleyfork {
+
+/// Which cell of backend servers a server or a model belongs to.
+///
+/// A function of the declaration alone, so that every daemon agrees. Servers
+/// are spread by a hash. A model goes to the first cell, in an order of its
+/// own, that has room for its floor; so a change of one model moves few
+/// others, and no model goes to a cell without servers.
+class cell_map
+{
+public:
+    cell_map() = default;
+    explicit cell_map(const catalog& declaration);
+
+    /// Cells in use; 0 before the first declaration.
+    std::size_t size() const noexcept
+    {
+        return cells_;
+    }
+
+    std::size_t cell_of(const server_id& server) const;
+    std::size_t cell_of(const model_id& model) const;
+
+private:
+    std::size_t cells_ = 0;
+    std::unordered_map<model_id, std::size_t> models_;
+};
+
+} // namespace barleyfork
+
+#endif
--- a/libs/core/src/admission.cpp
+++ b/libs/core/src/admission.cpp
@@ -1,5 +1,7 @@
 #include <barleyfork/core/admission.hpp>
 
+#include <barleyfork/core/cell_map.hpp>
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -13,10 +15,13 @@
 {
     const model_entry* model = nullptr;
     std::uint32_t replicas = 0;
+    /// The map of the declaration that the floor belongs to.
+    const cell_map* cells = nullptr;
 };
 
 struct server_room
 {
+    server_id server;
     std::uint64_t free_mib = 0;
 };
 
@@ -27,15 +32,17 @@
 }
 
 std::vector<floor_entry> union_of_floors(const catalog* current,
-                                         const catalog& next)
+                                         const cell_map& current_cells,
+                                         const catalog& next,
+                                         const cell_map& next_cells)
 {
     std::vector<floor_entry> floors;
     for (const auto& model : next.models())
-        floors.push_back({&model, model.min_replicas});
+        floors.push_back({&model, model.min_replicas, &next_cells});
     if (current != nullptr)
         for (const auto& model : current->models())
             if (!stands_in(next, model))
-                floors.push_back({&model, model.min_replicas});
+                floors.push_back({&model, model.min_replicas, &current_cells});
     std::stable_sort(
         floors.begin(), floors.end(), [](const auto& a, const auto& b) {
             return a.model->memory_mib > b.model->memory_mib;
@@ -48,17 +55,19 @@
     std::vector<server_room> rooms;
     for (const auto& server : next.servers())
         if (server.service.empty())
-            rooms.push_back({server.model_memory_mib});
+            rooms.push_back({server.id, server.model_memory_mib});
     return rooms;
 }
 
-/// Places one model on as many of the emptiest servers as it needs.
+/// Places one model on as many of its cell's emptiest servers as it needs.
 bool place(const floor_entry& floor, std::vector<server_room>& rooms)
 {
     std::vector<server_room*> order;
     order.reserve(rooms.size());
+    const auto cell = floor.cells->cell_of(floor.model->id);
     for (auto& room : rooms)
-        order.push_back(&room);
+        if (floor.cells->cell_of(room.server) == cell)
+            order.push_back(&room);
     std::stable_sort(order.begin(), order.end(), [](auto* a, auto* b) {
         return a->free_mib > b->free_mib;
     });
@@ -117,7 +126,11 @@
 {
     if (auto error = check_adapters(next))
         return error;
-    const auto floors = union_of_floors(current, next);
+    const cell_map next_cells(next);
+    const auto current_cells =
+        current != nullptr ? cell_map(*current) : cell_map();
+    const auto floors =
+        union_of_floors(current, current_cells, next, next_cells);
     auto rooms = rooms_of(next);
     std::uint64_t available = 0;
     for (const auto& room : rooms)
--- a/libs/core/tests/admission_test.cpp
+++ b/libs/core/tests/admission_test.cpp
@@ -1,6 +1,9 @@
 #include <barleyfork/core/admission.hpp>
+#include <barleyfork/core/cell_map.hpp>
 #include <barleyfork/testing/property.hpp>
 
+#include <map>
+
 namespace barleyfork::testing {
 
 namespace {
@@ -39,6 +42,7 @@
     CPPUNIT_TEST(what_fits_is_admitted);
     CPPUNIT_TEST(what_does_not_fit_is_refused_with_the_sum);
     CPPUNIT_TEST(the_transition_is_counted);
+    CPPUNIT_TEST(every_model_has_a_cell_with_room);
     CPPUNIT_TEST(references_are_checked);
     CPPUNIT_TEST_SUITE_END();
 
@@ -67,6 +71,45 @@
         CPPUNIT_ASSERT(!check_admission(small.get(), *make_catalog(4, 2)));
     }
 
+    /// However servers fall into cells, a model goes where there is room.
+    void every_model_has_a_cell_with_room()
+    {
+        check_property("cells", 200, [] {
+            schema::deployment_record record;
+            record.name = "d";
+            record.policy = std::make_unique<schema::policy_spec_record>();
+            record.policy->cell_servers = 2;
+            auto owner = std::make_unique<schema::organisation_spec_record>();
+            owner->name = "o";
+            record.organisations.push_back(std::move(owner));
+            const auto servers = *rc::gen::inRange(1, 12);
+            const auto seed = *rc::gen::inRange(0, 1000);
+            for (int i = 0; i < servers; ++i) {
+                auto server = std::make_unique<schema::server_spec_record>();
+                server->name = std::to_string(seed + i);
+                server->memory_mib = 40;
+                record.backend_servers.push_back(std::move(server));
+            }
+            for (int i = 0; i < 2 * servers; ++i) {
+                auto model = std::make_unique<schema::model_spec_record>();
+                model->name = "m" + std::to_string(i);
+                model->owner = "o";
+                model->memory_mib = 10;
+                record.models.push_back(std::move(model));
+            }
+            std::shared_ptr<const catalog> built;
+            RC_ASSERT(!catalog::build(record, built));
+            const cell_map cells(*built);
+            std::map<std::size_t, int> free_mib;
+            for (const auto& server : built->servers())
+                free_mib[cells.cell_of(server.id)] += 40;
+            for (const auto& model : built->models())
+                free_mib[cells.cell_of(model.id)] -= 10;
+            for (const auto& [cell, left] : free_mib)
+                RC_ASSERT(left >= 0);
+        });
+    }
+
     void references_are_checked()
     {
         schema::deployment_record record;
--- a/libs/daemon/src/placement_duty.cpp
+++ b/libs/daemon/src/placement_duty.cpp
@@ -36,38 +36,6 @@
     return {term, term / margin_divisor, term / renewal_divisor};
 }
 
-planner_replica to_replica(const ledger_row& row, const resident_model& held)
-{
-    planner_replica replica;
-    replica.model = held.model;
-    replica.version = held.version;
-    replica.memory_mib = held.memory_mib;
-    replica.ready = is_ready(row, held.model, held.version);
-    replica.changing = has_order(row, held.model, held.version);
-    replica.unloading = is_unloading(row, held.model, held.version);
-    return replica;
-}
-
-planner_replica to_replica(const engine_order& order, bool changing)
-{
-    planner_replica replica;
-    replica.model = order.model;
-    replica.version = order.version;
-    replica.memory_mib = order.memory_mib;
-    replica.changing = changing;
-    return replica;
-}
-
-bool holds(const ledger_row& row, const engine_order& order)
-{
-    return std::any_of(row.residents.begin(),
-                       row.residents.end(),
-                       [&order](const resident_model& held) {
-                           return held.model == order.model &&
-                                  held.version == order.version;
-                       });
-}
-
 } // namespace
 
 placement_duty::placement_duty(daemon_context& context,
@@ -83,11 +51,9 @@
 void placement_duty::set_catalog(std::shared_ptr<const catalog> config)
 {
     config_ = std::move(config);
-    std::size_t engines = 0;
-    for (const auto& server : config_->servers())
-        engines += server.service.empty() ? 1 : 0;
-    const std::size_t size = config_->policy().cell_servers;
-    const auto wanted = std::max<std::size_t>(1, (engines + size - 1) / size);
+    const auto before = map_.size();
+    map_ = cell_map(*config_);
+    const auto wanted = map_.size();
     const auto& settings = *context_.settings.controller;
     while (cells_.size() < wanted)
         cells_.push_back(
@@ -95,8 +61,7 @@
     load_rate_.set_rate(config_->policy().loads_per_second /
                             static_cast<double>(wanted),
                         steady_now());
-    const bool regrouped = wanted != cell_count_;
-    cell_count_ = wanted;
+    const bool regrouped = wanted != before;
     for (auto& entry : cells_) {
         entry->stale = true;
         if (regrouped)
@@ -129,9 +94,9 @@
 void placement_duty::on_report(const server_id& server,
                                const engine_status& status)
 {
-    if (cell_count_ == 0)
+    if (map_.size() == 0)
         return;
-    auto& owner = *cells_[cell_of(server)];
+    auto& owner = *cells_[map_.cell_of(server)];
     if (owner.controller)
         owner.controller->on_report(server, status.report);
 }
@@ -158,7 +123,7 @@
     if (!config_ || !table_known_ || releasing_)
         return;
     estimate_demand(now);
-    for (std::size_t i = 0; i < cell_count_; ++i) {
+    for (std::size_t i = 0; i < map_.size(); ++i) {
         tick_lease(i, now);
         tick_controller(i, now);
     }
@@ -171,7 +136,7 @@
         return held;
     for (const auto& server : config_->servers())
         if (server.service.empty() &&
-            cells_[cell_of(server.id)]->holding.held(now))
+            cells_[map_.cell_of(server.id)]->holding.held(now))
             held.push_back(server.id);
     return held;
 }
@@ -190,11 +155,6 @@
     return found == estimators_.end() ? 0.0 : found->second.fast();
 }
 
-std::size_t placement_duty::cell_of(const server_id& server) const
-{
-    return hash64(server.value()) % cell_count_;
-}
-
 /// Rendezvous hashing over the live members says who tries first, so that
 /// leases spread and few move when the members change.
 bool placement_duty::is_candidate(std::size_t index) const
@@ -312,7 +272,7 @@
                 id, declared->model_memory_mib, declared->checks_fencing);
     }
     for (const auto& server : config_->servers()) {
-        if (!server.service.empty() || cell_of(server.id) != index ||
+        if (!server.service.empty() || map_.cell_of(server.id) != index ||
             controller.written_row(server.id) != nullptr)
             continue;
         ledger_row row;
@@ -367,55 +327,19 @@
 
 planner_input placement_duty::make_input(std::size_t index, time_point now)
 {
-    planner_input input;
-    auto& controller = *cells_[index]->controller;
-    std::uint32_t loading = 0;
-    for (const auto& id : controller.servers()) {
-        const auto* row = controller.written_row(id);
-        const auto* declared = config_->find_server(id);
-        if (declared == nullptr)
-            continue;
-        planner_server server;
-        server.id = id;
-        server.failure_domain = declared->failure_domain;
-        server.memory_mib = row->capacity_mib;
-        server.committed_mib = committed_mib(*row);
-        server.usable = row->boot != 0 && !reports_.leaving(id) &&
-                        reports_.fresh(id, now) != nullptr;
-        for (const auto& held : row->residents)
-            server.replicas.push_back(to_replica(*row, held));
-        for (const auto& order : row->orders) {
-            if (order.kind != order_kind::load || holds(*row, order))
-                continue;
-            const bool unanswered = controller.is_unanswered(id, order);
-            server.replicas.push_back(to_replica(order, !unanswered));
-            loading += unanswered ? 0 : 1;
-        }
-        input.servers.push_back(std::move(server));
-    }
-    for (const auto& model : config_->models()) {
-        if (cell_count_ > 1 && hash64(model.id.value()) % cell_count_ != index)
-            continue;
-        planner_model wanted;
-        wanted.id = model.id;
-        wanted.version = model.version;
-        wanted.memory_mib = model.memory_mib;
-        wanted.min_replicas = model.min_replicas;
-        wanted.max_replicas = model.max_replicas;
-        const auto found = estimators_.find(model.id);
-        if (found != estimators_.end()) {
-            wanted.demand = found->second.fast();
-            wanted.peak_demand = found->second.peak();
-        }
-        input.models.push_back(std::move(wanted));
-    }
+    auto made = make_cell_input(
+        {*config_, *cells_[index]->controller, reports_, rows_, estimators_},
+        map_,
+        index,
+        now);
     const auto at_once = config_->policy().loads_at_once;
-    input.options.move_price = config_->policy().move_price;
-    input.options.horizon_seconds = seconds_of_shortfall;
-    input.options.load_budget = at_once > loading ? at_once - loading : 0;
+    auto& options = made.input.options;
+    options.move_price = config_->policy().move_price;
+    options.horizon_seconds = seconds_of_shortfall;
+    options.load_budget = at_once > made.loading ? at_once - made.loading : 0;
     if (load_rate_.wait_for(1.0, now) > duration{0})
-        input.options.load_budget = 0;
-    return input;
+        options.load_budget = 0;
+    return std::move(made.input);
 }
 
 void placement_duty::execute(std::size_t index, time_point now)
--- a/libs/daemon/src/placement_duty.hpp
+++ b/libs/daemon/src/placement_duty.hpp
@@ -2,6 +2,7 @@
 #define BARLEYFORK_DAEMON_SRC_PLACEMENT_DUTY_HPP
 
 #include "backend_client.hpp"
+#include "cell_input.hpp"
 #include "daemon_context.hpp"
 #include "server_reports.hpp"
 #include "table_duty.hpp"
@@ -100,7 +101,6 @@
         time_point at{};
     };
 
-    std::size_t cell_of(const server_id& server) const;
     bool is_candidate(std::size_t index) const;
     void tick_lease(std::size_t index, time_point now);
     void tick_controller(std::size_t index, time_point now);
@@ -128,7 +128,7 @@
     bool releasing_ = false;
     std::vector<std::unique_ptr<cell>> cells_;
     /// Cells in use; those beyond it are left to lapse.
-    std::size_t cell_count_ = 0;
+    cell_map map_;
     /// Orders that were handed to a connection and have no answer.
     std::set<order_id> sent_;
     std::map<server_id, ledger_row> rows_;
--- a/libs/scenario/src/cluster.cpp
+++ b/libs/scenario/src/cluster.cpp
@@ -211,7 +211,7 @@
     std::ostringstream out;
     out << "name = \"" << options.note << "\"\n"
         << "[policy]\nmove_price = 1.0\nloads_per_second = 100.0\n"
-        << "loads_at_once = 8\n";
+        << "loads_at_once = 8\ncell_servers = " << options.cell_servers << "\n";
     for (const auto* name : {"desk", "crews"})
         out << "[[organisations]]\nname = \"" << name << "\"\nkey_digests = [\""
             << content_digest(std::string("key-of-") + name)
@@ -223,6 +223,7 @@
             << "\nmemory_mib = " << options.memory_mib
             << "\nsource = \"weights/m" << i
             << "\"\nmin_replicas = " << options.min_replicas
+            << "\nmax_replicas = " << options.max_replicas
             << "\nrequests_per_second_per_replica = 50.0\n";
     for (std::size_t i = 0; i < options.adapters; ++i)
         out << "[[adapters]]\nname = \"a" << i
--- a/libs/scenario/src/cluster.hpp
+++ b/libs/scenario/src/cluster.hpp
@@ -41,6 +41,8 @@
     std::uint32_t memory_mib = 10240;
     std::uint32_t requests_per_second = 10000;
     std::uint32_t min_replicas = 1;
+    std::uint32_t max_replicas = 64;
+    std::uint32_t cell_servers = 50;
     /// Adapters over the first model.
     std::size_t adapters = 0;
     std::uint32_t adapter_mib = 256;
--- a/libs/scenario/src/runner.cpp
+++ b/libs/scenario/src/runner.cpp
@@ -41,6 +41,7 @@
         {"await", &runner::await},
         {"stream", &runner::stream},
         {"complete", &runner::complete},
+        {"repeat", &runner::repeat},
         {"book", &runner::book},
         {"await_parts", &runner::await_parts},
         {"leave", &runner::leave},
@@ -129,6 +130,8 @@
     take("requests_per_second", options.requests_per_second);
     take("min_replicas", options.min_replicas);
     take("adapter_mib", options.adapter_mib);
+    take("cell_servers", options.cell_servers);
+    take("max_replicas", options.max_replicas);
     options.adapters = static_cast<std::size_t>(line.number("adapters", 0));
     options.note = line.text("note", options.note);
     return options;
@@ -268,6 +271,22 @@
     callers_[line.subject()] = std::make_unique<caller>(std::move(call));
 }
 
+/// Asks each model in turn, `times` over; every answer must be whole.
+void runner::repeat(const statement& line)
+{
+    for (std::int64_t i = 0; i < line.number("times", 1); ++i) {
+        for (std::int64_t m = 0; m < line.number("models", 1); ++m) {
+            auto one = line;
+            one.arguments.push_back({"model", "m" + std::to_string(m)});
+            call_model(one, true);
+            const auto& answer = callers_.at(line.subject())->wait();
+            require(answer.whole && answer.status == 200,
+                    line,
+                    "m" + std::to_string(m) + " " + answer.body);
+        }
+    }
+}
+
 void runner::book(const statement& line)
 {
     caller_call call;
--- a/libs/scenario/src/runner.hpp
+++ b/libs/scenario/src/runner.hpp
@@ -39,6 +39,7 @@
     void await(const statement& line);
     void stream(const statement& line);
     void complete(const statement& line);
+    void repeat(const statement& line);
     void book(const statement& line);
     void await_parts(const statement& line);
     void leave(const statement& line);
