Give engines the span that is recorded

Cause: the demonstration now prints a trace; reading it showed that a try's span and the traceparent sent to the engine had different ids. Change: one span for each try, recorded and passed on; the demonstration runs trace, get, history, explain and a dry run; unused arguments are gone. Conclusion: a tree of a trace reads from caller to engine.

--- a/build.sh
+++ b/build.sh
@@ -6,6 +6,7 @@
 
 build_dir=${BUILD_DIR:-build}
 run_dir=run
+trace_id=4bf92f3577b34da6a3ce929d0e0e4736
 
 install_packages() {
     local missing
@@ -52,7 +53,8 @@
 
 stream() {
     curl -sfN "http://127.0.0.1:7300/v1/chat/completions" \
-        -H "Authorization: Bearer key-of-outage-desk" -d \
+        -H "Authorization: Bearer key-of-outage-desk" \
+        -H "traceparent: 00-$trace_id-00f067aa0ba902b7-01" -d \
         '{"model":"drafter-0","stream":true,"max_tokens":5,
           "messages":[{"role":"user","content":"when?"}]}' \
         > "$run_dir/stream.txt" && grep -q 'data: \[DONE\]' "$run_dir/stream.txt"
@@ -90,6 +92,15 @@
     [ "$first" = "$second" ] || { echo "demo: booked twice" >&2; exit 1; }
     curl -s http://127.0.0.1:7150/counters | grep -q '"booked":1'
     "${tool[@]}" status
+    echo "--- the stream's trace"
+    "${tool[@]}" --address 127.0.0.1:7310 trace "$trace_id" |
+        tee "$run_dir/trace.txt"
+    grep -q '^  attempt' "$run_dir/trace.txt"
+    for command in get history "explain outage-desk/drafter-0"; do
+        # shellcheck disable=SC2086
+        "${tool[@]}" $command >/dev/null
+    done
+    "${tool[@]}" --dry_run apply samples/demo/demo.toml >/dev/null
     for pid in "${started[@]:1}"; do kill -TERM "$pid"; done
     for pid in "${started[@]:1}"; do wait "$pid"; done
     kill -TERM "${started[0]}"
--- a/libs/core/include/barleyfork/core/configuration_state.hpp
+++ b/libs/core/include/barleyfork/core/configuration_state.hpp
@@ -51,8 +51,7 @@
 
     /// Takes in a body; unknown digests are ignored.
     void add_body(const std::string& digest,
-                  std::shared_ptr<const catalog> body,
-                  time_point now);
+                  std::shared_ptr<const catalog> body);
 
     /// What this daemon passes on to peers.
     const configuration_head& known() const noexcept
@@ -84,7 +83,7 @@
     bool undecided(time_point now, duration bound) const noexcept;
 
 private:
-    void promote(time_point now);
+    void promote();
     std::shared_ptr<const catalog> find_body(const std::string& digest) const;
 
     configuration_head known_;
--- a/libs/core/src/configuration_state.cpp
+++ b/libs/core/src/configuration_state.cpp
@@ -40,7 +40,7 @@
     known_ = merged;
     if (new_stage)
         staged_since_ = now;
-    promote(now);
+    promote();
     return true;
 }
 
@@ -55,14 +55,13 @@
 }
 
 void configuration_state::add_body(const std::string& digest,
-                                   std::shared_ptr<const catalog> body,
-                                   time_point now)
+                                   std::shared_ptr<const catalog> body)
 {
     const auto missing = missing_bodies();
     if (std::find(missing.begin(), missing.end(), digest) == missing.end())
         return;
     bodies_.emplace_back(digest, std::move(body));
-    promote(now);
+    promote();
 }
 
 std::uint64_t configuration_state::staged_revision() const noexcept
@@ -84,7 +83,7 @@
     return staged_revision() != 0 && now >= staged_since_ + bound;
 }
 
-void configuration_state::promote(time_point)
+void configuration_state::promote()
 {
     if (known_.revision > revision_in_force_) {
         if (auto body = find_body(known_.digest)) {
--- a/libs/core/tests/configuration_property_test.cpp
+++ b/libs/core/tests/configuration_property_test.cpp
@@ -80,7 +80,7 @@
             break;
         case configuration_action::fetch_body:
             for (const auto& digest : daemon.missing_bodies())
-                daemon.add_body(digest, body_, now_);
+                daemon.add_body(digest, body_);
             break;
         case configuration_action::cut:
             cut_[who] = true;
@@ -149,7 +149,7 @@
                 continue;
             daemon.learn(daemons_[who].known(), now_);
             for (const auto& digest : daemon.missing_bodies())
-                daemon.add_body(digest, body_, now_);
+                daemon.add_body(digest, body_);
             if (daemon.staged_revision() != 0)
                 confirmed_[daemon.staged_revision()].insert(i);
         }
@@ -195,7 +195,7 @@
         daemons_[who] = configuration_state();
         daemons_[who].learn(head_, now_);
         for (const auto& digest : daemons_[who].missing_bodies())
-            daemons_[who].add_body(digest, body_, now_);
+            daemons_[who].add_body(digest, body_);
         revisions_[who] = 0;
         coordinating_[who].reset();
     }
--- a/libs/daemon/src/configuration_duty.cpp
+++ b/libs/daemon/src/configuration_duty.cpp
@@ -173,7 +173,7 @@
         return;
     }
     const auto now = steady_now();
-    state_.add_body(digest, std::move(body), now);
+    state_.add_body(digest, std::move(body));
     bodies_[digest] = bytes;
     std::erase_if(bodies_, [this](const auto& entry) {
         return entry.first != state_.known().digest &&
--- a/libs/daemon/src/model_request.cpp
+++ b/libs/daemon/src/model_request.cpp
@@ -262,7 +262,7 @@
         {"X-Cache-Salt", content_digest(request_.owner.id.value())},
         {"X-Request-Id", request_.request_id},
         {"X-Deadline-Ms", std::to_string((deadline_ - steady_now()).count())},
-        {"traceparent", request_.trace.child().to_header()}};
+        {"traceparent", attempt_trace_.to_header()}};
     if (adapter_ != nullptr) {
         request.headers.emplace_back("X-Adapter", adapter_->id.value());
         request.headers.emplace_back("X-Adapter-Mib",
@@ -284,6 +284,7 @@
     const auto begin = steady_now();
     attempt_result result;
     last_server_ = id;
+    attempt_trace_ = request_.trace.child();
     events_.drop_partial();
     whole_body_.clear();
     const auto work = front_.start_exchange(make_request(server));
@@ -326,11 +327,8 @@
     const std::string note = "server=" + id.value() + " end=" +
                              std::to_string(static_cast<int>(result.end)) +
                              " request=" + request_.request_id;
-    front_.context_.traces.record({request_.trace.child(),
-                                   "attempt",
-                                   started,
-                                   (now - begin).count(),
-                                   note});
+    front_.context_.traces.record(
+        {attempt_trace_, "attempt", started, (now - begin).count(), note});
     co_return result;
 }
 
--- a/libs/daemon/src/model_request.hpp
+++ b/libs/daemon/src/model_request.hpp
@@ -60,6 +60,8 @@
     std::optional<request_progress> progress_;
     std::set<server_id> excluded_;
     server_id last_server_;
+    /// The span of the try that is running; engines see it as their parent.
+    trace_context attempt_trace_;
     std::uint32_t version_ = 0;
     std::uint64_t affinity_key_ = 0;
     bool stream_ = false;
--- a/libs/daemon/src/service_request.cpp
+++ b/libs/daemon/src/service_request.cpp
@@ -263,6 +263,7 @@
     const auto& incoming = *request_.incoming;
     const auto started = wall_clock_ms();
     const auto begin = steady_now();
+    const auto span = request_.trace.child();
     exchange_request request;
     request.endpoint = server.endpoint;
     request.method = incoming.method;
@@ -278,7 +279,7 @@
         {"Content-Type", std::string(incoming.header("content-type"))},
         {"X-Organisation", request_.owner.id.value()},
         {"X-Request-Id", request_.request_id},
-        {"traceparent", request_.trace.child().to_header()}};
+        {"traceparent", span.to_header()}};
     const std::string key(incoming.header("idempotency-key"));
     if (!key.empty())
         request.headers.emplace_back("Idempotency-Key", key);
@@ -317,7 +318,7 @@
         result.end == attempt_end::lost_before_answer)
         front_.loads_.suspect(id, now + suspicion);
     front_.context_.traces.record(
-        {request_.trace.child(),
+        {span,
          "attempt",
          started,
          (now - begin).count(),
