Keep bearer digests and the staging time in one place

Cause: reading the whole change again: callers and operators took the bearer key apart each for themselves, and configuration_duty kept the time of staging that configuration_state keeps already. Change: http_incoming::bearer_digest and configuration_state::staged_since serve both; an unused include is gone.

--- a/libs/core/include/barleyfork/core/configuration_state.hpp
+++ b/libs/core/include/barleyfork/core/configuration_state.hpp
@@ -74,6 +74,12 @@
     /// The number staged here with its body, or 0.
     std::uint64_t staged_revision() const noexcept;
 
+    /// When the number that is staged was first heard of.
+    time_point staged_since() const noexcept
+    {
+        return staged_since_;
+    }
+
     /// The staged catalog, or null.
     std::shared_ptr<const catalog> staged() const;
 
--- a/libs/core/src/admission.cpp
+++ b/libs/core/src/admission.cpp
@@ -3,7 +3,6 @@
 #include <barleyfork/core/cell_map.hpp>
 
 #include <algorithm>
-#include <set>
 #include <utility>
 #include <vector>
 
--- a/libs/daemon/src/caller_front.cpp
+++ b/libs/daemon/src/caller_front.cpp
@@ -20,21 +20,12 @@
 namespace {
 
 constexpr duration quarantine_memory{24 * 3600 * 1000};
-constexpr std::string_view bearer = "Bearer ";
 constexpr double milliseconds_per_second = 1000.0;
 
 constexpr std::array<unsigned, 22> statuses{
     200, 400, 404, 429, 503, 503, 502, 422, 503, 409, 409,
     409, 503, 502, 504, 413, 403, 409, 422, 502, 409, 503};
 
-std::string key_digest_of(const http_incoming& incoming)
-{
-    const auto header = incoming.header("authorization");
-    if (!header.starts_with(bearer))
-        return {};
-    return content_digest(header.substr(bearer.size()));
-}
-
 bool is_model_call(const http_incoming& incoming)
 {
     return incoming.method == "POST" &&
@@ -168,7 +159,7 @@
         co_await refuse(request, out, make_failure(errc::draining, ""), 1.0);
         co_return;
     }
-    const auto key = key_digest_of(incoming);
+    const auto key = incoming.bearer_digest();
     const auto* owner = request.view->config == nullptr
                             ? nullptr
                             : request.view->config->organisation_by_key(key);
--- a/libs/daemon/src/configuration_duty.cpp
+++ b/libs/daemon/src/configuration_duty.cpp
@@ -38,10 +38,6 @@
         return;
     if (!state_.known().coordinator.empty())
         last_coordinator_ = state_.known().coordinator;
-    if (state_.known().staged_revision != seen_staged_) {
-        seen_staged_ = state_.known().staged_revision;
-        staged_at_ = now;
-    }
     members_.set_configuration(to_digest(state_.known()));
     for (auto& push : members_.push())
         send_(push.to, std::move(push.message));
@@ -100,7 +96,8 @@
 {
     const duration bound(context_.settings.controller->stage_timeout_ms *
                          overdue_factor);
-    return state_.known().staged_revision != 0 && now >= staged_at_ + bound;
+    return state_.known().staged_revision != 0 &&
+           now >= state_.staged_since() + bound;
 }
 
 void configuration_duty::fetch_bodies(time_point now)
--- a/libs/daemon/src/configuration_duty.hpp
+++ b/libs/daemon/src/configuration_duty.hpp
@@ -90,8 +90,6 @@
     std::set<std::string> fetching_;
     std::map<instance_id, confirmed_revision> confirmations_;
     std::string last_coordinator_;
-    std::uint64_t seen_staged_ = 0;
-    time_point staged_at_{};
     time_point confirm_until_{};
     time_point next_confirm_{};
     time_point next_fetch_{};
--- a/libs/daemon/src/operator_front.cpp
+++ b/libs/daemon/src/operator_front.cpp
@@ -19,8 +19,6 @@
 
 namespace {
 
-constexpr std::string_view bearer = "Bearer ";
-
 http_outgoing answer_text(std::string body)
 {
     http_outgoing answer;
@@ -66,11 +64,8 @@
         {"POST", "/v1/drain", &operator_front::drain},
         {"GET", "/v1/trace", &operator_front::trace},
     }};
-    const auto header = incoming.header("authorization");
-    const bool has_key = header.starts_with(bearer);
-    const auto digest =
-        has_key ? content_digest(header.substr(bearer.size())) : "";
-    if (!equal_in_constant_time(digest, context_.settings.operator_key_digest))
+    if (!equal_in_constant_time(incoming.bearer_digest(),
+                                context_.settings.operator_key_digest))
     {
         log_event(log_level::warn, "operator_refused")
             .with("path", incoming.path);
--- a/libs/net/include/barleyfork/net/http_server.hpp
+++ b/libs/net/include/barleyfork/net/http_server.hpp
@@ -43,6 +43,9 @@
 
     /// A header's value, or nothing.
     std::string_view header(std::string_view name) const;
+
+    /// The digest of the bearer key, or empty where there is none.
+    std::string bearer_digest() const;
 };
 
 /// A small answer that is sent whole.
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -1,5 +1,6 @@
 #include <barleyfork/net/http_server.hpp>
 
+#include <barleyfork/base/digest.hpp>
 #include <barleyfork/base/log.hpp>
 #include <barleyfork/net/sockets.hpp>
 
@@ -360,6 +361,15 @@
     return found == headers.end() ? std::string_view() : found->second;
 }
 
+std::string http_incoming::bearer_digest() const
+{
+    constexpr std::string_view bearer = "Bearer ";
+    const auto value = header("authorization");
+    if (!value.starts_with(bearer))
+        return {};
+    return content_digest(value.substr(bearer.size()));
+}
+
 http_server::http_server(duty& owner, http_limits limits, http_handler handler)
     : state_(std::make_shared<state>(owner, limits, std::move(handler)))
 {
