Parse a completion call's body once

Cause: reading the whole change again: each call's JSON was parsed twice, once for the model's name and once for streaming and prompt. Change: the request keeps the parsed body until it is routed, then drops it.

--- a/libs/daemon/src/caller_front.cpp
+++ b/libs/daemon/src/caller_front.cpp
@@ -174,9 +174,10 @@
         co_await list_models(request, out);
         co_return;
     }
-    std::string model_name;
+    std::optional<model_request> call;
     if (is_model_call(incoming))
-        model_name = model_request::model_name(incoming);
+        call.emplace(*this, request, out);
+    const auto model_name = call ? call->model_name() : std::string();
     if (is_undecided(request, key, model_name)) {
         co_await refuse(request, out, make_failure(errc::undecided, ""), 2.0);
         co_return;
@@ -186,9 +187,8 @@
         co_await refuse(request, out, std::move(error), wait_seconds);
         co_return;
     }
-    if (is_model_call(incoming)) {
-        model_request work(*this, request, out);
-        co_await work.run(model_name);
+    if (call) {
+        co_await call->run();
     }
     else {
         service_request work(*this, request, out);
--- a/libs/daemon/src/model_request.cpp
+++ b/libs/daemon/src/model_request.cpp
@@ -35,14 +35,14 @@
 model_request::model_request(caller_front& front,
                              caller_request& request,
                              http_responder& out)
-    : front_(front), request_(request), out_(out)
+    : front_(front), request_(request), out_(out),
+      body_(parse_body(request.incoming->body))
 {
 }
 
-std::string model_request::model_name(const http_incoming& incoming)
+std::string model_request::model_name() const
 {
-    const auto value = parse_body(incoming.body);
-    const auto* object = value.if_object();
+    const auto* object = body_.if_object();
     if (object == nullptr)
         return {};
     const auto* name = object->if_contains("model");
@@ -66,8 +66,7 @@
 /// organisation's own salt, so that no other organisation shares it.
 void model_request::read_body()
 {
-    const auto value = parse_body(request_.incoming->body);
-    const auto& object = value.as_object();
+    const auto& object = body_.as_object();
     const auto* stream = object.if_contains("stream");
     stream_ = stream != nullptr && stream->is_bool() && stream->as_bool();
     if (adapter_ != nullptr) {
@@ -84,15 +83,17 @@
     affinity_key_ = hash64(text, hash64(model_->id.value()));
 }
 
-asio::awaitable<void> model_request::run(const std::string& name)
+asio::awaitable<void> model_request::run()
 {
-    find_target(name);
+    find_target(model_name());
     if (model_ == nullptr) {
         co_await front_.refuse(
             request_, out_, make_failure(errc::not_found, ""), 0.0);
         co_return;
     }
     read_body();
+    // A stream may stay open for long; the parsed body is not needed again.
+    body_ = nullptr;
     const auto& routing = *front_.context_.settings.routing;
     deadline_ = request_.arrived +
                 duration(front_.context_.settings.caller->request_timeout_ms);
--- a/libs/daemon/src/model_request.hpp
+++ b/libs/daemon/src/model_request.hpp
@@ -6,6 +6,7 @@
 #include <barleyfork/core/event_splitter.hpp>
 #include <barleyfork/core/request_progress.hpp>
 
+#include <boost/json/value.hpp>
 #include <optional>
 #include <set>
 #include <string>
@@ -22,10 +23,10 @@
 
     /// The `model` field of a completion call; empty where there is none or
     /// the body is no JSON object.
-    static std::string model_name(const http_incoming& incoming);
+    std::string model_name() const;
 
     /// Runs the call to its one outcome.
-    boost::asio::awaitable<void> run(const std::string& name);
+    boost::asio::awaitable<void> run();
 
 private:
     struct attempt_result
@@ -54,6 +55,8 @@
     caller_front& front_;
     caller_request& request_;
     http_responder& out_;
+    /// The body, parsed once; null where it is no JSON.
+    boost::json::value body_;
     const model_entry* model_ = nullptr;
     /// Set where the caller named an adapter over the model.
     const adapter_entry* adapter_ = nullptr;
