--- /dev/null
+++ b/libs/core/include/barleyfork/core/backend_directory.hpp
@@ -0,0 +1,135 @@
+#ifndef BARLEYFORK_CORE_BACKEND_DIRECTORY_HPP
+#define BARLEYFORK_CORE_BACKEND_DIRECTORY_HPP
+
+#include <barleyfork/base/strong_id.hpp>
+#include <barleyfork/base/time.hpp>
+#include <barleyfork/core/gateway_configuration.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace barleyfork {
+
+/// A model on a backend server with the adapters that are loaded for it.
+struct held_model
+{
+    model_id model;
+    /// Requests for it may be sent; false while an order concerns it.
+    bool ready = true;
+    std::vector<std::string> adapters;
+
+    bool has_adapter(const std::string& adapter) const;
+};
+
+/// What a backend server holds at one point of its own order of events.
+struct held_state
+{
+    /// The process: the time of its start in Unix milliseconds.
+    std::uint64_t started_ms = 0;
+    /// Orders that the process had accepted then.
+    std::uint64_t sequence = 0;
+    std::vector<held_model> models;
+
+    const held_model* find(const model_id& model) const;
+};
+
+/// What the platform's list says of one backend server.
+struct backend_entry
+{
+    server_id id;
+    service_id service;
+    std::string address;
+    std::uint16_t port = 0;
+    failure_domain_id failure_domain;
+    bool draining = false;
+    /// How long the server will still run, where it said so.
+    std::optional<duration> leaves_in;
+    std::uint32_t slots = 1;
+    held_state held;
+    /// Models whose weights it has at hand, so that a load is quick.
+    std::vector<model_id> in_memory;
+    std::vector<model_id> on_disk;
+};
+
+/// A backend server as this daemon knows it.
+struct backend_state
+{
+    backend_entry entry;
+    /// The newest of the list's, the holder's and the server's own word.
+    held_state held;
+    /// When it vanished from the list; set only while its return is awaited.
+    std::optional<time_point> missing_since;
+    /// Another process answered at its address: it is not used until the list
+    /// tells of it anew.
+    bool misdirected = false;
+
+    /// True where new requests may be sent to it.
+    bool usable() const noexcept
+    {
+        return !entry.draining && !misdirected;
+    }
+};
+
+/// The backend servers by the platform's list.
+///
+/// Invariant: a server that the list shows draining or gone gets no new
+/// request, except that entries which vanish because the store was away are
+/// awaited for `outage_patience`. Not thread-safe.
+class backend_directory
+{
+public:
+    /// Live servers whose entries lapsed in an outage of the store are listed
+    /// again within this time of its return.
+    static constexpr duration outage_patience{2000};
+
+    /// Takes in the whole list.
+    void replace(std::span<const backend_entry> entries, time_point now);
+
+    /// Takes in one changed entry.
+    void update(const backend_entry& entry);
+
+    /// An entry was removed from the list.
+    void remove(const server_id& id, time_point now);
+
+    /// The store could not be reached, or could be again.
+    void set_store_reachable(bool reachable, time_point now);
+
+    /// Drops servers whose return was awaited for long enough; returns them.
+    std::vector<server_id> expire(time_point now);
+
+    /// Takes in what a server holds, where it is newer than what is known.
+    /// Returns true where something changed.
+    bool learn(const server_id& id, const held_state& held);
+
+    /// The server refused a request for a model or adapter as not loaded.
+    void not_held(const server_id& id,
+                  const model_id& model,
+                  const std::string& adapter);
+
+    /// Another process answered at the server's address.
+    void misdirected(const server_id& id);
+
+    const backend_state* find(const server_id& id) const;
+
+    /// All known servers in the order of their ids.
+    const std::map<server_id, backend_state>& servers() const noexcept
+    {
+        return servers_;
+    }
+
+private:
+    bool awaits_return(time_point now) const noexcept;
+
+    std::map<server_id, backend_state> servers_;
+    bool store_reachable_ = true;
+    time_point store_back_at_{};
+    bool outage_seen_ = false;
+};
+
+} // namespace barleyfork
+
+#endif
--- /dev/null
+++ b/libs/core/include/barleyfork/core/backend_loads.hpp
@@ -0,0 +1,135 @@
+#ifndef BARLEYFORK_CORE_BACKEND_LOADS_HPP
+#define BARLEYFORK_CORE_BACKEND_LOADS_HPP
+
+#include <barleyfork/base/strong_id.hpp>
+#include <barleyfork/base/time.hpp>
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace barleyfork {
+
+/// Names one request of this daemon on a backend server.
+enum class load_ticket : std::uint64_t
+{
+};
+
+/// How a request on a backend server ended, for the server's record.
+enum class load_end : std::uint8_t
+{
+    /// A whole answer, or one that its caller gave up.
+    good,
+    /// The server refused: it has no room or does not hold the model.
+    refused,
+    /// A failing answer, a broken connection or silence.
+    failed,
+};
+
+/// What is known of the load of one backend server.
+struct load_view
+{
+    /// Requests of this daemon that have no answer yet, and all of its.
+    std::uint32_t own_waiting = 0;
+    std::uint32_t own_outstanding = 0;
+    /// Prompt tokens of the own waiting requests.
+    std::uint64_t own_waiting_tokens = 0;
+    /// How long the oldest of them has waited.
+    duration oldest_wait{0};
+    /// What peers have outstanding, by their news.
+    std::uint32_t peer_outstanding = 0;
+    std::uint64_t peer_tokens = 0;
+    /// What the server said of itself, and how long ago.
+    std::uint32_t reported_running = 0;
+    std::uint32_t reported_waiting = 0;
+    duration report_age{0};
+    bool reported = false;
+    /// Share of late requests that failed, 0 to 1.
+    double failure = 0.0;
+};
+
+/// Work that a peer has outstanding on one backend server.
+struct peer_work
+{
+    server_id server;
+    std::uint32_t requests = 0;
+    std::uint64_t prompt_tokens = 0;
+};
+
+/// Follows the load of backend servers, by own requests, the load carried on
+/// answers, and peers' news. Not thread-safe.
+class backend_loads
+{
+public:
+    /// Counts a request that is being sent.
+    load_ticket begin(const server_id& server,
+                      std::uint64_t prompt_tokens,
+                      time_point now);
+
+    /// The server began to answer.
+    void answering(const server_id& server, load_ticket ticket);
+
+    /// The request is over.
+    void end(const server_id& server,
+             load_ticket ticket,
+             load_end end,
+             time_point now);
+
+    /// The server told its load on an answer.
+    void reported(const server_id& server,
+                  std::uint32_t running,
+                  std::uint32_t waiting,
+                  time_point now);
+
+    /// Replaces what `peer` has outstanding.
+    void on_peer_work(const instance_id& peer,
+                      std::span<const peer_work> work,
+                      time_point now);
+
+    /// What this daemon has outstanding, for its news to peers.
+    std::vector<peer_work> own_work() const;
+
+    load_view view(const server_id& server, time_point now) const;
+
+    /// Forgets a server that is gone.
+    void forget(const server_id& server);
+
+private:
+    struct waiting_request
+    {
+        time_point sent_at{};
+        std::uint64_t tokens = 0;
+    };
+
+    struct server_load
+    {
+        std::map<load_ticket, waiting_request> waiting;
+        std::uint32_t outstanding = 0;
+        std::uint64_t waiting_tokens = 0;
+        std::uint32_t running_there = 0;
+        std::uint32_t waiting_there = 0;
+        time_point reported_at{};
+        bool reported = false;
+        double failure = 0.0;
+        time_point failure_at{};
+    };
+
+    struct peer_news
+    {
+        time_point at{};
+        std::vector<peer_work> work;
+    };
+
+    void stop_waiting(server_load& load, load_ticket ticket);
+    static double decayed_failure(const server_load& load, time_point now);
+
+    std::uint64_t next_ticket_ = 1;
+    std::unordered_map<server_id, server_load> loads_;
+    std::map<instance_id, peer_news> peers_;
+};
+
+} // namespace barleyfork
+
+#endif
--- /dev/null
+++ b/libs/core/src/backend_directory.cpp
@@ -0,0 +1,156 @@
+#include <barleyfork/core/backend_directory.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace barleyfork {
+
+namespace {
+
+/// A later process wins; within one process the later sequence does.
+bool is_newer(const held_state& a, const held_state& b)
+{
+    if (a.started_ms != b.started_ms)
+        return a.started_ms > b.started_ms;
+    return a.sequence > b.sequence;
+}
+
+bool is_same_moment(const held_state& a, const held_state& b)
+{
+    return a.started_ms == b.started_ms && a.sequence == b.sequence;
+}
+
+} // namespace
+
+bool held_model::has_adapter(const std::string& adapter) const
+{
+    return std::find(adapters.begin(), adapters.end(), adapter) !=
+           adapters.end();
+}
+
+const held_model* held_state::find(const model_id& model) const
+{
+    const auto found =
+        std::find_if(models.begin(), models.end(), [&model](const auto& held) {
+            return held.model == model;
+        });
+    return found == models.end() ? nullptr : &*found;
+}
+
+void backend_directory::replace(std::span<const backend_entry> entries,
+                                time_point now)
+{
+    std::set<server_id> listed;
+    for (const auto& entry : entries) {
+        listed.insert(entry.id);
+        update(entry);
+    }
+    std::vector<server_id> gone;
+    for (const auto& [id, state] : servers_)
+        if (!listed.contains(id))
+            gone.push_back(id);
+    for (const auto& id : gone)
+        remove(id, now);
+}
+
+void backend_directory::update(const backend_entry& entry)
+{
+    auto& state = servers_[entry.id];
+    const bool new_process =
+        state.entry.held.started_ms != entry.held.started_ms;
+    const bool moved = state.entry.address != entry.address ||
+                       state.entry.port != entry.port;
+    state.entry = entry;
+    state.missing_since.reset();
+    if (new_process || moved)
+        state.misdirected = false;
+    // What the list says at the same moment tells of adapters that a report
+    // between two orders could not.
+    if (new_process || !is_newer(state.held, entry.held))
+        state.held = entry.held;
+}
+
+void backend_directory::remove(const server_id& id, time_point now)
+{
+    const auto found = servers_.find(id);
+    if (found == servers_.end())
+        return;
+    if (!awaits_return(now) || found->second.entry.draining) {
+        servers_.erase(found);
+        return;
+    }
+    if (!found->second.missing_since)
+        found->second.missing_since = now;
+}
+
+bool backend_directory::awaits_return(time_point now) const noexcept
+{
+    return outage_seen_ &&
+           (!store_reachable_ || now < store_back_at_ + outage_patience);
+}
+
+void backend_directory::set_store_reachable(bool reachable, time_point now)
+{
+    if (reachable && !store_reachable_)
+        store_back_at_ = now;
+    if (!reachable)
+        outage_seen_ = true;
+    store_reachable_ = reachable;
+}
+
+std::vector<server_id> backend_directory::expire(time_point now)
+{
+    std::vector<server_id> expired;
+    if (awaits_return(now))
+        return expired;
+    for (const auto& [id, state] : servers_)
+        if (state.missing_since)
+            expired.push_back(id);
+    for (const auto& id : expired)
+        servers_.erase(id);
+    return expired;
+}
+
+bool backend_directory::learn(const server_id& id, const held_state& held)
+{
+    const auto found = servers_.find(id);
+    if (found == servers_.end())
+        return false;
+    auto& known = found->second.held;
+    if (!is_newer(held, known) && !is_same_moment(held, known))
+        return false;
+    known = held;
+    return true;
+}
+
+void backend_directory::not_held(const server_id& id,
+                                 const model_id& model,
+                                 const std::string& adapter)
+{
+    const auto found = servers_.find(id);
+    if (found == servers_.end())
+        return;
+    for (auto& held : found->second.held.models) {
+        if (held.model != model)
+            continue;
+        if (adapter.empty() || !held.has_adapter(adapter))
+            held.ready = false;
+        else
+            std::erase(held.adapters, adapter);
+    }
+}
+
+void backend_directory::misdirected(const server_id& id)
+{
+    const auto found = servers_.find(id);
+    if (found != servers_.end())
+        found->second.misdirected = true;
+}
+
+const backend_state* backend_directory::find(const server_id& id) const
+{
+    const auto found = servers_.find(id);
+    return found == servers_.end() ? nullptr : &found->second;
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/core/src/backend_loads.cpp
@@ -0,0 +1,135 @@
+#include <barleyfork/core/backend_loads.hpp>
+
+#include <cmath>
+
+namespace barleyfork {
+
+namespace {
+
+/// How fast the record of failures fades, in milliseconds.
+constexpr double failure_half_life_ms = 3000.0;
+/// The weight of one more request in the record of failures.
+constexpr double failure_weight = 0.25;
+/// News of a peer older than this says nothing.
+constexpr duration peer_news_life{1000};
+
+} // namespace
+
+load_ticket backend_loads::begin(const server_id& server,
+                                 std::uint64_t prompt_tokens,
+                                 time_point now)
+{
+    const load_ticket ticket{next_ticket_++};
+    auto& load = loads_[server];
+    load.waiting.emplace(ticket, waiting_request{now, prompt_tokens});
+    load.waiting_tokens += prompt_tokens;
+    ++load.outstanding;
+    return ticket;
+}
+
+void backend_loads::stop_waiting(server_load& load, load_ticket ticket)
+{
+    const auto found = load.waiting.find(ticket);
+    if (found == load.waiting.end())
+        return;
+    load.waiting_tokens -= found->second.tokens;
+    load.waiting.erase(found);
+}
+
+void backend_loads::answering(const server_id& server, load_ticket ticket)
+{
+    const auto found = loads_.find(server);
+    if (found != loads_.end())
+        stop_waiting(found->second, ticket);
+}
+
+double backend_loads::decayed_failure(const server_load& load, time_point now)
+{
+    const auto age = static_cast<double>((now - load.failure_at).count());
+    return load.failure * std::exp2(-age / failure_half_life_ms);
+}
+
+void backend_loads::end(const server_id& server,
+                        load_ticket ticket,
+                        load_end end,
+                        time_point now)
+{
+    const auto found = loads_.find(server);
+    if (found == loads_.end())
+        return;
+    auto& load = found->second;
+    stop_waiting(load, ticket);
+    if (load.outstanding > 0)
+        --load.outstanding;
+    if (end == load_end::refused)
+        return;
+    const double sample = end == load_end::failed ? 1.0 : 0.0;
+    const double before = decayed_failure(load, now);
+    load.failure = before + failure_weight * (sample - before);
+    load.failure_at = now;
+}
+
+void backend_loads::reported(const server_id& server,
+                             std::uint32_t running,
+                             std::uint32_t waiting,
+                             time_point now)
+{
+    auto& load = loads_[server];
+    load.running_there = running;
+    load.waiting_there = waiting;
+    load.reported_at = now;
+    load.reported = true;
+}
+
+void backend_loads::on_peer_work(const instance_id& peer,
+                                 std::span<const peer_work> work,
+                                 time_point now)
+{
+    peers_[peer] = peer_news{now, {work.begin(), work.end()}};
+}
+
+std::vector<peer_work> backend_loads::own_work() const
+{
+    std::vector<peer_work> work;
+    for (const auto& [server, load] : loads_)
+        if (load.outstanding > 0)
+            work.push_back({server, load.outstanding, load.waiting_tokens});
+    return work;
+}
+
+load_view backend_loads::view(const server_id& server, time_point now) const
+{
+    load_view view;
+    for (const auto& [peer, news] : peers_) {
+        if (now > news.at + peer_news_life)
+            continue;
+        for (const auto& work : news.work) {
+            if (work.server != server)
+                continue;
+            view.peer_outstanding += work.requests;
+            view.peer_tokens += work.prompt_tokens;
+        }
+    }
+    const auto found = loads_.find(server);
+    if (found == loads_.end())
+        return view;
+    const auto& load = found->second;
+    view.own_waiting = static_cast<std::uint32_t>(load.waiting.size());
+    view.own_outstanding = load.outstanding;
+    view.own_waiting_tokens = load.waiting_tokens;
+    if (!load.waiting.empty())
+        view.oldest_wait = now - load.waiting.begin()->second.sent_at;
+    view.reported_running = load.running_there;
+    view.reported_waiting = load.waiting_there;
+    view.report_age = now - load.reported_at;
+    view.reported = load.reported;
+    view.failure = decayed_failure(load, now);
+    return view;
+}
+
+void backend_loads::forget(const server_id& server)
+{
+    loads_.erase(server);
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/core/src/gateway_configuration.cpp
@@ -0,0 +1,64 @@
+#include <barleyfork/core/gateway_configuration.hpp>
+
+#include <algorithm>
+#include <cctype>
+
+namespace barleyfork {
+
+namespace {
+
+bool equal_ignoring_case(std::string_view a, std::string_view b)
+{
+    return std::equal(
+        a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) {
+            return std::tolower(static_cast<unsigned char>(x)) ==
+                   std::tolower(static_cast<unsigned char>(y));
+        });
+}
+
+} // namespace
+
+const gateway_service*
+gateway_configuration::find_service(const service_id& id) const
+{
+    const auto found =
+        std::find_if(services.begin(), services.end(), [&id](const auto& s) {
+            return s.id == id;
+        });
+    return found == services.end() ? nullptr : &*found;
+}
+
+const gateway_route* match_route(const gateway_configuration& configuration,
+                                 std::string_view host,
+                                 std::string_view path)
+{
+    const auto name = host.substr(0, host.find(':'));
+    const gateway_route* best = nullptr;
+    for (const auto& route : configuration.routes) {
+        if (!path.starts_with(route.prefix) ||
+            !equal_ignoring_case(name, route.host))
+            continue;
+        if (best == nullptr || route.prefix.size() > best->prefix.size())
+            best = &route;
+    }
+    return best;
+}
+
+const service_id* choose_service(const gateway_route& route, std::uint64_t draw)
+{
+    std::uint64_t total = 0;
+    for (const auto& share : route.services)
+        total += share.weight;
+    if (total == 0)
+        return route.services.empty() ? nullptr
+                                      : &route.services.front().service;
+    auto left = draw % total;
+    for (const auto& share : route.services) {
+        if (left < share.weight)
+            return &share.service;
+        left -= share.weight;
+    }
+    return nullptr;
+}
+
+} // namespace barleyfork
--- a/libs/daemon/src/apply_coordinator.cpp
+++ b/libs/daemon/src/apply_coordinator.cpp
@@ -5,7 +5,7 @@
 #include <barleyfork/base/log.hpp>
 #include <barleyfork/core/admission.hpp>
 #include <barleyfork/net/ask.hpp>
-#include <barleyfork/platform/row_codec.hpp>
+#include <barleyfork/store/row_codec.hpp>
 #include <barleyfork/schema/deployment_delta.hpp>
 #include <barleyfork/schema/toml_reader.hpp>
 
--- a/libs/daemon/src/backend_client.hpp
+++ b/libs/daemon/src/backend_client.hpp
@@ -6,7 +6,7 @@
 #include <barleyfork/core/memory_ledger.hpp>
 #include <barleyfork/net/exchange.hpp>
 #include <barleyfork/net/http_client.hpp>
-#include <barleyfork/platform/row_codec.hpp>
+#include <barleyfork/store/row_codec.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
--- a/libs/daemon/src/control.hpp
+++ b/libs/daemon/src/control.hpp
@@ -5,7 +5,6 @@
 #include "caller_front.hpp"
 #include "configuration_duty.hpp"
 #include "daemon_context.hpp"
-#include "peer_link.hpp"
 #include "placement_duty.hpp"
 #include "server_reports.hpp"
 #include "serving_view.hpp"
@@ -13,6 +12,7 @@
 #include "view_builder.hpp"
 
 #include <barleyfork/core/membership.hpp>
+#include <barleyfork/net/peer_link.hpp>
 
 #include <memory>
 #include <set>
--- a/libs/daemon/src/daemon.cpp
+++ b/libs/daemon/src/daemon.cpp
@@ -5,11 +5,11 @@
 #include "control.hpp"
 #include "daemon_context.hpp"
 #include "operator_front.hpp"
-#include "peer_link.hpp"
 #include "table_duty.hpp"
 
 #include <barleyfork/base/log.hpp>
 #include <barleyfork/net/http_server.hpp>
+#include <barleyfork/net/peer_link.hpp>
 
 #include <array>
 #include <condition_variable>
@@ -159,12 +159,16 @@
 void daemon::state::listen_peers()
 {
     const auto& address = *context.settings.peer_listen;
-    peers.emplace(context, [this](schema::peer_message_record message) {
-        auto shared =
-            std::make_shared<schema::peer_message_record>(std::move(message));
-        context.control.try_post(
-            [this, shared] { decisions->on_message(*shared); });
-    });
+    peers.emplace(
+        context.peer,
+        address.address,
+        context.settings.peer->secret,
+        [this](schema::peer_message_record message) {
+            auto shared = std::make_shared<schema::peer_message_record>(
+                std::move(message));
+            context.control.try_post(
+                [this, shared] { decisions->on_message(*shared); });
+        });
     peer_port = peers->listen(address.address, address.port);
 }
 
--- a/libs/daemon/src/operator_front.cpp
+++ b/libs/daemon/src/operator_front.cpp
@@ -5,7 +5,7 @@
 #include <barleyfork/base/log.hpp>
 #include <barleyfork/net/ask.hpp>
 #include <barleyfork/net/url.hpp>
-#include <barleyfork/platform/row_codec.hpp>
+#include <barleyfork/store/row_codec.hpp>
 
 #include <algorithm>
 #include <array>
--- a/libs/daemon/src/placement_duty.cpp
+++ b/libs/daemon/src/placement_duty.cpp
@@ -2,7 +2,7 @@
 
 #include <barleyfork/base/log.hpp>
 #include <barleyfork/net/ask.hpp>
-#include <barleyfork/platform/row_codec.hpp>
+#include <barleyfork/store/row_codec.hpp>
 
 #include <algorithm>
 
--- a/libs/daemon/src/server_reports.hpp
+++ b/libs/daemon/src/server_reports.hpp
@@ -3,7 +3,7 @@
 
 #include <barleyfork/base/strong_id.hpp>
 #include <barleyfork/base/time.hpp>
-#include <barleyfork/platform/row_codec.hpp>
+#include <barleyfork/store/row_codec.hpp>
 
 #include <map>
 #include <optional>
--- a/libs/daemon/src/service_request.cpp
+++ b/libs/daemon/src/service_request.cpp
@@ -3,7 +3,7 @@
 #include <barleyfork/base/digest.hpp>
 #include <barleyfork/base/log.hpp>
 #include <barleyfork/net/sockets.hpp>
-#include <barleyfork/platform/row_codec.hpp>
+#include <barleyfork/store/row_codec.hpp>
 
 #include <utility>
 
--- a/libs/daemon/src/table_duty.hpp
+++ b/libs/daemon/src/table_duty.hpp
@@ -3,8 +3,8 @@
 
 #include "daemon_context.hpp"
 
-#include <barleyfork/platform/object_client.hpp>
-#include <barleyfork/platform/table_client.hpp>
+#include <barleyfork/store/object_client.hpp>
+#include <barleyfork/store/table_client.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
--- a/libs/daemon/src/peer_link.hpp
+++ b/libs/net/include/barleyfork/net/peer_link.hpp
@@ -1,9 +1,8 @@
-#ifndef BARLEYFORK_DAEMON_SRC_PEER_LINK_HPP
-#define BARLEYFORK_DAEMON_SRC_PEER_LINK_HPP
-
-#include "daemon_context.hpp"
+#ifndef BARLEYFORK_NET_PEER_LINK_HPP
+#define BARLEYFORK_NET_PEER_LINK_HPP
 
 #include <barleyfork/base/time.hpp>
+#include <barleyfork/net/duty.hpp>
 #include <barleyfork/schema/peer_generated.h>
 
 #include <atomic>
@@ -23,7 +22,7 @@
     std::uint16_t port = 0;
 };
 
-/// Carries authenticated frames between daemons; lives on the peer duty.
+/// Carries authenticated frames between daemons; lives on one duty.
 ///
 /// Messages are one-way. A message that can't be delivered is dropped: all
 /// of them are repeated by their senders until they are out of date.
@@ -32,8 +31,12 @@
 public:
     using receiver = std::function<void(schema::peer_message_record)>;
 
-    /// `receive` is called on the peer duty.
-    peer_link(daemon_context& context, receiver receive);
+    /// `receive` is called on `owner`, which outlives the link. `secret`
+    /// authenticates frames; `own_address` is the source of connections.
+    peer_link(duty& owner,
+              std::string own_address,
+              std::string secret,
+              receiver receive);
 
     /// Listens; the port taken, or 0.
     std::uint16_t listen(const std::string& address, std::uint16_t port);
@@ -64,7 +67,9 @@
     boost::asio::awaitable<void>
     deliver(peer_address to, std::string frame, bool fresh_connection);
 
-    daemon_context& context_;
+    duty& owner_;
+    std::string own_address_;
+    std::string secret_;
     receiver receive_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::map<std::string, std::shared_ptr<socket>> connections_;
--- a/libs/daemon/src/peer_link.cpp
+++ b/libs/net/src/peer_link.cpp
@@ -1,4 +1,4 @@
-#include "peer_link.hpp"
+#include <barleyfork/net/peer_link.hpp>
 
 #include <barleyfork/base/log.hpp>
 #include <barleyfork/net/frame.hpp>
@@ -26,9 +26,13 @@
 
 } // namespace
 
-peer_link::peer_link(daemon_context& context, receiver receive)
-    : context_(context), receive_(std::move(receive)),
-      acceptor_(context.peer.executor())
+peer_link::peer_link(duty& owner,
+                     std::string own_address,
+                     std::string secret,
+                     receiver receive)
+    : owner_(owner), own_address_(std::move(own_address)),
+      secret_(std::move(secret)), receive_(std::move(receive)),
+      acceptor_(owner.executor())
 {
 }
 
@@ -36,7 +40,7 @@
 {
     if (!open_acceptor(acceptor_, address, port))
         return 0;
-    context_.peer.spawn(accept_loop());
+    owner_.spawn(accept_loop());
     return acceptor_.local_endpoint().port();
 }
 
@@ -44,10 +48,10 @@
                      schema::peer_message_record message,
                      bool fresh_connection)
 {
-    auto frame = encode_frame(message, context_.settings.peer->secret);
-    context_.peer.try_post(
+    auto frame = encode_frame(message, secret_);
+    owner_.try_post(
         [this, to, frame = std::move(frame), fresh_connection] {
-            context_.peer.spawn(deliver(to, frame, fresh_connection));
+            owner_.spawn(deliver(to, frame, fresh_connection));
         });
 }
 
@@ -59,7 +63,7 @@
             co_await sleep_for_ms(accept_pause_ms);
             continue;
         }
-        context_.peer.spawn(receive_loop(std::move(connection)));
+        owner_.spawn(receive_loop(std::move(connection)));
     }
 }
 
@@ -86,7 +90,7 @@
         bytes_received_ += header.size() + payload.size();
         schema::peer_message_record message;
         const auto error = decode_frame(
-            header, payload, context_.settings.peer->secret, message);
+            header, payload, secret_, message);
         if (error) {
             log_event(log_level::warn, "peer_frame_refused")
                 .with("error", error.message());
@@ -101,7 +105,7 @@
                             boost::system::error_code& error) const
 {
     const auto own =
-        asio::ip::make_address(context_.settings.peer_listen->address, error);
+        asio::ip::make_address(own_address_, error);
     if (error || own.is_unspecified())
         return;
     const tcp::endpoint source(own, 0);
@@ -124,7 +128,7 @@
         connections_.erase(found);
     }
     for (int attempt = 0; attempt < 2; ++attempt) {
-        boost::beast::tcp_stream stream(context_.peer.executor());
+        boost::beast::tcp_stream stream(owner_.executor());
         if (kept) {
             stream.socket() = std::move(*kept);
             kept.reset();
--- a/libs/schema/generate.sh
+++ b/libs/schema/generate.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")"
 out=${1:-include/barleyfork/schema}
-for schema in settings deployment peer; do
+for schema in settings deployment peer gateway; do
     flatc --cpp --cpp-std c++17 --scoped-enums --gen-object-api \
         --object-suffix _record --bfbs-gen-embed \
         -o "$out" "schemas/$schema.fbs"
--- a/libs/schema/include/barleyfork/schema/peer_generated.h
+++ b/libs/schema/include/barleyfork/schema/peer_generated.h
@@ -32,6 +32,22 @@
 struct model_demandBuilder;
 struct model_demand_record;
 
+struct adapter_need;
+struct adapter_needBuilder;
+struct adapter_need_record;
+
+struct resident_news;
+struct resident_newsBuilder;
+struct resident_news_record;
+
+struct server_news;
+struct server_newsBuilder;
+struct server_news_record;
+
+struct outstanding_work;
+struct outstanding_workBuilder;
+struct outstanding_work_record;
+
 struct peer_message;
 struct peer_messageBuilder;
 struct peer_message_record;
@@ -81,11 +97,14 @@
   body_request = 4,
   body_answer = 5,
   demand = 6,
+  placement = 7,
+  snapshot_request = 8,
+  snapshot = 9,
   MIN = probe,
-  MAX = demand
+  MAX = snapshot
 };
 
-inline const message_kind (&EnumValuesmessage_kind())[7] {
+inline const message_kind (&EnumValuesmessage_kind())[10] {
   static const message_kind values[] = {
     message_kind::probe,
     message_kind::acknowledgement,
@@ -93,13 +112,16 @@
     message_kind::confirmation,
     message_kind::body_request,
     message_kind::body_answer,
-    message_kind::demand
+    message_kind::demand,
+    message_kind::placement,
+    message_kind::snapshot_request,
+    message_kind::snapshot
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage_kind() {
-  static const char * const names[8] = {
+  static const char * const names[11] = {
     "probe",
     "acknowledgement",
     "push",
@@ -107,13 +129,16 @@
     "body_request",
     "body_answer",
     "demand",
+    "placement",
+    "snapshot_request",
+    "snapshot",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage_kind(message_kind e) {
-  if (flatbuffers::IsOutRange(e, message_kind::probe, message_kind::demand)) return "";
+  if (flatbuffers::IsOutRange(e, message_kind::probe, message_kind::snapshot)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage_kind()[index];
 }
@@ -510,6 +535,404 @@
 
 flatbuffers::Offset<model_demand> Createmodel_demand(flatbuffers::FlatBufferBuilder &_fbb, const model_demand_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct adapter_need_record : public flatbuffers::NativeTable {
+  typedef adapter_need TableType;
+  std::string model{};
+  std::string adapter{};
+};
+
+/// An adapter that callers ask for and no backend server holds.
+struct adapter_need FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef adapter_need_record NativeTableType;
+  typedef adapter_needBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_MODEL = 4,
+    VT_ADAPTER = 6
+  };
+  const flatbuffers::String *model() const {
+    return GetPointer<const flatbuffers::String *>(VT_MODEL);
+  }
+  const flatbuffers::String *adapter() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADAPTER);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_MODEL) &&
+           verifier.VerifyString(model()) &&
+           VerifyOffsetRequired(verifier, VT_ADAPTER) &&
+           verifier.VerifyString(adapter()) &&
+           verifier.EndTable();
+  }
+  adapter_need_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(adapter_need_record *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<adapter_need> Pack(flatbuffers::FlatBufferBuilder &_fbb, const adapter_need_record* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct adapter_needBuilder {
+  typedef adapter_need Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_model(flatbuffers::Offset<flatbuffers::String> model) {
+    fbb_.AddOffset(adapter_need::VT_MODEL, model);
+  }
+  void add_adapter(flatbuffers::Offset<flatbuffers::String> adapter) {
+    fbb_.AddOffset(adapter_need::VT_ADAPTER, adapter);
+  }
+  explicit adapter_needBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<adapter_need> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<adapter_need>(end);
+    fbb_.Required(o, adapter_need::VT_MODEL);
+    fbb_.Required(o, adapter_need::VT_ADAPTER);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<adapter_need> Createadapter_need(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> model = 0,
+    flatbuffers::Offset<flatbuffers::String> adapter = 0) {
+  adapter_needBuilder builder_(_fbb);
+  builder_.add_adapter(adapter);
+  builder_.add_model(model);
+  return builder_.Finish();
+}
+
+struct adapter_need::Traits {
+  using type = adapter_need;
+  static auto constexpr Create = Createadapter_need;
+};
+
+inline flatbuffers::Offset<adapter_need> Createadapter_needDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *model = nullptr,
+    const char *adapter = nullptr) {
+  auto model__ = model ? _fbb.CreateString(model) : 0;
+  auto adapter__ = adapter ? _fbb.CreateString(adapter) : 0;
+  return barleyfork::schema::Createadapter_need(
+      _fbb,
+      model__,
+      adapter__);
+}
+
+flatbuffers::Offset<adapter_need> Createadapter_need(flatbuffers::FlatBufferBuilder &_fbb, const adapter_need_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct resident_news_record : public flatbuffers::NativeTable {
+  typedef resident_news TableType;
+  std::string model{};
+  bool ready = false;
+  std::vector<std::string> adapters{};
+};
+
+/// A model on a backend server; requests may be sent once it is ready.
+struct resident_news FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef resident_news_record NativeTableType;
+  typedef resident_newsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_MODEL = 4,
+    VT_READY = 6,
+    VT_ADAPTERS = 8
+  };
+  const flatbuffers::String *model() const {
+    return GetPointer<const flatbuffers::String *>(VT_MODEL);
+  }
+  bool ready() const {
+    return GetField<uint8_t>(VT_READY, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *adapters() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_ADAPTERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_MODEL) &&
+           verifier.VerifyString(model()) &&
+           VerifyField<uint8_t>(verifier, VT_READY, 1) &&
+           VerifyOffset(verifier, VT_ADAPTERS) &&
+           verifier.VerifyVector(adapters()) &&
+           verifier.VerifyVectorOfStrings(adapters()) &&
+           verifier.EndTable();
+  }
+  resident_news_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(resident_news_record *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<resident_news> Pack(flatbuffers::FlatBufferBuilder &_fbb, const resident_news_record* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct resident_newsBuilder {
+  typedef resident_news Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_model(flatbuffers::Offset<flatbuffers::String> model) {
+    fbb_.AddOffset(resident_news::VT_MODEL, model);
+  }
+  void add_ready(bool ready) {
+    fbb_.AddElement<uint8_t>(resident_news::VT_READY, static_cast<uint8_t>(ready), 0);
+  }
+  void add_adapters(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> adapters) {
+    fbb_.AddOffset(resident_news::VT_ADAPTERS, adapters);
+  }
+  explicit resident_newsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<resident_news> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<resident_news>(end);
+    fbb_.Required(o, resident_news::VT_MODEL);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<resident_news> Createresident_news(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> model = 0,
+    bool ready = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> adapters = 0) {
+  resident_newsBuilder builder_(_fbb);
+  builder_.add_adapters(adapters);
+  builder_.add_model(model);
+  builder_.add_ready(ready);
+  return builder_.Finish();
+}
+
+struct resident_news::Traits {
+  using type = resident_news;
+  static auto constexpr Create = Createresident_news;
+};
+
+inline flatbuffers::Offset<resident_news> Createresident_newsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *model = nullptr,
+    bool ready = false,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *adapters = nullptr) {
+  auto model__ = model ? _fbb.CreateString(model) : 0;
+  auto adapters__ = adapters ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*adapters) : 0;
+  return barleyfork::schema::Createresident_news(
+      _fbb,
+      model__,
+      ready,
+      adapters__);
+}
+
+flatbuffers::Offset<resident_news> Createresident_news(flatbuffers::FlatBufferBuilder &_fbb, const resident_news_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct server_news_record : public flatbuffers::NativeTable {
+  typedef server_news TableType;
+  std::string server{};
+  uint64_t started_ms = 0;
+  uint64_t sequence = 0;
+  std::vector<std::unique_ptr<barleyfork::schema::resident_news_record>> models{};
+  server_news_record() = default;
+  server_news_record(const server_news_record &o);
+  server_news_record(server_news_record&&) FLATBUFFERS_NOEXCEPT = default;
+  server_news_record &operator=(server_news_record o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// What a backend server holds, by the knowledge of the placement's holder.
+/// `started_ms` and `sequence` order it against the server's own word.
+struct server_news FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef server_news_record NativeTableType;
+  typedef server_newsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_STARTED_MS = 6,
+    VT_SEQUENCE = 8,
+    VT_MODELS = 10
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  uint64_t started_ms() const {
+    return GetField<uint64_t>(VT_STARTED_MS, 0);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::resident_news>> *models() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::resident_news>> *>(VT_MODELS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<uint64_t>(verifier, VT_STARTED_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyOffset(verifier, VT_MODELS) &&
+           verifier.VerifyVector(models()) &&
+           verifier.VerifyVectorOfTables(models()) &&
+           verifier.EndTable();
+  }
+  server_news_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(server_news_record *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<server_news> Pack(flatbuffers::FlatBufferBuilder &_fbb, const server_news_record* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct server_newsBuilder {
+  typedef server_news Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(server_news::VT_SERVER, server);
+  }
+  void add_started_ms(uint64_t started_ms) {
+    fbb_.AddElement<uint64_t>(server_news::VT_STARTED_MS, started_ms, 0);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(server_news::VT_SEQUENCE, sequence, 0);
+  }
+  void add_models(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::resident_news>>> models) {
+    fbb_.AddOffset(server_news::VT_MODELS, models);
+  }
+  explicit server_newsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<server_news> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<server_news>(end);
+    fbb_.Required(o, server_news::VT_SERVER);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<server_news> Createserver_news(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    uint64_t started_ms = 0,
+    uint64_t sequence = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::resident_news>>> models = 0) {
+  server_newsBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
+  builder_.add_started_ms(started_ms);
+  builder_.add_models(models);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+struct server_news::Traits {
+  using type = server_news;
+  static auto constexpr Create = Createserver_news;
+};
+
+inline flatbuffers::Offset<server_news> Createserver_newsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    uint64_t started_ms = 0,
+    uint64_t sequence = 0,
+    const std::vector<flatbuffers::Offset<barleyfork::schema::resident_news>> *models = nullptr) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  auto models__ = models ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::resident_news>>(*models) : 0;
+  return barleyfork::schema::Createserver_news(
+      _fbb,
+      server__,
+      started_ms,
+      sequence,
+      models__);
+}
+
+flatbuffers::Offset<server_news> Createserver_news(flatbuffers::FlatBufferBuilder &_fbb, const server_news_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct outstanding_work_record : public flatbuffers::NativeTable {
+  typedef outstanding_work TableType;
+  std::string server{};
+  uint32_t requests = 0;
+  uint32_t prompt_tokens = 0;
+};
+
+/// What the sender has outstanding on a backend server.
+struct outstanding_work FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef outstanding_work_record NativeTableType;
+  typedef outstanding_workBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_REQUESTS = 6,
+    VT_PROMPT_TOKENS = 8
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  uint32_t requests() const {
+    return GetField<uint32_t>(VT_REQUESTS, 0);
+  }
+  uint32_t prompt_tokens() const {
+    return GetField<uint32_t>(VT_PROMPT_TOKENS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<uint32_t>(verifier, VT_REQUESTS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_PROMPT_TOKENS, 4) &&
+           verifier.EndTable();
+  }
+  outstanding_work_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(outstanding_work_record *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<outstanding_work> Pack(flatbuffers::FlatBufferBuilder &_fbb, const outstanding_work_record* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct outstanding_workBuilder {
+  typedef outstanding_work Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(outstanding_work::VT_SERVER, server);
+  }
+  void add_requests(uint32_t requests) {
+    fbb_.AddElement<uint32_t>(outstanding_work::VT_REQUESTS, requests, 0);
+  }
+  void add_prompt_tokens(uint32_t prompt_tokens) {
+    fbb_.AddElement<uint32_t>(outstanding_work::VT_PROMPT_TOKENS, prompt_tokens, 0);
+  }
+  explicit outstanding_workBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<outstanding_work> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<outstanding_work>(end);
+    fbb_.Required(o, outstanding_work::VT_SERVER);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<outstanding_work> Createoutstanding_work(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    uint32_t requests = 0,
+    uint32_t prompt_tokens = 0) {
+  outstanding_workBuilder builder_(_fbb);
+  builder_.add_prompt_tokens(prompt_tokens);
+  builder_.add_requests(requests);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+struct outstanding_work::Traits {
+  using type = outstanding_work;
+  static auto constexpr Create = Createoutstanding_work;
+};
+
+inline flatbuffers::Offset<outstanding_work> Createoutstanding_workDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    uint32_t requests = 0,
+    uint32_t prompt_tokens = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return barleyfork::schema::Createoutstanding_work(
+      _fbb,
+      server__,
+      requests,
+      prompt_tokens);
+}
+
+flatbuffers::Offset<outstanding_work> Createoutstanding_work(flatbuffers::FlatBufferBuilder &_fbb, const outstanding_work_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct peer_message_record : public flatbuffers::NativeTable {
   typedef peer_message TableType;
   barleyfork::schema::message_kind kind = barleyfork::schema::message_kind::probe;
@@ -521,13 +944,22 @@
   std::string digest{};
   std::vector<uint8_t> body{};
   std::vector<std::unique_ptr<barleyfork::schema::model_demand_record>> demand{};
+  std::string address{};
+  uint16_t port = 0;
+  uint64_t epoch = 0;
+  uint64_t store_version = 0;
+  std::vector<std::unique_ptr<barleyfork::schema::adapter_need_record>> needs{};
+  std::vector<std::unique_ptr<barleyfork::schema::server_news_record>> servers{};
+  std::vector<std::unique_ptr<barleyfork::schema::outstanding_work_record>> outstanding{};
   peer_message_record() = default;
   peer_message_record(const peer_message_record &o);
   peer_message_record(peer_message_record&&) FLATBUFFERS_NOEXCEPT = default;
   peer_message_record &operator=(peer_message_record o) FLATBUFFERS_NOEXCEPT;
 };
 
-/// One gossip message; every kind carries the same news.
+/// One gossip message; every kind carries the same news. `epoch` is the
+/// lease epoch of a placement's holder; `body` of a snapshot is the newest
+/// configuration in the store's own form, `store_version` its row's version.
 struct peer_message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef peer_message_record NativeTableType;
   typedef peer_messageBuilder Builder;
@@ -541,7 +973,14 @@
     VT_QUARANTINE = 14,
     VT_DIGEST = 16,
     VT_BODY = 18,
-    VT_DEMAND = 20
+    VT_DEMAND = 20,
+    VT_ADDRESS = 22,
+    VT_PORT = 24,
+    VT_EPOCH = 26,
+    VT_STORE_VERSION = 28,
+    VT_NEEDS = 30,
+    VT_SERVERS = 32,
+    VT_OUTSTANDING = 34
   };
   barleyfork::schema::message_kind kind() const {
     return static_cast<barleyfork::schema::message_kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -570,6 +1009,27 @@
   const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::model_demand>> *demand() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::model_demand>> *>(VT_DEMAND);
   }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  uint16_t port() const {
+    return GetField<uint16_t>(VT_PORT, 0);
+  }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
+  uint64_t store_version() const {
+    return GetField<uint64_t>(VT_STORE_VERSION, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::adapter_need>> *needs() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::adapter_need>> *>(VT_NEEDS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::server_news>> *servers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::server_news>> *>(VT_SERVERS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::outstanding_work>> *outstanding() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::outstanding_work>> *>(VT_OUTSTANDING);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -591,6 +1051,20 @@
            VerifyOffset(verifier, VT_DEMAND) &&
            verifier.VerifyVector(demand()) &&
            verifier.VerifyVectorOfTables(demand()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<uint16_t>(verifier, VT_PORT, 2) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyField<uint64_t>(verifier, VT_STORE_VERSION, 8) &&
+           VerifyOffset(verifier, VT_NEEDS) &&
+           verifier.VerifyVector(needs()) &&
+           verifier.VerifyVectorOfTables(needs()) &&
+           VerifyOffset(verifier, VT_SERVERS) &&
+           verifier.VerifyVector(servers()) &&
+           verifier.VerifyVectorOfTables(servers()) &&
+           VerifyOffset(verifier, VT_OUTSTANDING) &&
+           verifier.VerifyVector(outstanding()) &&
+           verifier.VerifyVectorOfTables(outstanding()) &&
            verifier.EndTable();
   }
   peer_message_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -629,6 +1103,27 @@
   void add_demand(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::model_demand>>> demand) {
     fbb_.AddOffset(peer_message::VT_DEMAND, demand);
   }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(peer_message::VT_ADDRESS, address);
+  }
+  void add_port(uint16_t port) {
+    fbb_.AddElement<uint16_t>(peer_message::VT_PORT, port, 0);
+  }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(peer_message::VT_EPOCH, epoch, 0);
+  }
+  void add_store_version(uint64_t store_version) {
+    fbb_.AddElement<uint64_t>(peer_message::VT_STORE_VERSION, store_version, 0);
+  }
+  void add_needs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::adapter_need>>> needs) {
+    fbb_.AddOffset(peer_message::VT_NEEDS, needs);
+  }
+  void add_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::server_news>>> servers) {
+    fbb_.AddOffset(peer_message::VT_SERVERS, servers);
+  }
+  void add_outstanding(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::outstanding_work>>> outstanding) {
+    fbb_.AddOffset(peer_message::VT_OUTSTANDING, outstanding);
+  }
   explicit peer_messageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -651,9 +1146,22 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::quarantine_entry>>> quarantine = 0,
     flatbuffers::Offset<flatbuffers::String> digest = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::model_demand>>> demand = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::model_demand>>> demand = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    uint16_t port = 0,
+    uint64_t epoch = 0,
+    uint64_t store_version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::adapter_need>>> needs = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::server_news>>> servers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::outstanding_work>>> outstanding = 0) {
   peer_messageBuilder builder_(_fbb);
+  builder_.add_store_version(store_version);
+  builder_.add_epoch(epoch);
   builder_.add_sequence(sequence);
+  builder_.add_outstanding(outstanding);
+  builder_.add_servers(servers);
+  builder_.add_needs(needs);
+  builder_.add_address(address);
   builder_.add_demand(demand);
   builder_.add_body(body);
   builder_.add_digest(digest);
@@ -661,6 +1169,7 @@
   builder_.add_members(members);
   builder_.add_configuration(configuration);
   builder_.add_sender(sender);
+  builder_.add_port(port);
   builder_.add_kind(kind);
   return builder_.Finish();
 }
@@ -680,12 +1189,23 @@
     const std::vector<flatbuffers::Offset<barleyfork::schema::quarantine_entry>> *quarantine = nullptr,
     const char *digest = nullptr,
     const std::vector<uint8_t> *body = nullptr,
-    const std::vector<flatbuffers::Offset<barleyfork::schema::model_demand>> *demand = nullptr) {
+    const std::vector<flatbuffers::Offset<barleyfork::schema::model_demand>> *demand = nullptr,
+    const char *address = nullptr,
+    uint16_t port = 0,
+    uint64_t epoch = 0,
+    uint64_t store_version = 0,
+    const std::vector<flatbuffers::Offset<barleyfork::schema::adapter_need>> *needs = nullptr,
+    const std::vector<flatbuffers::Offset<barleyfork::schema::server_news>> *servers = nullptr,
+    const std::vector<flatbuffers::Offset<barleyfork::schema::outstanding_work>> *outstanding = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::member>>(*members) : 0;
   auto quarantine__ = quarantine ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::quarantine_entry>>(*quarantine) : 0;
   auto digest__ = digest ? _fbb.CreateString(digest) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   auto demand__ = demand ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::model_demand>>(*demand) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto needs__ = needs ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::adapter_need>>(*needs) : 0;
+  auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::server_news>>(*servers) : 0;
+  auto outstanding__ = outstanding ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::outstanding_work>>(*outstanding) : 0;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       kind,
@@ -696,7 +1216,14 @@
       quarantine__,
       digest__,
       body__,
-      demand__);
+      demand__,
+      address__,
+      port,
+      epoch,
+      store_version,
+      needs__,
+      servers__,
+      outstanding__);
 }
 
 flatbuffers::Offset<peer_message> Createpeer_message(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -832,19 +1359,173 @@
       _work);
 }
 
+inline adapter_need_record *adapter_need::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<adapter_need_record>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void adapter_need::UnPackTo(adapter_need_record *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = model(); if (_e) _o->model = _e->str(); }
+  { auto _e = adapter(); if (_e) _o->adapter = _e->str(); }
+}
+
+inline flatbuffers::Offset<adapter_need> adapter_need::Pack(flatbuffers::FlatBufferBuilder &_fbb, const adapter_need_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createadapter_need(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<adapter_need> Createadapter_need(flatbuffers::FlatBufferBuilder &_fbb, const adapter_need_record *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const adapter_need_record* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _model = _fbb.CreateString(_o->model);
+  auto _adapter = _fbb.CreateString(_o->adapter);
+  return barleyfork::schema::Createadapter_need(
+      _fbb,
+      _model,
+      _adapter);
+}
+
+inline resident_news_record *resident_news::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<resident_news_record>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void resident_news::UnPackTo(resident_news_record *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = model(); if (_e) _o->model = _e->str(); }
+  { auto _e = ready(); _o->ready = _e; }
+  { auto _e = adapters(); if (_e) { _o->adapters.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->adapters[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<resident_news> resident_news::Pack(flatbuffers::FlatBufferBuilder &_fbb, const resident_news_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createresident_news(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<resident_news> Createresident_news(flatbuffers::FlatBufferBuilder &_fbb, const resident_news_record *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const resident_news_record* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _model = _fbb.CreateString(_o->model);
+  auto _ready = _o->ready;
+  auto _adapters = _o->adapters.size() ? _fbb.CreateVectorOfStrings(_o->adapters) : 0;
+  return barleyfork::schema::Createresident_news(
+      _fbb,
+      _model,
+      _ready,
+      _adapters);
+}
+
+inline server_news_record::server_news_record(const server_news_record &o)
+      : server(o.server),
+        started_ms(o.started_ms),
+        sequence(o.sequence) {
+  models.reserve(o.models.size());
+  for (const auto &models_ : o.models) { models.emplace_back((models_) ? new barleyfork::schema::resident_news_record(*models_) : nullptr); }
+}
+
+inline server_news_record &server_news_record::operator=(server_news_record o) FLATBUFFERS_NOEXCEPT {
+  std::swap(server, o.server);
+  std::swap(started_ms, o.started_ms);
+  std::swap(sequence, o.sequence);
+  std::swap(models, o.models);
+  return *this;
+}
+
+inline server_news_record *server_news::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<server_news_record>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void server_news::UnPackTo(server_news_record *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = server(); if (_e) _o->server = _e->str(); }
+  { auto _e = started_ms(); _o->started_ms = _e; }
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = models(); if (_e) { _o->models.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->models[_i] = std::unique_ptr<barleyfork::schema::resident_news_record>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<server_news> server_news::Pack(flatbuffers::FlatBufferBuilder &_fbb, const server_news_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createserver_news(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<server_news> Createserver_news(flatbuffers::FlatBufferBuilder &_fbb, const server_news_record *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const server_news_record* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _server = _fbb.CreateString(_o->server);
+  auto _started_ms = _o->started_ms;
+  auto _sequence = _o->sequence;
+  auto _models = _o->models.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::resident_news>> (_o->models.size(), [](size_t i, _VectorArgs *__va) { return Createresident_news(*__va->__fbb, __va->__o->models[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return barleyfork::schema::Createserver_news(
+      _fbb,
+      _server,
+      _started_ms,
+      _sequence,
+      _models);
+}
+
+inline outstanding_work_record *outstanding_work::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<outstanding_work_record>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void outstanding_work::UnPackTo(outstanding_work_record *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = server(); if (_e) _o->server = _e->str(); }
+  { auto _e = requests(); _o->requests = _e; }
+  { auto _e = prompt_tokens(); _o->prompt_tokens = _e; }
+}
+
+inline flatbuffers::Offset<outstanding_work> outstanding_work::Pack(flatbuffers::FlatBufferBuilder &_fbb, const outstanding_work_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createoutstanding_work(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<outstanding_work> Createoutstanding_work(flatbuffers::FlatBufferBuilder &_fbb, const outstanding_work_record *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const outstanding_work_record* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _server = _fbb.CreateString(_o->server);
+  auto _requests = _o->requests;
+  auto _prompt_tokens = _o->prompt_tokens;
+  return barleyfork::schema::Createoutstanding_work(
+      _fbb,
+      _server,
+      _requests,
+      _prompt_tokens);
+}
+
 inline peer_message_record::peer_message_record(const peer_message_record &o)
       : kind(o.kind),
         sequence(o.sequence),
         sender((o.sender) ? new barleyfork::schema::member_record(*o.sender) : nullptr),
         configuration((o.configuration) ? new barleyfork::schema::configuration_digest_record(*o.configuration) : nullptr),
         digest(o.digest),
-        body(o.body) {
+        body(o.body),
+        address(o.address),
+        port(o.port),
+        epoch(o.epoch),
+        store_version(o.store_version) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new barleyfork::schema::member_record(*members_) : nullptr); }
   quarantine.reserve(o.quarantine.size());
   for (const auto &quarantine_ : o.quarantine) { quarantine.emplace_back((quarantine_) ? new barleyfork::schema::quarantine_entry_record(*quarantine_) : nullptr); }
   demand.reserve(o.demand.size());
   for (const auto &demand_ : o.demand) { demand.emplace_back((demand_) ? new barleyfork::schema::model_demand_record(*demand_) : nullptr); }
+  needs.reserve(o.needs.size());
+  for (const auto &needs_ : o.needs) { needs.emplace_back((needs_) ? new barleyfork::schema::adapter_need_record(*needs_) : nullptr); }
+  servers.reserve(o.servers.size());
+  for (const auto &servers_ : o.servers) { servers.emplace_back((servers_) ? new barleyfork::schema::server_news_record(*servers_) : nullptr); }
+  outstanding.reserve(o.outstanding.size());
+  for (const auto &outstanding_ : o.outstanding) { outstanding.emplace_back((outstanding_) ? new barleyfork::schema::outstanding_work_record(*outstanding_) : nullptr); }
 }
 
 inline peer_message_record &peer_message_record::operator=(peer_message_record o) FLATBUFFERS_NOEXCEPT {
@@ -857,6 +1538,13 @@
   std::swap(digest, o.digest);
   std::swap(body, o.body);
   std::swap(demand, o.demand);
+  std::swap(address, o.address);
+  std::swap(port, o.port);
+  std::swap(epoch, o.epoch);
+  std::swap(store_version, o.store_version);
+  std::swap(needs, o.needs);
+  std::swap(servers, o.servers);
+  std::swap(outstanding, o.outstanding);
   return *this;
 }
 
@@ -878,6 +1566,13 @@
   { auto _e = digest(); if (_e) _o->digest = _e->str(); }
   { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
   { auto _e = demand(); if (_e) { _o->demand.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demand[_i] = std::unique_ptr<barleyfork::schema::model_demand_record>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = port(); _o->port = _e; }
+  { auto _e = epoch(); _o->epoch = _e; }
+  { auto _e = store_version(); _o->store_version = _e; }
+  { auto _e = needs(); if (_e) { _o->needs.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->needs[_i] = std::unique_ptr<barleyfork::schema::adapter_need_record>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = servers(); if (_e) { _o->servers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->servers[_i] = std::unique_ptr<barleyfork::schema::server_news_record>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = outstanding(); if (_e) { _o->outstanding.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->outstanding[_i] = std::unique_ptr<barleyfork::schema::outstanding_work_record>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<peer_message> peer_message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -897,6 +1592,13 @@
   auto _digest = _o->digest.empty() ? 0 : _fbb.CreateString(_o->digest);
   auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
   auto _demand = _o->demand.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::model_demand>> (_o->demand.size(), [](size_t i, _VectorArgs *__va) { return Createmodel_demand(*__va->__fbb, __va->__o->demand[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _port = _o->port;
+  auto _epoch = _o->epoch;
+  auto _store_version = _o->store_version;
+  auto _needs = _o->needs.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::adapter_need>> (_o->needs.size(), [](size_t i, _VectorArgs *__va) { return Createadapter_need(*__va->__fbb, __va->__o->needs[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _servers = _o->servers.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::server_news>> (_o->servers.size(), [](size_t i, _VectorArgs *__va) { return Createserver_news(*__va->__fbb, __va->__o->servers[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _outstanding = _o->outstanding.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::outstanding_work>> (_o->outstanding.size(), [](size_t i, _VectorArgs *__va) { return Createoutstanding_work(*__va->__fbb, __va->__o->outstanding[i].get(), __va->__rehasher); }, &_va ) : 0;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       _kind,
@@ -907,7 +1609,14 @@
       _quarantine,
       _digest,
       _body,
-      _demand);
+      _demand,
+      _address,
+      _port,
+      _epoch,
+      _store_version,
+      _needs,
+      _servers,
+      _outstanding);
 }
 
 inline const barleyfork::schema::peer_message *Getpeer_message(const void *buf) {
--- a/libs/schema/include/barleyfork/schema/toml_reader.hpp
+++ b/libs/schema/include/barleyfork/schema/toml_reader.hpp
@@ -3,6 +3,7 @@
 
 #include <barleyfork/base/error.hpp>
 #include <barleyfork/schema/deployment_generated.h>
+#include <barleyfork/schema/gateway_generated.h>
 #include <barleyfork/schema/settings_generated.h>
 
 #include <string>
@@ -18,6 +19,11 @@
                        std::string_view source,
                        schema::daemon_settings_record& out);
 
+/// Reads a gateway's settings. Errors as for `parse_settings`.
+failure parse_gateway_settings(std::string_view toml,
+                               std::string_view source,
+                               schema::gateway_settings_record& out);
+
 /// Reads a deployment's declaration from TOML text, checked against the
 /// schema. Errors as for `parse_settings`.
 failure parse_deployment(std::string_view toml,
--- a/libs/schema/src/toml_reader.cpp
+++ b/libs/schema/src/toml_reader.cpp
@@ -5,6 +5,7 @@
 #include <barleyfork/schema/deployment_delta.hpp>
 
 #include <barleyfork/schema/deployment_bfbs_generated.h>
+#include <barleyfork/schema/gateway_bfbs_generated.h>
 #include <barleyfork/schema/settings_bfbs_generated.h>
 
 #include <flatbuffers/idl.h>
@@ -85,6 +86,20 @@
     return {};
 }
 
+failure parse_gateway_settings(std::string_view toml,
+                               std::string_view source,
+                               schema::gateway_settings_record& out)
+{
+    auto result = parse_record<schema::gateway_settingsBinarySchema,
+                               schema::gateway_settings>(toml, source, out);
+    if (result)
+        return result;
+    ensure(out.bounds);
+    ensure(out.placement);
+    ensure(out.log);
+    return {};
+}
+
 failure parse_deployment(std::string_view toml,
                          std::string_view source,
                          schema::deployment_record& out)
--- a/libs/platform/include/barleyfork/platform/object_client.hpp
+++ b/libs/store/include/barleyfork/store/object_client.hpp
@@ -1,5 +1,5 @@
-#ifndef BARLEYFORK_PLATFORM_OBJECT_CLIENT_HPP
-#define BARLEYFORK_PLATFORM_OBJECT_CLIENT_HPP
+#ifndef BARLEYFORK_STORE_OBJECT_CLIENT_HPP
+#define BARLEYFORK_STORE_OBJECT_CLIENT_HPP
 
 #include <barleyfork/base/error.hpp>
 #include <barleyfork/net/http_client.hpp>
--- a/libs/platform/include/barleyfork/platform/row_codec.hpp
+++ b/libs/store/include/barleyfork/store/row_codec.hpp
@@ -1,5 +1,5 @@
-#ifndef BARLEYFORK_PLATFORM_ROW_CODEC_HPP
-#define BARLEYFORK_PLATFORM_ROW_CODEC_HPP
+#ifndef BARLEYFORK_STORE_ROW_CODEC_HPP
+#define BARLEYFORK_STORE_ROW_CODEC_HPP
 
 #include <barleyfork/base/error.hpp>
 #include <barleyfork/core/call_claim.hpp>
--- a/libs/platform/include/barleyfork/platform/table_client.hpp
+++ b/libs/store/include/barleyfork/store/table_client.hpp
@@ -1,5 +1,5 @@
-#ifndef BARLEYFORK_PLATFORM_TABLE_CLIENT_HPP
-#define BARLEYFORK_PLATFORM_TABLE_CLIENT_HPP
+#ifndef BARLEYFORK_STORE_TABLE_CLIENT_HPP
+#define BARLEYFORK_STORE_TABLE_CLIENT_HPP
 
 #include <barleyfork/base/error.hpp>
 #include <barleyfork/core/cell_controller.hpp>
--- a/libs/platform/src/object_client.cpp
+++ b/libs/store/src/object_client.cpp
@@ -1,4 +1,4 @@
-#include <barleyfork/platform/object_client.hpp>
+#include <barleyfork/store/object_client.hpp>
 
 #include <barleyfork/base/digest.hpp>
 
--- a/libs/platform/src/row_codec.cpp
+++ b/libs/store/src/row_codec.cpp
@@ -1,4 +1,4 @@
-#include <barleyfork/platform/row_codec.hpp>
+#include <barleyfork/store/row_codec.hpp>
 
 #include <barleyfork/base/digest.hpp>
 
--- a/libs/platform/src/table_client.cpp
+++ b/libs/store/src/table_client.cpp
@@ -1,4 +1,4 @@
-#include <barleyfork/platform/table_client.hpp>
+#include <barleyfork/store/table_client.hpp>
 
 #include <boost/json.hpp>
 
--- a/tools/capacity/decision_cost.cpp
+++ b/tools/capacity/decision_cost.cpp
@@ -7,7 +7,7 @@
 #include <barleyfork/core/catalog.hpp>
 #include <barleyfork/core/placement_planner.hpp>
 #include <barleyfork/core/replica_picker.hpp>
-#include <barleyfork/platform/row_codec.hpp>
+#include <barleyfork/store/row_codec.hpp>
 #include <barleyfork/schema/deployment_delta.hpp>
 #include <barleyfork/schema/toml_reader.hpp>
 
