--- a/libs/core/include/barleyfork/core/backend_directory.hpp
+++ b/libs/core/include/barleyfork/core/backend_directory.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace barleyfork {
@@ -63,6 +64,12 @@
     held_state held;
     /// When it vanished from the list; set only while its return is awaited.
     std::optional<time_point> missing_since;
+    /// Until when the holder's word stands against the list's of the same
+    /// moment: the list is older.
+    time_point learned_until{};
+    /// Models and adapters that the server refused as not loaded, and until
+    /// when it is not asked for them again.
+    std::map<std::pair<model_id, std::string>, time_point> refusals;
     /// Another process answered at its address: it is not used until the list
     /// tells of it anew.
     bool misdirected = false;
@@ -74,6 +81,17 @@
     }
 };
 
+/// Whether a backend server can run a request for a model and adapter.
+enum class holding : std::uint8_t
+{
+    /// Not the model.
+    none,
+    /// The model, but not the adapter.
+    model_only,
+    /// All that the request needs.
+    all,
+};
+
 /// The backend servers by the platform's list.
 ///
 /// Invariant: a server that the list shows draining or gone gets no new
@@ -85,12 +103,17 @@
     /// Live servers whose entries lapsed in an outage of the store are listed
     /// again within this time of its return.
     static constexpr duration outage_patience{2000};
+    /// The list lags behind the holder's word by up to this.
+    static constexpr duration list_lag{1500};
+    /// A model or adapter that a server refused is not asked for again before
+    /// this.
+    static constexpr duration refusal_life{400};
 
     /// Takes in the whole list.
     void replace(std::span<const backend_entry> entries, time_point now);
 
     /// Takes in one changed entry.
-    void update(const backend_entry& entry);
+    void update(const backend_entry& entry, time_point now);
 
     /// An entry was removed from the list.
     void remove(const server_id& id, time_point now);
@@ -103,12 +126,19 @@
 
     /// Takes in what a server holds, where it is newer than what is known.
     /// Returns true where something changed.
-    bool learn(const server_id& id, const held_state& held);
+    bool learn(const server_id& id, const held_state& held, time_point now);
 
     /// The server refused a request for a model or adapter as not loaded.
     void not_held(const server_id& id,
                   const model_id& model,
-                  const std::string& adapter);
+                  const std::string& adapter,
+                  time_point now);
+
+    /// What `state`'s server holds of what a request needs.
+    static holding holds(const backend_state& state,
+                         const model_id& model,
+                         const std::string& adapter,
+                         time_point now);
 
     /// Another process answered at the server's address.
     void misdirected(const server_id& id);
--- a/libs/core/include/barleyfork/core/event_splitter.hpp
+++ b/libs/core/include/barleyfork/core/event_splitter.hpp
@@ -24,6 +24,12 @@
         partial_.clear();
     }
 
+    /// True within an event that has not come to its end.
+    bool has_partial() const noexcept
+    {
+        return !partial_.empty();
+    }
+
     /// Data events so far, the end mark not counted.
     std::uint64_t events() const noexcept
     {
--- /dev/null
+++ b/libs/core/include/barleyfork/core/placement_controller.hpp
@@ -0,0 +1,252 @@
+#ifndef BARLEYFORK_CORE_PLACEMENT_CONTROLLER_HPP
+#define BARLEYFORK_CORE_PLACEMENT_CONTROLLER_HPP
+
+#include <barleyfork/base/strong_id.hpp>
+#include <barleyfork/base/time.hpp>
+#include <barleyfork/core/backend_directory.hpp>
+#include <barleyfork/core/demand_estimator.hpp>
+#include <barleyfork/core/gateway_configuration.hpp>
+#include <barleyfork/core/placement_planner.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace barleyfork {
+
+/// Under which lease an order is given.
+struct order_sender
+{
+    /// The instance that holds the lease.
+    std::string holder;
+    /// The lease's epoch.
+    std::uint64_t fence = 0;
+};
+
+/// One order to an engine that takes its orders in a counted sequence.
+struct engine_command
+{
+    order_kind kind = order_kind::load;
+    model_id model;
+    /// An adapter of the model; empty where the model itself is meant.
+    std::string adapter;
+    /// The engine takes the order only while it has accepted so many before.
+    std::uint64_t expected_sequence = 0;
+};
+
+/// What an engine said to an order.
+enum class engine_answer : std::uint8_t
+{
+    /// It is being carried out.
+    accepted,
+    /// It held already, or was done at once.
+    holds,
+    /// Another order is under way, or the sequence has moved on.
+    busy,
+    /// A newer holder gave orders.
+    stale_fence,
+    /// The engine does not know such an order.
+    invalid,
+    /// Another process answered.
+    wrong_server,
+    /// Nothing was sent.
+    not_sent,
+    /// No answer came; the order may be carried out at any time.
+    unknown,
+};
+
+/// What the controller asks its duty to do.
+struct placement_action
+{
+    enum class what : std::uint8_t
+    {
+        order,
+        report,
+    };
+
+    what kind = what::order;
+    server_id server;
+    /// For an order.
+    engine_command command;
+    /// Why, for the log.
+    const char* reason = "";
+};
+
+/// Limits of one holder's orders.
+struct placement_options
+{
+    planner_options planner;
+    /// How often placement is planned anew.
+    duration interval{250};
+    /// The weight store's bound holds over any span of this length.
+    duration load_window{5000};
+    /// An order without an answer may still be carried out this long after.
+    duration late_order_life{15000};
+};
+
+/// Decides the orders of all backend servers of one engine service, under a
+/// lease that the duty checks before it sends each order.
+///
+/// Every order names the sequence that the engine must still have, so of
+/// several that wait for one place in the sequence at most one is carried
+/// out. Invariant: a load is ordered only if the server's memory holds what
+/// it has, every load that may still act, room for all adapters, and the new
+/// model. Not thread-safe; lives for one holding of the lease.
+class placement_controller
+{
+public:
+    placement_controller(engine_options engine,
+                         placement_options options,
+                         time_point now);
+
+    /// Takes over a new declaration of the engine.
+    void set_engine(engine_options engine);
+
+    /// Takes in the service's servers as the list has them.
+    void observe(std::span<const backend_state* const> servers, time_point now);
+
+    /// Work that callers asked of a model, in server-seconds.
+    void add_demand(const model_id& model, double work);
+
+    /// Callers wait for an adapter that no server holds.
+    void need_adapter(const model_id& model,
+                      const std::string& adapter,
+                      time_point now);
+
+    /// An adapter serves requests: it is not to make way soon.
+    void used_adapter(const model_id& model,
+                      const std::string& adapter,
+                      time_point now);
+
+    /// What is to be done now. An order's answer must be given to `on_answer`
+    /// before the server gets another.
+    std::vector<placement_action> collect(time_point now);
+
+    void on_answer(const server_id& server,
+                   const engine_command& command,
+                   engine_answer answer,
+                   time_point now);
+
+    void on_report(const server_id& server,
+                   const held_state& held,
+                   bool busy,
+                   time_point now);
+
+    /// What a server holds, for daemons; null where it is not known. Models
+    /// that are to go are not ready any more.
+    std::optional<held_state> published(const server_id& server,
+                                        time_point now) const;
+
+    /// Servers whose `published` changed since the last call.
+    std::vector<server_id> take_changed(time_point now);
+
+private:
+    struct running_order
+    {
+        engine_command command;
+        /// The sequence once it was accepted.
+        std::uint64_t sequence = 0;
+        time_point probe_at{};
+        bool from_store = false;
+    };
+
+    struct unsettled_load
+    {
+        engine_command command;
+        time_point until{};
+    };
+
+    struct closing_model
+    {
+        model_id model;
+        time_point order_at{};
+        const char* reason = "";
+    };
+
+    struct coming_adapter
+    {
+        model_id model;
+        std::string adapter;
+        time_point ready_at{};
+    };
+
+    struct engine_server
+    {
+        failure_domain_id failure_domain;
+        bool usable = true;
+        held_state held;
+        std::vector<model_id> in_memory;
+        std::vector<model_id> on_disk;
+        bool awaiting_answer = false;
+        std::optional<running_order> running;
+        std::optional<closing_model> closing;
+        std::optional<time_point> probe_at;
+        std::vector<unsettled_load> unsettled;
+        std::vector<coming_adapter> coming;
+        bool changed = true;
+    };
+
+    using adapter_key = std::pair<model_id, std::string>;
+    using actions = std::vector<placement_action>;
+
+    const engine_model* model_of(const model_id& id) const;
+    std::uint64_t adapter_reserve() const;
+    std::uint64_t committed_mb(const engine_server& server) const;
+    std::size_t adapters_on(const engine_server& server) const;
+    bool is_idle(const engine_server& server) const;
+    bool takes_load(const engine_server& server, const model_id& model) const;
+    bool is_at_hand(const engine_server& server, const model_id& model) const;
+    duration load_time(const engine_server& server,
+                       const model_id& model) const;
+    std::size_t store_loads_running() const;
+    std::uint32_t load_budget(time_point now);
+    void settle(engine_server& server, time_point now);
+    void adopt(engine_server& server, const held_state& held);
+
+    planner_input make_input(time_point now);
+    planner_server make_server(const server_id& id,
+                               const engine_server& server) const;
+    void plan(time_point now, actions& out);
+    void take_step(const planned_step& step, time_point now, actions& out);
+    void collect_closings(time_point now, actions& out);
+    void collect_probes(time_point now, actions& out);
+    void collect_adapters(time_point now, actions& out);
+    bool place_adapter(const adapter_key& key, time_point now, actions& out);
+    bool make_adapter_room(const server_id& id,
+                           engine_server& server,
+                           time_point now,
+                           actions& out);
+    void order(const server_id& id,
+               engine_server& server,
+               engine_command command,
+               const char* reason,
+               actions& out);
+    void on_accepted(engine_server& server,
+                     const engine_command& command,
+                     time_point now);
+    void on_model_accepted(engine_server& server,
+                           const engine_command& command,
+                           time_point now);
+    void on_adapter_done(engine_server& server,
+                         const engine_command& command,
+                         time_point now);
+
+    engine_options engine_;
+    placement_options options_;
+    time_point began_at_;
+    std::optional<time_point> planned_at_;
+    std::map<server_id, engine_server> servers_;
+    std::map<model_id, double> work_;
+    std::map<model_id, demand_estimator> demand_;
+    std::map<adapter_key, time_point> needs_;
+    std::map<adapter_key, time_point> used_;
+    std::deque<time_point> store_loads_;
+};
+
+} // namespace barleyfork
+
+#endif
--- a/libs/core/src/backend_directory.cpp
+++ b/libs/core/src/backend_directory.cpp
@@ -43,7 +43,7 @@
     std::set<server_id> listed;
     for (const auto& entry : entries) {
         listed.insert(entry.id);
-        update(entry);
+        update(entry, now);
     }
     std::vector<server_id> gone;
     for (const auto& [id, state] : servers_)
@@ -53,7 +53,7 @@
         remove(id, now);
 }
 
-void backend_directory::update(const backend_entry& entry)
+void backend_directory::update(const backend_entry& entry, time_point now)
 {
     auto& state = servers_[entry.id];
     const bool new_process =
@@ -64,9 +64,10 @@
     state.missing_since.reset();
     if (new_process || moved)
         state.misdirected = false;
-    // What the list says at the same moment tells of adapters that a report
-    // between two orders could not.
-    if (new_process || !is_newer(state.held, entry.held))
+    const bool outdated = is_newer(state.held, entry.held) ||
+                          (is_same_moment(state.held, entry.held) &&
+                           now < state.learned_until);
+    if (new_process || !outdated)
         state.held = entry.held;
 }
 
@@ -111,7 +112,9 @@
     return expired;
 }
 
-bool backend_directory::learn(const server_id& id, const held_state& held)
+bool backend_directory::learn(const server_id& id,
+                              const held_state& held,
+                              time_point now)
 {
     const auto found = servers_.find(id);
     if (found == servers_.end())
@@ -120,24 +123,35 @@
     if (!is_newer(held, known) && !is_same_moment(held, known))
         return false;
     known = held;
+    found->second.learned_until = now + list_lag;
     return true;
 }
 
 void backend_directory::not_held(const server_id& id,
                                  const model_id& model,
-                                 const std::string& adapter)
+                                 const std::string& adapter,
+                                 time_point now)
 {
     const auto found = servers_.find(id);
-    if (found == servers_.end())
-        return;
-    for (auto& held : found->second.held.models) {
-        if (held.model != model)
-            continue;
-        if (adapter.empty() || !held.has_adapter(adapter))
-            held.ready = false;
-        else
-            std::erase(held.adapters, adapter);
-    }
+    if (found != servers_.end())
+        found->second.refusals[{model, adapter}] = now + refusal_life;
+}
+
+holding backend_directory::holds(const backend_state& state,
+                                 const model_id& model,
+                                 const std::string& adapter,
+                                 time_point now)
+{
+    const auto* held = state.held.find(model);
+    if (held == nullptr || !held->ready)
+        return holding::none;
+    const auto refused = state.refusals.find({model, adapter});
+    const bool refused_lately =
+        refused != state.refusals.end() && now < refused->second;
+    if (adapter.empty())
+        return refused_lately ? holding::none : holding::all;
+    return refused_lately || !held->has_adapter(adapter) ? holding::model_only
+                                                         : holding::all;
 }
 
 void backend_directory::misdirected(const server_id& id)
--- a/libs/core/src/gateway_configuration.cpp
+++ b/libs/core/src/gateway_configuration.cpp
@@ -1,23 +1,11 @@
 #include <barleyfork/core/gateway_configuration.hpp>
 
+#include <barleyfork/base/text.hpp>
+
 #include <algorithm>
-#include <cctype>
 
 namespace barleyfork {
 
-namespace {
-
-bool equal_ignoring_case(std::string_view a, std::string_view b)
-{
-    return std::equal(
-        a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) {
-            return std::tolower(static_cast<unsigned char>(x)) ==
-                   std::tolower(static_cast<unsigned char>(y));
-        });
-}
-
-} // namespace
-
 const gateway_service*
 gateway_configuration::find_service(const service_id& id) const
 {
--- /dev/null
+++ b/libs/core/src/placement_controller.cpp
@@ -0,0 +1,659 @@
+#include <barleyfork/core/placement_controller.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace barleyfork {
+
+namespace {
+
+/// Daemons stop sending to a model this long before its unload is ordered.
+constexpr duration closing_time{300};
+/// A report is asked for again after this while an order runs.
+constexpr duration probe_pause{200};
+/// The first report after an order without an answer.
+constexpr duration first_probe{400};
+/// A report shows the state of some time before, so the first is asked for
+/// this long after the order should be done.
+constexpr duration report_lag{200};
+/// An adapter takes about this from its order to its first request.
+constexpr duration adapter_time{25};
+/// A wish for an adapter that can't be met is dropped after this.
+constexpr duration need_life{3000};
+/// Adapters used within this time don't make way for others.
+constexpr duration adapter_rest{1000};
+/// One version of each model is declared.
+constexpr std::uint32_t only_version = 1;
+constexpr double ms_per_second = 1000.0;
+/// The share of the store's bound that a new holder takes at first: what its
+/// predecessor used is not known.
+constexpr double first_window_share = 0.2;
+
+bool contains(const std::vector<model_id>& models, const model_id& model)
+{
+    return std::find(models.begin(), models.end(), model) != models.end();
+}
+
+} // namespace
+
+placement_controller::placement_controller(engine_options engine,
+                                           placement_options options,
+                                           time_point now)
+    : engine_(std::move(engine)), options_(options), began_at_(now)
+{
+}
+
+void placement_controller::set_engine(engine_options engine)
+{
+    engine_ = std::move(engine);
+}
+
+void placement_controller::observe(
+    std::span<const backend_state* const> servers, time_point now)
+{
+    std::map<server_id, const backend_state*> listed;
+    for (const auto* state : servers)
+        listed.emplace(state->entry.id, state);
+    std::erase_if(servers_, [&listed](const auto& item) {
+        return !listed.contains(item.first);
+    });
+    for (const auto& [id, state] : listed) {
+        auto& server = servers_[id];
+        server.failure_domain = state->entry.failure_domain;
+        server.usable = state->usable() && !state->missing_since;
+        server.in_memory = state->entry.in_memory;
+        server.on_disk = state->entry.on_disk;
+        adopt(server, state->entry.held);
+        settle(server, now);
+    }
+}
+
+/// Takes in the server's own word where it is not older than what is known. A
+/// running order is over once the word shows its effect.
+void placement_controller::adopt(engine_server& server, const held_state& held)
+{
+    const bool new_process = held.started_ms != server.held.started_ms;
+    if (new_process) {
+        server.running.reset();
+        server.closing.reset();
+        server.coming.clear();
+        server.awaiting_answer = false;
+        server.held = held;
+        server.changed = true;
+        return;
+    }
+    if (held.sequence < server.held.sequence)
+        return;
+    if (server.running) {
+        const auto& command = server.running->command;
+        const bool present = held.find(command.model) != nullptr;
+        const bool shows_effect = held.sequence >= server.running->sequence &&
+                                  present == (command.kind == order_kind::load);
+        if (!shows_effect)
+            return;
+        server.running.reset();
+    }
+    else if (held.sequence == server.held.sequence &&
+             held.models.size() == server.held.models.size()) {
+        // Adapters under way are known better here.
+        return;
+    }
+    server.held = held;
+    server.coming.clear();
+    server.changed = true;
+}
+
+void placement_controller::settle(engine_server& server, time_point now)
+{
+    std::erase_if(server.unsettled, [&server, now](const auto& load) {
+        return now >= load.until ||
+               server.held.sequence > load.command.expected_sequence;
+    });
+}
+
+void placement_controller::add_demand(const model_id& model, double work)
+{
+    work_[model] += work;
+}
+
+void placement_controller::need_adapter(const model_id& model,
+                                        const std::string& adapter,
+                                        time_point now)
+{
+    needs_[{model, adapter}] = now;
+}
+
+void placement_controller::used_adapter(const model_id& model,
+                                        const std::string& adapter,
+                                        time_point now)
+{
+    used_[{model, adapter}] = now;
+}
+
+std::vector<placement_action> placement_controller::collect(time_point now)
+{
+    actions out;
+    collect_probes(now, out);
+    collect_closings(now, out);
+    collect_adapters(now, out);
+    if (!planned_at_ || now >= *planned_at_ + options_.interval)
+        plan(now, out);
+    return out;
+}
+
+const engine_model* placement_controller::model_of(const model_id& id) const
+{
+    const auto& models = engine_.models;
+    const auto found =
+        std::find_if(models.begin(), models.end(), [&id](const auto& model) {
+            return model.id == id;
+        });
+    return found == models.end() ? nullptr : &*found;
+}
+
+/// Room for as many of the largest adapters as a server may hold.
+std::uint64_t placement_controller::adapter_reserve() const
+{
+    std::uint64_t largest = 0;
+    for (const auto& model : engine_.models)
+        if (model.adapters > 0)
+            largest = std::max<std::uint64_t>(largest, model.adapter_mb);
+    return largest * engine_.max_adapters;
+}
+
+std::uint64_t
+placement_controller::committed_mb(const engine_server& server) const
+{
+    std::uint64_t sum = adapter_reserve();
+    std::vector<model_id> counted;
+    const auto count = [&](const model_id& model) {
+        const auto* declared = model_of(model);
+        if (declared == nullptr || contains(counted, model))
+            return;
+        counted.push_back(model);
+        sum += declared->memory_mb;
+    };
+    for (const auto& held : server.held.models)
+        count(held.model);
+    if (server.running)
+        count(server.running->command.model);
+    for (const auto& load : server.unsettled)
+        if (load.command.adapter.empty())
+            count(load.command.model);
+    return sum;
+}
+
+std::size_t placement_controller::adapters_on(const engine_server& server) const
+{
+    std::size_t count = 0;
+    for (const auto& held : server.held.models)
+        count += held.adapters.size();
+    for (const auto& load : server.unsettled)
+        count += load.command.adapter.empty() ? 0 : 1;
+    return count;
+}
+
+bool placement_controller::is_idle(const engine_server& server) const
+{
+    return server.usable && !server.awaiting_answer && !server.running &&
+           !server.closing && !server.probe_at;
+}
+
+bool placement_controller::takes_load(const engine_server& server,
+                                      const model_id& model) const
+{
+    const auto* declared = model_of(model);
+    if (declared == nullptr || server.held.find(model) != nullptr)
+        return false;
+    const bool counted = std::any_of(server.unsettled.begin(),
+                                     server.unsettled.end(),
+                                     [&model](const auto& load) {
+                                         return load.command.model == model &&
+                                                load.command.adapter.empty();
+                                     });
+    const auto needed = counted ? 0 : declared->memory_mb;
+    return committed_mb(server) + needed <= engine_.memory_mb;
+}
+
+bool placement_controller::is_at_hand(const engine_server& server,
+                                      const model_id& model) const
+{
+    return contains(server.in_memory, model) ||
+           contains(server.on_disk, model);
+}
+
+duration placement_controller::load_time(const engine_server& server,
+                                         const model_id& model) const
+{
+    const auto* declared = model_of(model);
+    if (declared == nullptr)
+        return duration{0};
+    if (contains(server.in_memory, model))
+        return declared->memory_load_time;
+    if (contains(server.on_disk, model))
+        return declared->disk_load_time;
+    return declared->load_time;
+}
+
+std::size_t placement_controller::store_loads_running() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        servers_.begin(), servers_.end(), [](const auto& item) {
+            return item.second.running && item.second.running->from_store;
+        }));
+}
+
+/// Loads from the weight store that may begin now: within the store's rate
+/// over the window, and as many at once as that rate keeps busy.
+std::uint32_t placement_controller::load_budget(time_point now)
+{
+    while (!store_loads_.empty() &&
+           store_loads_.front() <= now - options_.load_window)
+        store_loads_.pop_front();
+    const double window_s =
+        static_cast<double>(options_.load_window.count()) / ms_per_second;
+    const bool first_window = now < began_at_ + options_.load_window;
+    const double bound = engine_.loads_per_second * window_s *
+                         (first_window ? first_window_share : 1.0);
+    const auto in_window = static_cast<double>(store_loads_.size());
+    double longest_s = 0.0;
+    for (const auto& model : engine_.models)
+        longest_s = std::max(
+            longest_s,
+            static_cast<double>(model.load_time.count()) / ms_per_second);
+    const double at_once =
+        std::max(1.0, std::ceil(engine_.loads_per_second * longest_s));
+    const double left =
+        std::min(bound - in_window,
+                 at_once - static_cast<double>(store_loads_running()));
+    return left < 1.0 ? 0 : static_cast<std::uint32_t>(left);
+}
+
+planner_server
+placement_controller::make_server(const server_id& id,
+                                  const engine_server& server) const
+{
+    planner_server entry;
+    entry.id = id;
+    entry.failure_domain = server.failure_domain;
+    entry.memory_mib = engine_.memory_mb;
+    entry.committed_mib = committed_mb(server);
+    entry.usable = server.usable;
+    const auto add = [&](const model_id& model, bool ready, bool changing) {
+        const auto* declared = model_of(model);
+        planner_replica replica;
+        replica.model = model;
+        replica.version = only_version;
+        replica.memory_mib = declared == nullptr ? 0 : declared->memory_mb;
+        replica.ready = ready;
+        replica.changing = changing;
+        replica.unloading = changing && server.held.find(model) != nullptr;
+        entry.replicas.push_back(std::move(replica));
+    };
+    const auto is_going = [&server](const model_id& model) {
+        const bool unloading =
+            server.running && server.running->command.model == model &&
+            server.running->command.kind == order_kind::unload;
+        return unloading || (server.closing && server.closing->model == model);
+    };
+    for (const auto& held : server.held.models)
+        add(held.model, !is_going(held.model), is_going(held.model));
+    if (server.running && server.running->command.kind == order_kind::load &&
+        server.held.find(server.running->command.model) == nullptr)
+        add(server.running->command.model, false, true);
+    return entry;
+}
+
+planner_input placement_controller::make_input(time_point now)
+{
+    planner_input input;
+    input.options = options_.planner;
+    // Loads of models at hand don't count; the step is checked again when it
+    // is taken.
+    input.options.load_budget =
+        std::max<std::uint32_t>(load_budget(now), 1);
+    for (const auto& [id, server] : servers_)
+        input.servers.push_back(make_server(id, server));
+    const double elapsed_s =
+        planned_at_
+            ? static_cast<double>((now - *planned_at_).count()) / ms_per_second
+            : 1.0;
+    for (const auto& declared : engine_.models) {
+        auto& demand = demand_[declared.id];
+        demand.observe(work_[declared.id] / std::max(elapsed_s, 0.05), now);
+        planner_model model;
+        model.id = declared.id;
+        model.version = only_version;
+        model.memory_mib = declared.memory_mb;
+        model.max_replicas = static_cast<std::uint32_t>(servers_.size());
+        model.demand = demand.fast();
+        model.peak_demand = demand.fast();
+        input.models.push_back(std::move(model));
+    }
+    work_.clear();
+    return input;
+}
+
+void placement_controller::plan(time_point now, actions& out)
+{
+    const auto input = make_input(now);
+    planned_at_ = now;
+    for (const auto& step : plan_placement(input))
+        take_step(step, now, out);
+}
+
+void placement_controller::take_step(const planned_step& step,
+                                     time_point now,
+                                     actions& out)
+{
+    const auto found = servers_.find(step.server);
+    if (found == servers_.end() || !is_idle(found->second))
+        return;
+    auto& server = found->second;
+    if (step.kind == order_kind::unload) {
+        server.closing = closing_model{
+            step.model, now + closing_time, reason_name(step.reason)};
+        server.changed = true;
+        return;
+    }
+    if (!takes_load(server, step.model))
+        return;
+    if (!is_at_hand(server, step.model)) {
+        if (load_budget(now) == 0)
+            return;
+        store_loads_.push_back(now);
+    }
+    order(found->first,
+          server,
+          {order_kind::load, step.model, {}, server.held.sequence},
+          reason_name(step.reason),
+          out);
+}
+
+void placement_controller::order(const server_id& id,
+                                 engine_server& server,
+                                 engine_command command,
+                                 const char* reason,
+                                 actions& out)
+{
+    server.awaiting_answer = true;
+    out.push_back({placement_action::what::order,
+                   id,
+                   std::move(command),
+                   reason});
+}
+
+void placement_controller::collect_closings(time_point now, actions& out)
+{
+    for (auto& [id, server] : servers_) {
+        if (!server.closing || now < server.closing->order_at ||
+            server.awaiting_answer)
+            continue;
+        order(id,
+              server,
+              {order_kind::unload,
+               server.closing->model,
+               {},
+               server.held.sequence},
+              server.closing->reason,
+              out);
+    }
+}
+
+void placement_controller::collect_probes(time_point now, actions& out)
+{
+    for (auto& [id, server] : servers_) {
+        settle(server, now);
+        const bool running_due =
+            server.running && now >= server.running->probe_at;
+        const bool due = server.probe_at && now >= *server.probe_at;
+        if (!running_due && !due)
+            continue;
+        if (server.running)
+            server.running->probe_at = now + probe_pause;
+        if (server.probe_at)
+            server.probe_at = now + probe_pause;
+        out.push_back(
+            {placement_action::what::report, id, engine_command{}, ""});
+    }
+}
+
+void placement_controller::collect_adapters(time_point now, actions& out)
+{
+    std::erase_if(needs_, [now](const auto& item) {
+        return now > item.second + need_life;
+    });
+    std::vector<adapter_key> met;
+    for (const auto& [key, at] : needs_)
+        if (place_adapter(key, now, out))
+            met.push_back(key);
+    for (const auto& key : met)
+        needs_.erase(key);
+}
+
+/// Orders the adapter where its model is; true once some server has it.
+bool placement_controller::place_adapter(const adapter_key& key,
+                                         time_point now,
+                                         actions& out)
+{
+    server_id best;
+    std::size_t fewest = 0;
+    for (const auto& [id, server] : servers_) {
+        const auto* held = server.held.find(key.first);
+        const bool going =
+            server.closing && server.closing->model == key.first;
+        if (!server.usable || held == nullptr || going)
+            continue;
+        if (held->has_adapter(key.second))
+            return true;
+        if (server.awaiting_answer || server.probe_at)
+            continue;
+        const auto count = adapters_on(server);
+        if (best.empty() || count < fewest) {
+            best = id;
+            fewest = count;
+        }
+    }
+    if (best.empty())
+        return false;
+    auto& server = servers_.at(best);
+    if (fewest >= engine_.max_adapters) {
+        make_adapter_room(best, server, now, out);
+        return false;
+    }
+    order(best,
+          server,
+          {order_kind::load, key.first, key.second, server.held.sequence},
+          "adapter",
+          out);
+    return false;
+}
+
+/// Unloads the adapter that was used longest ago, if it has rested.
+bool placement_controller::make_adapter_room(const server_id& id,
+                                             engine_server& server,
+                                             time_point now,
+                                             actions& out)
+{
+    std::optional<adapter_key> oldest;
+    time_point oldest_use{};
+    for (const auto& held : server.held.models) {
+        for (const auto& adapter : held.adapters) {
+            const adapter_key key{held.model, adapter};
+            const auto used = used_.find(key);
+            const auto at =
+                used == used_.end() ? time_point{} : used->second;
+            if (!oldest || at < oldest_use) {
+                oldest = key;
+                oldest_use = at;
+            }
+        }
+    }
+    if (!oldest || now < oldest_use + adapter_rest)
+        return false;
+    order(id,
+          server,
+          {order_kind::unload,
+           oldest->first,
+           oldest->second,
+           server.held.sequence},
+          "adapter_room",
+          out);
+    return true;
+}
+
+void placement_controller::on_answer(const server_id& id,
+                                     const engine_command& command,
+                                     engine_answer answer,
+                                     time_point now)
+{
+    const auto found = servers_.find(id);
+    if (found == servers_.end())
+        return;
+    auto& server = found->second;
+    server.awaiting_answer = false;
+    const bool closes = server.closing && command.adapter.empty() &&
+                        command.kind == order_kind::unload;
+    if (closes)
+        server.closing.reset();
+    server.changed = server.changed || closes;
+    switch (answer) {
+    case engine_answer::accepted:
+        on_accepted(server, command, now);
+        return;
+    case engine_answer::holds:
+        if (!command.adapter.empty())
+            on_adapter_done(server, command, now);
+        else
+            server.probe_at = now;
+        return;
+    case engine_answer::unknown:
+        if (command.kind == order_kind::load)
+            server.unsettled.push_back(
+                {command, now + options_.late_order_life});
+        server.probe_at = now + first_probe;
+        return;
+    case engine_answer::not_sent:
+        return;
+    case engine_answer::busy:
+    case engine_answer::stale_fence:
+    case engine_answer::invalid:
+    case engine_answer::wrong_server:
+        server.probe_at = now + probe_pause;
+        return;
+    }
+}
+
+void placement_controller::on_accepted(engine_server& server,
+                                       const engine_command& command,
+                                       time_point now)
+{
+    if (server.held.sequence == command.expected_sequence)
+        server.held.sequence = command.expected_sequence + 1;
+    if (command.adapter.empty())
+        on_model_accepted(server, command, now);
+    else
+        on_adapter_done(server, command, now);
+}
+
+void placement_controller::on_model_accepted(engine_server& server,
+                                             const engine_command& command,
+                                             time_point now)
+{
+    running_order running;
+    running.command = command;
+    running.sequence = command.expected_sequence + 1;
+    running.from_store = command.kind == order_kind::load &&
+                         !is_at_hand(server, command.model);
+    running.probe_at = now + report_lag;
+    if (command.kind == order_kind::load)
+        running.probe_at += load_time(server, command.model);
+    server.running = running;
+    server.changed = true;
+}
+
+void placement_controller::on_adapter_done(engine_server& server,
+                                           const engine_command& command,
+                                           time_point now)
+{
+    server.held.sequence =
+        std::max(server.held.sequence, command.expected_sequence + 1);
+    for (auto& held : server.held.models) {
+        if (held.model != command.model)
+            continue;
+        if (command.kind == order_kind::unload) {
+            std::erase(held.adapters, command.adapter);
+        }
+        else if (!held.has_adapter(command.adapter)) {
+            held.adapters.push_back(command.adapter);
+            server.coming.push_back(
+                {command.model, command.adapter, now + adapter_time});
+            used_[{command.model, command.adapter}] = now;
+        }
+    }
+    server.changed = true;
+}
+
+void placement_controller::on_report(const server_id& id,
+                                     const held_state& held,
+                                     bool busy,
+                                     time_point now)
+{
+    const auto found = servers_.find(id);
+    if (found == servers_.end())
+        return;
+    auto& server = found->second;
+    const bool same_process = held.started_ms == server.held.started_ms;
+    if (same_process && held.sequence < server.held.sequence)
+        return;
+    if (busy && same_process)
+        return;
+    if (same_process && server.running &&
+        held.sequence >= server.running->sequence)
+        server.running.reset();
+    server.probe_at.reset();
+    if (same_process && held.sequence == server.held.sequence &&
+        !server.coming.empty())
+        return;
+    server.held = held;
+    server.changed = true;
+    settle(server, now);
+}
+
+std::optional<held_state>
+placement_controller::published(const server_id& id, time_point now) const
+{
+    const auto found = servers_.find(id);
+    if (found == servers_.end())
+        return std::nullopt;
+    const auto& server = found->second;
+    held_state shown = server.held;
+    for (auto& held : shown.models) {
+        const bool going =
+            (server.closing && server.closing->model == held.model) ||
+            (server.running && server.running->command.model == held.model &&
+             server.running->command.kind == order_kind::unload);
+        held.ready = !going;
+        for (const auto& coming : server.coming)
+            if (coming.model == held.model && now < coming.ready_at)
+                std::erase(held.adapters, coming.adapter);
+    }
+    return shown;
+}
+
+std::vector<server_id> placement_controller::take_changed(time_point now)
+{
+    std::vector<server_id> changed;
+    for (auto& [id, server] : servers_) {
+        const auto arrived =
+            std::erase_if(server.coming, [now](const auto& coming) {
+                return now >= coming.ready_at;
+            });
+        if (server.changed || arrived > 0)
+            changed.push_back(id);
+        server.changed = false;
+    }
+    return changed;
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/gateway/src/gateway.cpp
@@ -0,0 +1,334 @@
+#include <barleyfork/gateway/gateway.hpp>
+
+#include "caller_session.hpp"
+#include "gateway_context.hpp"
+#include "peer_news.hpp"
+#include "placement_duty.hpp"
+#include "store_watch.hpp"
+
+#include <barleyfork/base/log.hpp>
+#include <barleyfork/net/http_server.hpp>
+#include <barleyfork/net/sockets.hpp>
+#include <barleyfork/schema/toml_reader.hpp>
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <filesystem>
+#include <future>
+#include <optional>
+#include <vector>
+
+namespace barleyfork {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+constexpr std::int64_t accept_pause_ms = 20;
+constexpr std::int64_t sweep_interval_ms = 500;
+/// How often the settings file is looked at.
+constexpr duration settings_check{2000};
+/// The balancer stops sending connections within this time.
+constexpr duration leave_rotation{2600};
+/// What is left of the time to stop when the last requests are cut.
+constexpr duration stop_margin{500};
+constexpr std::int64_t drain_tick_ms = 50;
+/// Descriptors kept for files, servers, peers and the store.
+constexpr std::uint32_t reserved_descriptors = 600;
+
+struct host_port
+{
+    std::string host;
+    std::uint16_t port = 0;
+};
+
+std::optional<host_port> split_address(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    const auto port = std::strtoul(text.c_str() + colon + 1, nullptr, 10);
+    constexpr unsigned long largest_port = 65535;
+    if (port == 0 || port > largest_port)
+        return std::nullopt;
+    return host_port{text.substr(0, colon), static_cast<std::uint16_t>(port)};
+}
+
+failure bad_address(const char* key, const std::string& given)
+{
+    return make_failure(errc::invalid_input,
+                        std::string("key ") + key + ": given " + given +
+                            ", allowed a free IP:PORT of this instance");
+}
+
+} // namespace
+
+struct gateway::state
+{
+    state(schema::gateway_settings_record settings,
+          std::string file,
+          platform_port platform)
+        : context(std::move(settings), std::move(platform)),
+          settings_file(std::move(file)), watch(context),
+          news(context, watch), placement(context, news),
+          acceptor(context.serving.executor()),
+          signals(context.serving.executor(), SIGTERM, SIGINT, SIGHUP)
+    {
+    }
+
+    failure listen();
+    void spawn_loops();
+    asio::awaitable<void> accept_loop();
+    asio::awaitable<void> signal_loop();
+    asio::awaitable<void> sweep_loop();
+    asio::awaitable<void> drain();
+    asio::awaitable<void> answer_ready(const http_incoming& request,
+                                       http_responder& out);
+    asio::awaitable<void> answer_metrics(const http_incoming& request,
+                                         http_responder& out);
+    void reload();
+    void check_settings_file(time_point now);
+    bool is_ready() const;
+
+    gateway_context context;
+    std::string settings_file;
+    store_watch watch;
+    peer_news news;
+    placement_duty placement;
+    tcp::acceptor acceptor;
+    asio::signal_set signals;
+    std::optional<http_server> ready_server;
+    std::optional<http_server> metrics_server;
+    std::vector<std::weak_ptr<caller_session>> sessions;
+    std::filesystem::file_time_type settings_time{};
+    time_point next_settings_check{};
+    std::promise<bool> ended;
+};
+
+failure gateway::state::listen()
+{
+    const auto& settings = context.settings;
+    const auto callers = split_address(settings.caller_address);
+    if (!callers || !open_acceptor(acceptor, callers->host, callers->port))
+        return bad_address("caller_address", settings.caller_address);
+    const auto ready = split_address(settings.ready_address);
+    ready_server.emplace(
+        context.serving, http_limits{}, [this](const auto& in, auto& out) {
+            return answer_ready(in, out);
+        });
+    if (!ready || ready_server->listen(ready->host, ready->port) == 0)
+        return bad_address("ready_address", settings.ready_address);
+    if (!news.listen())
+        return bad_address("peer_port", std::to_string(settings.peer_port));
+    if (settings.metrics_port == 0)
+        return {};
+    metrics_server.emplace(
+        context.serving, http_limits{}, [this](const auto& in, auto& out) {
+            return answer_metrics(in, out);
+        });
+    if (metrics_server->listen(settings.address, settings.metrics_port) == 0)
+        return bad_address("metrics_port",
+                           std::to_string(settings.metrics_port));
+    return {};
+}
+
+void gateway::state::spawn_loops()
+{
+    news.on_demand([this](const auto& message) {
+        placement.on_demand(message);
+    });
+    context.on_need = [this] { news.send_demand(); };
+    auto& duty = context.serving;
+    duty.spawn(accept_loop());
+    duty.spawn(signal_loop());
+    duty.spawn(sweep_loop());
+    duty.spawn(watch.follow_configuration());
+    duty.spawn(watch.follow_servers());
+    duty.spawn(news.follow_members());
+    duty.spawn(news.run());
+    duty.spawn(placement.run());
+}
+
+asio::awaitable<void> gateway::state::accept_loop()
+{
+    const auto most = context.settings.max_descriptors > reserved_descriptors
+                          ? context.settings.max_descriptors -
+                                reserved_descriptors
+                          : context.settings.max_descriptors / 2;
+    for (;;) {
+        auto [error, socket] = co_await acceptor.async_accept(as_result);
+        if (error == asio::error::operation_aborted)
+            co_return;
+        if (error || sessions.size() >= most) {
+            log_event(log_level::warn, "connection_refused")
+                .with("open", static_cast<std::int64_t>(sessions.size()))
+                .with("error", error ? error.message() : "too many");
+            co_await sleep_for_ms(accept_pause_ms);
+            continue;
+        }
+        auto session =
+            std::make_shared<caller_session>(context, std::move(socket));
+        sessions.push_back(session);
+        session->start();
+    }
+}
+
+asio::awaitable<void> gateway::state::signal_loop()
+{
+    for (;;) {
+        auto [error, signal] = co_await signals.async_wait(as_result);
+        if (error)
+            co_return;
+        if (signal == SIGHUP) {
+            reload();
+            continue;
+        }
+        co_await drain();
+        co_return;
+    }
+}
+
+asio::awaitable<void> gateway::state::sweep_loop()
+{
+    for (;;) {
+        co_await sleep_for_ms(sweep_interval_ms);
+        const auto now = steady_now();
+        context.pool.sweep(now);
+        std::erase_if(sessions, [](const auto& entry) {
+            const auto session = entry.lock();
+            return !session || session->is_closed();
+        });
+        check_settings_file(now);
+    }
+}
+
+void gateway::state::check_settings_file(time_point now)
+{
+    if (now < next_settings_check)
+        return;
+    next_settings_check = now + settings_check;
+    std::error_code error;
+    const auto time = std::filesystem::last_write_time(settings_file, error);
+    if (error)
+        return;
+    const bool changed = settings_time != time;
+    const bool first = settings_time == std::filesystem::file_time_type{};
+    settings_time = time;
+    if (changed && !first)
+        reload();
+}
+
+/// Addresses stay as they are; bounds and trade-offs are taken anew.
+void gateway::state::reload()
+{
+    std::string text;
+    schema::gateway_settings_record fresh;
+    auto error = read_file(settings_file, text);
+    if (!error)
+        error = parse_gateway_settings(text, settings_file, fresh);
+    if (error) {
+        log_event(log_level::error, "settings_refused")
+            .with("error", error.message());
+        return;
+    }
+    context.settings.bounds = std::move(fresh.bounds);
+    context.settings.placement = std::move(fresh.placement);
+    log_event(log_level::info, "settings_reloaded").with("file", settings_file);
+}
+
+bool gateway::state::is_ready() const
+{
+    return !context.draining && context.configuration != nullptr &&
+           context.servers_known;
+}
+
+asio::awaitable<void> gateway::state::answer_ready(const http_incoming& request,
+                                                   http_responder& out)
+{
+    http_outgoing answer;
+    const bool known = request.path == context.platform.readiness_path;
+    answer.status = !known ? 404 : is_ready() ? 200 : 503;
+    answer.body = is_ready() ? R"({"ready":true})" : R"({"ready":false})";
+    co_await out.send(std::move(answer));
+}
+
+asio::awaitable<void> gateway::state::answer_metrics(const http_incoming&,
+                                                     http_responder& out)
+{
+    http_outgoing answer;
+    answer.content_type = "text/plain; version=0.0.4";
+    answer.body = context.measures.to_prometheus();
+    co_await out.send(std::move(answer));
+}
+
+/// Stops being ready at once, serves what still comes until the balancer has
+/// noticed, and ends when nothing runs any more or the time is up.
+asio::awaitable<void> gateway::state::drain()
+{
+    const auto began = steady_now();
+    context.draining = true;
+    log_event(log_level::info, "drain_started")
+        .with("active", static_cast<std::int64_t>(context.active_calls));
+    context.serving.spawn(placement.release());
+    const auto grace = seconds(context.settings.bounds->grace_s);
+    const auto end = began + std::max(grace - stop_margin, leave_rotation);
+    bool idle_closed = false;
+    while (steady_now() < end) {
+        co_await sleep_for_ms(drain_tick_ms);
+        const bool left = steady_now() >= began + leave_rotation;
+        if (left && !idle_closed) {
+            idle_closed = true;
+            for (const auto& entry : sessions)
+                if (const auto session = entry.lock())
+                    session->drain();
+        }
+        if (left && context.active_calls == 0)
+            break;
+    }
+    const bool whole = context.active_calls == 0;
+    log_event(log_level::info, "drain_ended")
+        .with("whole", whole ? "true" : "false")
+        .with("active", static_cast<std::int64_t>(context.active_calls))
+        .with("took_ms", (steady_now() - began).count());
+    // Answers on their way out are written before the process ends.
+    co_await sleep_for_ms(drain_tick_ms);
+    ended.set_value(whole);
+}
+
+gateway::gateway(schema::gateway_settings_record settings,
+                 std::string settings_file,
+                 platform_port platform)
+    : state_(std::make_unique<state>(
+          std::move(settings), std::move(settings_file), std::move(platform)))
+{
+}
+
+gateway::~gateway()
+{
+    state_->context.serving.stop();
+    state_->context.serving.discard();
+}
+
+failure gateway::start()
+{
+    if (auto error = state_->listen())
+        return error;
+    log_event(log_level::info, "gateway_started")
+        .with("instance", state_->context.self.value())
+        .with("callers", state_->context.settings.caller_address);
+    state_->spawn_loops();
+    state_->context.serving.start();
+    return {};
+}
+
+bool gateway::wait()
+{
+    return state_->ended.get_future().get();
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/gateway/src/gateway_call.cpp
@@ -0,0 +1,752 @@
+#include "gateway_call.hpp"
+
+#include "own_answer.hpp"
+
+#include <barleyfork/base/log.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace barleyfork {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Where neither caller nor route gives a time.
+constexpr duration default_timeout{30000};
+/// Sends of one request, refused ones included.
+constexpr int most_sends = 4;
+/// A server that refused may be asked once more, not sooner than this.
+constexpr int most_sends_to_one = 2;
+constexpr duration refusal_pause{30};
+/// A request waits for a server for this share of its time at most.
+constexpr int wait_share = 3;
+/// A caller that is told to return comes between these.
+constexpr duration shortest_return{200};
+constexpr duration longest_return{800};
+/// A sound server answers within this many times of what is expected.
+constexpr double patience_factor = 4.0;
+/// What an output token costs beside a prompt token.
+constexpr double output_weight = 2.5;
+constexpr double ms_per_second = 1000.0;
+/// Weight of one more answer in a plain service's smoothed time.
+constexpr double time_weight = 0.1;
+constexpr double assumed_service_ms = 30.0;
+
+bool is_success(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
+/// Statuses that promise a caller that its request was not run.
+bool promises_not_run(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+/// The id of an event of a stream; empty where it has none.
+std::string_view event_id(std::string_view event)
+{
+    std::size_t at = 0;
+    while (at < event.size()) {
+        const auto end = std::min(event.find('\n', at), event.size());
+        auto line = event.substr(at, end - at);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        if (line.starts_with("id:")) {
+            line.remove_prefix(3);
+            while (line.starts_with(' '))
+                line.remove_prefix(1);
+            return line;
+        }
+        at = end + 1;
+    }
+    return {};
+}
+
+std::optional<std::int64_t> to_number(std::string_view text)
+{
+    std::int64_t number = 0;
+    const auto* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number);
+    if (parsed.ec != std::errc() || parsed.ptr != end)
+        return std::nullopt;
+    return number;
+}
+
+} // namespace
+
+gateway_call::gateway_call(gateway_context& context,
+                           std::shared_ptr<caller_port> caller,
+                           caller_request request)
+    : context_(context), caller_(std::move(caller)),
+      request_(std::move(request))
+{
+    ++context_.active_calls;
+}
+
+gateway_call::~gateway_call()
+{
+    --context_.active_calls;
+}
+
+void gateway_call::begin()
+{
+    const auto now = steady_now();
+    received_at_ = now;
+    deadline_ = now + default_timeout;
+    facts_ = context_.platform.codec->read_call(request_.headers);
+    if (!find_route())
+        return;
+    set_deadline(now);
+    count_demand();
+    dispatch();
+}
+
+bool gateway_call::find_route()
+{
+    configuration_ = context_.configuration;
+    if (!configuration_ || !context_.servers_known) {
+        refuse(errc::store_unavailable, return_time());
+        return false;
+    }
+    const auto host = find_header(request_.headers, "host").value_or("");
+    route_ = match_route(*configuration_, host, request_.path());
+    const auto* chosen = route_ == nullptr
+                             ? nullptr
+                             : choose_service(*route_, context_.random());
+    if (chosen == nullptr) {
+        refuse(errc::not_found, std::nullopt);
+        return false;
+    }
+    service_ = *chosen;
+    return true;
+}
+
+void gateway_call::set_deadline(time_point now)
+{
+    auto time = facts_.time_left.value_or(default_timeout);
+    if (route_->timeout.count() > 0)
+        time = std::min(time, route_->timeout);
+    deadline_ = now + time;
+    request_traits traits;
+    traits.idempotent = route_->repeatable();
+    traits.resumable = route_->resumable;
+    traits.max_tries = most_sends;
+    traits.deadline = deadline_;
+    progress_.emplace(traits);
+    const auto self = shared_from_this();
+    deadline_timer_ = context_.timers.add(deadline_, [self] {
+        self->deadline_timer_ = 0;
+        self->on_deadline();
+    });
+}
+
+const gateway_service* gateway_call::service() const
+{
+    return configuration_->find_service(service_);
+}
+
+bool gateway_call::for_engine() const
+{
+    const auto* declared = service();
+    return declared != nullptr && declared->engine &&
+           !facts_.model.empty();
+}
+
+engine_work gateway_call::work() const
+{
+    engine_work work;
+    work.prompt_tokens = facts_.prompt_tokens;
+    const auto found = context_.paces.find(facts_.model);
+    const auto pace =
+        found == context_.paces.end() ? pace_estimator() : found->second;
+    work.ms_per_token = pace.ms_per_token();
+    work.base_ms = pace.base_ms();
+    return work;
+}
+
+void gateway_call::count_demand()
+{
+    if (!for_engine())
+        return;
+    const double tokens =
+        static_cast<double>(facts_.prompt_tokens) +
+        output_weight * static_cast<double>(facts_.most_output_tokens);
+    context_.wishes.work[facts_.model] +=
+        tokens * work().ms_per_token / ms_per_second;
+    if (!facts_.adapter.empty())
+        context_.wishes.uses.emplace(facts_.model, facts_.adapter);
+}
+
+std::vector<server_candidate> gateway_call::candidates(time_point now,
+                                                       lack& why) const
+{
+    std::vector<server_candidate> found;
+    const bool engine = for_engine();
+    why = lack::no_server;
+    for (const auto& [id, state] : context_.directory.servers()) {
+        if (state.entry.service != service_ || !state.usable())
+            continue;
+        const auto tried = tried_.find(id);
+        const int sends = tried == tried_.end() ? 0 : tried->second;
+        if (sends >= most_sends_to_one)
+            continue;
+        if (engine) {
+            const auto holds = backend_directory::holds(
+                state, facts_.model, facts_.adapter, now);
+            if (holds == holding::model_only)
+                why = lack::no_adapter;
+            if (holds != holding::all)
+                continue;
+        }
+        server_candidate candidate;
+        candidate.server = id;
+        candidate.load = context_.loads.view(id, now);
+        candidate.away = context_.distance_to(state.entry.failure_domain);
+        candidate.slots = state.entry.slots;
+        candidate.tried = sends > 0;
+        found.push_back(std::move(candidate));
+    }
+    return found;
+}
+
+double gateway_call::expected_ms(const server_candidate& candidate) const
+{
+    if (for_engine())
+        return expected_first_event_ms(candidate, work());
+    const auto found = context_.service_times.find(service_);
+    return expected_answer_ms(candidate,
+                              found == context_.service_times.end()
+                                  ? assumed_service_ms
+                                  : found->second);
+}
+
+std::optional<gateway_call::choice> gateway_call::choose(time_point now,
+                                                         lack& why)
+{
+    const auto found = candidates(now, why);
+    const auto draw = context_.random();
+    const auto times = context_.service_times.find(service_);
+    const auto index =
+        for_engine()
+            ? choose_engine(found, work(), draw)
+            : choose_plain_server(found,
+                                  times == context_.service_times.end()
+                                      ? assumed_service_ms
+                                      : times->second,
+                                  draw);
+    if (!index)
+        return std::nullopt;
+    const auto& picked = found[*index];
+    const auto& entry = context_.directory.find(picked.server)->entry;
+    boost::system::error_code error;
+    choice chosen;
+    chosen.server = picked.server;
+    chosen.target = {asio::ip::make_address(entry.address, error), entry.port};
+    chosen.expected_ms = expected_ms(picked);
+    chosen.candidates = found.size();
+    return chosen;
+}
+
+bool gateway_call::can_be_in_time(const choice& chosen, time_point now) const
+{
+    const auto left = static_cast<double>((deadline_ - now).count());
+    return chosen.expected_ms < left;
+}
+
+void gateway_call::dispatch()
+{
+    if (over_)
+        return;
+    const auto now = steady_now();
+    lack why = lack::no_server;
+    const auto chosen = choose(now, why);
+    if (!chosen) {
+        wait(why, now);
+        return;
+    }
+    if (!can_be_in_time(*chosen, now) && !delivering_ &&
+        !progress_->may_have_run())
+    {
+        refuse(errc::overloaded, return_time());
+        return;
+    }
+    stop_waiting();
+    start_attempt(*chosen, now);
+}
+
+header_list gateway_call::forward_headers(const server_id& server,
+                                          time_point now) const
+{
+    forward_facts facts;
+    facts.expected = server;
+    facts.time_left = std::max(deadline_ - now, duration{1});
+    if (for_engine())
+        facts.urgency = route_->priority;
+    if (delivering_)
+        facts.resume_after = last_event_;
+    return context_.platform.codec->write_forward(facts);
+}
+
+void gateway_call::start_attempt(const choice& chosen, time_point now)
+{
+    attempt_.emplace();
+    attempt_->server = chosen.server;
+    const auto load = context_.loads.view(chosen.server, now);
+    attempt_->tokens_ahead = load.own_waiting_tokens + facts_.prompt_tokens;
+    attempt_->ticket =
+        context_.loads.begin(chosen.server, facts_.prompt_tokens, now);
+    attempt_->connection =
+        context_.pool.acquire(chosen.target, route_->repeatable(), now);
+    ++tried_[chosen.server];
+    log_event(log_level::info, "request_sent")
+        .with("request", facts_.try_id)
+        .with("server", chosen.server.value())
+        .with("model", facts_.model.value())
+        .with("send", sends_ + 1)
+        .with("candidates", static_cast<std::int64_t>(chosen.candidates))
+        .with("expected_ms", static_cast<std::int64_t>(chosen.expected_ms))
+        .with("load_age_ms", load.reported ? load.report_age.count() : -1)
+        .with("configuration",
+              static_cast<std::int64_t>(configuration_->version));
+    set_patience(chosen, now);
+    attempt_->connection->exchange(
+        write_request(request_,
+                      *context_.platform.codec,
+                      forward_headers(chosen.server, now)),
+        request_.method == "HEAD",
+        shared_from_this());
+}
+
+void gateway_call::on_sending()
+{
+    const auto now = steady_now();
+    attempt_->sending = true;
+    attempt_->sent_at = now;
+    auto& budget = context_.budget(service_);
+    if (sends_ == 0) {
+        budget.on_first_send(now);
+    }
+    else {
+        budget.on_repeat(now);
+        context_.measures.count_repeat();
+    }
+    ++sends_;
+}
+
+/// An idempotent request does not wait for a server that is much slower than
+/// expected while another one could answer.
+void gateway_call::set_patience(const choice& chosen, time_point now)
+{
+    if (!route_->repeatable() || delivering_)
+        return;
+    const auto expected = static_cast<std::int64_t>(
+        patience_factor * chosen.expected_ms);
+    const auto patience = std::max(duration(expected), route_->latency_target);
+    const auto self = shared_from_this();
+    patience_timer_ = context_.timers.add(now + patience, [self] {
+        self->patience_timer_ = 0;
+        self->on_patience();
+    });
+}
+
+void gateway_call::on_patience()
+{
+    if (over_ || !attempt_ || attempt_->head || delivering_)
+        return;
+    const auto now = steady_now();
+    lack why = lack::no_server;
+    const auto others = candidates(now, why);
+    const bool untried = std::any_of(
+        others.begin(), others.end(), [](const auto& c) { return !c.tried; });
+    const bool may_run_again =
+        runs_ + 1 < static_cast<int>(route_->max_runs);
+    if (!untried || !may_run_again ||
+        !context_.budget(service_).available(now))
+        return;
+    log_event(log_level::warn, "server_too_slow")
+        .with("request", facts_.try_id)
+        .with("server", attempt_->server.value())
+        .with("waited_ms", (now - attempt_->sent_at).count());
+    give_up_attempt(load_end::failed, now);
+    after_attempt(attempt_end::lost_before_answer, now);
+}
+
+void gateway_call::wait(lack why, time_point now)
+{
+    if (why == lack::no_adapter) {
+        context_.wishes.needs.emplace(facts_.model, facts_.adapter);
+        if (context_.on_need)
+            context_.on_need();
+    }
+    if (waiting_since_)
+        return;
+    waiting_since_ = now;
+    const auto patience = (deadline_ - now) / wait_share;
+    log_event(log_level::info, "request_waits")
+        .with("request", facts_.try_id)
+        .with("model", facts_.model.value())
+        .with("adapter", facts_.adapter)
+        .with("reason", why == lack::no_adapter ? "no_adapter" : "no_server")
+        .with("patience_ms", patience.count());
+    const auto self = shared_from_this();
+    context_.waiting[this] = [self] { self->dispatch(); };
+    wait_timer_ = context_.timers.add(now + patience, [self] {
+        self->wait_timer_ = 0;
+        self->refuse(errc::no_replica, self->return_time());
+    });
+}
+
+void gateway_call::stop_waiting()
+{
+    context_.timers.cancel(wait_timer_);
+    context_.waiting.erase(this);
+    if (!waiting_since_)
+        return;
+    context_.measures.record_wait(
+        static_cast<double>((steady_now() - *waiting_since_).count()));
+    waiting_since_.reset();
+}
+
+bool gateway_call::on_head(const answer_head& head)
+{
+    auto facts = context_.platform.codec->read_answer(
+        head.status, head.headers, attempt_->server);
+    if (!facts.try_id.empty() && facts.try_id != facts_.try_id) {
+        log_event(log_level::warn, "stray_answer_dropped")
+            .with("request", facts_.try_id)
+            .with("belongs_to", facts.try_id)
+            .with("server", attempt_->server.value());
+        return false;
+    }
+    const auto now = steady_now();
+    if (facts.load)
+        context_.loads.reported(attempt_->server,
+                                facts.load->running,
+                                facts.load->waiting,
+                                now);
+    attempt_->head = head;
+    attempt_->facts = std::move(facts);
+    attempt_->streams = route_->kind == call_kind::stream &&
+                        is_success(head.status) && is_sound_answer();
+    context_.timers.cancel(patience_timer_);
+    if (!attempt_->streams)
+        context_.loads.answering(attempt_->server, attempt_->ticket);
+    return true;
+}
+
+void gateway_call::on_body(std::string_view bytes)
+{
+    if (!attempt_->streams) {
+        attempt_->body += bytes;
+        return;
+    }
+    forward_events(attempt_->splitter.feed(bytes));
+}
+
+void gateway_call::forward_events(std::vector<std::string> events)
+{
+    std::string out;
+    for (auto& event : events) {
+        if (is_repeated_event(event))
+            continue;
+        out += event;
+    }
+    if (events.empty() || out.empty())
+        return;
+    if (!attempt_->first_event) {
+        attempt_->first_event = true;
+        context_.loads.answering(attempt_->server, attempt_->ticket);
+        const auto elapsed = steady_now() - attempt_->sent_at;
+        if (for_engine() && !delivering_)
+            context_.paces[facts_.model].observe(attempt_->tokens_ahead,
+                                                 elapsed);
+    }
+    if (!delivering_)
+        begin_stream();
+    if (caller_)
+        caller_->send_part(out);
+}
+
+/// Remembers how far the caller has come; true for what it has already.
+bool gateway_call::is_repeated_event(const std::string& event)
+{
+    const auto id = event_id(event);
+    if (id.empty())
+        return false;
+    const auto number = to_number(id);
+    const auto last = to_number(last_event_);
+    if (number && last && *number <= *last)
+        return true;
+    last_event_ = std::string(id);
+    return false;
+}
+
+void gateway_call::begin_stream()
+{
+    delivering_ = true;
+    context_.measures.record_first_event(
+        static_cast<double>((steady_now() - received_at_).count()));
+    answer_head head = *attempt_->head;
+    head.headers =
+        end_to_end_headers(head.headers, *context_.platform.codec);
+    caller_->begin_stream(head);
+}
+
+bool gateway_call::is_sound_answer() const
+{
+    const auto& facts = attempt_->facts;
+    return facts.signed_by_server && facts.try_id == facts_.try_id;
+}
+
+/// A failing answer of an idempotent request, worth another try.
+bool gateway_call::is_failure_to_repeat() const
+{
+    constexpr unsigned first_failure = 500;
+    return route_->repeatable() &&
+           attempt_->head->status >= first_failure;
+}
+
+attempt_end gateway_call::classify(exchange_end end) const
+{
+    if (!attempt_->sending)
+        return attempt_end::not_sent;
+    if (attempt_->head && attempt_->facts.not_run)
+        return attempt_end::refused_by_server;
+    if (end == exchange_end::lost)
+        return delivering_ ? attempt_end::lost_in_answer
+                           : attempt_end::lost_before_answer;
+    if (attempt_->streams)
+        return attempt_->splitter.has_partial() ? attempt_end::lost_in_answer
+                                                : attempt_end::answered;
+    if (delivering_)
+        return attempt_end::lost_in_answer;
+    const auto status = attempt_->head->status;
+    if (is_success(status) && !is_sound_answer())
+        return attempt_end::lost_before_answer;
+    if (is_failure_to_repeat())
+        return attempt_end::lost_before_answer;
+    if (promises_not_run(status) && !route_->repeatable())
+        return attempt_end::lost_before_answer;
+    return attempt_end::answered;
+}
+
+void gateway_call::on_end(exchange_end end)
+{
+    if (over_ || !attempt_)
+        return;
+    const auto now = steady_now();
+    context_.timers.cancel(patience_timer_);
+    attempt_->answer_whole = end == exchange_end::whole;
+    const auto ended = classify(end);
+    record_end(ended, now);
+    if (ended == attempt_end::refused_by_server)
+        on_refused_by_server(now);
+    after_attempt(ended, now);
+}
+
+void gateway_call::record_end(attempt_end end, time_point now)
+{
+    const bool good = end == attempt_end::answered;
+    const auto record = good ? load_end::good
+                        : end == attempt_end::refused_by_server
+                            ? load_end::refused
+                            : load_end::failed;
+    context_.loads.end(attempt_->server, attempt_->ticket, record, now);
+    if (!good) {
+        log_event(log_level::warn, "send_failed")
+            .with("request", facts_.try_id)
+            .with("server", attempt_->server.value())
+            .with("end", static_cast<std::int64_t>(end))
+            .with("status",
+                  attempt_->head ? attempt_->head->status : 0)
+            .with("after_ms",
+                  attempt_->sending ? (now - attempt_->sent_at).count() : 0);
+        return;
+    }
+    if (for_engine() || route_->kind == call_kind::stream)
+        return;
+    auto& time = context_.service_times.try_emplace(service_, assumed_service_ms)
+                     .first->second;
+    const auto sample =
+        static_cast<double>((now - attempt_->sent_at).count());
+    time += time_weight * (sample - time);
+}
+
+/// The server did not run it: it is another process, does not hold the
+/// model, or has no room.
+void gateway_call::on_refused_by_server(time_point now)
+{
+    const auto& server = attempt_->server;
+    if (attempt_->facts.wrong_server)
+        context_.directory.misdirected(server);
+    else if (for_engine() && attempt_->head->status == 421)
+        context_.directory.not_held(server, facts_.model, facts_.adapter, now);
+}
+
+void gateway_call::after_attempt(attempt_end end, time_point now)
+{
+    if (end == attempt_end::lost_before_answer ||
+        end == attempt_end::lost_in_answer)
+        ++runs_;
+    const bool may_run =
+        runs_ < static_cast<int>(std::max(route_->max_runs, 1U));
+    const bool room = may_run && (end == attempt_end::not_sent ||
+                                  context_.budget(service_).available(now));
+    const auto step =
+        progress_->after_attempt(end, delivering_, room, now);
+    switch (step) {
+    case next_step::finish:
+        if (attempt_->streams)
+            finish_stream();
+        else
+            deliver_answer();
+        return;
+    case next_step::retry:
+    case next_step::resume: {
+        const bool pause = end == attempt_end::refused_by_server;
+        attempt_.reset();
+        if (!pause) {
+            dispatch();
+            return;
+        }
+        const auto self = shared_from_this();
+        context_.timers.add(now + refusal_pause, [self] { self->dispatch(); });
+        return;
+    }
+    case next_step::refuse_not_run:
+        refuse(errc::overloaded, return_time());
+        return;
+    case next_step::report_unknown:
+        // The server's own failing answer says more than one of ours.
+        if (attempt_ && attempt_->head && is_failure_to_repeat() &&
+            attempt_->facts.signed_by_server && attempt_->answer_whole)
+            deliver_answer();
+        else
+            refuse(errc::outcome_unknown, std::nullopt);
+        return;
+    case next_step::abort_answer:
+        finish(errc::connection_lost);
+        return;
+    }
+}
+
+void gateway_call::finish_stream()
+{
+    if (!delivering_)
+        begin_stream();
+    const auto caller = caller_;
+    finish(errc::ok);
+    if (caller)
+        caller->end_stream();
+}
+
+void gateway_call::deliver_answer()
+{
+    context_.measures.record_first_event(
+        static_cast<double>((steady_now() - received_at_).count()));
+    answer_head head = *attempt_->head;
+    head.headers =
+        end_to_end_headers(head.headers, *context_.platform.codec);
+    const std::string body = std::move(attempt_->body);
+    const auto caller = caller_;
+    finish(errc::ok);
+    if (caller)
+        caller->send_whole(head, body);
+}
+
+void gateway_call::on_deadline()
+{
+    if (over_)
+        return;
+    const auto now = steady_now();
+    const bool sent = attempt_ && attempt_->sending;
+    if (attempt_)
+        give_up_attempt(load_end::failed, now);
+    if (delivering_)
+        finish(errc::timeout);
+    else if (sent || progress_->may_have_run())
+        refuse(errc::timeout, std::nullopt);
+    else
+        refuse(errc::overloaded, return_time());
+}
+
+void gateway_call::on_caller_gone()
+{
+    if (over_)
+        return;
+    caller_.reset();
+    if (attempt_)
+        give_up_attempt(load_end::good, steady_now());
+    finish(errc::connection_lost);
+}
+
+void gateway_call::give_up_attempt(load_end end, time_point now)
+{
+    context_.timers.cancel(patience_timer_);
+    if (!attempt_)
+        return;
+    attempt_->connection->cancel();
+    context_.loads.end(attempt_->server, attempt_->ticket, end, now);
+    attempt_.reset();
+}
+
+/// When to come back: spread, so that those refused together don't return
+/// together.
+duration gateway_call::return_time()
+{
+    std::uniform_int_distribution<std::int64_t> spread(
+        shortest_return.count(), longest_return.count());
+    return duration(spread(context_.random));
+}
+
+void gateway_call::refuse(errc kind, std::optional<duration> retry_after)
+{
+    if (over_)
+        return;
+    if (delivering_) {
+        finish(errc::connection_lost);
+        return;
+    }
+    // Statuses that promise "not run" are only for what was not run.
+    const bool ran = progress_ && progress_->may_have_run();
+    const auto told =
+        ran && kind != errc::timeout ? errc::outcome_unknown : kind;
+    const auto answer = make_own_answer(
+        told, facts_.try_id, ran ? std::nullopt : retry_after);
+    const auto caller = caller_;
+    finish(told);
+    if (caller)
+        caller->send_whole(answer.head, answer.body);
+}
+
+/// The end, whatever it is; an answer that was begun and not ended is cut.
+void gateway_call::finish(errc kind)
+{
+    over_ = true;
+    stop_waiting();
+    context_.timers.cancel(deadline_timer_);
+    context_.timers.cancel(patience_timer_);
+    context_.measures.count_end(kind);
+    log_end(kind, attempt_ && attempt_->head ? attempt_->head->status : 0);
+    const auto caller = std::move(caller_);
+    caller_.reset();
+    if (caller && delivering_ && kind != errc::ok)
+        caller->abort();
+}
+
+void gateway_call::log_end(errc kind, unsigned status) const
+{
+    log_event(kind == errc::ok ? log_level::info : log_level::warn,
+              "request_ended")
+        .with("request", facts_.try_id)
+        .with("route", route_ == nullptr ? "" : route_->name)
+        .with("outcome", error_name(kind))
+        .with("status", status)
+        .with("sends", sends_)
+        .with("after_ms", (steady_now() - received_at_).count());
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/gateway/src/gateway_call.hpp
@@ -0,0 +1,147 @@
+#ifndef BARLEYFORK_GATEWAY_SRC_GATEWAY_CALL_HPP
+#define BARLEYFORK_GATEWAY_SRC_GATEWAY_CALL_HPP
+
+#include "backend_connection.hpp"
+#include "caller_port.hpp"
+#include "gateway_context.hpp"
+
+#include <barleyfork/core/event_splitter.hpp>
+#include <barleyfork/core/request_progress.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace barleyfork {
+
+/// One request of a caller from its last byte to the end of its answer.
+///
+/// It chooses a server, or waits for one, sends the request, sends it again
+/// where that is allowed, and ends in exactly one answer: the server's own,
+/// unchanged, or one of the gateway. Belongs to one duty.
+class gateway_call : public answer_receiver,
+                     public std::enable_shared_from_this<gateway_call>
+{
+public:
+    gateway_call(gateway_context& context,
+                 std::shared_ptr<caller_port> caller,
+                 caller_request request);
+    gateway_call(const gateway_call&) = delete;
+    gateway_call& operator=(const gateway_call&) = delete;
+    ~gateway_call() override;
+
+    void begin();
+
+    /// The caller closed its connection: work for it stops.
+    void on_caller_gone();
+
+    void on_sending() override;
+    bool on_head(const answer_head& head) override;
+    void on_body(std::string_view bytes) override;
+    void on_end(exchange_end end) override;
+
+private:
+    /// One send of the request to a server.
+    struct attempt
+    {
+        server_id server;
+        std::shared_ptr<backend_connection> connection;
+        load_ticket ticket{};
+        bool sending = false;
+        time_point sent_at{};
+        /// Tokens that the engine had to read before the first event.
+        std::uint64_t tokens_ahead = 0;
+        std::optional<answer_head> head;
+        answer_facts facts;
+        /// Events are passed on as they come.
+        bool streams = false;
+        bool first_event = false;
+        /// The answer came to its framed end.
+        bool answer_whole = false;
+        std::string body;
+        event_splitter splitter;
+    };
+
+    struct choice
+    {
+        server_id server;
+        boost::asio::ip::tcp::endpoint target;
+        double expected_ms = 0.0;
+        std::size_t candidates = 0;
+    };
+
+    /// Why no server was chosen.
+    enum class lack : std::uint8_t
+    {
+        no_server,
+        no_adapter,
+    };
+
+    bool find_route();
+    void set_deadline(time_point now);
+    void count_demand();
+    void dispatch();
+    std::vector<server_candidate> candidates(time_point now, lack& why) const;
+    std::optional<choice> choose(time_point now, lack& why);
+    double expected_ms(const server_candidate& candidate) const;
+    engine_work work() const;
+    bool for_engine() const;
+    const gateway_service* service() const;
+    bool can_be_in_time(const choice& chosen, time_point now) const;
+    void start_attempt(const choice& chosen, time_point now);
+    header_list forward_headers(const server_id& server, time_point now) const;
+    void wait(lack why, time_point now);
+    void stop_waiting();
+    void set_patience(const choice& chosen, time_point now);
+    void on_patience();
+    void on_deadline();
+
+    attempt_end classify(exchange_end end) const;
+    bool is_failure_to_repeat() const;
+    bool is_sound_answer() const;
+    void record_end(attempt_end end, time_point now);
+    void after_attempt(attempt_end end, time_point now);
+    void on_refused_by_server(time_point now);
+    void forward_events(std::vector<std::string> events);
+    bool is_repeated_event(const std::string& event);
+    void begin_stream();
+    void finish_stream();
+    void deliver_answer();
+
+    void refuse(errc kind, std::optional<duration> retry_after);
+    duration return_time();
+    void give_up_attempt(load_end end, time_point now);
+    void finish(errc kind);
+    void log_end(errc kind, unsigned status) const;
+
+    gateway_context& context_;
+    std::shared_ptr<caller_port> caller_;
+    caller_request request_;
+    call_facts facts_;
+    std::shared_ptr<const gateway_configuration> configuration_;
+    const gateway_route* route_ = nullptr;
+    service_id service_;
+    std::optional<request_progress> progress_;
+    time_point received_at_{};
+    time_point deadline_{};
+    std::optional<attempt> attempt_;
+    /// How often each server got the request.
+    std::map<server_id, int> tried_;
+    int sends_ = 0;
+    int runs_ = 0;
+    /// The answer has begun to go to the caller.
+    bool delivering_ = false;
+    /// The id of the last event that the caller got.
+    std::string last_event_;
+    timer_queue::timer_id deadline_timer_ = 0;
+    timer_queue::timer_id wait_timer_ = 0;
+    timer_queue::timer_id patience_timer_ = 0;
+    std::optional<time_point> waiting_since_;
+    bool over_ = false;
+};
+
+} // namespace barleyfork
+
+#endif
--- /dev/null
+++ b/libs/gateway/src/gateway_context.hpp
@@ -0,0 +1,91 @@
+#ifndef BARLEYFORK_GATEWAY_SRC_GATEWAY_CONTEXT_HPP
+#define BARLEYFORK_GATEWAY_SRC_GATEWAY_CONTEXT_HPP
+
+#include "backend_pool.hpp"
+#include "gateway_metrics.hpp"
+#include "timer_queue.hpp"
+
+#include <barleyfork/core/backend_directory.hpp>
+#include <barleyfork/core/backend_loads.hpp>
+#include <barleyfork/core/gateway_configuration.hpp>
+#include <barleyfork/core/pace_estimator.hpp>
+#include <barleyfork/core/server_choice.hpp>
+#include <barleyfork/core/shared_retry_budget.hpp>
+#include <barleyfork/gateway/platform_port.hpp>
+#include <barleyfork/net/duty.hpp>
+#include <barleyfork/schema/gateway_generated.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+namespace barleyfork {
+
+/// Bounded sets of what callers wait for, told to the placement's holder.
+struct placement_wishes
+{
+    /// Work asked of each model since the last news, in server-seconds.
+    std::map<model_id, double> work;
+    /// Adapters that no server holds.
+    std::set<std::pair<model_id, std::string>> needs;
+    /// Adapters that requests used since the last news.
+    std::set<std::pair<model_id, std::string>> uses;
+};
+
+/// What all parts of a gateway share. Everything runs on one duty, since a
+/// request's caller side and server side would only hand each event over.
+struct gateway_context
+{
+    /// Tasks that the duty's ring holds.
+    static constexpr std::size_t ring_capacity = 1024;
+
+    gateway_context(schema::gateway_settings_record given, platform_port port);
+
+    distance distance_to(const failure_domain_id& place) const;
+
+    /// The retry budget of a service; made at its first use.
+    shared_retry_budget& budget(const service_id& service);
+
+    /// Tells how many daemons share the retry budgets.
+    void set_daemons(std::size_t count);
+
+    /// Calls that wait look again at what can serve them.
+    void wake_waiting();
+
+    schema::gateway_settings_record settings;
+    platform_port platform;
+    instance_id self;
+    duty serving{"serving", ring_capacity};
+    timer_queue timers;
+    backend_pool pool;
+    gateway_metrics measures;
+    /// Null until the first configuration came.
+    std::shared_ptr<const gateway_configuration> configuration;
+    backend_directory directory;
+    /// True once the list of servers was read.
+    bool servers_known = false;
+    backend_loads loads;
+    std::map<model_id, pace_estimator> paces;
+    /// What one request takes a plain service, in ms, smoothed.
+    std::map<service_id, double> service_times;
+    placement_wishes wishes;
+    /// Called when an adapter is wanted at once.
+    std::function<void()> on_need;
+    /// Calls that wait for a server; keyed by the call itself.
+    std::map<const void*, std::function<void()>> waiting;
+    bool draining = false;
+    std::size_t active_calls = 0;
+    std::mt19937_64 random{std::random_device{}()};
+
+private:
+    std::map<failure_domain_id, region_id> regions_;
+    std::map<service_id, shared_retry_budget> budgets_;
+    std::size_t daemons_ = 0;
+};
+
+} // namespace barleyfork
+
+#endif
--- /dev/null
+++ b/libs/gateway/src/gateway_metrics.cpp
@@ -0,0 +1,104 @@
+#include "gateway_metrics.hpp"
+
+#include <boost/histogram.hpp>
+#include <sstream>
+
+namespace barleyfork {
+
+namespace histogram = boost::histogram;
+
+namespace {
+
+constexpr int end_kinds = 22;
+constexpr unsigned time_bins = 30;
+constexpr double shortest_ms = 0.5;
+constexpr double longest_ms = 20000.0;
+
+using log_axis =
+    histogram::axis::regular<double, histogram::axis::transform::log>;
+
+auto make_times()
+{
+    return histogram::make_histogram(
+        log_axis(time_bins, shortest_ms, longest_ms));
+}
+
+auto make_kinds()
+{
+    return histogram::make_histogram(
+        histogram::axis::integer<>(0, end_kinds));
+}
+
+using time_histogram = decltype(make_times());
+
+void write_times(std::ostream& out,
+                 const char* name,
+                 const time_histogram& times)
+{
+    out << "# TYPE " << name << " histogram\n";
+    double total = times.at(-1);
+    const auto& axis = times.axis();
+    for (int bin = 0; bin < axis.size(); ++bin) {
+        total += times.at(bin);
+        out << name << "_bucket{le=\"" << axis.bin(bin).upper() << "\"} "
+            << total << "\n";
+    }
+    total += times.at(axis.size());
+    out << name << "_bucket{le=\"+Inf\"} " << total << "\n"
+        << name << "_count " << total << "\n";
+}
+
+void write_counter(std::ostream& out, const char* name, std::uint64_t value)
+{
+    out << "# TYPE " << name << " counter\n" << name << ' ' << value << "\n";
+}
+
+} // namespace
+
+struct gateway_metrics::histograms
+{
+    decltype(make_kinds()) ends = make_kinds();
+    time_histogram first_event = make_times();
+    time_histogram wait = make_times();
+};
+
+gateway_metrics::gateway_metrics()
+    : histograms_(std::make_unique<histograms>())
+{
+}
+
+gateway_metrics::~gateway_metrics() = default;
+
+void gateway_metrics::count_end(errc kind)
+{
+    histograms_->ends(static_cast<int>(kind));
+}
+
+void gateway_metrics::record_first_event(double milliseconds)
+{
+    histograms_->first_event(milliseconds);
+}
+
+void gateway_metrics::record_wait(double milliseconds)
+{
+    histograms_->wait(milliseconds);
+}
+
+std::string gateway_metrics::to_prometheus() const
+{
+    std::ostringstream out;
+    out << "# TYPE barleyfork_requests_total counter\n";
+    for (int kind = 0; kind < end_kinds; ++kind)
+        out << "barleyfork_requests_total{outcome=\""
+            << error_name(static_cast<errc>(kind)) << "\"} "
+            << histograms_->ends.at(kind) << "\n";
+    write_times(out, "barleyfork_first_event_ms", histograms_->first_event);
+    write_times(out, "barleyfork_wait_ms", histograms_->wait);
+    write_counter(out, "barleyfork_repeats_total", repeats_);
+    write_counter(out, "barleyfork_orders_total", orders_);
+    write_counter(out, "barleyfork_store_calls_total", store_calls_);
+    write_counter(out, "barleyfork_configuration_version", version_);
+    return out.str();
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/gateway/src/http_text.cpp
@@ -0,0 +1,169 @@
+#include "http_text.hpp"
+
+#include <barleyfork/base/text.hpp>
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/status.hpp>
+#include <charconv>
+
+namespace barleyfork {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::array<std::string_view, 10> connection_headers{
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect"};
+
+bool is_connection_header(std::string_view name)
+{
+    return std::any_of(connection_headers.begin(),
+                       connection_headers.end(),
+                       [name](auto known) { return equal_ignoring_case(name, known); });
+}
+
+/// True where a `Connection` header names the header as its own.
+bool is_listed(const header_list& headers, std::string_view name)
+{
+    for (const auto& [key, value] : headers) {
+        if (!equal_ignoring_case(key, "connection"))
+            continue;
+        http::token_list tokens(value);
+        if (tokens.exists(name))
+            return true;
+    }
+    return false;
+}
+
+void append_header(std::string& out,
+                   std::string_view name,
+                   std::string_view value)
+{
+    out += name;
+    out += ": ";
+    out += value;
+    out += "\r\n";
+}
+
+} // namespace
+
+std::optional<std::string_view> find_header(const header_list& headers,
+                                            std::string_view name)
+{
+    for (const auto& [key, value] : headers)
+        if (equal_ignoring_case(key, name))
+            return value;
+    return std::nullopt;
+}
+
+std::string_view caller_request::path() const
+{
+    return std::string_view(target).substr(0, target.find('?'));
+}
+
+header_list end_to_end_headers(const header_list& headers,
+                               const call_codec& codec)
+{
+    header_list kept;
+    for (const auto& [name, value] : headers) {
+        if (is_connection_header(name))
+            continue;
+        if (!codec.belongs_to_call(name) && is_listed(headers, name))
+            continue;
+        kept.emplace_back(name, value);
+    }
+    return kept;
+}
+
+std::string write_request(const caller_request& request,
+                          const call_codec& codec,
+                          const header_list& added)
+{
+    std::string out;
+    constexpr std::size_t usual_head_bytes = 512;
+    out.reserve(usual_head_bytes + request.body.size());
+    out += request.method + ' ' + request.target + " HTTP/1.1\r\n";
+    for (const auto& [name, value] :
+         end_to_end_headers(request.headers, codec)) {
+        const bool replaced =
+            std::any_of(added.begin(), added.end(), [&name](const auto& own) {
+                return equal_ignoring_case(own.first, name);
+            });
+        if (!replaced && !codec.is_reserved(name))
+            append_header(out, name, value);
+    }
+    for (const auto& [name, value] : added)
+        append_header(out, name, value);
+    const bool has_length =
+        !request.body.empty() ||
+        find_header(request.headers, "content-length").has_value() ||
+        find_header(request.headers, "transfer-encoding").has_value();
+    if (has_length)
+        append_header(
+            out, "Content-Length", std::to_string(request.body.size()));
+    out += "\r\n";
+    out += request.body;
+    return out;
+}
+
+std::string write_answer_head(const answer_head& head,
+                              const header_list& added)
+{
+    std::string out = "HTTP/1.1 " + std::to_string(head.status) + ' ';
+    out += head.reason.empty()
+               ? std::string(
+                     http::obsolete_reason(http::int_to_status(head.status)))
+               : head.reason;
+    out += "\r\n";
+    for (const auto& [name, value] : head.headers)
+        append_header(out, name, value);
+    for (const auto& [name, value] : added)
+        append_header(out, name, value);
+    out += "\r\n";
+    return out;
+}
+
+std::optional<duration> keep_alive_timeout(const header_list& headers)
+{
+    constexpr std::string_view key = "timeout=";
+    constexpr std::int64_t ms_per_second = 1000;
+    const auto value = find_header(headers, "keep-alive");
+    if (!value)
+        return std::nullopt;
+    const auto at = value->find(key);
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    std::int64_t seconds = 0;
+    const auto* begin = value->data() + at + key.size();
+    const auto* end = value->data() + value->size();
+    if (std::from_chars(begin, end, seconds).ec != std::errc())
+        return std::nullopt;
+    return duration(seconds * ms_per_second);
+}
+
+void append_chunk(std::string& out, std::string_view bytes)
+{
+    constexpr int hexadecimal = 16;
+    std::array<char, 16> size{};
+    const auto end =
+        std::to_chars(
+            size.data(), size.data() + size.size(), bytes.size(), hexadecimal)
+            .ptr;
+    out.append(size.data(), end);
+    out += "\r\n";
+    out += bytes;
+    out += "\r\n";
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/gateway/src/peer_news.cpp
@@ -0,0 +1,300 @@
+#include "peer_news.hpp"
+
+#include <barleyfork/base/log.hpp>
+
+#include <boost/json.hpp>
+
+namespace barleyfork {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr const char* member_table = "barleyfork_members";
+constexpr std::int64_t news_interval_ms = 250;
+/// A holder that has nothing to tell still shows that it is there.
+constexpr duration beat_interval{500};
+constexpr duration holder_silence{1800};
+constexpr duration member_wait{20000};
+constexpr std::int64_t member_pause_ms = 2000;
+constexpr std::int64_t retry_pause_ms = 700;
+
+schema::server_news_record to_record(const server_holding& news)
+{
+    schema::server_news_record record;
+    record.server = news.server.value();
+    record.started_ms = news.held.started_ms;
+    record.sequence = news.held.sequence;
+    for (const auto& held : news.held.models) {
+        auto model = std::make_unique<schema::resident_news_record>();
+        model->model = held.model.value();
+        model->ready = held.ready;
+        model->adapters = held.adapters;
+        record.models.push_back(std::move(model));
+    }
+    return record;
+}
+
+held_state to_held(const schema::server_news_record& record)
+{
+    held_state held;
+    held.started_ms = record.started_ms;
+    held.sequence = record.sequence;
+    for (const auto& model : record.models)
+        held.models.push_back(
+            {model_id(model->model), model->ready, model->adapters});
+    return held;
+}
+
+std::unique_ptr<schema::adapter_need_record>
+to_record(const std::pair<model_id, std::string>& adapter)
+{
+    auto record = std::make_unique<schema::adapter_need_record>();
+    record->model = adapter.first.value();
+    record->adapter = adapter.second;
+    return record;
+}
+
+} // namespace
+
+peer_news::peer_news(gateway_context& context, store_watch& watch)
+    : context_(context), watch_(watch),
+      link_(context.serving,
+            context.settings.address,
+            context.settings.peer_secret,
+            [this](schema::peer_message_record message) { receive(message); })
+{
+}
+
+bool peer_news::listen()
+{
+    return link_.listen(context_.settings.address,
+                        context_.settings.peer_port) != 0;
+}
+
+schema::peer_message_record peer_news::make_message(schema::message_kind kind)
+{
+    schema::peer_message_record message;
+    message.kind = kind;
+    message.sequence = ++sequence_;
+    message.sender = std::make_unique<schema::member_record>();
+    message.sender->instance = context_.self.value();
+    message.address = context_.settings.address;
+    message.port = context_.settings.peer_port;
+    return message;
+}
+
+asio::awaitable<void> peer_news::register_self()
+{
+    json::object value;
+    value["address"] = context_.settings.address;
+    value["port"] = context_.settings.peer_port;
+    const auto text = json::serialize(value);
+    for (;;) {
+        context_.measures.count_store_call();
+        const auto read = co_await context_.platform.store->read_row(
+            member_table, context_.self.value());
+        if (!read.error) {
+            const bool present = !read.rows.empty();
+            if (present && read.rows.front().value == text)
+                co_return;
+            const auto version = present ? read.rows.front().version : 0;
+            context_.measures.count_store_call();
+            const auto written = co_await context_.platform.store->write_row(
+                member_table, context_.self.value(), text, version);
+            if (written.end == store_write_end::done)
+                co_return;
+        }
+        co_await sleep_for_ms(retry_pause_ms);
+    }
+}
+
+asio::awaitable<void> peer_news::follow_members()
+{
+    co_await register_self();
+    // Those that start together are listed by now.
+    co_await sleep_for_ms(member_pause_ms);
+    std::uint64_t version = 0;
+    bool known = false;
+    for (;;) {
+        context_.measures.count_store_call();
+        auto& store = *context_.platform.store;
+        store_read read;
+        if (known)
+            read = co_await store.read_changes(
+                member_table, version, member_wait);
+        else
+            read = co_await store.read_table(member_table);
+        if (read.error || read.version < version) {
+            known = kind_of(read.error.code) != errc::conflict && known;
+            co_await sleep_for_ms(retry_pause_ms);
+            continue;
+        }
+        version = read.version;
+        known = true;
+        take_members(read);
+    }
+}
+
+void peer_news::take_members(const store_read& read)
+{
+    for (const auto& row : read.rows) {
+        const instance_id id(row.key);
+        if (row.deleted) {
+            members_.erase(id);
+            continue;
+        }
+        boost::system::error_code error;
+        const auto value = json::parse(row.value, error);
+        if (error || !value.is_object()) {
+            log_event(log_level::warn, "member_row_unreadable")
+                .with("instance", row.key);
+            continue;
+        }
+        const auto* address = value.as_object().if_contains("address");
+        const auto* port = value.as_object().if_contains("port");
+        if (address == nullptr || !address->is_string() || port == nullptr ||
+            !port->is_number())
+            continue;
+        members_[id] = {std::string(address->as_string()),
+                        port->to_number<std::uint16_t>()};
+    }
+    context_.set_daemons(members_.size());
+}
+
+asio::awaitable<void> peer_news::run()
+{
+    for (;;) {
+        co_await sleep_for_ms(news_interval_ms);
+        const auto now = steady_now();
+        if (holding_ && now >= beat_at_)
+            announce({});
+        if (!holding_)
+            send_demand();
+        if (!watch_.reachable())
+            ask_for_snapshot();
+    }
+}
+
+void peer_news::send_demand()
+{
+    auto& wishes = context_.wishes;
+    const bool empty = wishes.work.empty() && wishes.needs.empty();
+    if (holding_ || empty)
+        return;
+    if (!holder_ || !hears_holder(steady_now())) {
+        wishes = placement_wishes();
+        return;
+    }
+    auto message = make_message(schema::message_kind::demand);
+    for (const auto& [model, work] : wishes.work) {
+        auto demand = std::make_unique<schema::model_demand_record>();
+        demand->model = model.value();
+        demand->work = static_cast<float>(work);
+        message.demand.push_back(std::move(demand));
+    }
+    for (const auto& need : wishes.needs)
+        message.needs.push_back(to_record(need));
+    for (const auto& use : wishes.uses)
+        message.uses.push_back(to_record(use));
+    wishes = placement_wishes();
+    link_.send(*holder_, std::move(message), false);
+}
+
+void peer_news::announce(std::span<const server_holding> changed)
+{
+    beat_at_ = steady_now() + beat_interval;
+    for (const auto& [id, address] : members_) {
+        if (id == context_.self)
+            continue;
+        auto message = make_message(schema::message_kind::placement);
+        message.epoch = epoch_;
+        for (const auto& news : changed)
+            message.servers.push_back(
+                std::make_unique<schema::server_news_record>(to_record(news)));
+        link_.send(address, std::move(message), false);
+    }
+}
+
+void peer_news::set_holding(bool holds, std::uint64_t epoch)
+{
+    holding_ = holds;
+    epoch_ = epoch;
+}
+
+bool peer_news::hears_holder(time_point now) const
+{
+    return holder_.has_value() && now < holder_heard_at_ + holder_silence;
+}
+
+void peer_news::receive(const schema::peer_message_record& message)
+{
+    const instance_id sender(message.sender->instance);
+    const peer_address address{message.address, message.port};
+    members_[sender] = address;
+    switch (message.kind) {
+    case schema::message_kind::placement:
+        on_placement(message);
+        return;
+    case schema::message_kind::demand:
+        if (on_demand_)
+            on_demand_(message);
+        return;
+    case schema::message_kind::snapshot_request:
+        send_snapshot(address);
+        return;
+    case schema::message_kind::snapshot:
+        watch_.take_configuration(
+            std::string_view(
+                reinterpret_cast<const char*>(message.body.data()),
+                message.body.size()),
+            sender.value());
+        return;
+    default:
+        log_event(log_level::warn, "peer_message_ignored")
+            .with("sender", sender.value());
+    }
+}
+
+void peer_news::on_placement(const schema::peer_message_record& message)
+{
+    if (message.epoch < holder_epoch_)
+        return;
+    const auto now = steady_now();
+    holder_epoch_ = message.epoch;
+    holder_heard_at_ = now;
+    holder_ = peer_address{message.address, message.port};
+    bool changed = false;
+    for (const auto& news : message.servers)
+        changed |= context_.directory.learn(
+            server_id(news->server), to_held(*news), now);
+    if (changed)
+        context_.wake_waiting();
+}
+
+void peer_news::send_snapshot(const peer_address& to)
+{
+    const auto& bytes = watch_.configuration_bytes();
+    if (bytes.empty())
+        return;
+    auto message = make_message(schema::message_kind::snapshot);
+    message.body.assign(bytes.begin(), bytes.end());
+    link_.send(to, std::move(message), false);
+}
+
+/// Asks one peer, picked by chance, for the newest configuration.
+void peer_news::ask_for_snapshot()
+{
+    if (members_.size() < 2)
+        return;
+    auto index = context_.random() % members_.size();
+    auto peer = members_.begin();
+    std::advance(peer, static_cast<std::ptrdiff_t>(index));
+    if (peer->first != context_.self)
+        link_.send(peer->second,
+                   make_message(schema::message_kind::snapshot_request),
+                   false);
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/gateway/src/peer_news.hpp
@@ -0,0 +1,87 @@
+#ifndef BARLEYFORK_GATEWAY_SRC_PEER_NEWS_HPP
+#define BARLEYFORK_GATEWAY_SRC_PEER_NEWS_HPP
+
+#include "gateway_context.hpp"
+#include "store_watch.hpp"
+
+#include <barleyfork/net/peer_link.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+
+namespace barleyfork {
+
+/// What one server holds, by the placement's holder.
+struct server_holding
+{
+    server_id server;
+    held_state held;
+};
+
+/// Messages between the daemons of one deployment: demand towards the
+/// placement's holder, its news towards all, and the configuration for
+/// daemons that the store does not serve. Belongs to one duty.
+class peer_news
+{
+public:
+    using demand_handler =
+        std::function<void(const schema::peer_message_record&)>;
+
+    peer_news(gateway_context& context, store_watch& watch);
+
+    /// Where demand goes while this daemon holds the placement's lease.
+    void on_demand(demand_handler handler)
+    {
+        on_demand_ = std::move(handler);
+    }
+
+    /// Listens for peers; false where the port can't be had.
+    bool listen();
+
+    /// Registers this daemon and follows who the others are.
+    boost::asio::awaitable<void> follow_members();
+
+    /// Sends demand and heartbeats.
+    boost::asio::awaitable<void> run();
+
+    /// Sends demand at once.
+    void send_demand();
+
+    /// Tells all daemons what servers hold.
+    void announce(std::span<const server_holding> changed);
+
+    void set_holding(bool holds, std::uint64_t epoch);
+
+    /// True while a holder's news comes in.
+    bool hears_holder(time_point now) const;
+
+private:
+    schema::peer_message_record make_message(schema::message_kind kind);
+    void receive(const schema::peer_message_record& message);
+    void on_placement(const schema::peer_message_record& message);
+    void send_snapshot(const peer_address& to);
+    void ask_for_snapshot();
+    void take_members(const store_read& read);
+    boost::asio::awaitable<void> register_self();
+
+    gateway_context& context_;
+    store_watch& watch_;
+    peer_link link_;
+    demand_handler on_demand_;
+    std::map<instance_id, peer_address> members_;
+    std::optional<peer_address> holder_;
+    time_point holder_heard_at_{};
+    std::uint64_t holder_epoch_ = 0;
+    bool holding_ = false;
+    std::uint64_t epoch_ = 0;
+    std::uint64_t sequence_ = 0;
+    time_point beat_at_{};
+};
+
+} // namespace barleyfork
+
+#endif
--- /dev/null
+++ b/libs/gateway/src/placement_duty.hpp
@@ -0,0 +1,64 @@
+#ifndef BARLEYFORK_GATEWAY_SRC_PLACEMENT_DUTY_HPP
+#define BARLEYFORK_GATEWAY_SRC_PLACEMENT_DUTY_HPP
+
+#include "gateway_context.hpp"
+#include "peer_news.hpp"
+
+#include <barleyfork/core/lease.hpp>
+#include <barleyfork/core/placement_controller.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <map>
+#include <optional>
+
+namespace barleyfork {
+
+/// Takes the placement's lease where nobody holds it, and gives engines their
+/// orders while it is held. One daemon of all does so at a time; losing it
+/// stops moves, never serving. Belongs to one duty.
+class placement_duty
+{
+public:
+    placement_duty(gateway_context& context, peer_news& news);
+
+    boost::asio::awaitable<void> run();
+
+    /// Gives the lease up, so that another daemon can take it soon.
+    boost::asio::awaitable<void> release();
+
+    /// Demand and wishes that a peer told.
+    void on_demand(const schema::peer_message_record& message);
+
+private:
+    void take_wishes();
+    boost::asio::awaitable<void> keep_lease();
+    boost::asio::awaitable<void> read_lease();
+    boost::asio::awaitable<void> write_lease(lease_row row);
+    void observe(const store_row* row);
+    bool may_order(time_point now) const;
+    void work(time_point now);
+    void update_controllers(time_point now);
+    void carry_out(const service_id& service, const placement_action& action);
+    boost::asio::awaitable<void> send_order(service_id service,
+                                            placement_action action,
+                                            engine_address to);
+    boost::asio::awaitable<void> read_report(service_id service,
+                                             server_id server,
+                                             engine_address from);
+    void publish(time_point now);
+
+    gateway_context& context_;
+    peer_news& news_;
+    lease lease_;
+    bool lease_seen_ = false;
+    bool stopping_ = false;
+    std::uint64_t writes_ = 0;
+    time_point next_read_{};
+    /// A holder that let go may have ordered just before.
+    time_point orders_from_{};
+    std::map<service_id, placement_controller> controllers_;
+};
+
+} // namespace barleyfork
+
+#endif
--- /dev/null
+++ b/libs/gateway/src/timer_queue.hpp
@@ -0,0 +1,48 @@
+#ifndef BARLEYFORK_GATEWAY_SRC_TIMER_QUEUE_HPP
+#define BARLEYFORK_GATEWAY_SRC_TIMER_QUEUE_HPP
+
+#include <barleyfork/base/time.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <utility>
+
+namespace barleyfork {
+
+/// Many deadlines on one timer of the loop. Belongs to one duty.
+class timer_queue
+{
+public:
+    /// Names a deadline; 0 names none.
+    using timer_id = std::uint64_t;
+
+    explicit timer_queue(boost::asio::any_io_executor executor);
+    timer_queue(const timer_queue&) = delete;
+    timer_queue& operator=(const timer_queue&) = delete;
+
+    /// Calls `action` at `at` or soon after.
+    timer_id add(time_point at, std::function<void()> action);
+
+    /// Takes a deadline off and clears its name.
+    void cancel(timer_id& id);
+
+private:
+    using key = std::pair<time_point, timer_id>;
+
+    void arm();
+    void run_due();
+
+    boost::asio::steady_timer timer_;
+    std::map<key, std::function<void()>> actions_;
+    std::map<timer_id, time_point> times_;
+    timer_id next_id_ = 1;
+    /// When the loop's timer fires; the largest value while it is off.
+    time_point armed_for_ = time_point::max();
+};
+
+} // namespace barleyfork
+
+#endif
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include <barleyfork/base/digest.hpp>
 #include <barleyfork/base/log.hpp>
+#include <barleyfork/net/http_checks.hpp>
 #include <barleyfork/net/sockets.hpp>
 
 #include <algorithm>
@@ -25,16 +26,6 @@
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 
-/// Two lengths, or a length beside a transfer coding, can be read in two
-/// ways by two parsers.
-bool is_ambiguous(const http::fields& fields)
-{
-    return fields.count(http::field::content_length) > 1 ||
-           fields.count(http::field::transfer_encoding) > 1 ||
-           (fields.count(http::field::content_length) != 0 &&
-            fields.count(http::field::transfer_encoding) != 0);
-}
-
 http_incoming to_incoming(http::request<http::string_body>&& request)
 {
     http_incoming incoming;
@@ -265,7 +256,7 @@
         connection_responder responder(
             stream, limits.write_timeout, keep_alive);
         if (error) {
-            if (const auto status = status_of(error))
+            if (const auto status = refusal_status(error))
                 co_await responder.send(refusal(status));
             co_return false;
         }
@@ -291,20 +282,6 @@
         co_return responder.answered() && keep_alive;
     }
 
-    static unsigned status_of(const beast::error_code& error)
-    {
-        if (error == http::error::body_limit)
-            return 413;
-        if (error == http::error::header_limit)
-            return 431;
-        if (error.category() ==
-                make_error_code(http::error::bad_target).category() &&
-            error != http::error::end_of_stream &&
-            error != http::error::partial_message)
-            return 400;
-        return 0;
-    }
-
     static http_outgoing refusal(unsigned status)
     {
         http_outgoing answer;
--- a/libs/schema/include/barleyfork/schema/gateway_generated.h
+++ b/libs/schema/include/barleyfork/schema/gateway_generated.h
@@ -236,13 +236,12 @@
 struct bound_settings_record : public flatbuffers::NativeTable {
   typedef bound_settings TableType;
   double drain_ms = 2500.0;
-  double grace_ms = 8000.0;
+  double grace_s = 8.0;
   double retry_ratio = 0.2;
-  double retry_window_ms = 10000.0;
+  double retry_window_s = 10.0;
   double retry_slack = 50.0;
   double holder_change_ms = 3000.0;
-  double load_window_ms = 5000.0;
-  double load_excess = 1.1;
+  double load_window_s = 5.0;
 };
 
 /// Bounds that the operators promise to callers and engines.
@@ -252,25 +251,24 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_DRAIN_MS = 4,
-    VT_GRACE_MS = 6,
+    VT_GRACE_S = 6,
     VT_RETRY_RATIO = 8,
-    VT_RETRY_WINDOW_MS = 10,
+    VT_RETRY_WINDOW_S = 10,
     VT_RETRY_SLACK = 12,
     VT_HOLDER_CHANGE_MS = 14,
-    VT_LOAD_WINDOW_MS = 16,
-    VT_LOAD_EXCESS = 18
+    VT_LOAD_WINDOW_S = 16
   };
   double drain_ms() const {
     return GetField<double>(VT_DRAIN_MS, 2500.0);
   }
-  double grace_ms() const {
-    return GetField<double>(VT_GRACE_MS, 8000.0);
+  double grace_s() const {
+    return GetField<double>(VT_GRACE_S, 8.0);
   }
   double retry_ratio() const {
     return GetField<double>(VT_RETRY_RATIO, 0.2);
   }
-  double retry_window_ms() const {
-    return GetField<double>(VT_RETRY_WINDOW_MS, 10000.0);
+  double retry_window_s() const {
+    return GetField<double>(VT_RETRY_WINDOW_S, 10.0);
   }
   double retry_slack() const {
     return GetField<double>(VT_RETRY_SLACK, 50.0);
@@ -278,22 +276,18 @@
   double holder_change_ms() const {
     return GetField<double>(VT_HOLDER_CHANGE_MS, 3000.0);
   }
-  double load_window_ms() const {
-    return GetField<double>(VT_LOAD_WINDOW_MS, 5000.0);
-  }
-  double load_excess() const {
-    return GetField<double>(VT_LOAD_EXCESS, 1.1);
+  double load_window_s() const {
+    return GetField<double>(VT_LOAD_WINDOW_S, 5.0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<double>(verifier, VT_DRAIN_MS, 8) &&
-           VerifyField<double>(verifier, VT_GRACE_MS, 8) &&
+           VerifyField<double>(verifier, VT_GRACE_S, 8) &&
            VerifyField<double>(verifier, VT_RETRY_RATIO, 8) &&
-           VerifyField<double>(verifier, VT_RETRY_WINDOW_MS, 8) &&
+           VerifyField<double>(verifier, VT_RETRY_WINDOW_S, 8) &&
            VerifyField<double>(verifier, VT_RETRY_SLACK, 8) &&
            VerifyField<double>(verifier, VT_HOLDER_CHANGE_MS, 8) &&
-           VerifyField<double>(verifier, VT_LOAD_WINDOW_MS, 8) &&
-           VerifyField<double>(verifier, VT_LOAD_EXCESS, 8) &&
+           VerifyField<double>(verifier, VT_LOAD_WINDOW_S, 8) &&
            verifier.EndTable();
   }
   bound_settings_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -308,14 +302,14 @@
   void add_drain_ms(double drain_ms) {
     fbb_.AddElement<double>(bound_settings::VT_DRAIN_MS, drain_ms, 2500.0);
   }
-  void add_grace_ms(double grace_ms) {
-    fbb_.AddElement<double>(bound_settings::VT_GRACE_MS, grace_ms, 8000.0);
+  void add_grace_s(double grace_s) {
+    fbb_.AddElement<double>(bound_settings::VT_GRACE_S, grace_s, 8.0);
   }
   void add_retry_ratio(double retry_ratio) {
     fbb_.AddElement<double>(bound_settings::VT_RETRY_RATIO, retry_ratio, 0.2);
   }
-  void add_retry_window_ms(double retry_window_ms) {
-    fbb_.AddElement<double>(bound_settings::VT_RETRY_WINDOW_MS, retry_window_ms, 10000.0);
+  void add_retry_window_s(double retry_window_s) {
+    fbb_.AddElement<double>(bound_settings::VT_RETRY_WINDOW_S, retry_window_s, 10.0);
   }
   void add_retry_slack(double retry_slack) {
     fbb_.AddElement<double>(bound_settings::VT_RETRY_SLACK, retry_slack, 50.0);
@@ -323,11 +317,8 @@
   void add_holder_change_ms(double holder_change_ms) {
     fbb_.AddElement<double>(bound_settings::VT_HOLDER_CHANGE_MS, holder_change_ms, 3000.0);
   }
-  void add_load_window_ms(double load_window_ms) {
-    fbb_.AddElement<double>(bound_settings::VT_LOAD_WINDOW_MS, load_window_ms, 5000.0);
-  }
-  void add_load_excess(double load_excess) {
-    fbb_.AddElement<double>(bound_settings::VT_LOAD_EXCESS, load_excess, 1.1);
+  void add_load_window_s(double load_window_s) {
+    fbb_.AddElement<double>(bound_settings::VT_LOAD_WINDOW_S, load_window_s, 5.0);
   }
   explicit bound_settingsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -343,21 +334,19 @@
 inline flatbuffers::Offset<bound_settings> Createbound_settings(
     flatbuffers::FlatBufferBuilder &_fbb,
     double drain_ms = 2500.0,
-    double grace_ms = 8000.0,
+    double grace_s = 8.0,
     double retry_ratio = 0.2,
-    double retry_window_ms = 10000.0,
+    double retry_window_s = 10.0,
     double retry_slack = 50.0,
     double holder_change_ms = 3000.0,
-    double load_window_ms = 5000.0,
-    double load_excess = 1.1) {
+    double load_window_s = 5.0) {
   bound_settingsBuilder builder_(_fbb);
-  builder_.add_load_excess(load_excess);
-  builder_.add_load_window_ms(load_window_ms);
+  builder_.add_load_window_s(load_window_s);
   builder_.add_holder_change_ms(holder_change_ms);
   builder_.add_retry_slack(retry_slack);
-  builder_.add_retry_window_ms(retry_window_ms);
+  builder_.add_retry_window_s(retry_window_s);
   builder_.add_retry_ratio(retry_ratio);
-  builder_.add_grace_ms(grace_ms);
+  builder_.add_grace_s(grace_s);
   builder_.add_drain_ms(drain_ms);
   return builder_.Finish();
 }
@@ -834,13 +823,12 @@
   (void)_o;
   (void)_resolver;
   { auto _e = drain_ms(); _o->drain_ms = _e; }
-  { auto _e = grace_ms(); _o->grace_ms = _e; }
+  { auto _e = grace_s(); _o->grace_s = _e; }
   { auto _e = retry_ratio(); _o->retry_ratio = _e; }
-  { auto _e = retry_window_ms(); _o->retry_window_ms = _e; }
+  { auto _e = retry_window_s(); _o->retry_window_s = _e; }
   { auto _e = retry_slack(); _o->retry_slack = _e; }
   { auto _e = holder_change_ms(); _o->holder_change_ms = _e; }
-  { auto _e = load_window_ms(); _o->load_window_ms = _e; }
-  { auto _e = load_excess(); _o->load_excess = _e; }
+  { auto _e = load_window_s(); _o->load_window_s = _e; }
 }
 
 inline flatbuffers::Offset<bound_settings> bound_settings::Pack(flatbuffers::FlatBufferBuilder &_fbb, const bound_settings_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -852,23 +840,21 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const bound_settings_record* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _drain_ms = _o->drain_ms;
-  auto _grace_ms = _o->grace_ms;
+  auto _grace_s = _o->grace_s;
   auto _retry_ratio = _o->retry_ratio;
-  auto _retry_window_ms = _o->retry_window_ms;
+  auto _retry_window_s = _o->retry_window_s;
   auto _retry_slack = _o->retry_slack;
   auto _holder_change_ms = _o->holder_change_ms;
-  auto _load_window_ms = _o->load_window_ms;
-  auto _load_excess = _o->load_excess;
+  auto _load_window_s = _o->load_window_s;
   return barleyfork::schema::Createbound_settings(
       _fbb,
       _drain_ms,
-      _grace_ms,
+      _grace_s,
       _retry_ratio,
-      _retry_window_ms,
+      _retry_window_s,
       _retry_slack,
       _holder_change_ms,
-      _load_window_ms,
-      _load_excess);
+      _load_window_s);
 }
 
 inline placement_settings_record *placement_settings::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/libs/schema/include/barleyfork/schema/peer_generated.h
+++ b/libs/schema/include/barleyfork/schema/peer_generated.h
@@ -949,6 +949,7 @@
   uint64_t epoch = 0;
   uint64_t store_version = 0;
   std::vector<std::unique_ptr<barleyfork::schema::adapter_need_record>> needs{};
+  std::vector<std::unique_ptr<barleyfork::schema::adapter_need_record>> uses{};
   std::vector<std::unique_ptr<barleyfork::schema::server_news_record>> servers{};
   std::vector<std::unique_ptr<barleyfork::schema::outstanding_work_record>> outstanding{};
   peer_message_record() = default;
@@ -979,8 +980,9 @@
     VT_EPOCH = 26,
     VT_STORE_VERSION = 28,
     VT_NEEDS = 30,
-    VT_SERVERS = 32,
-    VT_OUTSTANDING = 34
+    VT_USES = 32,
+    VT_SERVERS = 34,
+    VT_OUTSTANDING = 36
   };
   barleyfork::schema::message_kind kind() const {
     return static_cast<barleyfork::schema::message_kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -1024,6 +1026,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::adapter_need>> *needs() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::adapter_need>> *>(VT_NEEDS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::adapter_need>> *uses() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::adapter_need>> *>(VT_USES);
+  }
   const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::server_news>> *servers() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::server_news>> *>(VT_SERVERS);
   }
@@ -1059,6 +1064,9 @@
            VerifyOffset(verifier, VT_NEEDS) &&
            verifier.VerifyVector(needs()) &&
            verifier.VerifyVectorOfTables(needs()) &&
+           VerifyOffset(verifier, VT_USES) &&
+           verifier.VerifyVector(uses()) &&
+           verifier.VerifyVectorOfTables(uses()) &&
            VerifyOffset(verifier, VT_SERVERS) &&
            verifier.VerifyVector(servers()) &&
            verifier.VerifyVectorOfTables(servers()) &&
@@ -1118,6 +1126,9 @@
   void add_needs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::adapter_need>>> needs) {
     fbb_.AddOffset(peer_message::VT_NEEDS, needs);
   }
+  void add_uses(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::adapter_need>>> uses) {
+    fbb_.AddOffset(peer_message::VT_USES, uses);
+  }
   void add_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::server_news>>> servers) {
     fbb_.AddOffset(peer_message::VT_SERVERS, servers);
   }
@@ -1152,6 +1163,7 @@
     uint64_t epoch = 0,
     uint64_t store_version = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::adapter_need>>> needs = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::adapter_need>>> uses = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::server_news>>> servers = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::outstanding_work>>> outstanding = 0) {
   peer_messageBuilder builder_(_fbb);
@@ -1160,6 +1172,7 @@
   builder_.add_sequence(sequence);
   builder_.add_outstanding(outstanding);
   builder_.add_servers(servers);
+  builder_.add_uses(uses);
   builder_.add_needs(needs);
   builder_.add_address(address);
   builder_.add_demand(demand);
@@ -1195,6 +1208,7 @@
     uint64_t epoch = 0,
     uint64_t store_version = 0,
     const std::vector<flatbuffers::Offset<barleyfork::schema::adapter_need>> *needs = nullptr,
+    const std::vector<flatbuffers::Offset<barleyfork::schema::adapter_need>> *uses = nullptr,
     const std::vector<flatbuffers::Offset<barleyfork::schema::server_news>> *servers = nullptr,
     const std::vector<flatbuffers::Offset<barleyfork::schema::outstanding_work>> *outstanding = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::member>>(*members) : 0;
@@ -1204,6 +1218,7 @@
   auto demand__ = demand ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::model_demand>>(*demand) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto needs__ = needs ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::adapter_need>>(*needs) : 0;
+  auto uses__ = uses ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::adapter_need>>(*uses) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::server_news>>(*servers) : 0;
   auto outstanding__ = outstanding ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::outstanding_work>>(*outstanding) : 0;
   return barleyfork::schema::Createpeer_message(
@@ -1222,6 +1237,7 @@
       epoch,
       store_version,
       needs__,
+      uses__,
       servers__,
       outstanding__);
 }
@@ -1522,6 +1538,8 @@
   for (const auto &demand_ : o.demand) { demand.emplace_back((demand_) ? new barleyfork::schema::model_demand_record(*demand_) : nullptr); }
   needs.reserve(o.needs.size());
   for (const auto &needs_ : o.needs) { needs.emplace_back((needs_) ? new barleyfork::schema::adapter_need_record(*needs_) : nullptr); }
+  uses.reserve(o.uses.size());
+  for (const auto &uses_ : o.uses) { uses.emplace_back((uses_) ? new barleyfork::schema::adapter_need_record(*uses_) : nullptr); }
   servers.reserve(o.servers.size());
   for (const auto &servers_ : o.servers) { servers.emplace_back((servers_) ? new barleyfork::schema::server_news_record(*servers_) : nullptr); }
   outstanding.reserve(o.outstanding.size());
@@ -1543,6 +1561,7 @@
   std::swap(epoch, o.epoch);
   std::swap(store_version, o.store_version);
   std::swap(needs, o.needs);
+  std::swap(uses, o.uses);
   std::swap(servers, o.servers);
   std::swap(outstanding, o.outstanding);
   return *this;
@@ -1571,6 +1590,7 @@
   { auto _e = epoch(); _o->epoch = _e; }
   { auto _e = store_version(); _o->store_version = _e; }
   { auto _e = needs(); if (_e) { _o->needs.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->needs[_i] = std::unique_ptr<barleyfork::schema::adapter_need_record>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = uses(); if (_e) { _o->uses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->uses[_i] = std::unique_ptr<barleyfork::schema::adapter_need_record>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = servers(); if (_e) { _o->servers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->servers[_i] = std::unique_ptr<barleyfork::schema::server_news_record>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = outstanding(); if (_e) { _o->outstanding.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->outstanding[_i] = std::unique_ptr<barleyfork::schema::outstanding_work_record>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
@@ -1597,6 +1617,7 @@
   auto _epoch = _o->epoch;
   auto _store_version = _o->store_version;
   auto _needs = _o->needs.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::adapter_need>> (_o->needs.size(), [](size_t i, _VectorArgs *__va) { return Createadapter_need(*__va->__fbb, __va->__o->needs[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _uses = _o->uses.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::adapter_need>> (_o->uses.size(), [](size_t i, _VectorArgs *__va) { return Createadapter_need(*__va->__fbb, __va->__o->uses[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _servers = _o->servers.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::server_news>> (_o->servers.size(), [](size_t i, _VectorArgs *__va) { return Createserver_news(*__va->__fbb, __va->__o->servers[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _outstanding = _o->outstanding.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::outstanding_work>> (_o->outstanding.size(), [](size_t i, _VectorArgs *__va) { return Createoutstanding_work(*__va->__fbb, __va->__o->outstanding[i].get(), __va->__rehasher); }, &_va ) : 0;
   return barleyfork::schema::Createpeer_message(
@@ -1615,6 +1636,7 @@
       _epoch,
       _store_version,
       _needs,
+      _uses,
       _servers,
       _outstanding);
 }
