Take the order sequence from engines' own reports

Cause: an entry in the store counts heartbeats under the name that a report uses for accepted orders; every order was refused as out of sequence.

--- a/libs/core/include/barleyfork/core/backend_directory.hpp
+++ b/libs/core/include/barleyfork/core/backend_directory.hpp
@@ -24,18 +24,20 @@
     std::vector<std::string> adapters;
 
     bool has_adapter(const std::string& adapter) const;
+
+    friend bool operator==(const held_model&, const held_model&) = default;
 };
 
-/// What a backend server holds at one point of its own order of events.
+/// What a backend server holds.
 struct held_state
 {
     /// The process: the time of its start in Unix milliseconds.
     std::uint64_t started_ms = 0;
-    /// Orders that the process had accepted then.
-    std::uint64_t sequence = 0;
     std::vector<held_model> models;
 
     const held_model* find(const model_id& model) const;
+
+    friend bool operator==(const held_state&, const held_state&) = default;
 };
 
 /// What the platform's list says of one backend server.
@@ -56,16 +58,25 @@
     std::vector<model_id> on_disk;
 };
 
+/// Orders the news of placement's holders.
+struct news_order
+{
+    std::uint64_t epoch = 0;
+    std::uint64_t sequence = 0;
+
+    friend auto operator<=>(const news_order&, const news_order&) = default;
+};
+
 /// A backend server as this daemon knows it.
 struct backend_state
 {
     backend_entry entry;
-    /// The newest of the list's, the holder's and the server's own word.
-    held_state held;
+    /// What the placement's holder said last, and which of its news it was.
+    std::optional<held_state> learned;
+    news_order learned_order;
     /// When it vanished from the list; set only while its return is awaited.
     std::optional<time_point> missing_since;
-    /// Until when the holder's word stands against the list's of the same
-    /// moment: the list is older.
+    /// Until when the holder's word stands against the list's, which lags.
     time_point learned_until{};
     /// Models and adapters that the server refused as not loaded, and until
     /// when it is not asked for them again.
@@ -74,6 +85,9 @@
     /// tells of it anew.
     bool misdirected = false;
 
+    /// What the server holds, by the newer of list and holder.
+    const held_state& held(time_point now) const;
+
     /// True where new requests may be sent to it.
     bool usable() const noexcept
     {
@@ -103,8 +117,6 @@
     /// Live servers whose entries lapsed in an outage of the store are listed
     /// again within this time of its return.
     static constexpr duration outage_patience{2000};
-    /// The list lags behind the holder's word by up to this.
-    static constexpr duration list_lag{1500};
     /// A model or adapter that a server refused is not asked for again before
     /// this.
     static constexpr duration refusal_life{400};
@@ -113,7 +125,7 @@
     void replace(std::span<const backend_entry> entries, time_point now);
 
     /// Takes in one changed entry.
-    void update(const backend_entry& entry, time_point now);
+    void update(const backend_entry& entry);
 
     /// An entry was removed from the list.
     void remove(const server_id& id, time_point now);
@@ -124,9 +136,18 @@
     /// Drops servers whose return was awaited for long enough; returns them.
     std::vector<server_id> expire(time_point now);
 
-    /// Takes in what a server holds, where it is newer than what is known.
-    /// Returns true where something changed.
-    bool learn(const server_id& id, const held_state& held, time_point now);
+    /// How long a change on a server takes at most to show in the list.
+    void set_list_lag(duration lag) noexcept
+    {
+        list_lag_ = lag;
+    }
+
+    /// Takes in what the placement's holder says of a server; false where
+    /// newer news is known.
+    bool learn(const server_id& id,
+               const held_state& held,
+               news_order order,
+               time_point now);
 
     /// The server refused a request for a model or adapter as not loaded.
     void not_held(const server_id& id,
@@ -155,6 +176,7 @@
     bool awaits_return(time_point now) const noexcept;
 
     std::map<server_id, backend_state> servers_;
+    duration list_lag_{2500};
     bool store_reachable_ = true;
     time_point store_back_at_{};
     bool outage_seen_ = false;
--- a/libs/core/include/barleyfork/core/placement_controller.hpp
+++ b/libs/core/include/barleyfork/core/placement_controller.hpp
@@ -59,6 +59,16 @@
     unknown,
 };
 
+/// What an engine says of itself when it is asked.
+struct engine_word
+{
+    held_state held;
+    /// Orders that the process has accepted.
+    std::uint64_t sequence = 0;
+    /// An order is being carried out.
+    bool busy = false;
+};
+
 /// What the controller asks its duty to do.
 struct placement_action
 {
@@ -84,6 +94,8 @@
     duration interval{250};
     /// The weight store's bound holds over any span of this length.
     duration load_window{5000};
+    /// How long a change on a server takes at most to show in the list.
+    duration list_lag{2500};
     /// An order without an answer may still be carried out this long after.
     duration late_order_life{15000};
 };
@@ -132,8 +144,7 @@
                    time_point now);
 
     void on_report(const server_id& server,
-                   const held_state& held,
-                   bool busy,
+                   const engine_word& word,
                    time_point now);
 
     /// What a server holds, for daemons; null where it is not known. Models
@@ -178,7 +189,13 @@
     {
         failure_domain_id failure_domain;
         bool usable = true;
+        /// False until the list told of it for the first time.
+        bool known = false;
         held_state held;
+        /// Orders that the process has accepted; known from its own word.
+        std::optional<std::uint64_t> sequence;
+        /// When an order or report last told what it holds.
+        time_point told_at{};
         std::vector<model_id> in_memory;
         std::vector<model_id> on_disk;
         bool awaiting_answer = false;
@@ -205,7 +222,10 @@
     std::size_t store_loads_running() const;
     std::uint32_t load_budget(time_point now);
     void settle(engine_server& server, time_point now);
-    void adopt(engine_server& server, const held_state& held);
+    void adopt(engine_server& server, const held_state& held, time_point now);
+    void begin_anew(engine_server& server,
+                    const held_state& held,
+                    time_point now);
 
     planner_input make_input(time_point now);
     planner_server make_server(const server_id& id,
--- a/libs/core/src/backend_directory.cpp
+++ b/libs/core/src/backend_directory.cpp
@@ -5,23 +5,6 @@
 
 namespace barleyfork {
 
-namespace {
-
-/// A later process wins; within one process the later sequence does.
-bool is_newer(const held_state& a, const held_state& b)
-{
-    if (a.started_ms != b.started_ms)
-        return a.started_ms > b.started_ms;
-    return a.sequence > b.sequence;
-}
-
-bool is_same_moment(const held_state& a, const held_state& b)
-{
-    return a.started_ms == b.started_ms && a.sequence == b.sequence;
-}
-
-} // namespace
-
 bool held_model::has_adapter(const std::string& adapter) const
 {
     return std::find(adapters.begin(), adapters.end(), adapter) !=
@@ -37,13 +20,20 @@
     return found == models.end() ? nullptr : &*found;
 }
 
+const held_state& backend_state::held(time_point now) const
+{
+    const bool learned_holds = learned && now < learned_until &&
+                               learned->started_ms == entry.held.started_ms;
+    return learned_holds ? *learned : entry.held;
+}
+
 void backend_directory::replace(std::span<const backend_entry> entries,
                                 time_point now)
 {
     std::set<server_id> listed;
     for (const auto& entry : entries) {
         listed.insert(entry.id);
-        update(entry, now);
+        update(entry);
     }
     std::vector<server_id> gone;
     for (const auto& [id, state] : servers_)
@@ -53,7 +43,7 @@
         remove(id, now);
 }
 
-void backend_directory::update(const backend_entry& entry, time_point now)
+void backend_directory::update(const backend_entry& entry)
 {
     auto& state = servers_[entry.id];
     const bool new_process =
@@ -64,11 +54,6 @@
     state.missing_since.reset();
     if (new_process || moved)
         state.misdirected = false;
-    const bool outdated = is_newer(state.held, entry.held) ||
-                          (is_same_moment(state.held, entry.held) &&
-                           now < state.learned_until);
-    if (new_process || !outdated)
-        state.held = entry.held;
 }
 
 void backend_directory::remove(const server_id& id, time_point now)
@@ -114,16 +99,16 @@
 
 bool backend_directory::learn(const server_id& id,
                               const held_state& held,
+                              news_order order,
                               time_point now)
 {
     const auto found = servers_.find(id);
-    if (found == servers_.end())
-        return false;
-    auto& known = found->second.held;
-    if (!is_newer(held, known) && !is_same_moment(held, known))
+    if (found == servers_.end() || order < found->second.learned_order)
         return false;
-    known = held;
-    found->second.learned_until = now + list_lag;
+    auto& state = found->second;
+    state.learned = held;
+    state.learned_order = order;
+    state.learned_until = now + list_lag_;
     return true;
 }
 
@@ -142,7 +127,7 @@
                                  const std::string& adapter,
                                  time_point now)
 {
-    const auto* held = state.held.find(model);
+    const auto* held = state.held(now).find(model);
     if (held == nullptr || !held->ready)
         return holding::none;
     const auto refused = state.refusals.find({model, adapter});
--- a/libs/core/src/placement_controller.cpp
+++ b/libs/core/src/placement_controller.cpp
@@ -63,43 +63,50 @@
         server.usable = state->usable() && !state->missing_since;
         server.in_memory = state->entry.in_memory;
         server.on_disk = state->entry.on_disk;
-        adopt(server, state->entry.held);
+        adopt(server, state->entry.held, now);
         settle(server, now);
     }
 }
 
-/// Takes in the server's own word where it is not older than what is known. A
-/// running order is over once the word shows its effect.
-void placement_controller::adopt(engine_server& server, const held_state& held)
+/// A process that is not known yet: its sequence is asked for.
+void placement_controller::begin_anew(engine_server& server,
+                                      const held_state& held,
+                                      time_point now)
 {
-    const bool new_process = held.started_ms != server.held.started_ms;
-    if (new_process) {
-        server.running.reset();
-        server.closing.reset();
-        server.coming.clear();
-        server.awaiting_answer = false;
-        server.held = held;
-        server.changed = true;
+    server.running.reset();
+    server.closing.reset();
+    server.coming.clear();
+    server.unsettled.clear();
+    server.awaiting_answer = false;
+    server.sequence.reset();
+    server.probe_at = now;
+    server.told_at = now - options_.list_lag;
+    server.held = held;
+    server.changed = true;
+}
+
+/// Takes in what the list says, which lags behind orders and reports; a
+/// running order is over once the list shows its effect.
+void placement_controller::adopt(engine_server& server,
+                                 const held_state& held,
+                                 time_point now)
+{
+    if (held.started_ms != server.held.started_ms || !server.known) {
+        server.known = true;
+        begin_anew(server, held, now);
         return;
     }
-    if (held.sequence < server.held.sequence)
-        return;
     if (server.running) {
         const auto& command = server.running->command;
         const bool present = held.find(command.model) != nullptr;
-        const bool shows_effect = held.sequence >= server.running->sequence &&
-                                  present == (command.kind == order_kind::load);
-        if (!shows_effect)
+        if (present != (command.kind == order_kind::load))
             return;
         server.running.reset();
+        server.told_at = now - options_.list_lag;
     }
-    else if (held.sequence == server.held.sequence &&
-             held.models.size() == server.held.models.size()) {
-        // Adapters under way are known better here.
+    if (now < server.told_at + options_.list_lag || held == server.held)
         return;
-    }
     server.held = held;
-    server.coming.clear();
     server.changed = true;
 }
 
@@ -107,7 +114,8 @@
 {
     std::erase_if(server.unsettled, [&server, now](const auto& load) {
         return now >= load.until ||
-               server.held.sequence > load.command.expected_sequence;
+               (server.sequence &&
+                *server.sequence > load.command.expected_sequence);
     });
 }
 
@@ -195,8 +203,8 @@
 
 bool placement_controller::is_idle(const engine_server& server) const
 {
-    return server.usable && !server.awaiting_answer && !server.running &&
-           !server.closing && !server.probe_at;
+    return server.usable && server.sequence && !server.awaiting_answer &&
+           !server.running && !server.closing && !server.probe_at;
 }
 
 bool placement_controller::takes_load(const engine_server& server,
@@ -365,7 +373,7 @@
     }
     order(found->first,
           server,
-          {order_kind::load, step.model, {}, server.held.sequence},
+          {order_kind::load, step.model, {}, *server.sequence},
           reason_name(step.reason),
           out);
 }
@@ -387,14 +395,14 @@
 {
     for (auto& [id, server] : servers_) {
         if (!server.closing || now < server.closing->order_at ||
-            server.awaiting_answer)
+            server.awaiting_answer || !server.sequence)
             continue;
         order(id,
               server,
               {order_kind::unload,
                server.closing->model,
                {},
-               server.held.sequence},
+               *server.sequence},
               server.closing->reason,
               out);
     }
@@ -446,7 +454,7 @@
             continue;
         if (held->has_adapter(key.second))
             return true;
-        if (server.awaiting_answer || server.probe_at)
+        if (!server.sequence || server.awaiting_answer || server.probe_at)
             continue;
         const auto count = adapters_on(server);
         if (best.empty() || count < fewest) {
@@ -463,7 +471,7 @@
     }
     order(best,
           server,
-          {order_kind::load, key.first, key.second, server.held.sequence},
+          {order_kind::load, key.first, key.second, *server.sequence},
           "adapter",
           out);
     return false;
@@ -496,7 +504,7 @@
           {order_kind::unload,
            oldest->first,
            oldest->second,
-           server.held.sequence},
+           *server.sequence},
           "adapter_room",
           out);
     return true;
@@ -548,8 +556,8 @@
                                        const engine_command& command,
                                        time_point now)
 {
-    if (server.held.sequence == command.expected_sequence)
-        server.held.sequence = command.expected_sequence + 1;
+    server.sequence = command.expected_sequence + 1;
+    server.told_at = now;
     if (command.adapter.empty())
         on_model_accepted(server, command, now);
     else
@@ -576,8 +584,8 @@
                                            const engine_command& command,
                                            time_point now)
 {
-    server.held.sequence =
-        std::max(server.held.sequence, command.expected_sequence + 1);
+    server.sequence = command.expected_sequence + 1;
+    server.told_at = now;
     for (auto& held : server.held.models) {
         if (held.model != command.model)
             continue;
@@ -595,29 +603,31 @@
 }
 
 void placement_controller::on_report(const server_id& id,
-                                     const held_state& held,
-                                     bool busy,
+                                     const engine_word& word,
                                      time_point now)
 {
     const auto found = servers_.find(id);
     if (found == servers_.end())
         return;
     auto& server = found->second;
-    const bool same_process = held.started_ms == server.held.started_ms;
-    if (same_process && held.sequence < server.held.sequence)
+    if (word.held.started_ms != server.held.started_ms)
         return;
-    if (busy && same_process)
+    // Reports lag: one from before the last accepted order says nothing.
+    if (server.sequence && word.sequence < *server.sequence)
         return;
-    if (same_process && server.running &&
-        held.sequence >= server.running->sequence)
-        server.running.reset();
-    server.probe_at.reset();
-    if (same_process && held.sequence == server.held.sequence &&
-        !server.coming.empty())
+    if (word.busy)
         return;
-    server.held = held;
-    server.changed = true;
+    const bool moved_on = !server.sequence || word.sequence > *server.sequence;
+    server.sequence = word.sequence;
+    server.running.reset();
+    server.probe_at.reset();
     settle(server, now);
+    // Adapters that were ordered since are not in it yet.
+    if (!moved_on && !server.coming.empty())
+        return;
+    server.told_at = now;
+    server.changed = server.changed || server.held != word.held;
+    server.held = word.held;
 }
 
 std::optional<held_state>
--- a/libs/gateway/include/barleyfork/gateway/platform_port.hpp
+++ b/libs/gateway/include/barleyfork/gateway/platform_port.hpp
@@ -23,8 +23,7 @@
 struct report_reply
 {
     failure error;
-    held_state held;
-    bool busy = false;
+    engine_word word;
 };
 
 /// Where an engine listens.
--- a/libs/gateway/src/peer_news.cpp
+++ b/libs/gateway/src/peer_news.cpp
@@ -25,7 +25,6 @@
     schema::server_news_record record;
     record.server = news.server.value();
     record.started_ms = news.held.started_ms;
-    record.sequence = news.held.sequence;
     for (const auto& held : news.held.models) {
         auto model = std::make_unique<schema::resident_news_record>();
         model->model = held.model.value();
@@ -40,7 +39,6 @@
 {
     held_state held;
     held.started_ms = record.started_ms;
-    held.sequence = record.sequence;
     for (const auto& model : record.models)
         held.models.push_back(
             {model_id(model->model), model->ready, model->adapters});
@@ -202,19 +200,22 @@
     link_.send(*holder_, std::move(message), false);
 }
 
-void peer_news::announce(std::span<const server_holding> changed)
+news_order peer_news::announce(std::span<const server_holding> changed)
 {
     beat_at_ = steady_now() + beat_interval;
+    const news_order order{epoch_, ++announced_};
     for (const auto& [id, address] : members_) {
         if (id == context_.self)
             continue;
         auto message = make_message(schema::message_kind::placement);
-        message.epoch = epoch_;
+        message.epoch = order.epoch;
+        message.sequence = order.sequence;
         for (const auto& news : changed)
             message.servers.push_back(
                 std::make_unique<schema::server_news_record>(to_record(news)));
         link_.send(address, std::move(message), false);
     }
+    return order;
 }
 
 void peer_news::set_holding(bool holds, std::uint64_t epoch)
@@ -268,7 +269,10 @@
     bool changed = false;
     for (const auto& news : message.servers)
         changed |= context_.directory.learn(
-            server_id(news->server), to_held(*news), now);
+            server_id(news->server),
+            to_held(*news),
+            {message.epoch, message.sequence},
+            now);
     if (changed)
         context_.wake_waiting();
 }
--- a/libs/gateway/src/peer_news.hpp
+++ b/libs/gateway/src/peer_news.hpp
@@ -51,8 +51,9 @@
     /// Sends demand at once.
     void send_demand();
 
-    /// Tells all daemons what servers hold.
-    void announce(std::span<const server_holding> changed);
+    /// Tells all daemons what servers hold; the place of these news among
+    /// all.
+    news_order announce(std::span<const server_holding> changed);
 
     void set_holding(bool holds, std::uint64_t epoch);
 
@@ -79,6 +80,7 @@
     bool holding_ = false;
     std::uint64_t epoch_ = 0;
     std::uint64_t sequence_ = 0;
+    std::uint64_t announced_ = 0;
     time_point beat_at_{};
 };
 
--- a/libs/gateway/src/placement_duty.cpp
+++ b/libs/gateway/src/placement_duty.cpp
@@ -328,7 +328,7 @@
     if (found == controllers_.end())
         co_return;
     const auto now = steady_now();
-    found->second.on_report(server, reply.held, reply.busy, now);
+    found->second.on_report(server, reply.word, now);
     publish(now);
 }
 
@@ -342,9 +342,9 @@
                 changed.push_back({server, std::move(*held)});
     if (changed.empty())
         return;
+    const auto order = news_.announce(changed);
     for (const auto& news : changed)
-        context_.directory.learn(news.server, news.held, now);
-    news_.announce(changed);
+        context_.directory.learn(news.server, news.held, order, now);
     context_.wake_waiting();
 }
 
--- a/libs/gateway/src/store_watch.cpp
+++ b/libs/gateway/src/store_watch.cpp
@@ -155,7 +155,7 @@
     }
     else {
         for (const auto& entry : entries)
-            context_.directory.update(entry, now);
+            context_.directory.update(entry);
     }
     for (const auto& gone : context_.directory.expire(now))
         log_event(log_level::info, "server_gone").with("server", gone.value());
--- a/libs/schema/include/barleyfork/schema/peer_generated.h
+++ b/libs/schema/include/barleyfork/schema/peer_generated.h
@@ -724,7 +724,6 @@
   typedef server_news TableType;
   std::string server{};
   uint64_t started_ms = 0;
-  uint64_t sequence = 0;
   std::vector<std::unique_ptr<barleyfork::schema::resident_news_record>> models{};
   server_news_record() = default;
   server_news_record(const server_news_record &o);
@@ -733,7 +732,7 @@
 };
 
 /// What a backend server holds, by the knowledge of the placement's holder.
-/// `started_ms` and `sequence` order it against the server's own word.
+/// `started_ms` names the server's process.
 struct server_news FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef server_news_record NativeTableType;
   typedef server_newsBuilder Builder;
@@ -741,8 +740,7 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SERVER = 4,
     VT_STARTED_MS = 6,
-    VT_SEQUENCE = 8,
-    VT_MODELS = 10
+    VT_MODELS = 8
   };
   const flatbuffers::String *server() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVER);
@@ -750,9 +748,6 @@
   uint64_t started_ms() const {
     return GetField<uint64_t>(VT_STARTED_MS, 0);
   }
-  uint64_t sequence() const {
-    return GetField<uint64_t>(VT_SEQUENCE, 0);
-  }
   const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::resident_news>> *models() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::resident_news>> *>(VT_MODELS);
   }
@@ -761,7 +756,6 @@
            VerifyOffsetRequired(verifier, VT_SERVER) &&
            verifier.VerifyString(server()) &&
            VerifyField<uint64_t>(verifier, VT_STARTED_MS, 8) &&
-           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyOffset(verifier, VT_MODELS) &&
            verifier.VerifyVector(models()) &&
            verifier.VerifyVectorOfTables(models()) &&
@@ -782,9 +776,6 @@
   void add_started_ms(uint64_t started_ms) {
     fbb_.AddElement<uint64_t>(server_news::VT_STARTED_MS, started_ms, 0);
   }
-  void add_sequence(uint64_t sequence) {
-    fbb_.AddElement<uint64_t>(server_news::VT_SEQUENCE, sequence, 0);
-  }
   void add_models(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::resident_news>>> models) {
     fbb_.AddOffset(server_news::VT_MODELS, models);
   }
@@ -804,10 +795,8 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> server = 0,
     uint64_t started_ms = 0,
-    uint64_t sequence = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::resident_news>>> models = 0) {
   server_newsBuilder builder_(_fbb);
-  builder_.add_sequence(sequence);
   builder_.add_started_ms(started_ms);
   builder_.add_models(models);
   builder_.add_server(server);
@@ -823,7 +812,6 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *server = nullptr,
     uint64_t started_ms = 0,
-    uint64_t sequence = 0,
     const std::vector<flatbuffers::Offset<barleyfork::schema::resident_news>> *models = nullptr) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
   auto models__ = models ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::resident_news>>(*models) : 0;
@@ -831,7 +819,6 @@
       _fbb,
       server__,
       started_ms,
-      sequence,
       models__);
 }
 
@@ -1438,8 +1425,7 @@
 
 inline server_news_record::server_news_record(const server_news_record &o)
       : server(o.server),
-        started_ms(o.started_ms),
-        sequence(o.sequence) {
+        started_ms(o.started_ms) {
   models.reserve(o.models.size());
   for (const auto &models_ : o.models) { models.emplace_back((models_) ? new barleyfork::schema::resident_news_record(*models_) : nullptr); }
 }
@@ -1447,7 +1433,6 @@
 inline server_news_record &server_news_record::operator=(server_news_record o) FLATBUFFERS_NOEXCEPT {
   std::swap(server, o.server);
   std::swap(started_ms, o.started_ms);
-  std::swap(sequence, o.sequence);
   std::swap(models, o.models);
   return *this;
 }
@@ -1463,7 +1448,6 @@
   (void)_resolver;
   { auto _e = server(); if (_e) _o->server = _e->str(); }
   { auto _e = started_ms(); _o->started_ms = _e; }
-  { auto _e = sequence(); _o->sequence = _e; }
   { auto _e = models(); if (_e) { _o->models.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->models[_i] = std::unique_ptr<barleyfork::schema::resident_news_record>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
@@ -1477,13 +1461,11 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const server_news_record* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _server = _fbb.CreateString(_o->server);
   auto _started_ms = _o->started_ms;
-  auto _sequence = _o->sequence;
   auto _models = _o->models.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::resident_news>> (_o->models.size(), [](size_t i, _VectorArgs *__va) { return Createresident_news(*__va->__fbb, __va->__o->models[i].get(), __va->__rehasher); }, &_va ) : 0;
   return barleyfork::schema::Createserver_news(
       _fbb,
       _server,
       _started_ms,
-      _sequence,
       _models);
 }
 
