Refuse requests that reach a draining daemon late

Cause: where no daemon of a zone is in rotation the balancer uses them all, so a draining one got requests up to its end and cut them.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -272,6 +272,7 @@
 {
     const auto began = steady_now();
     context.draining = true;
+    context.closes_at = began + leave_rotation;
     log_event(log_level::info, "drain_started")
         .with("active", static_cast<std::int64_t>(context.active_calls));
     context.serving.spawn(placement.release());
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -97,6 +97,10 @@
     received_at_ = now;
     deadline_ = now + default_timeout;
     facts_ = context_.platform.codec->read_call(request_.headers);
+    if (now >= context_.closes_at) {
+        refuse(errc::draining, shortest_return);
+        return;
+    }
     if (!find_route())
         return;
     set_deadline(now);
--- a/libs/gateway/src/gateway_context.hpp
+++ b/libs/gateway/src/gateway_context.hpp
@@ -77,6 +77,8 @@
     /// Calls that wait for a server; keyed by the call itself.
     std::map<const void*, std::function<void()>> waiting;
     bool draining = false;
+    /// From when a draining daemon begins no further request.
+    time_point closes_at = time_point::max();
     std::size_t active_calls = 0;
     std::mt19937_64 random{std::random_device{}()};
 
