Apply changes of the server list in their order

Cause: a row that changed and was removed within one answer was removed first and put back then, so a server that had left stayed in use.

--- a/libs/core/include/barleyfork/core/backend_directory.hpp
+++ b/libs/core/include/barleyfork/core/backend_directory.hpp
@@ -52,6 +52,8 @@
     /// How long the server will still run, where it said so.
     std::optional<duration> leaves_in;
     std::uint32_t slots = 1;
+    /// Heartbeats that the process had sent.
+    std::uint64_t heartbeats = 0;
     held_state held;
     /// Models whose weights it has at hand, so that a load is quick.
     std::vector<model_id> in_memory;
--- a/libs/gateway/src/store_watch.cpp
+++ b/libs/gateway/src/store_watch.cpp
@@ -135,31 +135,72 @@
 void store_watch::take_rows(const store_read& read, bool whole)
 {
     const auto now = steady_now();
+    if (whole)
+        take_list(read, now);
+    else
+        take_changes(read, now);
+    for (const auto& gone : context_.directory.expire(now))
+        log_event(log_level::info, "server_gone").with("server", gone.value());
+    context_.wake_waiting();
+}
+
+void store_watch::take_list(const store_read& read, time_point now)
+{
     std::vector<backend_entry> entries;
+    for (const auto& row : read.rows)
+        if (auto entry = decode(row))
+            entries.push_back(std::move(*entry));
+    context_.directory.replace(entries, now);
+    context_.servers_known = true;
+}
+
+/// Changes are applied in their order: a row may stand in them twice.
+void store_watch::take_changes(const store_read& read, time_point now)
+{
     for (const auto& row : read.rows) {
-        backend_entry entry;
-        const bool usable =
-            !row.deleted &&
-            !context_.platform.decode_server(row.key, row.value, entry);
-        if (usable)
-            entries.push_back(std::move(entry));
-        else if (!whole)
-            context_.directory.remove(server_id(row.key), now);
-        if (!row.deleted && !usable)
-            log_event(log_level::warn, "server_entry_ignored")
-                .with("server", row.key);
-    }
-    if (whole) {
-        context_.directory.replace(entries, now);
-        context_.servers_known = true;
+        if (const auto entry = decode(row)) {
+            context_.directory.update(*entry);
+            continue;
+        }
+        log_event(log_level::info, "server_unlisted")
+            .with("server", row.key)
+            .with("row_version", static_cast<std::int64_t>(row.version));
+        context_.directory.remove(server_id(row.key), now);
     }
-    else {
-        for (const auto& entry : entries)
-            context_.directory.update(entry);
+}
+
+/// The server that a row names; nothing where it names none to use.
+std::optional<backend_entry> store_watch::decode(const store_row& row) const
+{
+    if (row.deleted)
+        return std::nullopt;
+    backend_entry entry;
+    if (const auto error =
+            context_.platform.decode_server(row.key, row.value, entry))
+    {
+        log_event(log_level::warn, "server_entry_ignored")
+            .with("server", row.key)
+            .with("error", error.detail);
+        return std::nullopt;
     }
-    for (const auto& gone : context_.directory.expire(now))
-        log_event(log_level::info, "server_gone").with("server", gone.value());
-    context_.wake_waiting();
+    log_leaving(entry);
+    return entry;
+}
+
+void store_watch::log_leaving(const backend_entry& entry) const
+{
+    const auto* known = context_.directory.find(entry.id);
+    if (known == nullptr && context_.servers_known)
+        log_event(log_level::info, "server_listed")
+            .with("server", entry.id.value())
+            .with("started_ms",
+                  static_cast<std::int64_t>(entry.held.started_ms))
+            .with("heartbeats", static_cast<std::int64_t>(entry.heartbeats));
+    if (!entry.draining || (known != nullptr && known->entry.draining))
+        return;
+    log_event(log_level::info, "server_draining")
+        .with("server", entry.id.value())
+        .with("leaves_in_ms", entry.leaves_in ? entry.leaves_in->count() : -1);
 }
 
 void store_watch::set_reachable(bool reachable, const failure& error)
--- a/libs/gateway/src/store_watch.hpp
+++ b/libs/gateway/src/store_watch.hpp
@@ -4,6 +4,7 @@
 #include "gateway_context.hpp"
 
 #include <boost/asio/awaitable.hpp>
+#include <optional>
 #include <string_view>
 
 namespace barleyfork {
@@ -37,6 +38,10 @@
 
 private:
     void take_rows(const store_read& read, bool whole);
+    void take_list(const store_read& read, time_point now);
+    void take_changes(const store_read& read, time_point now);
+    std::optional<backend_entry> decode(const store_row& row) const;
+    void log_leaving(const backend_entry& entry) const;
     void set_reachable(bool reachable, const failure& error);
 
     gateway_context& context_;
