Write logs to standard output through a bounded writer

The log now goes to standard output through a writer that never makes a caller wait, leaves out and counts lines beyond 500 lines and 150000 bytes a second (failures as much again), and a process ends once its lines are flushed.

--- a/libs/base/include/barleyfork/base/log.hpp
+++ b/libs/base/include/barleyfork/base/log.hpp
@@ -18,11 +18,17 @@
 };
 
 /// Sets up log4cplus: one line an event, written by a thread of its own from
-/// a bounded queue. An empty `file` writes to standard error.
+/// a bounded queue. An empty `file` writes to standard output: lines beyond
+/// 500 and 150000 bytes a second are left out and counted, failures may take
+/// as much again, and a reader that stalls delays nobody.
 void start_log(std::string_view level,
                const std::string& file,
                const std::string& instance);
 
+/// Waits until the lines for standard output are written, for a short time
+/// at most.
+void flush_log();
+
 /// Writes what is queued and ends the log's thread.
 void stop_log();
 
--- a/libs/base/src/log.cpp
+++ b/libs/base/src/log.cpp
@@ -1,13 +1,16 @@
 #include <barleyfork/base/log.hpp>
 
+#include "bounded_writer.hpp"
+
 #include <log4cplus/asyncappender.h>
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <memory>
+#include <sstream>
+#include <unistd.h>
 
 namespace barleyfork {
 
@@ -31,15 +34,57 @@
     return levels[static_cast<std::size_t>(level)];
 }
 
+/// Hands formatted lines to a bounded writer on standard output.
+class output_appender : public log4cplus::Appender
+{
+public:
+    output_appender() : writer_(STDOUT_FILENO, writer_limits{}) {}
+
+    ~output_appender() override
+    {
+        destructorImpl();
+    }
+
+    void close() override
+    {
+        closed = true;
+    }
+
+    void flush()
+    {
+        writer_.flush();
+    }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override
+    {
+        std::ostringstream line;
+        layout->formatAndAppend(line, event);
+        writer_.push(line.str(), event.getLogLevel() >= log4cplus::WARN_LOG_LEVEL);
+    }
+
+private:
+    bounded_writer writer_;
+};
+
+/// A file's lines are written by a thread of the library's.
 log4cplus::SharedAppenderPtr make_appender(const std::string& file)
 {
     if (file.empty())
-        return log4cplus::SharedAppenderPtr(
-            new log4cplus::ConsoleAppender(true, true));
+        return log4cplus::SharedAppenderPtr(new output_appender);
     return log4cplus::SharedAppenderPtr(
         new log4cplus::FileAppender(file, std::ios_base::app));
 }
 
+log4cplus::SharedAppenderPtr
+make_queue(const log4cplus::SharedAppenderPtr& appender, bool to_file)
+{
+    if (!to_file)
+        return appender;
+    return log4cplus::SharedAppenderPtr(
+        new log4cplus::AsyncAppender(appender, queue_lines));
+}
+
 bool needs_quotes(std::string_view value)
 {
     return value.empty() ||
@@ -71,8 +116,7 @@
     auto appender = make_appender(file);
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
         "ts=%D{%Y-%m-%dT%H:%M:%S.%q} level=%p instance=" + instance + " %m%n"));
-    log4cplus::SharedAppenderPtr queue(
-        new log4cplus::AsyncAppender(appender, queue_lines));
+    const auto queue = make_queue(appender, !file.empty());
     auto root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
     root.addAppender(queue);
@@ -84,6 +128,15 @@
                            : "INFO"));
 }
 
+void flush_log()
+{
+    if (!initializer())
+        return;
+    for (const auto& appender : log4cplus::Logger::getRoot().getAllAppenders())
+        if (auto* output = dynamic_cast<output_appender*>(appender.get()))
+            output->flush();
+}
+
 void stop_log()
 {
     if (!initializer())
--- a/tools/barleyfork_gateway/main.cpp
+++ b/tools/barleyfork_gateway/main.cpp
@@ -75,6 +75,8 @@
         return fail(exit_cannot_start, failed.message());
     }
     const bool whole = running.wait();
-    barleyfork::stop_log();
-    return whole ? exit_ok : exit_cut;
+    barleyfork::flush_log();
+    // Nothing of this process outlives it, so nothing is taken down; a thread
+    // that is slow to end must not use up the time to stop.
+    std::_Exit(whole ? exit_ok : exit_cut);
 }
