Count adapters that come and go until the engine's own word

The list now only prompts a question to the engine. Ruled out: late orders (each names its place in the sequence).

--- a/libs/core/include/barleyfork/core/placement_controller.hpp
+++ b/libs/core/include/barleyfork/core/placement_controller.hpp
@@ -185,6 +185,8 @@
         time_point ready_at{};
     };
 
+    using adapter_key = std::pair<model_id, std::string>;
+
     struct engine_server
     {
         failure_domain_id failure_domain;
@@ -204,10 +206,11 @@
         std::optional<time_point> probe_at;
         std::vector<unsettled_load> unsettled;
         std::vector<coming_adapter> coming;
+        /// Adapters whose unload waits for their requests to end.
+        std::vector<adapter_key> going;
         bool changed = true;
     };
 
-    using adapter_key = std::pair<model_id, std::string>;
     using actions = std::vector<placement_action>;
 
     const engine_model* model_of(const model_id& id) const;
@@ -251,6 +254,10 @@
     void on_model_accepted(engine_server& server,
                            const engine_command& command,
                            time_point now);
+    static bool is_going(const engine_server& server, const adapter_key& key);
+    void on_adapter_going(engine_server& server,
+                          const engine_command& command,
+                          time_point now);
     void on_adapter_done(engine_server& server,
                          const engine_command& command,
                          time_point now);
--- a/libs/core/src/placement_controller.cpp
+++ b/libs/core/src/placement_controller.cpp
@@ -76,6 +76,7 @@
     server.running.reset();
     server.closing.reset();
     server.coming.clear();
+    server.going.clear();
     server.unsettled.clear();
     server.awaiting_answer = false;
     server.sequence.reset();
@@ -85,8 +86,9 @@
     server.changed = true;
 }
 
-/// Takes in what the list says, which lags behind orders and reports; a
-/// running order is over once the list shows its effect.
+/// The list lags, at times by much while the store is away, so it replaces
+/// nothing: where it differs for longer than it usually lags, the server is
+/// asked for its own word.
 void placement_controller::adopt(engine_server& server,
                                  const held_state& held,
                                  time_point now)
@@ -96,18 +98,11 @@
         begin_anew(server, held, now);
         return;
     }
-    if (server.running) {
-        const auto& command = server.running->command;
-        const bool present = held.find(command.model) != nullptr;
-        if (present != (command.kind == order_kind::load))
-            return;
-        server.running.reset();
-        server.told_at = now - options_.list_lag;
-    }
-    if (now < server.told_at + options_.list_lag || held == server.held)
-        return;
-    server.held = held;
-    server.changed = true;
+    const bool settled = !server.running && !server.closing &&
+                         !server.awaiting_answer && !server.probe_at;
+    const bool due = now >= server.told_at + options_.list_lag;
+    if (settled && due && held != server.held)
+        server.probe_at = now;
 }
 
 void placement_controller::settle(engine_server& server, time_point now)
@@ -201,6 +196,13 @@
     return count;
 }
 
+bool placement_controller::is_going(const engine_server& server,
+                                    const adapter_key& key)
+{
+    return std::find(server.going.begin(), server.going.end(), key) !=
+           server.going.end();
+}
+
 bool placement_controller::is_idle(const engine_server& server) const
 {
     return server.usable && server.sequence && !server.awaiting_answer &&
@@ -452,6 +454,8 @@
             server.closing && server.closing->model == key.first;
         if (!server.usable || held == nullptr || going)
             continue;
+        if (is_going(server, key))
+            continue;
         if (held->has_adapter(key.second))
             return true;
         if (!server.sequence || server.awaiting_answer || server.probe_at)
@@ -488,6 +492,8 @@
     for (const auto& held : server.held.models) {
         for (const auto& adapter : held.adapters) {
             const adapter_key key{held.model, adapter};
+            if (is_going(server, key))
+                continue;
             const auto used = used_.find(key);
             const auto at =
                 used == used_.end() ? time_point{} : used->second;
@@ -560,8 +566,21 @@
     server.told_at = now;
     if (command.adapter.empty())
         on_model_accepted(server, command, now);
-    else
+    else if (command.kind == order_kind::load)
         on_adapter_done(server, command, now);
+    else
+        on_adapter_going(server, command, now);
+}
+
+/// Requests still use the adapter: it takes its place until the server's own
+/// word shows it gone.
+void placement_controller::on_adapter_going(engine_server& server,
+                                            const engine_command& command,
+                                            time_point now)
+{
+    server.going.push_back({command.model, command.adapter});
+    server.probe_at = now + first_probe;
+    server.changed = true;
 }
 
 void placement_controller::on_model_accepted(engine_server& server,
@@ -584,6 +603,7 @@
                                            const engine_command& command,
                                            time_point now)
 {
+    const adapter_key key{command.model, command.adapter};
     server.sequence = command.expected_sequence + 1;
     server.told_at = now;
     for (auto& held : server.held.models) {
@@ -591,12 +611,13 @@
             continue;
         if (command.kind == order_kind::unload) {
             std::erase(held.adapters, command.adapter);
+            std::erase(server.going, key);
         }
         else if (!held.has_adapter(command.adapter)) {
             held.adapters.push_back(command.adapter);
             server.coming.push_back(
                 {command.model, command.adapter, now + adapter_time});
-            used_[{command.model, command.adapter}] = now;
+            used_[key] = now;
         }
     }
     server.changed = true;
@@ -617,17 +638,19 @@
         return;
     if (word.busy)
         return;
-    const bool moved_on = !server.sequence || word.sequence > *server.sequence;
     server.sequence = word.sequence;
     server.running.reset();
     server.probe_at.reset();
     settle(server, now);
-    // Adapters that were ordered since are not in it yet.
-    if (!moved_on && !server.coming.empty())
-        return;
     server.told_at = now;
     server.changed = server.changed || server.held != word.held;
     server.held = word.held;
+    std::erase_if(server.going, [&server](const adapter_key& key) {
+        const auto* held = server.held.find(key.first);
+        return held == nullptr || !held->has_adapter(key.second);
+    });
+    if (!server.going.empty())
+        server.probe_at = now + first_probe;
 }
 
 std::optional<held_state>
@@ -644,6 +667,9 @@
             (server.running && server.running->command.model == held.model &&
              server.running->command.kind == order_kind::unload);
         held.ready = !going;
+        for (const auto& [model, adapter] : server.going)
+            if (model == held.model)
+                std::erase(held.adapters, adapter);
         for (const auto& coming : server.coming)
             if (coming.model == held.model && now < coming.ready_at)
                 std::erase(held.adapters, coming.adapter);
