Reserve room for demand, prefer copies at hand, age late renewals

Cause: room that was made for a model in demand went to second replicas in other domains; a renewal that reached the store late made a dead holder's lease look alive for 5 s more; quick loads from a server's own memory and disk were not told from loads from the weight store.

--- a/libs/core/include/barleyfork/core/lease.hpp
+++ b/libs/core/include/barleyfork/core/lease.hpp
@@ -43,7 +43,11 @@
     lease(instance_id self, lease_options options);
 
     /// Takes in the row as read, with its version (0 where it is absent).
-    void observe(const lease_row& row, std::uint64_t version, time_point now);
+    /// `age` is how long ago it was written at least, where that is known.
+    void observe(const lease_row& row,
+                 std::uint64_t version,
+                 time_point now,
+                 duration age = duration{0});
 
     /// The row to write now, or nothing. `candidate` says whether this daemon
     /// is the one that should take a free lease. A write whose outcome is
--- a/libs/core/include/barleyfork/core/placement_controller.hpp
+++ b/libs/core/include/barleyfork/core/placement_controller.hpp
@@ -152,6 +152,18 @@
     std::optional<held_state> published(const server_id& server,
                                         time_point now) const;
 
+    /// The demand for a model, in server-seconds a second, and how many
+    /// servers hold it.
+    struct model_demand
+    {
+        model_id model;
+        double demand = 0.0;
+        std::size_t replicas = 0;
+    };
+
+    /// All models that callers ask for.
+    std::vector<model_demand> demand() const;
+
     /// Servers whose `published` changed since the last call.
     std::vector<server_id> take_changed(time_point now);
 
@@ -178,6 +190,12 @@
         const char* reason = "";
     };
 
+    struct reserved_room
+    {
+        model_id model;
+        time_point until{};
+    };
+
     struct coming_adapter
     {
         model_id model;
@@ -202,7 +220,10 @@
         std::vector<model_id> on_disk;
         bool awaiting_answer = false;
         std::optional<running_order> running;
-        std::optional<closing_model> closing;
+        /// Models that are to go, in the order of their unloads.
+        std::deque<closing_model> closing;
+        /// What is to be loaded once there is room.
+        std::optional<reserved_room> reserved;
         std::optional<time_point> probe_at;
         std::vector<unsettled_load> unsettled;
         std::vector<coming_adapter> coming;
@@ -218,6 +239,7 @@
     std::uint64_t committed_mb(const engine_server& server) const;
     std::size_t adapters_on(const engine_server& server) const;
     bool is_idle(const engine_server& server) const;
+    static bool is_closing(const engine_server& server, const model_id& model);
     bool takes_load(const engine_server& server, const model_id& model) const;
     bool is_at_hand(const engine_server& server, const model_id& model) const;
     duration load_time(const engine_server& server,
@@ -235,6 +257,13 @@
                                const engine_server& server) const;
     void plan(time_point now, actions& out);
     void take_step(const planned_step& step, time_point now, actions& out);
+    void collect_reserved(time_point now, actions& out);
+    bool order_load(const server_id& id,
+                    engine_server& server,
+                    const model_id& model,
+                    const char* reason,
+                    time_point now,
+                    actions& out);
     void collect_closings(time_point now, actions& out);
     void collect_probes(time_point now, actions& out);
     void collect_adapters(time_point now, actions& out);
--- a/libs/core/include/barleyfork/core/placement_planner.hpp
+++ b/libs/core/include/barleyfork/core/placement_planner.hpp
@@ -36,6 +36,8 @@
     std::uint32_t version = 0;
     std::uint32_t memory_mib = 0;
     step_reason reason = step_reason::demand;
+    /// For an unload that makes room: the model that is to be loaded then.
+    model_id room_for;
 };
 
 /// A model version that holds or will hold memory on a server.
@@ -57,6 +59,13 @@
     double idle_seconds = 0.0;
 };
 
+/// A copy of a model's weights beside the accelerator.
+struct planner_copy
+{
+    model_id model;
+    double load_seconds = 0.0;
+};
+
 /// A backend server as the planner sees it.
 struct planner_server
 {
@@ -69,6 +78,9 @@
     /// False while it is leaving, silent or not adopted.
     bool usable = true;
     std::vector<planner_replica> replicas;
+    /// Models whose weights the server has copies of: a load is quick and
+    /// does not use the weight store.
+    std::vector<planner_copy> copies;
 };
 
 /// A declared model as the planner sees it.
@@ -83,6 +95,8 @@
     double demand = 0.0;
     /// The decaying peak of `demand`, over the last half hour.
     double peak_demand = 0.0;
+    /// How long a load from the weight store takes.
+    double load_seconds = 0.0;
 };
 
 /// Trade-offs of one deployment.
@@ -94,6 +108,11 @@
     double horizon_seconds = 60.0;
     /// Loads that may be started now, from the weight store's rate.
     std::uint32_t load_budget = 2;
+    /// Of them, loads that may use the weight store.
+    std::uint32_t store_budget = 64;
+    /// Whether a second replica is put into another failure domain while
+    /// there is room.
+    bool spread_domains = true;
     /// Utilisation above which a server is counted as short of capacity.
     double target_utilisation = 0.85;
 };
--- a/libs/core/src/lease.cpp
+++ b/libs/core/src/lease.cpp
@@ -10,7 +10,10 @@
 {
 }
 
-void lease::observe(const lease_row& row, std::uint64_t version, time_point now)
+void lease::observe(const lease_row& row,
+                    std::uint64_t version,
+                    time_point now,
+                    duration age)
 {
     if (observed_ && version <= version_)
         return;
@@ -21,7 +24,7 @@
     row_ = row;
     version_ = version;
     observed_ = true;
-    seen_at_ = now;
+    seen_at_ = now - age;
     // A lost answer of a write that took effect: the term counts from before
     // the write was sent.
     if (own != pending_.end())
--- a/libs/core/src/placement_controller.cpp
+++ b/libs/core/src/placement_controller.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Daemons stop sending to a model this long before its unload is ordered.
-constexpr duration closing_time{300};
+constexpr duration closing_time{120};
 /// A report is asked for again after this while an order runs.
 constexpr duration probe_pause{200};
 /// The first report after an order without an answer.
@@ -22,6 +22,12 @@
 constexpr duration need_life{3000};
 /// Adapters used within this time don't make way for others.
 constexpr duration adapter_rest{1000};
+/// A model that waits for room gives the room up after this.
+constexpr duration reservation_life{4000};
+/// Demand that moves within seconds is followed as fast.
+constexpr duration demand_half_life{1000};
+/// Demand below this is not worth a line, in server-seconds a second.
+constexpr double negligible_demand = 0.01;
 /// One version of each model is declared.
 constexpr std::uint32_t only_version = 1;
 constexpr double ms_per_second = 1000.0;
@@ -74,7 +80,8 @@
                                       time_point now)
 {
     server.running.reset();
-    server.closing.reset();
+    server.closing.clear();
+    server.reserved.reset();
     server.coming.clear();
     server.going.clear();
     server.unsettled.clear();
@@ -98,7 +105,7 @@
         begin_anew(server, held, now);
         return;
     }
-    const bool settled = !server.running && !server.closing &&
+    const bool settled = !server.running && server.closing.empty() &&
                          !server.awaiting_answer && !server.probe_at;
     const bool due = now >= server.told_at + options_.list_lag;
     if (settled && due && held != server.held)
@@ -138,6 +145,7 @@
     actions out;
     collect_probes(now, out);
     collect_closings(now, out);
+    collect_reserved(now, out);
     collect_adapters(now, out);
     if (!planned_at_ || now >= *planned_at_ + options_.interval)
         plan(now, out);
@@ -206,7 +214,16 @@
 bool placement_controller::is_idle(const engine_server& server) const
 {
     return server.usable && server.sequence && !server.awaiting_answer &&
-           !server.running && !server.closing && !server.probe_at;
+           !server.running && server.closing.empty() && !server.probe_at;
+}
+
+bool placement_controller::is_closing(const engine_server& server,
+                                      const model_id& model)
+{
+    return std::any_of(
+        server.closing.begin(), server.closing.end(), [&](const auto& going) {
+            return going.model == model;
+        });
 }
 
 bool placement_controller::takes_load(const engine_server& server,
@@ -304,13 +321,30 @@
         const bool unloading =
             server.running && server.running->command.model == model &&
             server.running->command.kind == order_kind::unload;
-        return unloading || (server.closing && server.closing->model == model);
+        return unloading || is_closing(server, model);
     };
     for (const auto& held : server.held.models)
         add(held.model, !is_going(held.model), is_going(held.model));
     if (server.running && server.running->command.kind == order_kind::load &&
         server.held.find(server.running->command.model) == nullptr)
         add(server.running->command.model, false, true);
+    if (server.reserved && server.held.find(server.reserved->model) == nullptr)
+    {
+        const auto* declared = model_of(server.reserved->model);
+        add(server.reserved->model, false, true);
+        entry.committed_mib += declared == nullptr ? 0 : declared->memory_mb;
+    }
+    const auto copy = [&](const model_id& model) {
+        entry.copies.push_back(
+            {model,
+             static_cast<double>(load_time(server, model).count()) /
+                 ms_per_second});
+    };
+    for (const auto& model : server.in_memory)
+        copy(model);
+    for (const auto& model : server.on_disk)
+        if (!contains(server.in_memory, model))
+            copy(model);
     return entry;
 }
 
@@ -318,10 +352,8 @@
 {
     planner_input input;
     input.options = options_.planner;
-    // Loads of models at hand don't count; the step is checked again when it
-    // is taken.
-    input.options.load_budget =
-        std::max<std::uint32_t>(load_budget(now), 1);
+    input.options.load_budget = static_cast<std::uint32_t>(servers_.size());
+    input.options.store_budget = load_budget(now);
     for (const auto& [id, server] : servers_)
         input.servers.push_back(make_server(id, server));
     const double elapsed_s =
@@ -329,7 +361,10 @@
             ? static_cast<double>((now - *planned_at_).count()) / ms_per_second
             : 1.0;
     for (const auto& declared : engine_.models) {
-        auto& demand = demand_[declared.id];
+        demand_options halves;
+        halves.fast_half_life = demand_half_life;
+        auto& demand =
+            demand_.try_emplace(declared.id, halves).first->second;
         demand.observe(work_[declared.id] / std::max(elapsed_s, 0.05), now);
         planner_model model;
         model.id = declared.id;
@@ -338,6 +373,8 @@
         model.max_replicas = static_cast<std::uint32_t>(servers_.size());
         model.demand = demand.fast();
         model.peak_demand = demand.fast();
+        model.load_seconds =
+            static_cast<double>(declared.load_time.count()) / ms_per_second;
         input.models.push_back(std::move(model));
     }
     work_.clear();
@@ -357,27 +394,89 @@
                                      actions& out)
 {
     const auto found = servers_.find(step.server);
-    if (found == servers_.end() || !is_idle(found->second))
+    if (found == servers_.end())
         return;
     auto& server = found->second;
-    if (step.kind == order_kind::unload) {
-        server.closing = closing_model{
-            step.model, now + closing_time, reason_name(step.reason)};
-        server.changed = true;
+    // Further unloads for the same model follow the first.
+    const bool more_room = step.kind == order_kind::unload &&
+                           !server.closing.empty() && server.reserved &&
+                           server.reserved->model == step.room_for &&
+                           !is_closing(server, step.model);
+    if (!is_idle(server) && !more_room)
         return;
-    }
-    if (!takes_load(server, step.model))
+    if (step.kind == order_kind::load) {
+        order_load(found->first,
+                   server,
+                   step.model,
+                   reason_name(step.reason),
+                   now,
+                   out);
         return;
-    if (!is_at_hand(server, step.model)) {
+    }
+    server.closing.push_back(
+        {step.model, now + closing_time, reason_name(step.reason)});
+    if (!step.room_for.empty())
+        server.reserved = reserved_room{step.room_for, now + reservation_life};
+    server.changed = true;
+}
+
+/// Orders a load where the memory holds it and the weight store's bound
+/// allows it; false where it does not.
+bool placement_controller::order_load(const server_id& id,
+                                      engine_server& server,
+                                      const model_id& model,
+                                      const char* reason,
+                                      time_point now,
+                                      actions& out)
+{
+    if (!takes_load(server, model))
+        return false;
+    if (!is_at_hand(server, model)) {
         if (load_budget(now) == 0)
-            return;
+            return false;
         store_loads_.push_back(now);
     }
-    order(found->first,
+    order(id,
           server,
-          {order_kind::load, step.model, {}, *server.sequence},
-          reason_name(step.reason),
+          {order_kind::load, model, {}, *server.sequence},
+          reason,
           out);
+    return true;
+}
+
+/// Loads what room was made for, as soon as the room is there.
+void placement_controller::collect_reserved(time_point now, actions& out)
+{
+    for (auto& [id, server] : servers_) {
+        if (!server.reserved)
+            continue;
+        const bool over = now >= server.reserved->until ||
+                          server.held.find(server.reserved->model) != nullptr;
+        if (over) {
+            server.reserved.reset();
+            continue;
+        }
+        if (is_idle(server) &&
+            order_load(id, server, server.reserved->model, "demand", now, out))
+            server.reserved.reset();
+    }
+}
+
+std::vector<placement_controller::model_demand>
+placement_controller::demand() const
+{
+    std::vector<model_demand> result;
+    for (const auto& [model, estimate] : demand_) {
+        if (estimate.fast() < negligible_demand)
+            continue;
+        const auto holders = std::count_if(
+            servers_.begin(), servers_.end(), [&model](const auto& item) {
+                return item.second.held.find(model) != nullptr;
+            });
+        result.push_back(
+            {model, estimate.fast(), static_cast<std::size_t>(holders)});
+    }
+    return result;
 }
 
 void placement_controller::order(const server_id& id,
@@ -396,16 +495,15 @@
 void placement_controller::collect_closings(time_point now, actions& out)
 {
     for (auto& [id, server] : servers_) {
-        if (!server.closing || now < server.closing->order_at ||
-            server.awaiting_answer || !server.sequence)
+        if (server.closing.empty() || server.running ||
+            now < server.closing.front().order_at || server.awaiting_answer ||
+            !server.sequence)
             continue;
+        const auto& going = server.closing.front();
         order(id,
               server,
-              {order_kind::unload,
-               server.closing->model,
-               {},
-               *server.sequence},
-              server.closing->reason,
+              {order_kind::unload, going.model, {}, *server.sequence},
+              going.reason,
               out);
     }
 }
@@ -450,9 +548,8 @@
     std::size_t fewest = 0;
     for (const auto& [id, server] : servers_) {
         const auto* held = server.held.find(key.first);
-        const bool going =
-            server.closing && server.closing->model == key.first;
-        if (!server.usable || held == nullptr || going)
+        if (!server.usable || held == nullptr ||
+            is_closing(server, key.first))
             continue;
         if (is_going(server, key))
             continue;
@@ -526,10 +623,10 @@
         return;
     auto& server = found->second;
     server.awaiting_answer = false;
-    const bool closes = server.closing && command.adapter.empty() &&
+    const bool closes = !server.closing.empty() && command.adapter.empty() &&
                         command.kind == order_kind::unload;
     if (closes)
-        server.closing.reset();
+        server.closing.pop_front();
     server.changed = server.changed || closes;
     switch (answer) {
     case engine_answer::accepted:
@@ -663,7 +760,7 @@
     held_state shown = server.held;
     for (auto& held : shown.models) {
         const bool going =
-            (server.closing && server.closing->model == held.model) ||
+            is_closing(server, held.model) ||
             (server.running && server.running->command.model == held.model &&
              server.running->command.kind == order_kind::unload);
         held.ready = !going;
--- a/libs/core/src/placement_round.cpp
+++ b/libs/core/src/placement_round.cpp
@@ -34,7 +34,8 @@
 } // namespace
 
 placement_round::placement_round(planner_input input)
-    : input_(std::move(input)), budget_(input_.options.load_budget)
+    : input_(std::move(input)), budget_(input_.options.load_budget),
+      store_budget_(input_.options.store_budget)
 {
     update_estimate();
     for (std::size_t m = 0; m < input_.models.size(); ++m)
@@ -143,7 +144,7 @@
     std::pair<std::size_t, double> best_cost;
     for (std::size_t s = 0; s < input_.servers.size(); ++s) {
         const auto& server = input_.servers[s];
-        if (!server.usable || holds(s, model) ||
+        if (!server.usable || holds(s, model) || !may_load_on(s, model) ||
             free_mib(s) < needed_mib(s, model))
             continue;
         const std::pair<std::size_t, double> cost{
@@ -266,10 +267,37 @@
         std::accumulate(after.unserved.begin(), after.unserved.end(), 0.0);
     const auto moves = static_cast<double>(1 + choice.victims.size());
     const auto& options = input_.options;
-    return options.horizon_seconds * (gain + burst_chance * potential) -
+    const double served_seconds =
+        std::max(options.horizon_seconds - load_seconds(choice), 0.0);
+    return served_seconds * (gain + burst_chance * potential) -
            moves * options.move_price;
 }
 
+const planner_copy* placement_round::copy_of(std::size_t server,
+                                             std::size_t model) const
+{
+    const auto& copies = input_.servers[server].copies;
+    const auto& wanted = input_.models[model].id;
+    const auto found =
+        std::find_if(copies.begin(), copies.end(), [&wanted](const auto& copy) {
+            return copy.model == wanted;
+        });
+    return found == copies.end() ? nullptr : &*found;
+}
+
+/// Without a copy on the server the load uses the weight store.
+bool placement_round::may_load_on(std::size_t server, std::size_t model) const
+{
+    return store_budget_ > 0 || copy_of(server, model) != nullptr;
+}
+
+double placement_round::load_seconds(const load_choice& choice) const
+{
+    const auto* copy = copy_of(choice.server, choice.model);
+    return copy == nullptr ? input_.models[choice.model].load_seconds
+                           : copy->load_seconds;
+}
+
 /// Weighs every server for each of the models.
 std::optional<placement_round::load_choice>
 placement_round::best_choice(std::span<const std::size_t> models,
@@ -278,7 +306,8 @@
     std::optional<load_choice> best;
     for (const auto model : models) {
         for (std::size_t s = 0; s < input_.servers.size(); ++s) {
-            if (!input_.servers[s].usable || holds(s, model))
+            if (!input_.servers[s].usable || holds(s, model) ||
+                !may_load_on(s, model))
                 continue;
             auto victims = choose_victims(s, needed_mib(s, model));
             if (!victims ||
@@ -312,7 +341,8 @@
                       wanted.id,
                       wanted.version,
                       wanted.memory_mib,
-                      reason});
+                      reason,
+                      {}});
     target.committed_mib += needed_mib(server, model);
     target.replicas.push_back({wanted.id,
                                wanted.version,
@@ -322,11 +352,14 @@
                                false,
                                0.0});
     --budget_;
+    if (copy_of(server, model) == nullptr && store_budget_ > 0)
+        --store_budget_;
 }
 
 void placement_round::unload(std::size_t server,
                              std::size_t replica,
-                             step_reason reason)
+                             step_reason reason,
+                             const model_id& room_for)
 {
     auto& target = input_.servers[server];
     auto& entry = target.replicas[replica];
@@ -335,7 +368,8 @@
                       entry.model,
                       entry.version,
                       entry.memory_mib,
-                      reason});
+                      reason,
+                      room_for});
     entry.ready = false;
     entry.changing = true;
     entry.unloading = true;
@@ -350,8 +384,14 @@
     }
     else {
         for (const auto victim : choice.victims)
-            unload(choice.server, victim, step_reason::make_room);
+            unload(choice.server,
+                   victim,
+                   step_reason::make_room,
+                   input_.models[choice.model].id);
         --budget_;
+        if (copy_of(choice.server, choice.model) == nullptr &&
+            store_budget_ > 0)
+            --store_budget_;
     }
     update_estimate();
 }
@@ -410,6 +450,8 @@
 /// Second replicas in another failure domain, in free memory only.
 void placement_round::spread_domains()
 {
+    if (!input_.options.spread_domains)
+        return;
     for (std::size_t m = 0; m < input_.models.size() && budget_ > 0; ++m) {
         const auto replicas = count(m);
         if (replicas.ready_current == 0 || replicas.loading_current > 0 ||
@@ -460,14 +502,14 @@
                 continue;
             const auto found = model_index_.find(replicas[r].model);
             if (found == model_index_.end()) {
-                unload(s, r, step_reason::not_declared);
+                unload(s, r, step_reason::not_declared, {});
                 continue;
             }
             const auto& wanted = input_.models[found->second];
             const auto present = count(found->second).ready_current;
             if (replicas[r].version != wanted.version &&
                 present >= wanted.min_replicas)
-                unload(s, r, step_reason::old_version);
+                unload(s, r, step_reason::old_version, {});
         }
     }
 }
--- a/libs/core/src/placement_round.hpp
+++ b/libs/core/src/placement_round.hpp
@@ -68,12 +68,18 @@
                                         const planner_replica& replica) const;
     double evaluate(const load_choice& choice) const;
     double potential_change(std::size_t model, int replicas) const;
+    const planner_copy* copy_of(std::size_t server, std::size_t model) const;
+    bool may_load_on(std::size_t server, std::size_t model) const;
+    double load_seconds(const load_choice& choice) const;
     bool waits_for_room(std::size_t server) const;
     void update_estimate();
 
     bool load_with_room(std::size_t model, step_reason reason);
     void load(std::size_t server, std::size_t model, step_reason reason);
-    void unload(std::size_t server, std::size_t replica, step_reason reason);
+    void unload(std::size_t server,
+                std::size_t replica,
+                step_reason reason,
+                const model_id& room_for);
     void take_choice(const load_choice& choice, step_reason reason);
 
     planner_input input_;
@@ -82,6 +88,7 @@
     double total_unserved_ = 0.0;
     std::unordered_map<model_id, std::size_t> model_index_;
     std::uint32_t budget_ = 0;
+    std::uint32_t store_budget_ = 0;
     std::vector<planned_step> steps_;
 };
 
--- a/libs/gateway/include/barleyfork/gateway/row_store.hpp
+++ b/libs/gateway/include/barleyfork/gateway/row_store.hpp
@@ -30,6 +30,8 @@
     std::vector<store_row> rows;
     /// The newest version of the whole store at that moment.
     std::uint64_t version = 0;
+    /// The store's own steady clock at that moment, in milliseconds.
+    std::int64_t store_ms = 0;
 };
 
 /// How a conditional write ended.
@@ -48,6 +50,8 @@
 {
     store_write_end end = store_write_end::unknown;
     std::uint64_t version = 0;
+    /// The store's own steady clock at the write, in milliseconds.
+    std::int64_t store_ms = 0;
 };
 
 /// A store of rows in tables, as the gateway needs it.
--- a/libs/gateway/src/placement_duty.cpp
+++ b/libs/gateway/src/placement_duty.cpp
@@ -20,6 +20,7 @@
 constexpr duration lease_renewal{600};
 /// Slack for the time a message takes.
 constexpr duration lease_slack{300};
+constexpr duration demand_log_interval{2000};
 constexpr std::int64_t holder_tick_ms = 50;
 constexpr std::int64_t candidate_tick_ms = 300;
 /// How often a candidate reads the row while it hears no holder.
@@ -35,26 +36,36 @@
     return options;
 }
 
-std::string encode_lease(const lease_row& row)
+/// The lease as it lies in the store.
+struct stored_lease
+{
+    lease_row row;
+    /// No later than this on the store's clock was it sent; 0 where unknown.
+    std::int64_t sent_ms = 0;
+};
+
+std::string encode_lease(const lease_row& row, std::int64_t sent_ms)
 {
     json::object value;
     value["holder"] = row.holder.value();
     value["epoch"] = row.epoch;
     value["write_id"] = row.write_id;
+    value["sent_ms"] = sent_ms;
     return json::serialize(value);
 }
 
 /// Fails softly: a row that is not a lease counts as a free one of epoch 0,
 /// and the conditional write replaces it.
-lease_row decode_lease(const std::string& text)
+stored_lease decode_lease(const std::string& text)
 {
-    lease_row row;
+    stored_lease stored;
+    auto& row = stored.row;
     boost::system::error_code error;
     const auto value = json::parse(text, error);
     if (error || !value.is_object()) {
         log_event(log_level::error, "lease_row_unreadable")
             .with("table", lease_table);
-        return row;
+        return stored;
     }
     const auto& object = value.as_object();
     if (const auto* holder = object.if_contains("holder");
@@ -66,7 +77,10 @@
     if (const auto* id = object.if_contains("write_id");
         id != nullptr && id->is_string())
         row.write_id = std::string(id->as_string());
-    return row;
+    if (const auto* sent = object.if_contains("sent_ms");
+        sent != nullptr && sent->is_int64())
+        stored.sent_ms = sent->as_int64();
+    return stored;
 }
 
 placement_options make_placement(const schema::gateway_settings_record& settings)
@@ -76,6 +90,8 @@
     options.planner.move_price = given.move_price;
     options.planner.horizon_seconds = given.horizon_s;
     options.planner.target_utilisation = given.target_utilisation;
+    // Demand moves faster than domains fail here; room goes to demand.
+    options.planner.spread_domains = false;
     options.interval = duration(given.interval_ms);
     options.load_window = seconds(settings.bounds->load_window_s);
     return options;
@@ -153,33 +169,57 @@
 asio::awaitable<void> placement_duty::read_lease()
 {
     context_.measures.count_store_call();
+    const auto began = boot_now();
     const auto read =
         co_await context_.platform.store->read_row(lease_table, lease_key);
     if (read.error)
         co_return;
-    observe(read.rows.empty() ? nullptr : &read.rows.front());
+    note_store_clock(read.store_ms, began);
+    observe(read);
 }
 
-void placement_duty::observe(const store_row* row)
+/// The store's clock is at most what an answer said, plus the time since its
+/// request was sent.
+void placement_duty::note_store_clock(std::int64_t store_ms, time_point began)
 {
-    auto seen = row == nullptr ? lease_row{} : decode_lease(row->value);
+    store_ms_ = store_ms;
+    store_ms_at_ = began;
+}
+
+std::int64_t placement_duty::latest_store_ms(time_point now) const
+{
+    return store_ms_ == 0 ? 0 : store_ms_ + (now - store_ms_at_).count();
+}
+
+void placement_duty::observe(const store_read& read)
+{
+    const auto* row = read.rows.empty() ? nullptr : &read.rows.front();
+    auto seen = row == nullptr ? stored_lease{} : decode_lease(row->value);
     // A process of this instance held it before; there is no other now.
-    if (!lease_seen_ && seen.holder == context_.self)
-        seen.holder = instance_id();
+    if (!lease_seen_ && seen.row.holder == context_.self)
+        seen.row.holder = instance_id();
     lease_seen_ = true;
-    lease_.observe(seen, row == nullptr ? 0 : row->version, boot_now());
+    // A renewal that was held up on its way is as old as its sending.
+    const duration age(seen.sent_ms == 0 ? 0 : read.store_ms - seen.sent_ms);
+    lease_.observe(seen.row,
+                   row == nullptr ? 0 : row->version,
+                   boot_now(),
+                   std::max(age, duration{0}));
 }
 
 asio::awaitable<void> placement_duty::write_lease(lease_row row)
 {
     context_.measures.count_store_call();
-    const auto text = encode_lease(row);
+    const auto began = boot_now();
+    const auto text = encode_lease(row, latest_store_ms(began));
     const auto written = co_await context_.platform.store->write_row(
         lease_table, lease_key, text, lease_.version());
-    if (written.end == store_write_end::done)
-        lease_.written(row, written.version, boot_now());
-    else
+    if (written.end != store_write_end::done) {
         co_await read_lease();
+        co_return;
+    }
+    note_store_clock(written.store_ms, began);
+    lease_.written(row, written.version, boot_now());
 }
 
 asio::awaitable<void> placement_duty::release()
@@ -192,7 +232,7 @@
         co_return;
     log_event(log_level::info, "lease_released").with("lease", lease_key);
     context_.measures.count_store_call();
-    const auto text = encode_lease(*row);
+    const auto text = encode_lease(*row, latest_store_ms(boot_now()));
     co_await context_.platform.store->write_row(
         lease_table, lease_key, text, lease_.version());
 }
@@ -262,6 +302,21 @@
             for (const auto& action : controller.collect(now))
                 carry_out(service, action);
     publish(now);
+    log_demand(now);
+}
+
+void placement_duty::log_demand(time_point now)
+{
+    if (now < next_demand_log_)
+        return;
+    next_demand_log_ = now + demand_log_interval;
+    for (const auto& [service, controller] : controllers_)
+        for (const auto& entry : controller.demand())
+            log_event(log_level::info, "model_demand")
+                .with("model", entry.model.value())
+                .with("load_percent",
+                      static_cast<std::int64_t>(100.0 * entry.demand))
+                .with("replicas", static_cast<std::int64_t>(entry.replicas));
 }
 
 void placement_duty::carry_out(const service_id& service,
--- a/libs/gateway/src/placement_duty.hpp
+++ b/libs/gateway/src/placement_duty.hpp
@@ -34,7 +34,9 @@
     boost::asio::awaitable<void> keep_lease();
     boost::asio::awaitable<void> read_lease();
     boost::asio::awaitable<void> write_lease(lease_row row);
-    void observe(const store_row* row);
+    void observe(const store_read& read);
+    void note_store_clock(std::int64_t store_ms, time_point began);
+    std::int64_t latest_store_ms(time_point now) const;
     bool may_order(time_point now) const;
     void work(time_point now);
     void update_controllers(time_point now);
@@ -46,6 +48,7 @@
                                              server_id server,
                                              engine_address from);
     void publish(time_point now);
+    void log_demand(time_point now);
 
     gateway_context& context_;
     peer_news& news_;
@@ -53,7 +56,11 @@
     bool lease_seen_ = false;
     bool stopping_ = false;
     std::uint64_t writes_ = 0;
+    /// What the store's clock said last, and when that was asked.
+    std::int64_t store_ms_ = 0;
+    time_point store_ms_at_{};
     time_point next_read_{};
+    time_point next_demand_log_{};
     /// A holder that let go may have ordered just before.
     time_point orders_from_{};
     std::map<service_id, placement_controller> controllers_;
