Keep engine queues short and tell peers what is outstanding

Cause: under overload engines were sent more than they could begin in time, so all of it came late or was abandoned; each daemon knew only its own share. What can't meet its target waits in the gateway by urgency and age, or is refused at once with the time to come back; the placement's holder sums up what daemons have outstanding. Adapters are ordered on any server with room, and an unload in progress no longer blocks others.

--- a/libs/core/include/barleyfork/core/backend_loads.hpp
+++ b/libs/core/include/barleyfork/core/backend_loads.hpp
@@ -66,6 +66,7 @@
     /// Counts a request that is being sent.
     load_ticket begin(const server_id& server,
                       std::uint64_t prompt_tokens,
+                      std::uint32_t priority,
                       time_point now);
 
     /// The server began to answer.
@@ -91,7 +92,17 @@
     /// What this daemon has outstanding, for its news to peers.
     std::vector<peer_work> own_work() const;
 
-    load_view view(const server_id& server, time_point now) const;
+    /// The load as a request of `priority` meets it: what is less urgent and
+    /// still waits makes way for it.
+    load_view view(const server_id& server,
+                   std::uint32_t priority,
+                   time_point now) const;
+
+    /// What all daemons have outstanding, by their news and this one's own.
+    std::vector<peer_work> all_work(time_point now) const;
+
+    /// What others have outstanding, out of the work of all daemons.
+    std::vector<peer_work> without_own(std::span<const peer_work> all) const;
 
     /// Forgets a server that is gone.
     void forget(const server_id& server);
@@ -101,6 +112,7 @@
     {
         time_point sent_at{};
         std::uint64_t tokens = 0;
+        std::uint32_t priority = 0;
     };
 
     struct server_load
--- a/libs/core/include/barleyfork/core/placement_controller.hpp
+++ b/libs/core/include/barleyfork/core/placement_controller.hpp
@@ -225,6 +225,9 @@
         /// What is to be loaded once there is room.
         std::optional<reserved_room> reserved;
         std::optional<time_point> probe_at;
+        /// An order's end is not known: nothing else is ordered before the
+        /// engine's own word.
+        bool uncertain = false;
         std::vector<unsettled_load> unsettled;
         std::vector<coming_adapter> coming;
         /// Adapters whose unload waits for their requests to end.
@@ -268,15 +271,19 @@
     void collect_probes(time_point now, actions& out);
     void collect_adapters(time_point now, actions& out);
     bool place_adapter(const adapter_key& key, time_point now, actions& out);
-    bool make_adapter_room(const server_id& id,
-                           engine_server& server,
+    bool takes_adapter_orders(const engine_server& server,
+                              const model_id& model) const;
+    bool make_adapter_room(const model_id& model,
                            time_point now,
                            actions& out);
+    std::optional<std::pair<adapter_key, time_point>>
+    oldest_adapter(const engine_server& server) const;
     void order(const server_id& id,
                engine_server& server,
                engine_command command,
                const char* reason,
                actions& out);
+    static void doubt(engine_server& server, time_point probe_at);
     void on_accepted(engine_server& server,
                      const engine_command& command,
                      time_point now);
--- a/libs/core/src/backend_loads.cpp
+++ b/libs/core/src/backend_loads.cpp
@@ -1,5 +1,6 @@
 #include <barleyfork/core/backend_loads.hpp>
 
+#include <algorithm>
 #include <cmath>
 
 namespace barleyfork {
@@ -17,11 +18,12 @@
 
 load_ticket backend_loads::begin(const server_id& server,
                                  std::uint64_t prompt_tokens,
+                                 std::uint32_t priority,
                                  time_point now)
 {
     const load_ticket ticket{next_ticket_++};
     auto& load = loads_[server];
-    load.waiting.emplace(ticket, waiting_request{now, prompt_tokens});
+    load.waiting.emplace(ticket, waiting_request{now, prompt_tokens, priority});
     load.waiting_tokens += prompt_tokens;
     ++load.outstanding;
     return ticket;
@@ -97,7 +99,45 @@
     return work;
 }
 
-load_view backend_loads::view(const server_id& server, time_point now) const
+std::vector<peer_work> backend_loads::all_work(time_point now) const
+{
+    std::map<server_id, peer_work> sum;
+    const auto add = [&sum](const peer_work& work) {
+        auto& entry = sum[work.server];
+        entry.server = work.server;
+        entry.requests += work.requests;
+        entry.prompt_tokens += work.prompt_tokens;
+    };
+    for (const auto& work : own_work())
+        add(work);
+    for (const auto& [peer, news] : peers_)
+        if (now <= news.at + peer_news_life)
+            for (const auto& work : news.work)
+                add(work);
+    std::vector<peer_work> all;
+    for (auto& [server, work] : sum)
+        all.push_back(std::move(work));
+    return all;
+}
+
+std::vector<peer_work>
+backend_loads::without_own(std::span<const peer_work> all) const
+{
+    std::vector<peer_work> others(all.begin(), all.end());
+    for (auto& work : others) {
+        const auto found = loads_.find(work.server);
+        if (found == loads_.end())
+            continue;
+        const auto& own = found->second;
+        work.requests -= std::min(work.requests, own.outstanding);
+        work.prompt_tokens -= std::min(work.prompt_tokens, own.waiting_tokens);
+    }
+    return others;
+}
+
+load_view backend_loads::view(const server_id& server,
+                              std::uint32_t priority,
+                              time_point now) const
 {
     load_view view;
     for (const auto& [peer, news] : peers_) {
@@ -116,9 +156,12 @@
     const auto& load = found->second;
     view.own_waiting = static_cast<std::uint32_t>(load.waiting.size());
     view.own_outstanding = load.outstanding;
-    view.own_waiting_tokens = load.waiting_tokens;
-    if (!load.waiting.empty())
-        view.oldest_wait = now - load.waiting.begin()->second.sent_at;
+    for (const auto& [ticket, request] : load.waiting) {
+        if (request.priority > priority)
+            continue;
+        view.own_waiting_tokens += request.tokens;
+        view.oldest_wait = std::max(view.oldest_wait, now - request.sent_at);
+    }
     view.reported_running = load.running_there;
     view.reported_waiting = load.waiting_there;
     view.report_age = now - load.reported_at;
--- a/libs/core/src/placement_controller.cpp
+++ b/libs/core/src/placement_controller.cpp
@@ -87,6 +87,7 @@
     server.unsettled.clear();
     server.awaiting_answer = false;
     server.sequence.reset();
+    server.uncertain = false;
     server.probe_at = now;
     server.told_at = now - options_.list_lag;
     server.held = held;
@@ -214,7 +215,7 @@
 bool placement_controller::is_idle(const engine_server& server) const
 {
     return server.usable && server.sequence && !server.awaiting_answer &&
-           !server.running && server.closing.empty() && !server.probe_at;
+           !server.running && server.closing.empty() && !server.uncertain;
 }
 
 bool placement_controller::is_closing(const engine_server& server,
@@ -539,37 +540,39 @@
         needs_.erase(key);
 }
 
+bool placement_controller::takes_adapter_orders(const engine_server& server,
+                                                const model_id& model) const
+{
+    return server.usable && server.held.find(model) != nullptr &&
+           !is_closing(server, model) && server.sequence &&
+           !server.awaiting_answer && !server.uncertain;
+}
+
 /// Orders the adapter where its model is; true once some server has it.
 bool placement_controller::place_adapter(const adapter_key& key,
                                          time_point now,
                                          actions& out)
 {
     server_id best;
-    std::size_t fewest = 0;
+    std::size_t fewest = engine_.max_adapters;
     for (const auto& [id, server] : servers_) {
         const auto* held = server.held.find(key.first);
-        if (!server.usable || held == nullptr ||
+        if (!server.usable || held == nullptr || is_going(server, key) ||
             is_closing(server, key.first))
             continue;
-        if (is_going(server, key))
-            continue;
         if (held->has_adapter(key.second))
             return true;
-        if (!server.sequence || server.awaiting_answer || server.probe_at)
-            continue;
         const auto count = adapters_on(server);
-        if (best.empty() || count < fewest) {
-            best = id;
-            fewest = count;
-        }
+        if (!takes_adapter_orders(server, key.first) || count >= fewest)
+            continue;
+        best = id;
+        fewest = count;
     }
-    if (best.empty())
-        return false;
-    auto& server = servers_.at(best);
-    if (fewest >= engine_.max_adapters) {
-        make_adapter_room(best, server, now, out);
+    if (best.empty()) {
+        make_adapter_room(key.first, now, out);
         return false;
     }
+    auto& server = servers_.at(best);
     order(best,
           server,
           {order_kind::load, key.first, key.second, *server.sequence},
@@ -578,35 +581,50 @@
     return false;
 }
 
-/// Unloads the adapter that was used longest ago, if it has rested.
-bool placement_controller::make_adapter_room(const server_id& id,
-                                             engine_server& server,
-                                             time_point now,
-                                             actions& out)
+/// The adapter on a server that was used longest ago, and when.
+std::optional<std::pair<placement_controller::adapter_key, time_point>>
+placement_controller::oldest_adapter(const engine_server& server) const
 {
-    std::optional<adapter_key> oldest;
-    time_point oldest_use{};
+    std::optional<std::pair<adapter_key, time_point>> oldest;
     for (const auto& held : server.held.models) {
         for (const auto& adapter : held.adapters) {
             const adapter_key key{held.model, adapter};
             if (is_going(server, key))
                 continue;
             const auto used = used_.find(key);
-            const auto at =
-                used == used_.end() ? time_point{} : used->second;
-            if (!oldest || at < oldest_use) {
-                oldest = key;
-                oldest_use = at;
-            }
+            const auto at = used == used_.end() ? time_point{} : used->second;
+            if (!oldest || at < oldest->second)
+                oldest.emplace(key, at);
         }
     }
-    if (!oldest || now < oldest_use + adapter_rest)
+    return oldest;
+}
+
+/// Unloads the adapter that was used longest ago on any server that holds
+/// the model, if it has rested.
+bool placement_controller::make_adapter_room(const model_id& model,
+                                             time_point now,
+                                             actions& out)
+{
+    server_id best;
+    std::optional<std::pair<adapter_key, time_point>> oldest;
+    for (const auto& [id, server] : servers_) {
+        if (!takes_adapter_orders(server, model))
+            continue;
+        const auto candidate = oldest_adapter(server);
+        if (!candidate || (oldest && candidate->second >= oldest->second))
+            continue;
+        oldest = candidate;
+        best = id;
+    }
+    if (!oldest || now < oldest->second + adapter_rest)
         return false;
-    order(id,
+    auto& server = servers_.at(best);
+    order(best,
           server,
           {order_kind::unload,
-           oldest->first,
-           oldest->second,
+           oldest->first.first,
+           oldest->first.second,
            *server.sequence},
           "adapter_room",
           out);
@@ -636,13 +654,13 @@
         if (!command.adapter.empty())
             on_adapter_done(server, command, now);
         else
-            server.probe_at = now;
+            doubt(server, now);
         return;
     case engine_answer::unknown:
         if (command.kind == order_kind::load)
             server.unsettled.push_back(
                 {command, now + options_.late_order_life});
-        server.probe_at = now + first_probe;
+        doubt(server, now + first_probe);
         return;
     case engine_answer::not_sent:
         return;
@@ -650,11 +668,17 @@
     case engine_answer::stale_fence:
     case engine_answer::invalid:
     case engine_answer::wrong_server:
-        server.probe_at = now + probe_pause;
+        doubt(server, now + probe_pause);
         return;
     }
 }
 
+void placement_controller::doubt(engine_server& server, time_point probe_at)
+{
+    server.uncertain = true;
+    server.probe_at = probe_at;
+}
+
 void placement_controller::on_accepted(engine_server& server,
                                        const engine_command& command,
                                        time_point now)
@@ -738,6 +762,7 @@
     server.sequence = word.sequence;
     server.running.reset();
     server.probe_at.reset();
+    server.uncertain = false;
     settle(server, now);
     server.told_at = now;
     server.changed = server.changed || server.held != word.held;
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -20,8 +20,14 @@
 /// A server that refused may be asked once more, not sooner than this.
 constexpr int most_sends_to_one = 2;
 constexpr duration refusal_pause{30};
-/// A request waits for a server for this share of its time at most.
+/// A request waits for a server for this share of its time at most, and not
+/// for more than so many times its target.
 constexpr int wait_share = 3;
+constexpr int wait_targets = 2;
+/// Expected times to the first event, as shares of the target, up to which a
+/// request is sent and from which it is refused at once.
+constexpr double queue_target_share = 1.25;
+constexpr double hopeless_target_share = 3.0;
 /// A caller that is told to return comes between these.
 constexpr duration shortest_return{200};
 constexpr duration longest_return{800};
@@ -207,7 +213,7 @@
         }
         server_candidate candidate;
         candidate.server = id;
-        candidate.load = context_.loads.view(id, now);
+        candidate.load = context_.loads.view(id, route_->priority, now);
         candidate.away = context_.distance_to(state.entry.failure_domain);
         candidate.slots = state.entry.slots;
         candidate.tried = sends > 0;
@@ -254,10 +260,31 @@
     return chosen;
 }
 
-bool gateway_call::can_be_in_time(const choice& chosen, time_point now) const
+/// An engine's queue is kept short enough that what is in it can still meet
+/// its target; what would be late there waits here, where it may still go
+/// elsewhere, or is refused while its caller has time to come back.
+gateway_call::outlook gateway_call::judge(const choice& chosen,
+                                          time_point now) const
 {
+    const bool begun = delivering_ || progress_->may_have_run();
     const auto left = static_cast<double>((deadline_ - now).count());
-    return chosen.expected_ms < left;
+    if (begun)
+        return outlook::send;
+    if (chosen.expected_ms >= left)
+        return outlook::hopeless;
+    const auto target = static_cast<double>(route_->latency_target.count());
+    if (!for_engine() || target <= 0.0 ||
+        chosen.expected_ms <= queue_target_share * target)
+        return outlook::send;
+    return chosen.expected_ms > hopeless_target_share * target
+               ? outlook::hopeless
+               : outlook::wait;
+}
+
+const char* gateway_call::lack_name(lack why) noexcept
+{
+    constexpr const char* names[] = {"no_server", "no_adapter", "no_room"};
+    return names[static_cast<std::size_t>(why)];
 }
 
 void gateway_call::dispatch()
@@ -271,11 +298,12 @@
         wait(why, now);
         return;
     }
-    if (!can_be_in_time(*chosen, now) && !delivering_ &&
-        !progress_->may_have_run())
-    {
+    switch (judge(*chosen, now)) {
+    case outlook::hopeless:
         refuse(errc::overloaded, return_time());
         return;
+    case outlook::wait: wait(lack::no_room, now); return;
+    case outlook::send: break;
     }
     stop_waiting();
     start_attempt(*chosen, now);
@@ -298,10 +326,12 @@
 {
     attempt_.emplace();
     attempt_->server = chosen.server;
-    const auto load = context_.loads.view(chosen.server, now);
+    const auto load =
+        context_.loads.view(chosen.server, route_->priority, now);
     attempt_->tokens_ahead = load.own_waiting_tokens + facts_.prompt_tokens;
     attempt_->ticket =
-        context_.loads.begin(chosen.server, facts_.prompt_tokens, now);
+        context_.loads.begin(
+            chosen.server, facts_.prompt_tokens, route_->priority, now);
     attempt_->connection =
         context_.pool.acquire(chosen.target, route_->repeatable(), now);
     ++tried_[chosen.server];
@@ -388,15 +418,21 @@
     if (waiting_since_)
         return;
     waiting_since_ = now;
-    const auto patience = (deadline_ - now) / wait_share;
+    auto patience = (deadline_ - now) / wait_share;
+    if (why == lack::no_room)
+        patience = std::min(patience, route_->latency_target);
+    else if (route_->latency_target.count() > 0)
+        patience =
+            std::min(patience, wait_targets * route_->latency_target);
     log_event(log_level::info, "request_waits")
         .with("request", facts_.try_id)
         .with("model", facts_.model.value())
         .with("adapter", facts_.adapter)
-        .with("reason", why == lack::no_adapter ? "no_adapter" : "no_server")
+        .with("reason", lack_name(why))
         .with("patience_ms", patience.count());
     const auto self = shared_from_this();
-    context_.waiting[this] = [self] { self->dispatch(); };
+    waiting_key_ = {route_->priority, ++context_.waits};
+    context_.waiting[waiting_key_] = [self] { self->dispatch(); };
     wait_timer_ = context_.timers.add(now + patience, [self] {
         self->wait_timer_ = 0;
         self->refuse(errc::no_replica, self->return_time());
@@ -406,9 +442,9 @@
 void gateway_call::stop_waiting()
 {
     context_.timers.cancel(wait_timer_);
-    context_.waiting.erase(this);
     if (!waiting_since_)
         return;
+    context_.waiting.erase(waiting_key_);
     context_.measures.record_wait(
         static_cast<double>((steady_now() - *waiting_since_).count()));
     waiting_since_.reset();
@@ -463,6 +499,7 @@
     if (!attempt_->first_event) {
         attempt_->first_event = true;
         context_.loads.answering(attempt_->server, attempt_->ticket);
+        context_.wake_waiting();
         const auto elapsed = steady_now() - attempt_->sent_at;
         if (for_engine() && !delivering_)
             context_.paces[facts_.model].observe(attempt_->tokens_ahead,
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -77,6 +77,16 @@
     {
         no_server,
         no_adapter,
+        /// The servers' queues are too long.
+        no_room,
+    };
+
+    /// What is best for a request, by the best server it could go to.
+    enum class outlook : std::uint8_t
+    {
+        send,
+        wait,
+        hopeless,
     };
 
     bool find_route();
@@ -89,7 +99,8 @@
     engine_work work() const;
     bool for_engine() const;
     const gateway_service* service() const;
-    bool can_be_in_time(const choice& chosen, time_point now) const;
+    outlook judge(const choice& chosen, time_point now) const;
+    static const char* lack_name(lack why) noexcept;
     void start_attempt(const choice& chosen, time_point now);
     header_list forward_headers(const server_id& server, time_point now) const;
     void wait(lack why, time_point now);
@@ -139,6 +150,7 @@
     timer_queue::timer_id wait_timer_ = 0;
     timer_queue::timer_id patience_timer_ = 0;
     std::optional<time_point> waiting_since_;
+    waiting_place waiting_key_;
     bool over_ = false;
 };
 
--- a/libs/gateway/src/gateway_context.cpp
+++ b/libs/gateway/src/gateway_context.cpp
@@ -47,9 +47,11 @@
 
 void gateway_context::wake_waiting()
 {
+    if (waiting.empty())
+        return;
     const auto woken = waiting;
-    for (const auto& [call, wake] : woken)
-        if (waiting.contains(call))
+    for (const auto& [place, wake] : woken)
+        if (waiting.contains(place))
             wake();
 }
 
--- a/libs/gateway/src/gateway_context.hpp
+++ b/libs/gateway/src/gateway_context.hpp
@@ -35,6 +35,9 @@
     std::set<std::pair<model_id, std::string>> uses;
 };
 
+/// The place of a waiting call: its priority, then its number.
+using waiting_place = std::pair<std::uint32_t, std::uint64_t>;
+
 /// What all parts of a gateway share. Everything runs on one duty, since a
 /// request's caller side and server side would only hand each event over.
 struct gateway_context
@@ -74,8 +77,10 @@
     placement_wishes wishes;
     /// Called when an adapter is wanted at once.
     std::function<void()> on_need;
-    /// Calls that wait for a server; keyed by the call itself.
-    std::map<const void*, std::function<void()>> waiting;
+    /// Calls that wait for a server, the most urgent and oldest first.
+    std::map<waiting_place, std::function<void()>> waiting;
+    /// Waits since the start; numbers them.
+    std::uint64_t waits = 0;
     bool draining = false;
     /// From when a draining daemon begins no further request.
     time_point closes_at = time_point::max();
--- a/libs/gateway/src/peer_news.cpp
+++ b/libs/gateway/src/peer_news.cpp
@@ -14,7 +14,7 @@
 constexpr const char* member_table = "barleyfork_members";
 constexpr std::int64_t news_interval_ms = 250;
 /// A holder that has nothing to tell still shows that it is there.
-constexpr duration beat_interval{500};
+constexpr duration beat_interval{250};
 constexpr duration holder_silence{1800};
 constexpr duration member_wait{20000};
 constexpr std::int64_t member_pause_ms = 2000;
@@ -54,6 +54,32 @@
     return record;
 }
 
+std::vector<std::unique_ptr<schema::outstanding_work_record>>
+to_records(std::span<const peer_work> work)
+{
+    std::vector<std::unique_ptr<schema::outstanding_work_record>> records;
+    for (const auto& entry : work) {
+        auto record = std::make_unique<schema::outstanding_work_record>();
+        record->server = entry.server.value();
+        record->requests = entry.requests;
+        record->prompt_tokens =
+            static_cast<std::uint32_t>(entry.prompt_tokens);
+        records.push_back(std::move(record));
+    }
+    return records;
+}
+
+std::vector<peer_work> to_work(
+    const std::vector<std::unique_ptr<schema::outstanding_work_record>>& records)
+{
+    std::vector<peer_work> work;
+    for (const auto& record : records)
+        work.push_back({server_id(record->server),
+                        record->requests,
+                        record->prompt_tokens});
+    return work;
+}
+
 } // namespace
 
 peer_news::peer_news(gateway_context& context, store_watch& watch)
@@ -178,9 +204,12 @@
 void peer_news::send_demand()
 {
     auto& wishes = context_.wishes;
-    const bool empty = wishes.work.empty() && wishes.needs.empty();
+    const auto outstanding = context_.loads.own_work();
+    const bool empty = wishes.work.empty() && wishes.needs.empty() &&
+                       outstanding.empty() && !told_outstanding_;
     if (holding_ || empty)
         return;
+    told_outstanding_ = !outstanding.empty();
     if (!holder_ || !hears_holder(steady_now())) {
         wishes = placement_wishes();
         return;
@@ -196,6 +225,7 @@
         message.needs.push_back(to_record(need));
     for (const auto& use : wishes.uses)
         message.uses.push_back(to_record(use));
+    message.outstanding = to_records(outstanding);
     wishes = placement_wishes();
     link_.send(*holder_, std::move(message), false);
 }
@@ -204,6 +234,7 @@
 {
     beat_at_ = steady_now() + beat_interval;
     const news_order order{epoch_, ++announced_};
+    const auto all = context_.loads.all_work(steady_now());
     for (const auto& [id, address] : members_) {
         if (id == context_.self)
             continue;
@@ -213,6 +244,7 @@
         for (const auto& news : changed)
             message.servers.push_back(
                 std::make_unique<schema::server_news_record>(to_record(news)));
+        message.outstanding = to_records(all);
         link_.send(address, std::move(message), false);
     }
     return order;
@@ -239,6 +271,8 @@
         on_placement(message);
         return;
     case schema::message_kind::demand:
+        context_.loads.on_peer_work(
+            sender, to_work(message.outstanding), steady_now());
         if (on_demand_)
             on_demand_(message);
         return;
@@ -266,6 +300,11 @@
     holder_epoch_ = message.epoch;
     holder_heard_at_ = now;
     holder_ = peer_address{message.address, message.port};
+    // One name for the sum of all others, whoever the holder is.
+    context_.loads.on_peer_work(
+        instance_id("all"),
+        context_.loads.without_own(to_work(message.outstanding)),
+        now);
     bool changed = false;
     for (const auto& news : message.servers)
         changed |= context_.directory.learn(
--- a/libs/gateway/src/peer_news.hpp
+++ b/libs/gateway/src/peer_news.hpp
@@ -78,6 +78,8 @@
     time_point holder_heard_at_{};
     std::uint64_t holder_epoch_ = 0;
     bool holding_ = false;
+    /// The holder still counts work of this daemon.
+    bool told_outstanding_ = false;
     std::uint64_t epoch_ = 0;
     std::uint64_t sequence_ = 0;
     std::uint64_t announced_ = 0;
--- a/libs/schema/include/barleyfork/schema/gateway_generated.h
+++ b/libs/schema/include/barleyfork/schema/gateway_generated.h
@@ -361,8 +361,8 @@
 struct placement_settings_record : public flatbuffers::NativeTable {
   typedef placement_settings TableType;
   double move_price = 0.3;
-  double horizon_s = 6.0;
-  double target_utilisation = 0.5;
+  double horizon_s = 15.0;
+  double target_utilisation = 0.35;
   uint32_t interval_ms = 250;
 };
 
@@ -382,10 +382,10 @@
     return GetField<double>(VT_MOVE_PRICE, 0.3);
   }
   double horizon_s() const {
-    return GetField<double>(VT_HORIZON_S, 6.0);
+    return GetField<double>(VT_HORIZON_S, 15.0);
   }
   double target_utilisation() const {
-    return GetField<double>(VT_TARGET_UTILISATION, 0.5);
+    return GetField<double>(VT_TARGET_UTILISATION, 0.35);
   }
   uint32_t interval_ms() const {
     return GetField<uint32_t>(VT_INTERVAL_MS, 250);
@@ -411,10 +411,10 @@
     fbb_.AddElement<double>(placement_settings::VT_MOVE_PRICE, move_price, 0.3);
   }
   void add_horizon_s(double horizon_s) {
-    fbb_.AddElement<double>(placement_settings::VT_HORIZON_S, horizon_s, 6.0);
+    fbb_.AddElement<double>(placement_settings::VT_HORIZON_S, horizon_s, 15.0);
   }
   void add_target_utilisation(double target_utilisation) {
-    fbb_.AddElement<double>(placement_settings::VT_TARGET_UTILISATION, target_utilisation, 0.5);
+    fbb_.AddElement<double>(placement_settings::VT_TARGET_UTILISATION, target_utilisation, 0.35);
   }
   void add_interval_ms(uint32_t interval_ms) {
     fbb_.AddElement<uint32_t>(placement_settings::VT_INTERVAL_MS, interval_ms, 250);
@@ -433,8 +433,8 @@
 inline flatbuffers::Offset<placement_settings> Createplacement_settings(
     flatbuffers::FlatBufferBuilder &_fbb,
     double move_price = 0.3,
-    double horizon_s = 6.0,
-    double target_utilisation = 0.5,
+    double horizon_s = 15.0,
+    double target_utilisation = 0.35,
     uint32_t interval_ms = 250) {
   placement_settingsBuilder builder_(_fbb);
   builder_.add_target_utilisation(target_utilisation);
