--- a/libs/core/include/barleyfork/core/backend_loads.hpp
+++ b/libs/core/include/barleyfork/core/backend_loads.hpp
@@ -53,11 +53,16 @@
 /// Work that a peer has outstanding on one backend server.
 struct peer_work
 {
-    server_id server;
+    /// The server's `server_hash`.
+    std::uint32_t server = 0;
     std::uint32_t requests = 0;
     std::uint64_t prompt_tokens = 0;
 };
 
+/// A short name for a server in messages between daemons; two servers of one
+/// name would only count each other's load.
+std::uint32_t server_hash(const server_id& server) noexcept;
+
 /// Follows the load of backend servers, by own requests, the load carried on
 /// answers, and peers' news. Not thread-safe.
 class backend_loads
@@ -131,7 +136,7 @@
     struct peer_news
     {
         time_point at{};
-        std::vector<peer_work> work;
+        std::map<std::uint32_t, peer_work> work;
     };
 
     void stop_waiting(server_load& load, load_ticket ticket);
--- a/libs/core/include/barleyfork/core/placement_controller.hpp
+++ b/libs/core/include/barleyfork/core/placement_controller.hpp
@@ -115,6 +115,12 @@
                          placement_options options,
                          time_point now);
 
+    /// Plans no more often than this from now on.
+    void set_interval(duration interval) noexcept
+    {
+        options_.interval = interval;
+    }
+
     /// Takes over a new declaration of the engine.
     void set_engine(engine_options engine);
 
--- a/libs/core/src/backend_loads.cpp
+++ b/libs/core/src/backend_loads.cpp
@@ -1,5 +1,7 @@
 #include <barleyfork/core/backend_loads.hpp>
 
+#include <barleyfork/base/digest.hpp>
+
 #include <algorithm>
 #include <cmath>
 
@@ -16,6 +18,11 @@
 
 } // namespace
 
+std::uint32_t server_hash(const server_id& server) noexcept
+{
+    return static_cast<std::uint32_t>(hash64(server.value()));
+}
+
 load_ticket backend_loads::begin(const server_id& server,
                                  std::uint64_t prompt_tokens,
                                  std::uint32_t priority,
@@ -87,7 +94,11 @@
                                  std::span<const peer_work> work,
                                  time_point now)
 {
-    peers_[peer] = peer_news{now, {work.begin(), work.end()}};
+    peer_news news;
+    news.at = now;
+    for (const auto& entry : work)
+        news.work.emplace(entry.server, entry);
+    peers_[peer] = std::move(news);
 }
 
 std::vector<peer_work> backend_loads::own_work() const
@@ -95,13 +106,14 @@
     std::vector<peer_work> work;
     for (const auto& [server, load] : loads_)
         if (load.outstanding > 0)
-            work.push_back({server, load.outstanding, load.waiting_tokens});
+            work.push_back(
+                {server_hash(server), load.outstanding, load.waiting_tokens});
     return work;
 }
 
 std::vector<peer_work> backend_loads::all_work(time_point now) const
 {
-    std::map<server_id, peer_work> sum;
+    std::map<std::uint32_t, peer_work> sum;
     const auto add = [&sum](const peer_work& work) {
         auto& entry = sum[work.server];
         entry.server = work.server;
@@ -112,7 +124,7 @@
         add(work);
     for (const auto& [peer, news] : peers_)
         if (now <= news.at + peer_news_life)
-            for (const auto& work : news.work)
+            for (const auto& [server, work] : news.work)
                 add(work);
     std::vector<peer_work> all;
     for (auto& [server, work] : sum)
@@ -124,13 +136,16 @@
 backend_loads::without_own(std::span<const peer_work> all) const
 {
     std::vector<peer_work> others(all.begin(), all.end());
+    std::map<std::uint32_t, peer_work> own;
+    for (const auto& work : own_work())
+        own.emplace(work.server, work);
     for (auto& work : others) {
-        const auto found = loads_.find(work.server);
-        if (found == loads_.end())
+        const auto found = own.find(work.server);
+        if (found == own.end())
             continue;
-        const auto& own = found->second;
-        work.requests -= std::min(work.requests, own.outstanding);
-        work.prompt_tokens -= std::min(work.prompt_tokens, own.waiting_tokens);
+        work.requests -= std::min(work.requests, found->second.requests);
+        work.prompt_tokens -=
+            std::min(work.prompt_tokens, found->second.prompt_tokens);
     }
     return others;
 }
@@ -140,15 +155,13 @@
                               time_point now) const
 {
     load_view view;
+    const auto name = server_hash(server);
     for (const auto& [peer, news] : peers_) {
-        if (now > news.at + peer_news_life)
+        const auto work = news.work.find(name);
+        if (now > news.at + peer_news_life || work == news.work.end())
             continue;
-        for (const auto& work : news.work) {
-            if (work.server != server)
-                continue;
-            view.peer_outstanding += work.requests;
-            view.peer_tokens += work.prompt_tokens;
-        }
+        view.peer_outstanding += work->second.requests;
+        view.peer_tokens += work->second.prompt_tokens;
     }
     const auto found = loads_.find(server);
     if (found == loads_.end())
--- a/libs/core/src/placement_round.cpp
+++ b/libs/core/src/placement_round.cpp
@@ -17,6 +17,12 @@
 constexpr double burst_chance = 0.1;
 /// Models that one step weighs.
 constexpr std::size_t weighed_models = 4;
+/// Servers that one step weighs for a model, of those that look best.
+constexpr std::size_t weighed_servers = 8;
+/// Steps that one round takes for demand and for spares; further ones wait
+/// for the next round, which knows what these did.
+constexpr int most_demand_steps = 6;
+constexpr int most_spare_steps = 2;
 
 /// An order for it was sent and nobody knows whether it still acts.
 bool is_dormant(const planner_replica& replica)
@@ -298,22 +304,49 @@
                            : copy->load_seconds;
 }
 
-/// Weighs every server for each of the models.
+/// The servers that could take the model at all, the most promising first:
+/// little lost by making room, little load, a quick load.
+std::vector<placement_round::load_choice>
+placement_round::promising_choices(std::size_t model, bool may_evict) const
+{
+    std::vector<std::pair<double, load_choice>> ranked;
+    for (std::size_t s = 0; s < input_.servers.size(); ++s) {
+        if (!input_.servers[s].usable || holds(s, model) ||
+            !may_load_on(s, model))
+            continue;
+        auto victims = choose_victims(s, needed_mib(s, model));
+        if (!victims ||
+            (!victims->empty() && (!may_evict || waits_for_room(s))))
+            continue;
+        load_choice choice{model, s, std::move(*victims), 0.0};
+        double cost = estimate_.server_load[s] / input_.servers[s].capacity;
+        for (const auto victim : choice.victims)
+            cost += eviction_loss(s, input_.servers[s].replicas[victim])
+                        .value_or(0.0);
+        cost += load_seconds(choice) / input_.options.horizon_seconds;
+        ranked.emplace_back(cost, std::move(choice));
+    }
+    const auto kept = std::min(ranked.size(), weighed_servers);
+    std::partial_sort(ranked.begin(),
+                      ranked.begin() + static_cast<std::ptrdiff_t>(kept),
+                      ranked.end(),
+                      [](const auto& x, const auto& y) {
+                          return x.first < y.first;
+                      });
+    std::vector<load_choice> choices;
+    for (std::size_t i = 0; i < kept; ++i)
+        choices.push_back(std::move(ranked[i].second));
+    return choices;
+}
+
+/// Weighs the most promising servers for each of the models.
 std::optional<placement_round::load_choice>
 placement_round::best_choice(std::span<const std::size_t> models,
                              bool may_evict)
 {
     std::optional<load_choice> best;
     for (const auto model : models) {
-        for (std::size_t s = 0; s < input_.servers.size(); ++s) {
-            if (!input_.servers[s].usable || holds(s, model) ||
-                !may_load_on(s, model))
-                continue;
-            auto victims = choose_victims(s, needed_mib(s, model));
-            if (!victims ||
-                (!victims->empty() && (!may_evict || waits_for_room(s))))
-                continue;
-            load_choice choice{model, s, std::move(*victims), 0.0};
+        for (auto& choice : promising_choices(model, may_evict)) {
             choice.value = evaluate(choice);
             if (!best || choice.value > best->value)
                 best = std::move(choice);
@@ -466,7 +499,10 @@
 
 void placement_round::follow_demand()
 {
-    while (budget_ > 0 && total_unserved_ >= negligible_work) {
+    for (int step = 0; step < most_demand_steps && budget_ > 0 &&
+                       total_unserved_ >= negligible_work;
+         ++step)
+    {
         const auto models = models_by(estimate_.unserved);
         const auto choice = best_choice(models, true);
         if (!choice || choice->value <= 0.0)
@@ -479,7 +515,7 @@
 /// they give way as soon as the memory is wanted.
 void placement_round::fill_idle_memory()
 {
-    while (budget_ > 0) {
+    for (int step = 0; step < most_spare_steps && budget_ > 0; ++step) {
         std::vector<double> need;
         for (std::size_t m = 0; m < input_.models.size(); ++m)
             need.push_back(potential_change(m, 1));
--- a/libs/core/src/placement_round.hpp
+++ b/libs/core/src/placement_round.hpp
@@ -60,6 +60,8 @@
 
     std::optional<std::size_t> best_free_server(std::size_t model) const;
     std::vector<std::size_t> models_by(const std::vector<double>& need) const;
+    std::vector<load_choice> promising_choices(std::size_t model,
+                                               bool may_evict) const;
     std::optional<load_choice> best_choice(std::span<const std::size_t> models,
                                            bool may_evict);
     std::optional<std::vector<std::size_t>>
--- a/libs/gateway/src/backend_connection.cpp
+++ b/libs/gateway/src/backend_connection.cpp
@@ -1,6 +1,6 @@
 #include "backend_connection.hpp"
 
-#include "socket_options.hpp"
+#include <barleyfork/net/socket_options.hpp>
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -1,7 +1,7 @@
 #include "caller_session.hpp"
 
 #include "own_answer.hpp"
-#include "socket_options.hpp"
+#include <barleyfork/net/socket_options.hpp>
 
 #include <barleyfork/net/http_checks.hpp>
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -75,7 +75,7 @@
           platform_port platform)
         : context(std::move(settings), std::move(platform)),
           settings_file(std::move(file)), watch(context),
-          news(context, watch), placement(context, news),
+          news(context, watch), placement(context, watch, news),
           acceptor(context.serving.executor()),
           signals(context.serving.executor(), SIGTERM, SIGINT, SIGHUP)
     {
--- a/libs/gateway/src/peer_news.cpp
+++ b/libs/gateway/src/peer_news.cpp
@@ -12,11 +12,14 @@
 namespace {
 
 constexpr const char* member_table = "barleyfork_members";
-constexpr std::int64_t news_interval_ms = 250;
+constexpr std::int64_t news_interval_ms = 200;
 /// A holder that has nothing to tell still shows that it is there.
-constexpr duration beat_interval{250};
+constexpr duration beat_interval{400};
 constexpr duration holder_silence{1800};
-constexpr duration member_wait{20000};
+/// How often the list of daemons is read; the holder, which tells them all,
+/// learns of new ones from themselves too.
+constexpr std::int64_t member_interval_ms = 20000;
+constexpr std::int64_t holder_member_interval_ms = 3000;
 constexpr std::int64_t member_pause_ms = 2000;
 constexpr std::int64_t retry_pause_ms = 700;
 
@@ -54,32 +57,54 @@
     return record;
 }
 
-std::vector<std::unique_ptr<schema::outstanding_work_record>>
+std::vector<schema::outstanding_load>
 to_records(std::span<const peer_work> work)
 {
-    std::vector<std::unique_ptr<schema::outstanding_work_record>> records;
-    for (const auto& entry : work) {
-        auto record = std::make_unique<schema::outstanding_work_record>();
-        record->server = entry.server.value();
-        record->requests = entry.requests;
-        record->prompt_tokens =
-            static_cast<std::uint32_t>(entry.prompt_tokens);
-        records.push_back(std::move(record));
-    }
+    constexpr std::uint64_t largest = 65535;
+    constexpr std::uint64_t hundred = 100;
+    std::vector<schema::outstanding_load> records;
+    for (const auto& entry : work)
+        records.emplace_back(
+            entry.server,
+            static_cast<std::uint16_t>(
+                std::min<std::uint64_t>(entry.requests, largest)),
+            static_cast<std::uint16_t>(
+                std::min(entry.prompt_tokens / hundred, largest)));
     return records;
 }
 
-std::vector<peer_work> to_work(
-    const std::vector<std::unique_ptr<schema::outstanding_work_record>>& records)
+std::vector<peer_work>
+to_work(std::span<const schema::outstanding_load> records)
 {
+    constexpr std::uint64_t hundred = 100;
     std::vector<peer_work> work;
     for (const auto& record : records)
-        work.push_back({server_id(record->server),
-                        record->requests,
-                        record->prompt_tokens});
+        work.push_back({record.server_hash(),
+                        record.requests(),
+                        record.hundred_tokens() * hundred});
     return work;
 }
 
+std::unique_ptr<schema::listed_row_record> to_record(const store_row& row)
+{
+    auto record = std::make_unique<schema::listed_row_record>();
+    record->key = row.key;
+    record->value.assign(row.value.begin(), row.value.end());
+    record->version = row.version;
+    record->deleted = row.deleted;
+    return record;
+}
+
+store_row to_row(const schema::listed_row_record& record)
+{
+    store_row row;
+    row.key = record.key;
+    row.value.assign(record.value.begin(), record.value.end());
+    row.version = record.version;
+    row.deleted = record.deleted;
+    return row;
+}
+
 } // namespace
 
 peer_news::peer_news(gateway_context& context, store_watch& watch)
@@ -109,28 +134,30 @@
     return message;
 }
 
+/// Writes this daemon's row; one that is there already is replaced.
 asio::awaitable<void> peer_news::register_self()
 {
     json::object value;
     value["address"] = context_.settings.address;
     value["port"] = context_.settings.peer_port;
     const auto text = json::serialize(value);
+    const auto key = context_.self.value();
+    std::uint64_t version = 0;
     for (;;) {
         context_.measures.count_store_call();
-        const auto read = co_await context_.platform.store->read_row(
-            member_table, context_.self.value());
-        if (!read.error) {
-            const bool present = !read.rows.empty();
-            if (present && read.rows.front().value == text)
-                co_return;
-            const auto version = present ? read.rows.front().version : 0;
-            context_.measures.count_store_call();
-            const auto written = co_await context_.platform.store->write_row(
-                member_table, context_.self.value(), text, version);
-            if (written.end == store_write_end::done)
-                co_return;
-        }
-        co_await sleep_for_ms(retry_pause_ms);
+        const auto written = co_await context_.platform.store->write_row(
+            member_table, key, text, version);
+        if (written.end == store_write_end::done)
+            co_return;
+        if (written.end != store_write_end::conflict)
+            co_await sleep_for_ms(retry_pause_ms);
+        context_.measures.count_store_call();
+        const auto read =
+            co_await context_.platform.store->read_row(member_table, key);
+        const bool present = !read.error && !read.rows.empty();
+        if (present && read.rows.front().value == text)
+            co_return;
+        version = present ? read.rows.front().version : 0;
     }
 }
 
@@ -139,25 +166,16 @@
     co_await register_self();
     // Those that start together are listed by now.
     co_await sleep_for_ms(member_pause_ms);
-    std::uint64_t version = 0;
-    bool known = false;
     for (;;) {
         context_.measures.count_store_call();
-        auto& store = *context_.platform.store;
-        store_read read;
-        if (known)
-            read = co_await store.read_changes(
-                member_table, version, member_wait);
-        else
-            read = co_await store.read_table(member_table);
-        if (read.error || read.version < version) {
-            known = kind_of(read.error.code) != errc::conflict && known;
-            co_await sleep_for_ms(retry_pause_ms);
-            continue;
-        }
-        version = read.version;
-        known = true;
-        take_members(read);
+        const auto read =
+            co_await context_.platform.store->read_table(member_table);
+        if (!read.error)
+            take_members(read);
+        const bool sparse = !read.error && !holding_;
+        co_await sleep_for_ms(read.error ? retry_pause_ms
+                              : sparse   ? member_interval_ms
+                                         : holder_member_interval_ms);
     }
 }
 
@@ -232,21 +250,24 @@
 
 news_order peer_news::announce(std::span<const server_holding> changed)
 {
-    beat_at_ = steady_now() + beat_interval;
+    const auto now = steady_now();
+    beat_at_ = now + beat_interval;
     const news_order order{epoch_, ++announced_};
-    const auto all = context_.loads.all_work(steady_now());
-    for (const auto& [id, address] : members_) {
-        if (id == context_.self)
-            continue;
-        auto message = make_message(schema::message_kind::placement);
-        message.epoch = order.epoch;
-        message.sequence = order.sequence;
-        for (const auto& news : changed)
-            message.servers.push_back(
-                std::make_unique<schema::server_news_record>(to_record(news)));
-        message.outstanding = to_records(all);
-        link_.send(address, std::move(message), false);
-    }
+    auto message = make_message(schema::message_kind::placement);
+    message.epoch = order.epoch;
+    message.sequence = order.sequence;
+    message.outstanding = to_records(context_.loads.all_work(now));
+    message.list_fresh = watch_.list_is_fresh(now);
+    for (const auto& news : changed)
+        message.servers.push_back(
+            std::make_unique<schema::server_news_record>(to_record(news)));
+    for (const auto& row : watch_.take_relayed_rows())
+        message.rows.push_back(to_record(row));
+    std::vector<peer_address> others;
+    for (const auto& [id, address] : members_)
+        if (id != context_.self)
+            others.push_back(address);
+    link_.broadcast(others, message);
     return order;
 }
 
@@ -300,6 +321,7 @@
     holder_epoch_ = message.epoch;
     holder_heard_at_ = now;
     holder_ = peer_address{message.address, message.port};
+    take_relayed(message, now);
     // One name for the sum of all others, whoever the holder is.
     context_.loads.on_peer_work(
         instance_id("all"),
@@ -316,6 +338,26 @@
         context_.wake_waiting();
 }
 
+/// Follows the list of servers by the holder's word. News that was missed
+/// makes this daemon read the list itself.
+void peer_news::take_relayed(const schema::peer_message_record& message,
+                             time_point now)
+{
+    const news_order order{message.epoch, message.sequence};
+    const bool next = order.epoch == heard_order_.epoch &&
+                      order.sequence == heard_order_.sequence + 1;
+    if (order > heard_order_)
+        heard_order_ = order;
+    std::vector<store_row> rows;
+    for (const auto& row : message.rows)
+        rows.push_back(to_row(*row));
+    watch_.take_relayed(rows);
+    if (!next)
+        watch_.ask_for_list();
+    if (message.list_fresh && next)
+        watch_.list_relayed_at(now);
+}
+
 void peer_news::send_snapshot(const peer_address& to)
 {
     const auto& bytes = watch_.configuration_bytes();
--- a/libs/gateway/src/peer_news.hpp
+++ b/libs/gateway/src/peer_news.hpp
@@ -57,6 +57,11 @@
 
     void set_holding(bool holds, std::uint64_t epoch);
 
+    bool is_holding() const noexcept
+    {
+        return holding_;
+    }
+
     /// True while a holder's news comes in.
     bool hears_holder(time_point now) const;
 
@@ -64,6 +69,8 @@
     schema::peer_message_record make_message(schema::message_kind kind);
     void receive(const schema::peer_message_record& message);
     void on_placement(const schema::peer_message_record& message);
+    void take_relayed(const schema::peer_message_record& message,
+                      time_point now);
     void send_snapshot(const peer_address& to);
     void ask_for_snapshot();
     void take_members(const store_read& read);
@@ -83,6 +90,8 @@
     std::uint64_t epoch_ = 0;
     std::uint64_t sequence_ = 0;
     std::uint64_t announced_ = 0;
+    /// The newest of the holders' news that came in.
+    news_order heard_order_;
     time_point beat_at_{};
 };
 
--- a/libs/gateway/src/placement_duty.cpp
+++ b/libs/gateway/src/placement_duty.cpp
@@ -21,8 +21,14 @@
 /// Slack for the time a message takes.
 constexpr duration lease_slack{300};
 constexpr duration demand_log_interval{2000};
+/// Planning takes at most one part in so many of the time.
+constexpr int planning_share = 8;
 constexpr std::int64_t holder_tick_ms = 50;
 constexpr std::int64_t candidate_tick_ms = 300;
+/// A daemon with this share of a processor is a good holder; smaller ones
+/// hold back by up to the delay.
+constexpr double full_share = 0.5;
+constexpr double small_daemon_delay_ms = 600.0;
 /// How often a candidate reads the row while it hears no holder.
 constexpr duration read_interval{700};
 
@@ -114,17 +120,24 @@
 
 } // namespace
 
-placement_duty::placement_duty(gateway_context& context, peer_news& news)
-    : context_(context), news_(news),
+placement_duty::placement_duty(gateway_context& context,
+                               store_watch& watch,
+                               peer_news& news)
+    : context_(context), watch_(watch), news_(news),
       lease_(context.self, make_options(*context.settings.bounds))
 {
 }
 
 asio::awaitable<void> placement_duty::run()
 {
-    // Daemons that start together don't all try at once.
+    // Daemons that start together don't all try at once; those with more of a
+    // processor try first.
     std::uniform_int_distribution<std::int64_t> spread(0, candidate_tick_ms);
-    co_await sleep_for_ms(spread(context_.random));
+    const double share = std::min(context_.settings.cpu_share, full_share);
+    const auto handicap =
+        static_cast<std::int64_t>(small_daemon_delay_ms *
+                                  (1.0 - share / full_share));
+    co_await sleep_for_ms(spread(context_.random) + handicap);
     while (!stopping_) {
         co_await keep_lease();
         const bool holds = lease_.held(boot_now());
@@ -132,6 +145,8 @@
             work(steady_now());
         else
             controllers_.clear();
+        if (holds != news_.is_holding())
+            watch_.set_relaying(holds);
         news_.set_holding(holds, lease_.epoch());
         co_await sleep_for_ms(holds ? holder_tick_ms : candidate_tick_ms);
     }
@@ -299,12 +314,23 @@
     take_wishes();
     if (may_order(boot_now()))
         for (auto& [service, controller] : controllers_)
-            for (const auto& action : controller.collect(now))
-                carry_out(service, action);
+            collect(service, controller, now);
     publish(now);
     log_demand(now);
 }
 
+/// Plans less often where planning itself takes long: the daemon also serves.
+void placement_duty::collect(const service_id& service,
+                             placement_controller& controller,
+                             time_point now)
+{
+    for (const auto& action : controller.collect(now))
+        carry_out(service, action);
+    const auto took = steady_now() - now;
+    const duration interval(context_.settings.placement->interval_ms);
+    controller.set_interval(std::max(interval, planning_share * took));
+}
+
 void placement_duty::log_demand(time_point now)
 {
     if (now < next_demand_log_)
@@ -364,7 +390,6 @@
         co_return;
     const auto now = steady_now();
     found->second.on_answer(action.server, action.command, reply.answer, now);
-    publish(now);
 }
 
 asio::awaitable<void> placement_duty::read_report(service_id service,
@@ -384,7 +409,6 @@
         co_return;
     const auto now = steady_now();
     found->second.on_report(server, reply.word, now);
-    publish(now);
 }
 
 /// Tells every daemon, this one included, what has changed.
@@ -395,7 +419,7 @@
         for (const auto& server : controller.take_changed(now))
             if (auto held = controller.published(server, now))
                 changed.push_back({server, std::move(*held)});
-    if (changed.empty())
+    if (changed.empty() && !watch_.has_rows_to_relay())
         return;
     const auto order = news_.announce(changed);
     for (const auto& news : changed)
--- a/libs/gateway/src/placement_duty.hpp
+++ b/libs/gateway/src/placement_duty.hpp
@@ -19,7 +19,9 @@
 class placement_duty
 {
 public:
-    placement_duty(gateway_context& context, peer_news& news);
+    placement_duty(gateway_context& context,
+                   store_watch& watch,
+                   peer_news& news);
 
     boost::asio::awaitable<void> run();
 
@@ -40,6 +42,9 @@
     bool may_order(time_point now) const;
     void work(time_point now);
     void update_controllers(time_point now);
+    void collect(const service_id& service,
+                 placement_controller& controller,
+                 time_point now);
     void carry_out(const service_id& service, const placement_action& action);
     boost::asio::awaitable<void> send_order(service_id service,
                                             placement_action action,
@@ -51,6 +56,7 @@
     void log_demand(time_point now);
 
     gateway_context& context_;
+    store_watch& watch_;
     peer_news& news_;
     lease lease_;
     bool lease_seen_ = false;
--- a/libs/gateway/src/store_watch.cpp
+++ b/libs/gateway/src/store_watch.cpp
@@ -3,6 +3,7 @@
 #include <barleyfork/base/log.hpp>
 
 #include <boost/asio/awaitable.hpp>
+#include <utility>
 
 namespace barleyfork {
 
@@ -14,6 +15,13 @@
 constexpr std::int64_t shortest_pause_ms = 150;
 constexpr std::int64_t longest_pause_ms = 450;
 
+/// How often it is asked whether the list is due.
+constexpr std::int64_t list_tick_ms = 150;
+/// The holder's word on the list stands this long after it came.
+constexpr duration relay_silence{900};
+/// A holder whose own reading is older than this does not vouch for the list.
+constexpr duration list_freshness{800};
+
 std::int64_t pause_ms(std::mt19937_64& random)
 {
     std::uniform_int_distribution<std::int64_t> spread(shortest_pause_ms,
@@ -104,7 +112,13 @@
     const auto table = context_.platform.server_table;
     table_position position;
     for (;;) {
+        co_await sleep_for_ms(position.known ? list_tick_ms : 0);
         const auto began = steady_now();
+        if (position.known && !is_list_due(began)) {
+            end_round();
+            continue;
+        }
+        list_wanted_ = false;
         context_.measures.count_store_call();
         auto& store = *context_.platform.store;
         const bool whole = !position.known;
@@ -119,45 +133,90 @@
                 position.known = false;
             else
                 set_reachable(!read.error, read.error);
+            list_wanted_ = true;
+            end_round();
             co_await sleep_for_ms(pause_ms(context_.random));
             continue;
         }
         set_reachable(true, {});
-        take_rows(read, whole);
-        const auto next =
-            began + duration(context_.settings.store->server_interval_ms);
-        const auto left = next - steady_now();
-        if (left.count() > 0)
-            co_await sleep_for_ms(left.count());
+        read_at_ = began;
+        if (whole)
+            take_list(read, began);
+        else
+            take_changes(read.rows, began);
+        end_round();
     }
 }
 
-void store_watch::take_rows(const store_read& read, bool whole)
+/// Daemons that hear the holder's word read the list themselves only now and
+/// then.
+bool store_watch::is_list_due(time_point now) const
 {
-    const auto now = steady_now();
-    if (whole)
-        take_list(read, now);
-    else
-        take_changes(read, now);
-    for (const auto& gone : context_.directory.expire(now))
+    const auto& settings = *context_.settings.store;
+    const bool relayed = now < relayed_at_ + relay_silence;
+    const auto interval = relaying_ ? settings.holder_interval_ms
+                          : relayed ? settings.relayed_interval_ms
+                                    : settings.server_interval_ms;
+    return list_wanted_ || now >= read_at_ + duration(interval);
+}
+
+/// Servers whose return was awaited for long enough are dropped, and calls
+/// that wait look again.
+void store_watch::end_round()
+{
+    for (const auto& gone : context_.directory.expire(steady_now()))
         log_event(log_level::info, "server_gone").with("server", gone.value());
-    context_.wake_waiting();
+}
+
+void store_watch::set_relaying(bool relaying)
+{
+    relaying_ = relaying;
+    to_relay_.clear();
+}
+
+std::vector<store_row> store_watch::take_relayed_rows()
+{
+    return std::exchange(to_relay_, {});
+}
+
+bool store_watch::list_is_fresh(time_point now) const noexcept
+{
+    return now < read_at_ + list_freshness;
+}
+
+void store_watch::take_relayed(const std::vector<store_row>& rows)
+{
+    if (context_.servers_known)
+        take_changes(rows, steady_now());
 }
 
 void store_watch::take_list(const store_read& read, time_point now)
 {
     std::vector<backend_entry> entries;
-    for (const auto& row : read.rows)
+    for (const auto& row : read.rows) {
+        row_versions_[row.key] = row.version;
         if (auto entry = decode(row))
             entries.push_back(std::move(*entry));
+    }
     context_.directory.replace(entries, now);
     context_.servers_known = true;
+    context_.wake_waiting();
 }
 
-/// Changes are applied in their order: a row may stand in them twice.
-void store_watch::take_changes(const store_read& read, time_point now)
+/// Changes are applied in their order: a row may stand in them twice, and
+/// they come both from the store and from the holder.
+void store_watch::take_changes(const std::vector<store_row>& rows,
+                               time_point now)
 {
-    for (const auto& row : read.rows) {
+    bool changed = false;
+    for (const auto& row : rows) {
+        auto& applied = row_versions_[row.key];
+        if (row.version <= applied)
+            continue;
+        applied = row.version;
+        changed = true;
+        if (relaying_)
+            to_relay_.push_back(row);
         if (const auto entry = decode(row)) {
             context_.directory.update(*entry);
             continue;
@@ -167,6 +226,8 @@
             .with("row_version", static_cast<std::int64_t>(row.version));
         context_.directory.remove(server_id(row.key), now);
     }
+    if (changed)
+        context_.wake_waiting();
 }
 
 /// The server that a row names; nothing where it names none to use.
--- a/libs/net/include/barleyfork/net/peer_link.hpp
+++ b/libs/net/include/barleyfork/net/peer_link.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace barleyfork {
 
@@ -47,6 +48,10 @@
               schema::peer_message_record message,
               bool fresh_connection);
 
+    /// Sends one message to many; it is encoded once. On the owner's thread.
+    void broadcast(const std::vector<peer_address>& to,
+                   const schema::peer_message_record& message);
+
     /// Bytes sent and received since the start.
     std::uint64_t bytes_sent() const noexcept
     {
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -1,5 +1,6 @@
 #include <barleyfork/net/http_client.hpp>
 
+#include <barleyfork/net/socket_options.hpp>
 #include <barleyfork/net/sockets.hpp>
 
 #include <boost/asio/as_tuple.hpp>
@@ -74,8 +75,7 @@
             reply.not_sent = true;
             co_return reply;
         }
-        beast::error_code ignored;
-        stream.socket().set_option(tcp::no_delay(true), ignored);
+        set_live_options(stream.socket());
     }
     auto message = to_request(endpoint, request);
     auto [write_error, written] =
--- a/libs/net/src/peer_link.cpp
+++ b/libs/net/src/peer_link.cpp
@@ -55,6 +55,14 @@
         });
 }
 
+void peer_link::broadcast(const std::vector<peer_address>& to,
+                          const schema::peer_message_record& message)
+{
+    const auto frame = encode_frame(message, secret_);
+    for (const auto& peer : to)
+        owner_.spawn(deliver(peer, frame, false));
+}
+
 asio::awaitable<void> peer_link::accept_loop()
 {
     for (;;) {
--- a/libs/gateway/src/socket_options.cpp
+++ b/libs/net/src/socket_options.cpp
@@ -1,4 +1,4 @@
-#include "socket_options.hpp"
+#include <barleyfork/net/socket_options.hpp>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
--- a/libs/schema/include/barleyfork/schema/gateway_generated.h
+++ b/libs/schema/include/barleyfork/schema/gateway_generated.h
@@ -128,11 +128,16 @@
   typedef store_settings TableType;
   std::string address{};
   uint32_t request_timeout_ms = 1000;
-  uint32_t watch_wait_ms = 3000;
+  uint32_t watch_wait_ms = 20000;
   uint32_t server_interval_ms = 900;
+  uint32_t holder_interval_ms = 500;
+  uint32_t relayed_interval_ms = 10000;
 };
 
-/// The store that keeps what must last, and how it is asked.
+/// The store that keeps what must last, and how it is asked. The list of
+/// servers is read at `holder_interval_ms` by the placement's holder, which
+/// passes changes on; at `relayed_interval_ms` by daemons that hear it; at
+/// `server_interval_ms` by those that do not.
 struct store_settings FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef store_settings_record NativeTableType;
   typedef store_settingsBuilder Builder;
@@ -141,7 +146,9 @@
     VT_ADDRESS = 4,
     VT_REQUEST_TIMEOUT_MS = 6,
     VT_WATCH_WAIT_MS = 8,
-    VT_SERVER_INTERVAL_MS = 10
+    VT_SERVER_INTERVAL_MS = 10,
+    VT_HOLDER_INTERVAL_MS = 12,
+    VT_RELAYED_INTERVAL_MS = 14
   };
   const flatbuffers::String *address() const {
     return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
@@ -150,11 +157,17 @@
     return GetField<uint32_t>(VT_REQUEST_TIMEOUT_MS, 1000);
   }
   uint32_t watch_wait_ms() const {
-    return GetField<uint32_t>(VT_WATCH_WAIT_MS, 3000);
+    return GetField<uint32_t>(VT_WATCH_WAIT_MS, 20000);
   }
   uint32_t server_interval_ms() const {
     return GetField<uint32_t>(VT_SERVER_INTERVAL_MS, 900);
   }
+  uint32_t holder_interval_ms() const {
+    return GetField<uint32_t>(VT_HOLDER_INTERVAL_MS, 500);
+  }
+  uint32_t relayed_interval_ms() const {
+    return GetField<uint32_t>(VT_RELAYED_INTERVAL_MS, 10000);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ADDRESS) &&
@@ -162,6 +175,8 @@
            VerifyField<uint32_t>(verifier, VT_REQUEST_TIMEOUT_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_WATCH_WAIT_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_SERVER_INTERVAL_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_HOLDER_INTERVAL_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_RELAYED_INTERVAL_MS, 4) &&
            verifier.EndTable();
   }
   store_settings_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -180,11 +195,17 @@
     fbb_.AddElement<uint32_t>(store_settings::VT_REQUEST_TIMEOUT_MS, request_timeout_ms, 1000);
   }
   void add_watch_wait_ms(uint32_t watch_wait_ms) {
-    fbb_.AddElement<uint32_t>(store_settings::VT_WATCH_WAIT_MS, watch_wait_ms, 3000);
+    fbb_.AddElement<uint32_t>(store_settings::VT_WATCH_WAIT_MS, watch_wait_ms, 20000);
   }
   void add_server_interval_ms(uint32_t server_interval_ms) {
     fbb_.AddElement<uint32_t>(store_settings::VT_SERVER_INTERVAL_MS, server_interval_ms, 900);
   }
+  void add_holder_interval_ms(uint32_t holder_interval_ms) {
+    fbb_.AddElement<uint32_t>(store_settings::VT_HOLDER_INTERVAL_MS, holder_interval_ms, 500);
+  }
+  void add_relayed_interval_ms(uint32_t relayed_interval_ms) {
+    fbb_.AddElement<uint32_t>(store_settings::VT_RELAYED_INTERVAL_MS, relayed_interval_ms, 10000);
+  }
   explicit store_settingsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -201,9 +222,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> address = 0,
     uint32_t request_timeout_ms = 1000,
-    uint32_t watch_wait_ms = 3000,
-    uint32_t server_interval_ms = 900) {
+    uint32_t watch_wait_ms = 20000,
+    uint32_t server_interval_ms = 900,
+    uint32_t holder_interval_ms = 500,
+    uint32_t relayed_interval_ms = 10000) {
   store_settingsBuilder builder_(_fbb);
+  builder_.add_relayed_interval_ms(relayed_interval_ms);
+  builder_.add_holder_interval_ms(holder_interval_ms);
   builder_.add_server_interval_ms(server_interval_ms);
   builder_.add_watch_wait_ms(watch_wait_ms);
   builder_.add_request_timeout_ms(request_timeout_ms);
@@ -220,15 +245,19 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *address = nullptr,
     uint32_t request_timeout_ms = 1000,
-    uint32_t watch_wait_ms = 3000,
-    uint32_t server_interval_ms = 900) {
+    uint32_t watch_wait_ms = 20000,
+    uint32_t server_interval_ms = 900,
+    uint32_t holder_interval_ms = 500,
+    uint32_t relayed_interval_ms = 10000) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
   return barleyfork::schema::Createstore_settings(
       _fbb,
       address__,
       request_timeout_ms,
       watch_wait_ms,
-      server_interval_ms);
+      server_interval_ms,
+      holder_interval_ms,
+      relayed_interval_ms);
 }
 
 flatbuffers::Offset<store_settings> Createstore_settings(flatbuffers::FlatBufferBuilder &_fbb, const store_settings_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -464,6 +493,7 @@
   std::string peer_secret{};
   std::vector<std::string> seeds{};
   std::vector<std::unique_ptr<barleyfork::schema::domain_place_record>> places{};
+  double cpu_share = 1.0;
   uint32_t max_descriptors = 1024;
   std::unique_ptr<barleyfork::schema::store_settings_record> store{};
   std::unique_ptr<barleyfork::schema::bound_settings_record> bounds{};
@@ -492,11 +522,12 @@
     VT_PEER_SECRET = 20,
     VT_SEEDS = 22,
     VT_PLACES = 24,
-    VT_MAX_DESCRIPTORS = 26,
-    VT_STORE = 28,
-    VT_BOUNDS = 30,
-    VT_PLACEMENT = 32,
-    VT_LOG = 34
+    VT_CPU_SHARE = 26,
+    VT_MAX_DESCRIPTORS = 28,
+    VT_STORE = 30,
+    VT_BOUNDS = 32,
+    VT_PLACEMENT = 34,
+    VT_LOG = 36
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -531,6 +562,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::domain_place>> *places() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::domain_place>> *>(VT_PLACES);
   }
+  double cpu_share() const {
+    return GetField<double>(VT_CPU_SHARE, 1.0);
+  }
   uint32_t max_descriptors() const {
     return GetField<uint32_t>(VT_MAX_DESCRIPTORS, 1024);
   }
@@ -570,6 +604,7 @@
            VerifyOffset(verifier, VT_PLACES) &&
            verifier.VerifyVector(places()) &&
            verifier.VerifyVectorOfTables(places()) &&
+           VerifyField<double>(verifier, VT_CPU_SHARE, 8) &&
            VerifyField<uint32_t>(verifier, VT_MAX_DESCRIPTORS, 4) &&
            VerifyOffsetRequired(verifier, VT_STORE) &&
            verifier.VerifyTable(store()) &&
@@ -623,6 +658,9 @@
   void add_places(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::domain_place>>> places) {
     fbb_.AddOffset(gateway_settings::VT_PLACES, places);
   }
+  void add_cpu_share(double cpu_share) {
+    fbb_.AddElement<double>(gateway_settings::VT_CPU_SHARE, cpu_share, 1.0);
+  }
   void add_max_descriptors(uint32_t max_descriptors) {
     fbb_.AddElement<uint32_t>(gateway_settings::VT_MAX_DESCRIPTORS, max_descriptors, 1024);
   }
@@ -670,12 +708,14 @@
     flatbuffers::Offset<flatbuffers::String> peer_secret = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> seeds = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::domain_place>>> places = 0,
+    double cpu_share = 1.0,
     uint32_t max_descriptors = 1024,
     flatbuffers::Offset<barleyfork::schema::store_settings> store = 0,
     flatbuffers::Offset<barleyfork::schema::bound_settings> bounds = 0,
     flatbuffers::Offset<barleyfork::schema::placement_settings> placement = 0,
     flatbuffers::Offset<barleyfork::schema::log_settings> log = 0) {
   gateway_settingsBuilder builder_(_fbb);
+  builder_.add_cpu_share(cpu_share);
   builder_.add_log(log);
   builder_.add_placement(placement);
   builder_.add_bounds(bounds);
@@ -713,6 +753,7 @@
     const char *peer_secret = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *seeds = nullptr,
     const std::vector<flatbuffers::Offset<barleyfork::schema::domain_place>> *places = nullptr,
+    double cpu_share = 1.0,
     uint32_t max_descriptors = 1024,
     flatbuffers::Offset<barleyfork::schema::store_settings> store = 0,
     flatbuffers::Offset<barleyfork::schema::bound_settings> bounds = 0,
@@ -740,6 +781,7 @@
       peer_secret__,
       seeds__,
       places__,
+      cpu_share,
       max_descriptors,
       store,
       bounds,
@@ -791,6 +833,8 @@
   { auto _e = request_timeout_ms(); _o->request_timeout_ms = _e; }
   { auto _e = watch_wait_ms(); _o->watch_wait_ms = _e; }
   { auto _e = server_interval_ms(); _o->server_interval_ms = _e; }
+  { auto _e = holder_interval_ms(); _o->holder_interval_ms = _e; }
+  { auto _e = relayed_interval_ms(); _o->relayed_interval_ms = _e; }
 }
 
 inline flatbuffers::Offset<store_settings> store_settings::Pack(flatbuffers::FlatBufferBuilder &_fbb, const store_settings_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -805,12 +849,16 @@
   auto _request_timeout_ms = _o->request_timeout_ms;
   auto _watch_wait_ms = _o->watch_wait_ms;
   auto _server_interval_ms = _o->server_interval_ms;
+  auto _holder_interval_ms = _o->holder_interval_ms;
+  auto _relayed_interval_ms = _o->relayed_interval_ms;
   return barleyfork::schema::Createstore_settings(
       _fbb,
       _address,
       _request_timeout_ms,
       _watch_wait_ms,
-      _server_interval_ms);
+      _server_interval_ms,
+      _holder_interval_ms,
+      _relayed_interval_ms);
 }
 
 inline bound_settings_record *bound_settings::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -903,6 +951,7 @@
         metrics_port(o.metrics_port),
         peer_secret(o.peer_secret),
         seeds(o.seeds),
+        cpu_share(o.cpu_share),
         max_descriptors(o.max_descriptors),
         store((o.store) ? new barleyfork::schema::store_settings_record(*o.store) : nullptr),
         bounds((o.bounds) ? new barleyfork::schema::bound_settings_record(*o.bounds) : nullptr),
@@ -924,6 +973,7 @@
   std::swap(peer_secret, o.peer_secret);
   std::swap(seeds, o.seeds);
   std::swap(places, o.places);
+  std::swap(cpu_share, o.cpu_share);
   std::swap(max_descriptors, o.max_descriptors);
   std::swap(store, o.store);
   std::swap(bounds, o.bounds);
@@ -952,6 +1002,7 @@
   { auto _e = peer_secret(); if (_e) _o->peer_secret = _e->str(); }
   { auto _e = seeds(); if (_e) { _o->seeds.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->seeds[_i] = _e->Get(_i)->str(); } } }
   { auto _e = places(); if (_e) { _o->places.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->places[_i] = std::unique_ptr<barleyfork::schema::domain_place_record>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = cpu_share(); _o->cpu_share = _e; }
   { auto _e = max_descriptors(); _o->max_descriptors = _e; }
   { auto _e = store(); if (_e) _o->store = std::unique_ptr<barleyfork::schema::store_settings_record>(_e->UnPack(_resolver)); }
   { auto _e = bounds(); if (_e) _o->bounds = std::unique_ptr<barleyfork::schema::bound_settings_record>(_e->UnPack(_resolver)); }
@@ -978,6 +1029,7 @@
   auto _peer_secret = _fbb.CreateString(_o->peer_secret);
   auto _seeds = _o->seeds.size() ? _fbb.CreateVectorOfStrings(_o->seeds) : 0;
   auto _places = _o->places.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::domain_place>> (_o->places.size(), [](size_t i, _VectorArgs *__va) { return Createdomain_place(*__va->__fbb, __va->__o->places[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _cpu_share = _o->cpu_share;
   auto _max_descriptors = _o->max_descriptors;
   auto _store = _o->store ? Createstore_settings(_fbb, _o->store.get(), _rehasher) : 0;
   auto _bounds = _o->bounds ? Createbound_settings(_fbb, _o->bounds.get(), _rehasher) : 0;
@@ -996,6 +1048,7 @@
       _peer_secret,
       _seeds,
       _places,
+      _cpu_share,
       _max_descriptors,
       _store,
       _bounds,
--- a/libs/schema/include/barleyfork/schema/peer_generated.h
+++ b/libs/schema/include/barleyfork/schema/peer_generated.h
@@ -44,9 +44,11 @@
 struct server_newsBuilder;
 struct server_news_record;
 
-struct outstanding_work;
-struct outstanding_workBuilder;
-struct outstanding_work_record;
+struct outstanding_load;
+
+struct listed_row;
+struct listed_rowBuilder;
+struct listed_row_record;
 
 struct peer_message;
 struct peer_messageBuilder;
@@ -143,6 +145,42 @@
   return EnumNamesmessage_kind()[index];
 }
 
+/// Requests outstanding on a backend server and the tokens of the prompts
+/// that wait there, in hundreds; the server by a hash of its id.
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) outstanding_load FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t server_hash_;
+  uint16_t requests_;
+  uint16_t hundred_tokens_;
+
+ public:
+  struct Traits;
+  outstanding_load()
+      : server_hash_(0),
+        requests_(0),
+        hundred_tokens_(0) {
+  }
+  outstanding_load(uint32_t _server_hash, uint16_t _requests, uint16_t _hundred_tokens)
+      : server_hash_(flatbuffers::EndianScalar(_server_hash)),
+        requests_(flatbuffers::EndianScalar(_requests)),
+        hundred_tokens_(flatbuffers::EndianScalar(_hundred_tokens)) {
+  }
+  uint32_t server_hash() const {
+    return flatbuffers::EndianScalar(server_hash_);
+  }
+  uint16_t requests() const {
+    return flatbuffers::EndianScalar(requests_);
+  }
+  uint16_t hundred_tokens() const {
+    return flatbuffers::EndianScalar(hundred_tokens_);
+  }
+};
+FLATBUFFERS_STRUCT_END(outstanding_load, 8);
+
+struct outstanding_load::Traits {
+  using type = outstanding_load;
+};
+
 struct member_record : public flatbuffers::NativeTable {
   typedef member TableType;
   std::string instance{};
@@ -824,101 +862,116 @@
 
 flatbuffers::Offset<server_news> Createserver_news(flatbuffers::FlatBufferBuilder &_fbb, const server_news_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct outstanding_work_record : public flatbuffers::NativeTable {
-  typedef outstanding_work TableType;
-  std::string server{};
-  uint32_t requests = 0;
-  uint32_t prompt_tokens = 0;
+struct listed_row_record : public flatbuffers::NativeTable {
+  typedef listed_row TableType;
+  std::string key{};
+  std::vector<uint8_t> value{};
+  uint64_t version = 0;
+  bool deleted = false;
 };
 
-/// What the sender has outstanding on a backend server.
-struct outstanding_work FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef outstanding_work_record NativeTableType;
-  typedef outstanding_workBuilder Builder;
+/// A changed row of the list of backend servers, as the store has it.
+struct listed_row FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef listed_row_record NativeTableType;
+  typedef listed_rowBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_SERVER = 4,
-    VT_REQUESTS = 6,
-    VT_PROMPT_TOKENS = 8
+    VT_KEY = 4,
+    VT_VALUE = 6,
+    VT_VERSION = 8,
+    VT_DELETED = 10
   };
-  const flatbuffers::String *server() const {
-    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
   }
-  uint32_t requests() const {
-    return GetField<uint32_t>(VT_REQUESTS, 0);
+  const flatbuffers::Vector<uint8_t> *value() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_VALUE);
   }
-  uint32_t prompt_tokens() const {
-    return GetField<uint32_t>(VT_PROMPT_TOKENS, 0);
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  bool deleted() const {
+    return GetField<uint8_t>(VT_DELETED, 0) != 0;
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffsetRequired(verifier, VT_SERVER) &&
-           verifier.VerifyString(server()) &&
-           VerifyField<uint32_t>(verifier, VT_REQUESTS, 4) &&
-           VerifyField<uint32_t>(verifier, VT_PROMPT_TOKENS, 4) &&
+           VerifyOffsetRequired(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyVector(value()) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_DELETED, 1) &&
            verifier.EndTable();
   }
-  outstanding_work_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(outstanding_work_record *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<outstanding_work> Pack(flatbuffers::FlatBufferBuilder &_fbb, const outstanding_work_record* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  listed_row_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(listed_row_record *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<listed_row> Pack(flatbuffers::FlatBufferBuilder &_fbb, const listed_row_record* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct outstanding_workBuilder {
-  typedef outstanding_work Table;
+struct listed_rowBuilder {
+  typedef listed_row Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
-    fbb_.AddOffset(outstanding_work::VT_SERVER, server);
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(listed_row::VT_KEY, key);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value) {
+    fbb_.AddOffset(listed_row::VT_VALUE, value);
   }
-  void add_requests(uint32_t requests) {
-    fbb_.AddElement<uint32_t>(outstanding_work::VT_REQUESTS, requests, 0);
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(listed_row::VT_VERSION, version, 0);
   }
-  void add_prompt_tokens(uint32_t prompt_tokens) {
-    fbb_.AddElement<uint32_t>(outstanding_work::VT_PROMPT_TOKENS, prompt_tokens, 0);
+  void add_deleted(bool deleted) {
+    fbb_.AddElement<uint8_t>(listed_row::VT_DELETED, static_cast<uint8_t>(deleted), 0);
   }
-  explicit outstanding_workBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit listed_rowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<outstanding_work> Finish() {
+  flatbuffers::Offset<listed_row> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<outstanding_work>(end);
-    fbb_.Required(o, outstanding_work::VT_SERVER);
+    auto o = flatbuffers::Offset<listed_row>(end);
+    fbb_.Required(o, listed_row::VT_KEY);
     return o;
   }
 };
 
-inline flatbuffers::Offset<outstanding_work> Createoutstanding_work(
+inline flatbuffers::Offset<listed_row> Createlisted_row(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> server = 0,
-    uint32_t requests = 0,
-    uint32_t prompt_tokens = 0) {
-  outstanding_workBuilder builder_(_fbb);
-  builder_.add_prompt_tokens(prompt_tokens);
-  builder_.add_requests(requests);
-  builder_.add_server(server);
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0,
+    uint64_t version = 0,
+    bool deleted = false) {
+  listed_rowBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_value(value);
+  builder_.add_key(key);
+  builder_.add_deleted(deleted);
   return builder_.Finish();
 }
 
-struct outstanding_work::Traits {
-  using type = outstanding_work;
-  static auto constexpr Create = Createoutstanding_work;
+struct listed_row::Traits {
+  using type = listed_row;
+  static auto constexpr Create = Createlisted_row;
 };
 
-inline flatbuffers::Offset<outstanding_work> Createoutstanding_workDirect(
+inline flatbuffers::Offset<listed_row> Createlisted_rowDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const char *server = nullptr,
-    uint32_t requests = 0,
-    uint32_t prompt_tokens = 0) {
-  auto server__ = server ? _fbb.CreateString(server) : 0;
-  return barleyfork::schema::Createoutstanding_work(
+    const char *key = nullptr,
+    const std::vector<uint8_t> *value = nullptr,
+    uint64_t version = 0,
+    bool deleted = false) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
+  return barleyfork::schema::Createlisted_row(
       _fbb,
-      server__,
-      requests,
-      prompt_tokens);
+      key__,
+      value__,
+      version,
+      deleted);
 }
 
-flatbuffers::Offset<outstanding_work> Createoutstanding_work(flatbuffers::FlatBufferBuilder &_fbb, const outstanding_work_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<listed_row> Createlisted_row(flatbuffers::FlatBufferBuilder &_fbb, const listed_row_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct peer_message_record : public flatbuffers::NativeTable {
   typedef peer_message TableType;
@@ -934,11 +987,12 @@
   std::string address{};
   uint16_t port = 0;
   uint64_t epoch = 0;
-  uint64_t store_version = 0;
   std::vector<std::unique_ptr<barleyfork::schema::adapter_need_record>> needs{};
   std::vector<std::unique_ptr<barleyfork::schema::adapter_need_record>> uses{};
   std::vector<std::unique_ptr<barleyfork::schema::server_news_record>> servers{};
-  std::vector<std::unique_ptr<barleyfork::schema::outstanding_work_record>> outstanding{};
+  std::vector<barleyfork::schema::outstanding_load> outstanding{};
+  std::vector<std::unique_ptr<barleyfork::schema::listed_row_record>> rows{};
+  bool list_fresh = false;
   peer_message_record() = default;
   peer_message_record(const peer_message_record &o);
   peer_message_record(peer_message_record&&) FLATBUFFERS_NOEXCEPT = default;
@@ -947,7 +1001,8 @@
 
 /// One gossip message; every kind carries the same news. `epoch` is the
 /// lease epoch of a placement's holder; `body` of a snapshot is the newest
-/// configuration in the store's own form, `store_version` its row's version.
+/// configuration in the store's own form. `rows` are changes of the server
+/// list; `list_fresh` says that the sender read the list just now.
 struct peer_message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef peer_message_record NativeTableType;
   typedef peer_messageBuilder Builder;
@@ -965,11 +1020,12 @@
     VT_ADDRESS = 22,
     VT_PORT = 24,
     VT_EPOCH = 26,
-    VT_STORE_VERSION = 28,
-    VT_NEEDS = 30,
-    VT_USES = 32,
-    VT_SERVERS = 34,
-    VT_OUTSTANDING = 36
+    VT_NEEDS = 28,
+    VT_USES = 30,
+    VT_SERVERS = 32,
+    VT_OUTSTANDING = 34,
+    VT_ROWS = 36,
+    VT_LIST_FRESH = 38
   };
   barleyfork::schema::message_kind kind() const {
     return static_cast<barleyfork::schema::message_kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -1007,9 +1063,6 @@
   uint64_t epoch() const {
     return GetField<uint64_t>(VT_EPOCH, 0);
   }
-  uint64_t store_version() const {
-    return GetField<uint64_t>(VT_STORE_VERSION, 0);
-  }
   const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::adapter_need>> *needs() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::adapter_need>> *>(VT_NEEDS);
   }
@@ -1019,8 +1072,14 @@
   const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::server_news>> *servers() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::server_news>> *>(VT_SERVERS);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::outstanding_work>> *outstanding() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::outstanding_work>> *>(VT_OUTSTANDING);
+  const flatbuffers::Vector<const barleyfork::schema::outstanding_load *> *outstanding() const {
+    return GetPointer<const flatbuffers::Vector<const barleyfork::schema::outstanding_load *> *>(VT_OUTSTANDING);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::listed_row>> *rows() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::listed_row>> *>(VT_ROWS);
+  }
+  bool list_fresh() const {
+    return GetField<uint8_t>(VT_LIST_FRESH, 0) != 0;
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -1047,7 +1106,6 @@
            verifier.VerifyString(address()) &&
            VerifyField<uint16_t>(verifier, VT_PORT, 2) &&
            VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
-           VerifyField<uint64_t>(verifier, VT_STORE_VERSION, 8) &&
            VerifyOffset(verifier, VT_NEEDS) &&
            verifier.VerifyVector(needs()) &&
            verifier.VerifyVectorOfTables(needs()) &&
@@ -1059,7 +1117,10 @@
            verifier.VerifyVectorOfTables(servers()) &&
            VerifyOffset(verifier, VT_OUTSTANDING) &&
            verifier.VerifyVector(outstanding()) &&
-           verifier.VerifyVectorOfTables(outstanding()) &&
+           VerifyOffset(verifier, VT_ROWS) &&
+           verifier.VerifyVector(rows()) &&
+           verifier.VerifyVectorOfTables(rows()) &&
+           VerifyField<uint8_t>(verifier, VT_LIST_FRESH, 1) &&
            verifier.EndTable();
   }
   peer_message_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1107,9 +1168,6 @@
   void add_epoch(uint64_t epoch) {
     fbb_.AddElement<uint64_t>(peer_message::VT_EPOCH, epoch, 0);
   }
-  void add_store_version(uint64_t store_version) {
-    fbb_.AddElement<uint64_t>(peer_message::VT_STORE_VERSION, store_version, 0);
-  }
   void add_needs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::adapter_need>>> needs) {
     fbb_.AddOffset(peer_message::VT_NEEDS, needs);
   }
@@ -1119,9 +1177,15 @@
   void add_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::server_news>>> servers) {
     fbb_.AddOffset(peer_message::VT_SERVERS, servers);
   }
-  void add_outstanding(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::outstanding_work>>> outstanding) {
+  void add_outstanding(flatbuffers::Offset<flatbuffers::Vector<const barleyfork::schema::outstanding_load *>> outstanding) {
     fbb_.AddOffset(peer_message::VT_OUTSTANDING, outstanding);
   }
+  void add_rows(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::listed_row>>> rows) {
+    fbb_.AddOffset(peer_message::VT_ROWS, rows);
+  }
+  void add_list_fresh(bool list_fresh) {
+    fbb_.AddElement<uint8_t>(peer_message::VT_LIST_FRESH, static_cast<uint8_t>(list_fresh), 0);
+  }
   explicit peer_messageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1148,15 +1212,16 @@
     flatbuffers::Offset<flatbuffers::String> address = 0,
     uint16_t port = 0,
     uint64_t epoch = 0,
-    uint64_t store_version = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::adapter_need>>> needs = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::adapter_need>>> uses = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::server_news>>> servers = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::outstanding_work>>> outstanding = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const barleyfork::schema::outstanding_load *>> outstanding = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::listed_row>>> rows = 0,
+    bool list_fresh = false) {
   peer_messageBuilder builder_(_fbb);
-  builder_.add_store_version(store_version);
   builder_.add_epoch(epoch);
   builder_.add_sequence(sequence);
+  builder_.add_rows(rows);
   builder_.add_outstanding(outstanding);
   builder_.add_servers(servers);
   builder_.add_uses(uses);
@@ -1170,6 +1235,7 @@
   builder_.add_configuration(configuration);
   builder_.add_sender(sender);
   builder_.add_port(port);
+  builder_.add_list_fresh(list_fresh);
   builder_.add_kind(kind);
   return builder_.Finish();
 }
@@ -1193,11 +1259,12 @@
     const char *address = nullptr,
     uint16_t port = 0,
     uint64_t epoch = 0,
-    uint64_t store_version = 0,
     const std::vector<flatbuffers::Offset<barleyfork::schema::adapter_need>> *needs = nullptr,
     const std::vector<flatbuffers::Offset<barleyfork::schema::adapter_need>> *uses = nullptr,
     const std::vector<flatbuffers::Offset<barleyfork::schema::server_news>> *servers = nullptr,
-    const std::vector<flatbuffers::Offset<barleyfork::schema::outstanding_work>> *outstanding = nullptr) {
+    const std::vector<barleyfork::schema::outstanding_load> *outstanding = nullptr,
+    const std::vector<flatbuffers::Offset<barleyfork::schema::listed_row>> *rows = nullptr,
+    bool list_fresh = false) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::member>>(*members) : 0;
   auto quarantine__ = quarantine ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::quarantine_entry>>(*quarantine) : 0;
   auto digest__ = digest ? _fbb.CreateString(digest) : 0;
@@ -1207,7 +1274,8 @@
   auto needs__ = needs ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::adapter_need>>(*needs) : 0;
   auto uses__ = uses ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::adapter_need>>(*uses) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::server_news>>(*servers) : 0;
-  auto outstanding__ = outstanding ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::outstanding_work>>(*outstanding) : 0;
+  auto outstanding__ = outstanding ? _fbb.CreateVectorOfStructs<barleyfork::schema::outstanding_load>(*outstanding) : 0;
+  auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::listed_row>>(*rows) : 0;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       kind,
@@ -1222,11 +1290,12 @@
       address__,
       port,
       epoch,
-      store_version,
       needs__,
       uses__,
       servers__,
-      outstanding__);
+      outstanding__,
+      rows__,
+      list_fresh);
 }
 
 flatbuffers::Offset<peer_message> Createpeer_message(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1469,36 +1538,39 @@
       _models);
 }
 
-inline outstanding_work_record *outstanding_work::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<outstanding_work_record>();
+inline listed_row_record *listed_row::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<listed_row_record>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void outstanding_work::UnPackTo(outstanding_work_record *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void listed_row::UnPackTo(listed_row_record *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = server(); if (_e) _o->server = _e->str(); }
-  { auto _e = requests(); _o->requests = _e; }
-  { auto _e = prompt_tokens(); _o->prompt_tokens = _e; }
+  { auto _e = key(); if (_e) _o->key = _e->str(); }
+  { auto _e = value(); if (_e) { _o->value.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->value.begin()); } }
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = deleted(); _o->deleted = _e; }
 }
 
-inline flatbuffers::Offset<outstanding_work> outstanding_work::Pack(flatbuffers::FlatBufferBuilder &_fbb, const outstanding_work_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createoutstanding_work(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<listed_row> listed_row::Pack(flatbuffers::FlatBufferBuilder &_fbb, const listed_row_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createlisted_row(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<outstanding_work> Createoutstanding_work(flatbuffers::FlatBufferBuilder &_fbb, const outstanding_work_record *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<listed_row> Createlisted_row(flatbuffers::FlatBufferBuilder &_fbb, const listed_row_record *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const outstanding_work_record* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _server = _fbb.CreateString(_o->server);
-  auto _requests = _o->requests;
-  auto _prompt_tokens = _o->prompt_tokens;
-  return barleyfork::schema::Createoutstanding_work(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const listed_row_record* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _key = _fbb.CreateString(_o->key);
+  auto _value = _o->value.size() ? _fbb.CreateVector(_o->value) : 0;
+  auto _version = _o->version;
+  auto _deleted = _o->deleted;
+  return barleyfork::schema::Createlisted_row(
       _fbb,
-      _server,
-      _requests,
-      _prompt_tokens);
+      _key,
+      _value,
+      _version,
+      _deleted);
 }
 
 inline peer_message_record::peer_message_record(const peer_message_record &o)
@@ -1511,7 +1583,8 @@
         address(o.address),
         port(o.port),
         epoch(o.epoch),
-        store_version(o.store_version) {
+        outstanding(o.outstanding),
+        list_fresh(o.list_fresh) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new barleyfork::schema::member_record(*members_) : nullptr); }
   quarantine.reserve(o.quarantine.size());
@@ -1524,8 +1597,8 @@
   for (const auto &uses_ : o.uses) { uses.emplace_back((uses_) ? new barleyfork::schema::adapter_need_record(*uses_) : nullptr); }
   servers.reserve(o.servers.size());
   for (const auto &servers_ : o.servers) { servers.emplace_back((servers_) ? new barleyfork::schema::server_news_record(*servers_) : nullptr); }
-  outstanding.reserve(o.outstanding.size());
-  for (const auto &outstanding_ : o.outstanding) { outstanding.emplace_back((outstanding_) ? new barleyfork::schema::outstanding_work_record(*outstanding_) : nullptr); }
+  rows.reserve(o.rows.size());
+  for (const auto &rows_ : o.rows) { rows.emplace_back((rows_) ? new barleyfork::schema::listed_row_record(*rows_) : nullptr); }
 }
 
 inline peer_message_record &peer_message_record::operator=(peer_message_record o) FLATBUFFERS_NOEXCEPT {
@@ -1541,11 +1614,12 @@
   std::swap(address, o.address);
   std::swap(port, o.port);
   std::swap(epoch, o.epoch);
-  std::swap(store_version, o.store_version);
   std::swap(needs, o.needs);
   std::swap(uses, o.uses);
   std::swap(servers, o.servers);
   std::swap(outstanding, o.outstanding);
+  std::swap(rows, o.rows);
+  std::swap(list_fresh, o.list_fresh);
   return *this;
 }
 
@@ -1570,11 +1644,12 @@
   { auto _e = address(); if (_e) _o->address = _e->str(); }
   { auto _e = port(); _o->port = _e; }
   { auto _e = epoch(); _o->epoch = _e; }
-  { auto _e = store_version(); _o->store_version = _e; }
   { auto _e = needs(); if (_e) { _o->needs.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->needs[_i] = std::unique_ptr<barleyfork::schema::adapter_need_record>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = uses(); if (_e) { _o->uses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->uses[_i] = std::unique_ptr<barleyfork::schema::adapter_need_record>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = servers(); if (_e) { _o->servers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->servers[_i] = std::unique_ptr<barleyfork::schema::server_news_record>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = outstanding(); if (_e) { _o->outstanding.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->outstanding[_i] = std::unique_ptr<barleyfork::schema::outstanding_work_record>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = outstanding(); if (_e) { _o->outstanding.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->outstanding[_i] = *_e->Get(_i); } } }
+  { auto _e = rows(); if (_e) { _o->rows.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rows[_i] = std::unique_ptr<barleyfork::schema::listed_row_record>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = list_fresh(); _o->list_fresh = _e; }
 }
 
 inline flatbuffers::Offset<peer_message> peer_message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1597,11 +1672,12 @@
   auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
   auto _port = _o->port;
   auto _epoch = _o->epoch;
-  auto _store_version = _o->store_version;
   auto _needs = _o->needs.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::adapter_need>> (_o->needs.size(), [](size_t i, _VectorArgs *__va) { return Createadapter_need(*__va->__fbb, __va->__o->needs[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _uses = _o->uses.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::adapter_need>> (_o->uses.size(), [](size_t i, _VectorArgs *__va) { return Createadapter_need(*__va->__fbb, __va->__o->uses[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _servers = _o->servers.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::server_news>> (_o->servers.size(), [](size_t i, _VectorArgs *__va) { return Createserver_news(*__va->__fbb, __va->__o->servers[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _outstanding = _o->outstanding.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::outstanding_work>> (_o->outstanding.size(), [](size_t i, _VectorArgs *__va) { return Createoutstanding_work(*__va->__fbb, __va->__o->outstanding[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _outstanding = _o->outstanding.size() ? _fbb.CreateVectorOfStructs(_o->outstanding) : 0;
+  auto _rows = _o->rows.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::listed_row>> (_o->rows.size(), [](size_t i, _VectorArgs *__va) { return Createlisted_row(*__va->__fbb, __va->__o->rows[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _list_fresh = _o->list_fresh;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       _kind,
@@ -1616,11 +1692,12 @@
       _address,
       _port,
       _epoch,
-      _store_version,
       _needs,
       _uses,
       _servers,
-      _outstanding);
+      _outstanding,
+      _rows,
+      _list_fresh);
 }
 
 inline const barleyfork::schema::peer_message *Getpeer_message(const void *buf) {
--- a/tools/policy_driver/policies.cpp
+++ b/tools/policy_driver/policies.cpp
@@ -95,7 +95,8 @@
             model.id,
             model.version,
             model.memory_mib,
-            step_reason::demand};
+            step_reason::demand,
+            {}};
 }
 
 class static_policy : public placement_policy
@@ -237,7 +238,7 @@
                          oldest->model,
                          oldest->version,
                          oldest->memory_mib,
-                         step_reason::make_room});
+                         step_reason::make_room, {}});
         return true;
     }
 
