Pass news through one daemon a failure domain

Cause: a holder before 82 daemons filled its narrow link with copies of its news and lost store and lease; after each loss all candidates polled the lease.

--- a/libs/core/include/barleyfork/core/lease.hpp
+++ b/libs/core/include/barleyfork/core/lease.hpp
@@ -64,6 +64,12 @@
     /// True while this daemon may act under the lease.
     bool held(time_point now) const noexcept;
 
+    /// When another daemon may take the lease, by what was last observed.
+    time_point expires_at() const noexcept
+    {
+        return seen_at_ + options_.term;
+    }
+
     /// The epoch under which this daemon acts.
     std::uint64_t epoch() const noexcept
     {
--- a/libs/gateway/src/gateway_context.hpp
+++ b/libs/gateway/src/gateway_context.hpp
@@ -15,6 +15,7 @@
 #include <barleyfork/net/duty.hpp>
 #include <barleyfork/schema/gateway_generated.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -55,6 +56,12 @@
     /// Tells how many daemons share the retry budgets.
     void set_daemons(std::size_t count);
 
+    /// How many daemons there are, this one included; at least 1.
+    std::size_t daemons() const noexcept
+    {
+        return std::max<std::size_t>(daemons_, 1);
+    }
+
     /// Calls that wait look again at what can serve them.
     void wake_waiting();
 
--- a/libs/gateway/src/peer_news.cpp
+++ b/libs/gateway/src/peer_news.cpp
@@ -2,7 +2,9 @@
 
 #include <barleyfork/base/log.hpp>
 
+#include <algorithm>
 #include <boost/json.hpp>
+#include <set>
 
 namespace barleyfork {
 
@@ -12,7 +14,12 @@
 namespace {
 
 constexpr const char* member_table = "barleyfork_members";
-constexpr std::int64_t news_interval_ms = 200;
+/// Time between a daemon's messages to the holder.
+constexpr std::int64_t shortest_news_ms = 200;
+constexpr std::int64_t longest_news_ms = 800;
+constexpr std::int64_t news_ms_a_daemon = 10;
+/// A daemon that was not heard for this long passes nothing on.
+constexpr duration relay_silence{1500};
 /// A holder that has nothing to tell still shows that it is there.
 constexpr duration beat_interval{400};
 constexpr duration holder_silence{1800};
@@ -131,6 +138,7 @@
     message.sender->instance = context_.self.value();
     message.address = context_.settings.address;
     message.port = context_.settings.peer_port;
+    message.failure_domain = context_.settings.failure_domain;
     return message;
 }
 
@@ -140,6 +148,7 @@
     json::object value;
     value["address"] = context_.settings.address;
     value["port"] = context_.settings.peer_port;
+    value["failure_domain"] = context_.settings.failure_domain;
     const auto text = json::serialize(value);
     const auto key = context_.self.value();
     std::uint64_t version = 0;
@@ -196,11 +205,15 @@
         }
         const auto* address = value.as_object().if_contains("address");
         const auto* port = value.as_object().if_contains("port");
+        const auto* domain = value.as_object().if_contains("failure_domain");
         if (address == nullptr || !address->is_string() || port == nullptr ||
-            !port->is_number())
+            !port->is_number() || domain == nullptr || !domain->is_string())
             continue;
-        members_[id] = {std::string(address->as_string()),
-                        port->to_number<std::uint16_t>()};
+        auto& entry = members_[id];
+        entry.address = {std::string(address->as_string()),
+                         port->to_number<std::uint16_t>()};
+        entry.failure_domain =
+            failure_domain_id(std::string(domain->as_string()));
     }
     context_.set_daemons(members_.size());
 }
@@ -208,7 +221,8 @@
 asio::awaitable<void> peer_news::run()
 {
     for (;;) {
-        co_await sleep_for_ms(news_interval_ms);
+        co_await sleep_for_ms(holding_ ? shortest_news_ms
+                                        : news_interval_ms());
         const auto now = steady_now();
         if (holding_ && now >= beat_at_)
             announce({});
@@ -263,14 +277,78 @@
             std::make_unique<schema::server_news_record>(to_record(news)));
     for (const auto& row : watch_.take_relayed_rows())
         message.rows.push_back(to_record(row));
-    std::vector<peer_address> others;
-    for (const auto& [id, address] : members_)
-        if (id != context_.self)
-            others.push_back(address);
-    link_.broadcast(others, message);
+    send_to_all(std::move(message), now);
     return order;
 }
 
+/// In each other failure domain one daemon gets the message and passes it on:
+/// traffic between domains is paid by volume, and a holder's link is narrow.
+void peer_news::send_to_all(schema::peer_message_record message, time_point now)
+{
+    const failure_domain_id own(context_.settings.failure_domain);
+    link_.broadcast(neighbours(own), message);
+    std::set<failure_domain_id> domains;
+    for (const auto& [id, entry] : members_)
+        domains.insert(entry.failure_domain);
+    message.pass_on = true;
+    std::vector<peer_address> relays;
+    for (const auto& domain : domains)
+        if (const auto* relay = domain == own ? nullptr : relay_of(domain, now))
+            relays.push_back(relay->address);
+    link_.broadcast(relays, message);
+}
+
+/// The daemon that passes news on in a failure domain: the last one while it
+/// is heard, else the one that was heard last.
+const peer_news::member* peer_news::relay_of(const failure_domain_id& domain,
+                                             time_point now)
+{
+    const auto known = relays_.find(domain);
+    if (known != relays_.end()) {
+        const auto found = members_.find(known->second);
+        if (found != members_.end() &&
+            now < found->second.heard_at + relay_silence)
+            return &found->second;
+    }
+    const member* best = nullptr;
+    for (const auto& [id, entry] : members_) {
+        if (entry.failure_domain != domain)
+            continue;
+        if (best != nullptr && entry.heard_at <= best->heard_at)
+            continue;
+        best = &entry;
+        relays_[domain] = id;
+    }
+    return best;
+}
+
+std::vector<peer_address>
+peer_news::neighbours(const failure_domain_id& domain) const
+{
+    std::vector<peer_address> found;
+    for (const auto& [id, entry] : members_)
+        if (id != context_.self && entry.failure_domain == domain)
+            found.push_back(entry.address);
+    return found;
+}
+
+void peer_news::pass_on(const schema::peer_message_record& message)
+{
+    schema::peer_message_record copy;
+    copy = message;
+    copy.pass_on = false;
+    link_.broadcast(
+        neighbours(failure_domain_id(context_.settings.failure_domain)), copy);
+}
+
+/// The holder hears from every daemon, so many of them speak less often.
+std::int64_t peer_news::news_interval_ms() const
+{
+    const auto share = static_cast<std::int64_t>(context_.daemons()) *
+                       news_ms_a_daemon;
+    return std::clamp(share, shortest_news_ms, longest_news_ms);
+}
+
 void peer_news::set_holding(bool holds, std::uint64_t epoch)
 {
     holding_ = holds;
@@ -286,9 +364,14 @@
 {
     const instance_id sender(message.sender->instance);
     const peer_address address{message.address, message.port};
-    members_[sender] = address;
+    auto& known = members_[sender];
+    known.address = address;
+    known.failure_domain = failure_domain_id(message.failure_domain);
+    known.heard_at = steady_now();
     switch (message.kind) {
     case schema::message_kind::placement:
+        if (message.pass_on)
+            pass_on(message);
         on_placement(message);
         return;
     case schema::message_kind::demand:
@@ -377,7 +460,7 @@
     auto peer = members_.begin();
     std::advance(peer, static_cast<std::ptrdiff_t>(index));
     if (peer->first != context_.self)
-        link_.send(peer->second,
+        link_.send(peer->second.address,
                    make_message(schema::message_kind::snapshot_request),
                    false);
 }
--- a/libs/gateway/src/peer_news.hpp
+++ b/libs/gateway/src/peer_news.hpp
@@ -69,6 +69,21 @@
     schema::peer_message_record make_message(schema::message_kind kind);
     void receive(const schema::peer_message_record& message);
     void on_placement(const schema::peer_message_record& message);
+    /// What is known of another daemon.
+    struct member
+    {
+        peer_address address;
+        failure_domain_id failure_domain;
+        time_point heard_at{};
+    };
+
+    void send_to_all(schema::peer_message_record message, time_point now);
+    void pass_on(const schema::peer_message_record& message);
+    const member* relay_of(const failure_domain_id& domain,
+                           time_point now);
+    std::vector<peer_address>
+    neighbours(const failure_domain_id& domain) const;
+    std::int64_t news_interval_ms() const;
     void take_relayed(const schema::peer_message_record& message,
                       time_point now);
     void send_snapshot(const peer_address& to);
@@ -80,7 +95,9 @@
     store_watch& watch_;
     peer_link link_;
     demand_handler on_demand_;
-    std::map<instance_id, peer_address> members_;
+    std::map<instance_id, member> members_;
+    /// Who passes news on in each other failure domain.
+    std::map<failure_domain_id, instance_id> relays_;
     std::optional<peer_address> holder_;
     time_point holder_heard_at_{};
     std::uint64_t holder_epoch_ = 0;
--- a/libs/gateway/src/placement_duty.cpp
+++ b/libs/gateway/src/placement_duty.cpp
@@ -25,10 +25,19 @@
 constexpr int planning_share = 8;
 constexpr std::int64_t holder_tick_ms = 50;
 constexpr std::int64_t candidate_tick_ms = 300;
-/// A daemon with this share of a processor is a good holder; smaller ones
-/// hold back by up to the delay.
+/// A daemon with this share of a processor and this link is a good holder;
+/// smaller ones hold back by up to the delay.
 constexpr double full_share = 0.5;
-constexpr double small_daemon_delay_ms = 600.0;
+constexpr double full_link_mbps = 200.0;
+constexpr double small_daemon_delay_ms = 1500.0;
+/// Over this time the daemons that start together look for a lease.
+constexpr std::int64_t first_spread_ms = 800;
+/// Candidates' looks are spread by so much for each daemon.
+constexpr std::int64_t read_spread_ms = 20;
+/// News of what servers hold goes out no more often than this.
+constexpr duration publish_interval{150};
+/// Below this number of daemons each piece of news goes out at once.
+constexpr std::size_t few_daemons = 16;
 /// How often a candidate reads the row while it hears no holder.
 constexpr duration read_interval{700};
 
@@ -130,14 +139,9 @@
 
 asio::awaitable<void> placement_duty::run()
 {
-    // Daemons that start together don't all try at once; those with more of a
-    // processor try first.
-    std::uniform_int_distribution<std::int64_t> spread(0, candidate_tick_ms);
-    const double share = std::min(context_.settings.cpu_share, full_share);
-    const auto handicap =
-        static_cast<std::int64_t>(small_daemon_delay_ms *
-                                  (1.0 - share / full_share));
-    co_await sleep_for_ms(spread(context_.random) + handicap);
+    // Daemons that start together don't all try at once.
+    std::uniform_int_distribution<std::int64_t> spread(0, first_spread_ms);
+    co_await sleep_for_ms(spread(context_.random) + handicap_ms());
     while (!stopping_) {
         co_await keep_lease();
         const bool holds = lease_.held(boot_now());
@@ -152,14 +156,36 @@
     }
 }
 
+/// Daemons with little of a processor or a narrow link let others try first.
+std::int64_t placement_duty::handicap_ms() const
+{
+    const auto& settings = context_.settings;
+    const double processor = std::min(settings.cpu_share / full_share, 1.0);
+    const double link = std::min(settings.link_mbps / full_link_mbps, 1.0);
+    return static_cast<std::int64_t>(small_daemon_delay_ms *
+                                     (1.0 - std::min(processor, link)));
+}
+
+/// A candidate looks at the lease when it ends, spread so that the one that
+/// takes it is heard before most others ask.
+void placement_duty::schedule_read(time_point now)
+{
+    const auto spread_ms = std::max<std::int64_t>(
+        candidate_tick_ms,
+        read_spread_ms * static_cast<std::int64_t>(context_.daemons()));
+    std::uniform_int_distribution<std::int64_t> spread(0, spread_ms);
+    next_read_ = std::max(now + read_interval, lease_.expires_at()) +
+                 duration(spread(context_.random) + handicap_ms());
+}
+
 asio::awaitable<void> placement_duty::keep_lease()
 {
     const auto now = boot_now();
     const bool held = lease_.held(now);
     const bool hears_holder = news_.hears_holder(steady_now());
     if (!held && now >= next_read_ && !hears_holder) {
-        next_read_ = now + read_interval;
         co_await read_lease();
+        schedule_read(boot_now());
     }
     const auto id = context_.self.value() + "-" + std::to_string(++writes_) +
                     "-" + std::to_string(context_.random());
@@ -414,6 +440,9 @@
 /// Tells every daemon, this one included, what has changed.
 void placement_duty::publish(time_point now)
 {
+    const bool crowded = context_.daemons() > few_daemons;
+    if (crowded && now < published_at_ + publish_interval)
+        return;
     std::vector<server_holding> changed;
     for (auto& [service, controller] : controllers_)
         for (const auto& server : controller.take_changed(now))
@@ -421,6 +450,7 @@
                 changed.push_back({server, std::move(*held)});
     if (changed.empty() && !watch_.has_rows_to_relay())
         return;
+    published_at_ = now;
     const auto order = news_.announce(changed);
     for (const auto& news : changed)
         context_.directory.learn(news.server, news.held, order, now);
--- a/libs/gateway/src/placement_duty.hpp
+++ b/libs/gateway/src/placement_duty.hpp
@@ -33,6 +33,8 @@
 
 private:
     void take_wishes();
+    std::int64_t handicap_ms() const;
+    void schedule_read(time_point now);
     boost::asio::awaitable<void> keep_lease();
     boost::asio::awaitable<void> read_lease();
     boost::asio::awaitable<void> write_lease(lease_row row);
@@ -67,6 +69,7 @@
     time_point store_ms_at_{};
     time_point next_read_{};
     time_point next_demand_log_{};
+    time_point published_at_{};
     /// A holder that let go may have ordered just before.
     time_point orders_from_{};
     std::map<service_id, placement_controller> controllers_;
--- a/libs/schema/include/barleyfork/schema/gateway_generated.h
+++ b/libs/schema/include/barleyfork/schema/gateway_generated.h
@@ -494,6 +494,7 @@
   std::vector<std::string> seeds{};
   std::vector<std::unique_ptr<barleyfork::schema::domain_place_record>> places{};
   double cpu_share = 1.0;
+  double link_mbps = 1000.0;
   uint32_t max_descriptors = 1024;
   std::unique_ptr<barleyfork::schema::store_settings_record> store{};
   std::unique_ptr<barleyfork::schema::bound_settings_record> bounds{};
@@ -523,11 +524,12 @@
     VT_SEEDS = 22,
     VT_PLACES = 24,
     VT_CPU_SHARE = 26,
-    VT_MAX_DESCRIPTORS = 28,
-    VT_STORE = 30,
-    VT_BOUNDS = 32,
-    VT_PLACEMENT = 34,
-    VT_LOG = 36
+    VT_LINK_MBPS = 28,
+    VT_MAX_DESCRIPTORS = 30,
+    VT_STORE = 32,
+    VT_BOUNDS = 34,
+    VT_PLACEMENT = 36,
+    VT_LOG = 38
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -565,6 +567,9 @@
   double cpu_share() const {
     return GetField<double>(VT_CPU_SHARE, 1.0);
   }
+  double link_mbps() const {
+    return GetField<double>(VT_LINK_MBPS, 1000.0);
+  }
   uint32_t max_descriptors() const {
     return GetField<uint32_t>(VT_MAX_DESCRIPTORS, 1024);
   }
@@ -605,6 +610,7 @@
            verifier.VerifyVector(places()) &&
            verifier.VerifyVectorOfTables(places()) &&
            VerifyField<double>(verifier, VT_CPU_SHARE, 8) &&
+           VerifyField<double>(verifier, VT_LINK_MBPS, 8) &&
            VerifyField<uint32_t>(verifier, VT_MAX_DESCRIPTORS, 4) &&
            VerifyOffsetRequired(verifier, VT_STORE) &&
            verifier.VerifyTable(store()) &&
@@ -661,6 +667,9 @@
   void add_cpu_share(double cpu_share) {
     fbb_.AddElement<double>(gateway_settings::VT_CPU_SHARE, cpu_share, 1.0);
   }
+  void add_link_mbps(double link_mbps) {
+    fbb_.AddElement<double>(gateway_settings::VT_LINK_MBPS, link_mbps, 1000.0);
+  }
   void add_max_descriptors(uint32_t max_descriptors) {
     fbb_.AddElement<uint32_t>(gateway_settings::VT_MAX_DESCRIPTORS, max_descriptors, 1024);
   }
@@ -709,12 +718,14 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> seeds = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::domain_place>>> places = 0,
     double cpu_share = 1.0,
+    double link_mbps = 1000.0,
     uint32_t max_descriptors = 1024,
     flatbuffers::Offset<barleyfork::schema::store_settings> store = 0,
     flatbuffers::Offset<barleyfork::schema::bound_settings> bounds = 0,
     flatbuffers::Offset<barleyfork::schema::placement_settings> placement = 0,
     flatbuffers::Offset<barleyfork::schema::log_settings> log = 0) {
   gateway_settingsBuilder builder_(_fbb);
+  builder_.add_link_mbps(link_mbps);
   builder_.add_cpu_share(cpu_share);
   builder_.add_log(log);
   builder_.add_placement(placement);
@@ -754,6 +765,7 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *seeds = nullptr,
     const std::vector<flatbuffers::Offset<barleyfork::schema::domain_place>> *places = nullptr,
     double cpu_share = 1.0,
+    double link_mbps = 1000.0,
     uint32_t max_descriptors = 1024,
     flatbuffers::Offset<barleyfork::schema::store_settings> store = 0,
     flatbuffers::Offset<barleyfork::schema::bound_settings> bounds = 0,
@@ -782,6 +794,7 @@
       seeds__,
       places__,
       cpu_share,
+      link_mbps,
       max_descriptors,
       store,
       bounds,
@@ -952,6 +965,7 @@
         peer_secret(o.peer_secret),
         seeds(o.seeds),
         cpu_share(o.cpu_share),
+        link_mbps(o.link_mbps),
         max_descriptors(o.max_descriptors),
         store((o.store) ? new barleyfork::schema::store_settings_record(*o.store) : nullptr),
         bounds((o.bounds) ? new barleyfork::schema::bound_settings_record(*o.bounds) : nullptr),
@@ -974,6 +988,7 @@
   std::swap(seeds, o.seeds);
   std::swap(places, o.places);
   std::swap(cpu_share, o.cpu_share);
+  std::swap(link_mbps, o.link_mbps);
   std::swap(max_descriptors, o.max_descriptors);
   std::swap(store, o.store);
   std::swap(bounds, o.bounds);
@@ -1003,6 +1018,7 @@
   { auto _e = seeds(); if (_e) { _o->seeds.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->seeds[_i] = _e->Get(_i)->str(); } } }
   { auto _e = places(); if (_e) { _o->places.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->places[_i] = std::unique_ptr<barleyfork::schema::domain_place_record>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = cpu_share(); _o->cpu_share = _e; }
+  { auto _e = link_mbps(); _o->link_mbps = _e; }
   { auto _e = max_descriptors(); _o->max_descriptors = _e; }
   { auto _e = store(); if (_e) _o->store = std::unique_ptr<barleyfork::schema::store_settings_record>(_e->UnPack(_resolver)); }
   { auto _e = bounds(); if (_e) _o->bounds = std::unique_ptr<barleyfork::schema::bound_settings_record>(_e->UnPack(_resolver)); }
@@ -1030,6 +1046,7 @@
   auto _seeds = _o->seeds.size() ? _fbb.CreateVectorOfStrings(_o->seeds) : 0;
   auto _places = _o->places.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::domain_place>> (_o->places.size(), [](size_t i, _VectorArgs *__va) { return Createdomain_place(*__va->__fbb, __va->__o->places[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _cpu_share = _o->cpu_share;
+  auto _link_mbps = _o->link_mbps;
   auto _max_descriptors = _o->max_descriptors;
   auto _store = _o->store ? Createstore_settings(_fbb, _o->store.get(), _rehasher) : 0;
   auto _bounds = _o->bounds ? Createbound_settings(_fbb, _o->bounds.get(), _rehasher) : 0;
@@ -1049,6 +1066,7 @@
       _seeds,
       _places,
       _cpu_share,
+      _link_mbps,
       _max_descriptors,
       _store,
       _bounds,
--- a/libs/schema/include/barleyfork/schema/peer_generated.h
+++ b/libs/schema/include/barleyfork/schema/peer_generated.h
@@ -993,6 +993,8 @@
   std::vector<barleyfork::schema::outstanding_load> outstanding{};
   std::vector<std::unique_ptr<barleyfork::schema::listed_row_record>> rows{};
   bool list_fresh = false;
+  std::string failure_domain{};
+  bool pass_on = false;
   peer_message_record() = default;
   peer_message_record(const peer_message_record &o);
   peer_message_record(peer_message_record&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1002,7 +1004,8 @@
 /// One gossip message; every kind carries the same news. `epoch` is the
 /// lease epoch of a placement's holder; `body` of a snapshot is the newest
 /// configuration in the store's own form. `rows` are changes of the server
-/// list; `list_fresh` says that the sender read the list just now.
+/// list; `list_fresh` says that the sender read the list just now. A daemon
+/// that is told to `pass_on` sends the message to the others of its domain.
 struct peer_message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef peer_message_record NativeTableType;
   typedef peer_messageBuilder Builder;
@@ -1025,7 +1028,9 @@
     VT_SERVERS = 32,
     VT_OUTSTANDING = 34,
     VT_ROWS = 36,
-    VT_LIST_FRESH = 38
+    VT_LIST_FRESH = 38,
+    VT_FAILURE_DOMAIN = 40,
+    VT_PASS_ON = 42
   };
   barleyfork::schema::message_kind kind() const {
     return static_cast<barleyfork::schema::message_kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -1081,6 +1086,12 @@
   bool list_fresh() const {
     return GetField<uint8_t>(VT_LIST_FRESH, 0) != 0;
   }
+  const flatbuffers::String *failure_domain() const {
+    return GetPointer<const flatbuffers::String *>(VT_FAILURE_DOMAIN);
+  }
+  bool pass_on() const {
+    return GetField<uint8_t>(VT_PASS_ON, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -1121,6 +1132,9 @@
            verifier.VerifyVector(rows()) &&
            verifier.VerifyVectorOfTables(rows()) &&
            VerifyField<uint8_t>(verifier, VT_LIST_FRESH, 1) &&
+           VerifyOffset(verifier, VT_FAILURE_DOMAIN) &&
+           verifier.VerifyString(failure_domain()) &&
+           VerifyField<uint8_t>(verifier, VT_PASS_ON, 1) &&
            verifier.EndTable();
   }
   peer_message_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1186,6 +1200,12 @@
   void add_list_fresh(bool list_fresh) {
     fbb_.AddElement<uint8_t>(peer_message::VT_LIST_FRESH, static_cast<uint8_t>(list_fresh), 0);
   }
+  void add_failure_domain(flatbuffers::Offset<flatbuffers::String> failure_domain) {
+    fbb_.AddOffset(peer_message::VT_FAILURE_DOMAIN, failure_domain);
+  }
+  void add_pass_on(bool pass_on) {
+    fbb_.AddElement<uint8_t>(peer_message::VT_PASS_ON, static_cast<uint8_t>(pass_on), 0);
+  }
   explicit peer_messageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1217,10 +1237,13 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::server_news>>> servers = 0,
     flatbuffers::Offset<flatbuffers::Vector<const barleyfork::schema::outstanding_load *>> outstanding = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::listed_row>>> rows = 0,
-    bool list_fresh = false) {
+    bool list_fresh = false,
+    flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
+    bool pass_on = false) {
   peer_messageBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
   builder_.add_sequence(sequence);
+  builder_.add_failure_domain(failure_domain);
   builder_.add_rows(rows);
   builder_.add_outstanding(outstanding);
   builder_.add_servers(servers);
@@ -1235,6 +1258,7 @@
   builder_.add_configuration(configuration);
   builder_.add_sender(sender);
   builder_.add_port(port);
+  builder_.add_pass_on(pass_on);
   builder_.add_list_fresh(list_fresh);
   builder_.add_kind(kind);
   return builder_.Finish();
@@ -1264,7 +1288,9 @@
     const std::vector<flatbuffers::Offset<barleyfork::schema::server_news>> *servers = nullptr,
     const std::vector<barleyfork::schema::outstanding_load> *outstanding = nullptr,
     const std::vector<flatbuffers::Offset<barleyfork::schema::listed_row>> *rows = nullptr,
-    bool list_fresh = false) {
+    bool list_fresh = false,
+    const char *failure_domain = nullptr,
+    bool pass_on = false) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::member>>(*members) : 0;
   auto quarantine__ = quarantine ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::quarantine_entry>>(*quarantine) : 0;
   auto digest__ = digest ? _fbb.CreateString(digest) : 0;
@@ -1276,6 +1302,7 @@
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::server_news>>(*servers) : 0;
   auto outstanding__ = outstanding ? _fbb.CreateVectorOfStructs<barleyfork::schema::outstanding_load>(*outstanding) : 0;
   auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::listed_row>>(*rows) : 0;
+  auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       kind,
@@ -1295,7 +1322,9 @@
       servers__,
       outstanding__,
       rows__,
-      list_fresh);
+      list_fresh,
+      failure_domain__,
+      pass_on);
 }
 
 flatbuffers::Offset<peer_message> Createpeer_message(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1584,7 +1613,9 @@
         port(o.port),
         epoch(o.epoch),
         outstanding(o.outstanding),
-        list_fresh(o.list_fresh) {
+        list_fresh(o.list_fresh),
+        failure_domain(o.failure_domain),
+        pass_on(o.pass_on) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new barleyfork::schema::member_record(*members_) : nullptr); }
   quarantine.reserve(o.quarantine.size());
@@ -1620,6 +1651,8 @@
   std::swap(outstanding, o.outstanding);
   std::swap(rows, o.rows);
   std::swap(list_fresh, o.list_fresh);
+  std::swap(failure_domain, o.failure_domain);
+  std::swap(pass_on, o.pass_on);
   return *this;
 }
 
@@ -1650,6 +1683,8 @@
   { auto _e = outstanding(); if (_e) { _o->outstanding.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->outstanding[_i] = *_e->Get(_i); } } }
   { auto _e = rows(); if (_e) { _o->rows.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rows[_i] = std::unique_ptr<barleyfork::schema::listed_row_record>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = list_fresh(); _o->list_fresh = _e; }
+  { auto _e = failure_domain(); if (_e) _o->failure_domain = _e->str(); }
+  { auto _e = pass_on(); _o->pass_on = _e; }
 }
 
 inline flatbuffers::Offset<peer_message> peer_message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1678,6 +1713,8 @@
   auto _outstanding = _o->outstanding.size() ? _fbb.CreateVectorOfStructs(_o->outstanding) : 0;
   auto _rows = _o->rows.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::listed_row>> (_o->rows.size(), [](size_t i, _VectorArgs *__va) { return Createlisted_row(*__va->__fbb, __va->__o->rows[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _list_fresh = _o->list_fresh;
+  auto _failure_domain = _o->failure_domain.empty() ? 0 : _fbb.CreateString(_o->failure_domain);
+  auto _pass_on = _o->pass_on;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       _kind,
@@ -1697,7 +1734,9 @@
       _servers,
       _outstanding,
       _rows,
-      _list_fresh);
+      _list_fresh,
+      _failure_domain,
+      _pass_on);
 }
 
 inline const barleyfork::schema::peer_message *Getpeer_message(const void *buf) {
