--- a/libs/core/include/barleyfork/core/placement_controller.hpp
+++ b/libs/core/include/barleyfork/core/placement_controller.hpp
@@ -239,6 +239,7 @@
         /// Adapters whose unload waits for their requests to end.
         std::vector<adapter_key> going;
         bool changed = true;
+        time_point published_at{};
     };
 
     using actions = std::vector<placement_action>;
--- a/libs/core/src/placement_controller.cpp
+++ b/libs/core/src/placement_controller.cpp
@@ -8,7 +8,10 @@
 namespace {
 
 /// Daemons stop sending to a model this long before its unload is ordered.
-constexpr duration closing_time{120};
+constexpr duration closing_time{300};
+/// What an order in progress makes of a server is told again after this,
+/// since the list shows the server as it was.
+constexpr duration repeat_news{1000};
 /// A report is asked for again after this while an order runs.
 constexpr duration probe_pause{200};
 /// The first report after an order without an answer.
@@ -807,8 +810,13 @@
             std::erase_if(server.coming, [now](const auto& coming) {
                 return now >= coming.ready_at;
             });
-        if (server.changed || arrived > 0)
-            changed.push_back(id);
+        const bool in_progress = server.running || !server.closing.empty() ||
+                                 !server.going.empty();
+        const bool due = in_progress && now >= server.published_at + repeat_news;
+        if (!server.changed && arrived == 0 && !due)
+            continue;
+        changed.push_back(id);
+        server.published_at = now;
         server.changed = false;
     }
     return changed;
