--- /dev/null
+++ b/libs/core/tests/gateway_parts_test.cpp
@@ -0,0 +1,313 @@
+/// The small decisions of the gateway: routes, the directory of servers, the
+/// shared retry budget, loads and the choice of a server, late renewals.
+
+#include <barleyfork/core/backend_directory.hpp>
+#include <barleyfork/core/backend_loads.hpp>
+#include <barleyfork/core/gateway_configuration.hpp>
+#include <barleyfork/core/lease.hpp>
+#include <barleyfork/core/pace_estimator.hpp>
+#include <barleyfork/core/server_choice.hpp>
+#include <barleyfork/core/shared_retry_budget.hpp>
+#include <barleyfork/testing/property.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace barleyfork {
+
+namespace {
+
+constexpr time_point start{duration{100000}};
+
+gateway_route make_route(const char* host, const char* prefix)
+{
+    gateway_route route;
+    route.name = prefix;
+    route.host = host;
+    route.prefix = prefix;
+    return route;
+}
+
+backend_entry make_entry(const char* id, const char* model)
+{
+    backend_entry entry;
+    entry.id = server_id(id);
+    entry.held.started_ms = 1;
+    entry.held.models.push_back({model_id(model), true, {"a1"}});
+    return entry;
+}
+
+server_candidate make_candidate(const char* id, distance away)
+{
+    server_candidate candidate;
+    candidate.server = server_id(id);
+    candidate.away = away;
+    return candidate;
+}
+
+} // namespace
+
+class gateway_parts_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(gateway_parts_test);
+    CPPUNIT_TEST(the_longest_prefix_of_the_host_wins);
+    CPPUNIT_TEST(shares_follow_their_weights);
+    CPPUNIT_TEST(a_vanished_server_is_awaited_only_after_an_outage);
+    CPPUNIT_TEST(the_holders_word_stands_until_the_list_caught_up);
+    CPPUNIT_TEST(older_news_of_the_holder_is_ignored);
+    CPPUNIT_TEST(a_refused_model_is_left_alone_for_a_while);
+    CPPUNIT_TEST(a_misdirected_server_waits_for_a_new_process);
+    CPPUNIT_TEST(retries_stay_within_every_window);
+    CPPUNIT_TEST(less_urgent_work_does_not_count);
+    CPPUNIT_TEST(peers_work_counts_once);
+    CPPUNIT_TEST(a_failing_server_comes_last);
+    CPPUNIT_TEST(near_servers_come_first_until_they_are_full);
+    CPPUNIT_TEST(the_pace_is_learned);
+    CPPUNIT_TEST(a_late_renewal_is_as_old_as_its_sending);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void the_longest_prefix_of_the_host_wins()
+    {
+        gateway_configuration configuration;
+        configuration.routes = {make_route("a.example", "/x/"),
+                                make_route("a.example", "/x/y/"),
+                                make_route("b.example", "/x/y/z/")};
+        const auto* found =
+            match_route(configuration, "A.example:80", "/x/y/z/1");
+        CPPUNIT_ASSERT(found != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::string("/x/y/"), found->prefix);
+        CPPUNIT_ASSERT(match_route(configuration, "a.example", "/xy/") ==
+                       nullptr);
+        CPPUNIT_ASSERT(match_route(configuration, "c.example", "/x/") ==
+                       nullptr);
+    }
+
+    void shares_follow_their_weights()
+    {
+        auto route = make_route("a", "/");
+        route.services = {{service_id("p"), 90}, {service_id("q"), 10}};
+        CPPUNIT_ASSERT_EQUAL(std::string("p"),
+                             choose_service(route, 89)->value());
+        CPPUNIT_ASSERT_EQUAL(std::string("q"),
+                             choose_service(route, 199)->value());
+        route.services.clear();
+        CPPUNIT_ASSERT(choose_service(route, 1) == nullptr);
+    }
+
+    void a_vanished_server_is_awaited_only_after_an_outage()
+    {
+        backend_directory directory;
+        directory.update(make_entry("s", "m"));
+        directory.remove(server_id("s"), start);
+        CPPUNIT_ASSERT(directory.find(server_id("s")) == nullptr);
+
+        directory.update(make_entry("s", "m"));
+        directory.set_store_reachable(false, start);
+        directory.remove(server_id("s"), start);
+        directory.set_store_reachable(true, start + duration{500});
+        CPPUNIT_ASSERT(directory.expire(start + duration{1000}).empty());
+        CPPUNIT_ASSERT(directory.find(server_id("s")) != nullptr);
+        const auto later =
+            start + duration{500} + backend_directory::outage_patience;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.expire(later).size());
+    }
+
+    void the_holders_word_stands_until_the_list_caught_up()
+    {
+        backend_directory directory;
+        directory.set_list_lag(duration{2500});
+        directory.update(make_entry("s", "m"));
+        held_state held;
+        held.started_ms = 1;
+        held.models.push_back({model_id("n"), true, {}});
+        CPPUNIT_ASSERT(
+            directory.learn(server_id("s"), held, {1, 1}, start));
+        directory.update(make_entry("s", "m"));
+        const auto* state = directory.find(server_id("s"));
+        CPPUNIT_ASSERT(holds(*state, "n", start) == holding::all);
+        CPPUNIT_ASSERT(holds(*state, "m", start) == holding::none);
+        const auto later = start + duration{2500};
+        CPPUNIT_ASSERT(holds(*state, "m", later) == holding::all);
+    }
+
+    void older_news_of_the_holder_is_ignored()
+    {
+        backend_directory directory;
+        directory.update(make_entry("s", "m"));
+        CPPUNIT_ASSERT(directory.learn(server_id("s"), {}, {2, 5}, start));
+        CPPUNIT_ASSERT(!directory.learn(server_id("s"), {}, {2, 4}, start));
+        CPPUNIT_ASSERT(!directory.learn(server_id("s"), {}, {1, 9}, start));
+        CPPUNIT_ASSERT(directory.learn(server_id("s"), {}, {3, 1}, start));
+    }
+
+    void a_refused_model_is_left_alone_for_a_while()
+    {
+        backend_directory directory;
+        directory.update(make_entry("s", "m"));
+        directory.not_held(server_id("s"), model_id("m"), "a1", start);
+        const auto* state = directory.find(server_id("s"));
+        const auto with_adapter = [state](time_point now) {
+            return backend_directory::holds(*state, model_id("m"), "a1", now);
+        };
+        CPPUNIT_ASSERT(with_adapter(start) == holding::model_only);
+        CPPUNIT_ASSERT(holds(*state, "m", start) == holding::all);
+        CPPUNIT_ASSERT(with_adapter(start + backend_directory::refusal_life) ==
+                       holding::all);
+    }
+
+    void a_misdirected_server_waits_for_a_new_process()
+    {
+        backend_directory directory;
+        directory.update(make_entry("s", "m"));
+        directory.misdirected(server_id("s"));
+        directory.update(make_entry("s", "m"));
+        CPPUNIT_ASSERT(!directory.find(server_id("s"))->usable());
+        auto entry = make_entry("s", "m");
+        entry.held.started_ms = 2;
+        directory.update(entry);
+        CPPUNIT_ASSERT(directory.find(server_id("s"))->usable());
+    }
+
+    /// Whatever the order of sends, each window that ends at a repeat holds
+    /// at most its ratio and the daemon's share.
+    void retries_stay_within_every_window()
+    {
+        testing::check_property("retries stay within every window", 300, [] {
+            constexpr std::size_t daemons = 4;
+            const shared_retry_limits limits{0.2, duration{1000}, 16.0};
+            shared_retry_budget budget(limits);
+            budget.set_daemons(daemons);
+            std::vector<time_point> firsts;
+            std::vector<time_point> repeats;
+            auto now = start;
+            const auto steps = *rc::gen::container<std::vector<int>>(
+                rc::gen::inRange(0, 120));
+            for (const int step : steps) {
+                now += duration(step);
+                if (step % 3 == 0) {
+                    budget.on_first_send(now);
+                    firsts.push_back(now);
+                }
+                else if (budget.available(now)) {
+                    budget.on_repeat(now);
+                    repeats.push_back(now);
+                }
+                const auto within = [now, &limits](const auto& times) {
+                    return std::count_if(
+                        times.begin(), times.end(), [&](time_point at) {
+                            return at > now - limits.window;
+                        });
+                };
+                const double allowed =
+                    limits.ratio * static_cast<double>(within(firsts)) +
+                    limits.slack / daemons;
+                RC_ASSERT(static_cast<double>(within(repeats)) <=
+                          allowed + limits.ratio);
+            }
+        });
+    }
+
+    void less_urgent_work_does_not_count()
+    {
+        backend_loads loads;
+        const server_id server("s");
+        loads.begin(server, 1000, 2, start);
+        loads.begin(server, 500, 0, start);
+        const auto later = start + duration{50};
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{500},
+                             loads.view(server, 0, later).own_waiting_tokens);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1500},
+                             loads.view(server, 2, later).own_waiting_tokens);
+    }
+
+    void peers_work_counts_once()
+    {
+        backend_loads loads;
+        const server_id server("s");
+        loads.begin(server, 1000, 0, start);
+        const peer_work all{server_hash(server), 3, 2500};
+        const auto others = loads.without_own({&all, 1});
+        loads.on_peer_work(instance_id("all"), others, start);
+        const auto view = loads.view(server, 0, start);
+        CPPUNIT_ASSERT_EQUAL(2U, view.peer_outstanding);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1500}, view.peer_tokens);
+        const auto stale = loads.view(server, 0, start + duration{5000});
+        CPPUNIT_ASSERT_EQUAL(0U, stale.peer_outstanding);
+    }
+
+    void a_failing_server_comes_last()
+    {
+        backend_loads loads;
+        const server_id server("bad");
+        for (int i = 0; i < 3; ++i)
+            loads.end(server,
+                      loads.begin(server, 0, 0, start),
+                      load_end::failed,
+                      start);
+        std::vector<server_candidate> candidates{
+            make_candidate("bad", distance::same_domain),
+            make_candidate("good", distance::other_region)};
+        candidates[0].load = loads.view(server, 0, start);
+        const auto chosen = choose_plain_server(candidates, 30.0, 0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, *chosen);
+        candidates[0].load = loads.view(server, 0, start + duration{60000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                             *choose_plain_server(candidates, 30.0, 0));
+    }
+
+    void near_servers_come_first_until_they_are_full()
+    {
+        std::vector<server_candidate> candidates{
+            make_candidate("near", distance::same_domain),
+            make_candidate("far", distance::other_region)};
+        const engine_work work{1000, 0.05, 30.0};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                             *choose_engine(candidates, work, 1));
+        candidates[0].load.own_waiting_tokens = 20000;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             *choose_engine(candidates, work, 1));
+        CPPUNIT_ASSERT(!choose_engine({}, work, 1));
+    }
+
+    void the_pace_is_learned()
+    {
+        pace_estimator pace;
+        constexpr int samples = 60;
+        for (int i = 1; i <= samples; ++i) {
+            const std::uint64_t tokens = 100U * static_cast<unsigned>(i % 20);
+            pace.observe(tokens, duration(50 + tokens / 50));
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.02, pace.ms_per_token(), 0.002);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(50.0, pace.base_ms(), 5.0);
+    }
+
+    /// A renewal that was held up on its way must not make its dead sender
+    /// look alive for another term.
+    void a_late_renewal_is_as_old_as_its_sending()
+    {
+        lease_options options;
+        options.term = duration{5000};
+        lease candidate(instance_id("b"), options);
+        candidate.observe({instance_id("a"), 3, "w1"}, 10, start);
+        const auto later = start + duration{4000};
+        candidate.observe(
+            {instance_id("a"), 3, "w2"}, 11, later, duration{3800});
+        CPPUNIT_ASSERT(!candidate.next_write(true, "x", later));
+        const auto end = start + duration{5200};
+        CPPUNIT_ASSERT(candidate.expires_at() == end);
+        const auto row = candidate.next_write(true, "x", end);
+        CPPUNIT_ASSERT(row.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, row->epoch);
+    }
+
+private:
+    static holding
+    holds(const backend_state& state, const char* model, time_point now)
+    {
+        return backend_directory::holds(state, model_id(model), "", now);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gateway_parts_test);
+
+} // namespace barleyfork
