--- a/libs/base/src/log.cpp
+++ b/libs/base/src/log.cpp
@@ -60,7 +60,8 @@
     {
         std::ostringstream line;
         layout->formatAndAppend(line, event);
-        writer_.push(line.str(), event.getLogLevel() >= log4cplus::WARN_LOG_LEVEL);
+        writer_.push(line.str(),
+                     event.getLogLevel() >= log4cplus::WARN_LOG_LEVEL);
     }
 
 private:
--- a/libs/core/include/barleyfork/core/backend_loads.hpp
+++ b/libs/core/include/barleyfork/core/backend_loads.hpp
@@ -99,9 +99,8 @@
 
     /// The load as a request of `priority` meets it: what is less urgent and
     /// still waits makes way for it.
-    load_view view(const server_id& server,
-                   std::uint32_t priority,
-                   time_point now) const;
+    load_view
+    view(const server_id& server, std::uint32_t priority, time_point now) const;
 
     /// What all daemons have outstanding, by their news and this one's own.
     std::vector<peer_work> all_work(time_point now) const;
--- a/libs/core/include/barleyfork/core/placement_controller.hpp
+++ b/libs/core/include/barleyfork/core/placement_controller.hpp
@@ -149,9 +149,8 @@
                    engine_answer answer,
                    time_point now);
 
-    void on_report(const server_id& server,
-                   const engine_word& word,
-                   time_point now);
+    void
+    on_report(const server_id& server, const engine_word& word, time_point now);
 
     /// What a server holds, for daemons; null where it is not known. Models
     /// that are to go are not ready any more.
@@ -258,9 +257,8 @@
     std::uint32_t load_budget(time_point now);
     void settle(engine_server& server, time_point now);
     void adopt(engine_server& server, const held_state& held, time_point now);
-    void begin_anew(engine_server& server,
-                    const held_state& held,
-                    time_point now);
+    void
+    begin_anew(engine_server& server, const held_state& held, time_point now);
 
     planner_input make_input(time_point now);
     planner_server make_server(const server_id& id,
@@ -280,9 +278,7 @@
     bool place_adapter(const adapter_key& key, time_point now, actions& out);
     bool takes_adapter_orders(const engine_server& server,
                               const model_id& model) const;
-    bool make_adapter_room(const model_id& model,
-                           time_point now,
-                           actions& out);
+    bool make_adapter_room(const model_id& model, time_point now, actions& out);
     std::optional<std::pair<adapter_key, time_point>>
     oldest_adapter(const engine_server& server) const;
     void order(const server_id& id,
--- a/libs/core/src/backend_directory.cpp
+++ b/libs/core/src/backend_directory.cpp
@@ -48,8 +48,8 @@
     auto& state = servers_[entry.id];
     const bool new_process =
         state.entry.held.started_ms != entry.held.started_ms;
-    const bool moved = state.entry.address != entry.address ||
-                       state.entry.port != entry.port;
+    const bool moved =
+        state.entry.address != entry.address || state.entry.port != entry.port;
     state.entry = entry;
     state.missing_since.reset();
     if (new_process || moved)
--- a/libs/core/src/pace_estimator.cpp
+++ b/libs/core/src/pace_estimator.cpp
@@ -31,8 +31,7 @@
         return;
     const double slope = (weight_ * sum_xy_ - sum_x_ * sum_y_) / spread;
     slope_ = std::clamp(slope, least_slope, largest_slope);
-    base_ = std::clamp(
-        (sum_y_ - slope_ * sum_x_) / weight_, 0.0, largest_base);
+    base_ = std::clamp((sum_y_ - slope_ * sum_x_) / weight_, 0.0, largest_base);
 }
 
 } // namespace barleyfork
--- a/libs/core/src/placement_controller.cpp
+++ b/libs/core/src/placement_controller.cpp
@@ -224,10 +224,9 @@
 bool placement_controller::is_closing(const engine_server& server,
                                       const model_id& model)
 {
-    return std::any_of(
-        server.closing.begin(), server.closing.end(), [&](const auto& going) {
-            return going.model == model;
-        });
+    return std::any_of(server.closing.begin(),
+                       server.closing.end(),
+                       [&](const auto& going) { return going.model == model; });
 }
 
 bool placement_controller::takes_load(const engine_server& server,
@@ -249,8 +248,7 @@
 bool placement_controller::is_at_hand(const engine_server& server,
                                       const model_id& model) const
 {
-    return contains(server.in_memory, model) ||
-           contains(server.on_disk, model);
+    return contains(server.in_memory, model) || contains(server.on_disk, model);
 }
 
 duration placement_controller::load_time(const engine_server& server,
@@ -268,8 +266,8 @@
 
 std::size_t placement_controller::store_loads_running() const
 {
-    return static_cast<std::size_t>(std::count_if(
-        servers_.begin(), servers_.end(), [](const auto& item) {
+    return static_cast<std::size_t>(
+        std::count_if(servers_.begin(), servers_.end(), [](const auto& item) {
             return item.second.running && item.second.running->from_store;
         }));
 }
@@ -289,9 +287,9 @@
     const auto in_window = static_cast<double>(store_loads_.size());
     double longest_s = 0.0;
     for (const auto& model : engine_.models)
-        longest_s = std::max(
-            longest_s,
-            static_cast<double>(model.load_time.count()) / ms_per_second);
+        longest_s = std::max(longest_s,
+                             static_cast<double>(model.load_time.count()) /
+                                 ms_per_second);
     const double at_once =
         std::max(1.0, std::ceil(engine_.loads_per_second * longest_s));
     const double left =
@@ -367,8 +365,7 @@
     for (const auto& declared : engine_.models) {
         demand_options halves;
         halves.fast_half_life = demand_half_life;
-        auto& demand =
-            demand_.try_emplace(declared.id, halves).first->second;
+        auto& demand = demand_.try_emplace(declared.id, halves).first->second;
         demand.observe(work_[declared.id] / std::max(elapsed_s, 0.05), now);
         planner_model model;
         model.id = declared.id;
@@ -490,10 +487,8 @@
                                  actions& out)
 {
     server.awaiting_answer = true;
-    out.push_back({placement_action::what::order,
-                   id,
-                   std::move(command),
-                   reason});
+    out.push_back(
+        {placement_action::what::order, id, std::move(command), reason});
 }
 
 void placement_controller::collect_closings(time_point now, actions& out)
@@ -714,8 +709,8 @@
     running_order running;
     running.command = command;
     running.sequence = command.expected_sequence + 1;
-    running.from_store = command.kind == order_kind::load &&
-                         !is_at_hand(server, command.model);
+    running.from_store =
+        command.kind == order_kind::load && !is_at_hand(server, command.model);
     running.probe_at = now + report_lag;
     if (command.kind == order_kind::load)
         running.probe_at += load_time(server, command.model);
@@ -778,8 +773,8 @@
         server.probe_at = now + first_probe;
 }
 
-std::optional<held_state>
-placement_controller::published(const server_id& id, time_point now) const
+std::optional<held_state> placement_controller::published(const server_id& id,
+                                                          time_point now) const
 {
     const auto found = servers_.find(id);
     if (found == servers_.end())
@@ -810,9 +805,10 @@
             std::erase_if(server.coming, [now](const auto& coming) {
                 return now >= coming.ready_at;
             });
-        const bool in_progress = server.running || !server.closing.empty() ||
-                                 !server.going.empty();
-        const bool due = in_progress && now >= server.published_at + repeat_news;
+        const bool in_progress =
+            server.running || !server.closing.empty() || !server.going.empty();
+        const bool due =
+            in_progress && now >= server.published_at + repeat_news;
         if (!server.changed && arrived == 0 && !due)
             continue;
         changed.push_back(id);
--- a/libs/core/src/placement_round.cpp
+++ b/libs/core/src/placement_round.cpp
@@ -327,12 +327,11 @@
         ranked.emplace_back(cost, std::move(choice));
     }
     const auto kept = std::min(ranked.size(), weighed_servers);
-    std::partial_sort(ranked.begin(),
-                      ranked.begin() + static_cast<std::ptrdiff_t>(kept),
-                      ranked.end(),
-                      [](const auto& x, const auto& y) {
-                          return x.first < y.first;
-                      });
+    std::partial_sort(
+        ranked.begin(),
+        ranked.begin() + static_cast<std::ptrdiff_t>(kept),
+        ranked.end(),
+        [](const auto& x, const auto& y) { return x.first < y.first; });
     std::vector<load_choice> choices;
     for (std::size_t i = 0; i < kept; ++i)
         choices.push_back(std::move(ranked[i].second));
--- a/libs/core/src/server_choice.cpp
+++ b/libs/core/src/server_choice.cpp
@@ -42,10 +42,8 @@
 }
 
 template <typename Cost>
-std::optional<std::size_t>
-choose_cheapest(std::span<const server_candidate> candidates,
-                Cost cost,
-                std::uint64_t draw)
+std::optional<std::size_t> choose_cheapest(
+    std::span<const server_candidate> candidates, Cost cost, std::uint64_t draw)
 {
     std::optional<std::size_t> best;
     double best_cost = 0.0;
@@ -75,10 +73,9 @@
     const double queue_ms = std::max(known, reported) * work.ms_per_token;
     const double waited = static_cast<double>(load.oldest_wait.count());
     const double running =
-        running_ms *
-        static_cast<double>(std::max(load.reported_running,
-                                     load.own_outstanding +
-                                         load.peer_outstanding));
+        running_ms * static_cast<double>(std::max(load.reported_running,
+                                                  load.own_outstanding +
+                                                      load.peer_outstanding));
     const double own =
         static_cast<double>(work.prompt_tokens) * work.ms_per_token;
     return work.base_ms + own + running + std::max(queue_ms, waited - own);
--- a/libs/core/tests/gateway_parts_test.cpp
+++ b/libs/core/tests/gateway_parts_test.cpp
@@ -120,8 +120,7 @@
         held_state held;
         held.started_ms = 1;
         held.models.push_back({model_id("n"), true, {}});
-        CPPUNIT_ASSERT(
-            directory.learn(server_id("s"), held, {1, 1}, start));
+        CPPUNIT_ASSERT(directory.learn(server_id("s"), held, {1, 1}, start));
         directory.update(make_entry("s", "m"));
         const auto* state = directory.find(server_id("s"));
         CPPUNIT_ASSERT(holds(*state, "n", start) == holding::all);
@@ -180,8 +179,8 @@
             std::vector<time_point> firsts;
             std::vector<time_point> repeats;
             auto now = start;
-            const auto steps = *rc::gen::container<std::vector<int>>(
-                rc::gen::inRange(0, 120));
+            const auto steps =
+                *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 120));
             for (const int step : steps) {
                 now += duration(step);
                 if (step % 3 == 0) {
--- a/libs/core/tests/placement_controller_property_test.cpp
+++ b/libs/core/tests/placement_controller_property_test.cpp
@@ -102,9 +102,8 @@
         held_state state;
         state.started_ms = started_ms;
         for (const auto& [model, adapters] : models)
-            state.models.push_back({model_id(model),
-                                    true,
-                                    {adapters.begin(), adapters.end()}});
+            state.models.push_back(
+                {model_id(model), true, {adapters.begin(), adapters.end()}});
         return state;
     }
 };
@@ -145,8 +144,7 @@
 class controller_world
 {
 public:
-    controller_world()
-        : controller_(make_engine(), placement_options{}, now_)
+    controller_world() : controller_(make_engine(), placement_options{}, now_)
     {
         for (int s = 0; s < server_count; ++s) {
             auto& engine = engines_[server_name(s)];
@@ -163,24 +161,40 @@
         const model_id model(model_name(step.first));
         const std::string adapter = "a" + std::to_string(step.first % 4);
         switch (step.action) {
-        case act::tick: tick(false, false); break;
-        case act::tick_losing_answers: tick(true, false); break;
-        case act::tick_losing_orders: tick(true, true); break;
-        case act::finish: engine.finish_running(); break;
-        case act::ask_model: controller_.add_demand(model, 2.0); break;
+        case act::tick:
+            tick(false, false);
+            break;
+        case act::tick_losing_answers:
+            tick(true, false);
+            break;
+        case act::tick_losing_orders:
+            tick(true, true);
+            break;
+        case act::finish:
+            engine.finish_running();
+            break;
+        case act::ask_model:
+            controller_.add_demand(model, 2.0);
+            break;
         case act::ask_adapter:
             controller_.need_adapter(model, adapter, now_);
             break;
         case act::use_adapters:
             engine.in_use = {"a0", "a1", "a2", "a3"};
             break;
-        case act::release_adapters: release(engine); break;
-        case act::run_late_order: run_late(engine); break;
+        case act::release_adapters:
+            release(engine);
+            break;
+        case act::run_late_order:
+            run_late(engine);
+            break;
         case act::refresh_list:
             for (const auto& [id, known] : engines_)
                 listed_[id] = known.held();
             break;
-        case act::restart: restart(engine); break;
+        case act::restart:
+            restart(engine);
+            break;
         }
         for (const auto& [id, known] : engines_)
             RC_ASSERT(!known.crashed);
--- a/libs/daemon/src/apply_coordinator.cpp
+++ b/libs/daemon/src/apply_coordinator.cpp
@@ -5,9 +5,9 @@
 #include <barleyfork/base/log.hpp>
 #include <barleyfork/core/admission.hpp>
 #include <barleyfork/net/ask.hpp>
-#include <barleyfork/store/row_codec.hpp>
 #include <barleyfork/schema/deployment_delta.hpp>
 #include <barleyfork/schema/toml_reader.hpp>
+#include <barleyfork/store/row_codec.hpp>
 
 #include <boost/json.hpp>
 #include <iomanip>
--- a/libs/daemon/src/daemon.cpp
+++ b/libs/daemon/src/daemon.cpp
@@ -159,16 +159,16 @@
 void daemon::state::listen_peers()
 {
     const auto& address = *context.settings.peer_listen;
-    peers.emplace(
-        context.peer,
-        address.address,
-        context.settings.peer->secret,
-        [this](schema::peer_message_record message) {
-            auto shared = std::make_shared<schema::peer_message_record>(
-                std::move(message));
-            context.control.try_post(
-                [this, shared] { decisions->on_message(*shared); });
-        });
+    peers.emplace(context.peer,
+                  address.address,
+                  context.settings.peer->secret,
+                  [this](schema::peer_message_record message) {
+                      auto shared =
+                          std::make_shared<schema::peer_message_record>(
+                              std::move(message));
+                      context.control.try_post(
+                          [this, shared] { decisions->on_message(*shared); });
+                  });
     peer_port = peers->listen(address.address, address.port);
 }
 
--- a/libs/gateway/include/barleyfork/gateway/row_store.hpp
+++ b/libs/gateway/include/barleyfork/gateway/row_store.hpp
@@ -61,7 +61,8 @@
     virtual ~row_store() = default;
 
     /// All rows of a table.
-    virtual boost::asio::awaitable<store_read> read_table(std::string table) = 0;
+    virtual boost::asio::awaitable<store_read>
+    read_table(std::string table) = 0;
 
     /// One row; `rows` is empty where it does not exist.
     virtual boost::asio::awaitable<store_read> read_row(std::string table,
--- a/libs/gateway/src/backend_connection.cpp
+++ b/libs/gateway/src/backend_connection.cpp
@@ -70,9 +70,8 @@
         self->connect_timer_ = 0;
         self->on_connected(asio::error::timed_out);
     });
-    socket_.async_connect(target_, [self](const auto& error) {
-        self->on_connected(error);
-    });
+    socket_.async_connect(
+        target_, [self](const auto& error) { self->on_connected(error); });
 }
 
 void backend_connection::on_connected(const boost::system::error_code& error)
@@ -144,7 +143,8 @@
     // orderly end.
     beast::error_code ended;
     if (error == asio::error::eof && parser_ && parser_->is_header_done() &&
-        parser_->need_eof()) {
+        parser_->need_eof())
+    {
         parser_->put_eof(ended);
         if (!ended && parser_->is_done() && !stray_) {
             doubtful_ = true;
@@ -230,8 +230,8 @@
         start_parser();
         return;
     }
-    const bool kept = parser_->keep_alive() && !doubtful_ && written_ &&
-                      unread_.empty();
+    const bool kept =
+        parser_->keep_alive() && !doubtful_ && written_ && unread_.empty();
     doubtful_ = !kept;
     finish(exchange_end::whole);
 }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -74,9 +74,8 @@
           std::string file,
           platform_port platform)
         : context(std::move(settings), std::move(platform)),
-          settings_file(std::move(file)), watch(context),
-          news(context, watch), placement(context, watch, news),
-          acceptor(context.serving.executor()),
+          settings_file(std::move(file)), watch(context), news(context, watch),
+          placement(context, watch, news), acceptor(context.serving.executor()),
           signals(context.serving.executor(), SIGTERM, SIGINT, SIGHUP)
     {
     }
@@ -139,10 +138,11 @@
 
 void gateway::state::spawn_loops()
 {
-    news.on_demand([this](const auto& message) {
-        placement.on_demand(message);
-    });
-    context.on_need = [this] { news.send_demand(); };
+    news.on_demand(
+        [this](const auto& message) { placement.on_demand(message); });
+    context.on_need = [this] {
+        news.send_demand();
+    };
     auto& duty = context.serving;
     duty.spawn(accept_loop());
     duty.spawn(signal_loop());
@@ -156,10 +156,10 @@
 
 asio::awaitable<void> gateway::state::accept_loop()
 {
-    const auto most = context.settings.max_descriptors > reserved_descriptors
-                          ? context.settings.max_descriptors -
-                                reserved_descriptors
-                          : context.settings.max_descriptors / 2;
+    const auto most =
+        context.settings.max_descriptors > reserved_descriptors
+            ? context.settings.max_descriptors - reserved_descriptors
+            : context.settings.max_descriptors / 2;
     for (;;) {
         auto [error, socket] = co_await acceptor.async_accept(as_result);
         if (error == asio::error::operation_aborted)
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -161,8 +161,7 @@
 bool gateway_call::for_engine() const
 {
     const auto* declared = service();
-    return declared != nullptr && declared->engine &&
-           !facts_.model.empty();
+    return declared != nullptr && declared->engine && !facts_.model.empty();
 }
 
 engine_work gateway_call::work() const
@@ -240,13 +239,12 @@
     const auto draw = context_.random();
     const auto times = context_.service_times.find(service_);
     const auto index =
-        for_engine()
-            ? choose_engine(found, work(), draw)
-            : choose_plain_server(found,
-                                  times == context_.service_times.end()
-                                      ? assumed_service_ms
-                                      : times->second,
-                                  draw);
+        for_engine() ? choose_engine(found, work(), draw)
+                     : choose_plain_server(found,
+                                           times == context_.service_times.end()
+                                               ? assumed_service_ms
+                                               : times->second,
+                                           draw);
     if (!index)
         return std::nullopt;
     const auto& picked = found[*index];
@@ -302,8 +300,11 @@
     case outlook::hopeless:
         refuse(errc::overloaded, return_time());
         return;
-    case outlook::wait: wait(lack::no_room, now); return;
-    case outlook::send: break;
+    case outlook::wait:
+        wait(lack::no_room, now);
+        return;
+    case outlook::send:
+        break;
     }
     stop_waiting();
     start_attempt(*chosen, now);
@@ -326,12 +327,10 @@
 {
     attempt_.emplace();
     attempt_->server = chosen.server;
-    const auto load =
-        context_.loads.view(chosen.server, route_->priority, now);
+    const auto load = context_.loads.view(chosen.server, route_->priority, now);
     attempt_->tokens_ahead = load.own_waiting_tokens + facts_.prompt_tokens;
-    attempt_->ticket =
-        context_.loads.begin(
-            chosen.server, facts_.prompt_tokens, route_->priority, now);
+    attempt_->ticket = context_.loads.begin(
+        chosen.server, facts_.prompt_tokens, route_->priority, now);
     attempt_->connection =
         context_.pool.acquire(chosen.target, route_->repeatable(), now);
     ++tried_[chosen.server];
@@ -376,8 +375,8 @@
 {
     if (!route_->repeatable() || delivering_)
         return;
-    const auto expected = static_cast<std::int64_t>(
-        patience_factor * chosen.expected_ms);
+    const auto expected =
+        static_cast<std::int64_t>(patience_factor * chosen.expected_ms);
     const auto patience = std::max(duration(expected), route_->latency_target);
     const auto self = shared_from_this();
     patience_timer_ = context_.timers.add(now + patience, [self] {
@@ -395,10 +394,8 @@
     const auto others = candidates(now, why);
     const bool untried = std::any_of(
         others.begin(), others.end(), [](const auto& c) { return !c.tried; });
-    const bool may_run_again =
-        runs_ + 1 < static_cast<int>(route_->max_runs);
-    if (!untried || !may_run_again ||
-        !context_.budget(service_).available(now))
+    const bool may_run_again = runs_ + 1 < static_cast<int>(route_->max_runs);
+    if (!untried || !may_run_again || !context_.budget(service_).available(now))
         return;
     log_event(log_level::warn, "server_too_slow")
         .with("request", facts_.try_id)
@@ -422,8 +419,7 @@
     if (why == lack::no_room)
         patience = std::min(patience, route_->latency_target);
     else if (route_->latency_target.count() > 0)
-        patience =
-            std::min(patience, wait_targets * route_->latency_target);
+        patience = std::min(patience, wait_targets * route_->latency_target);
     log_event(log_level::info, "request_waits")
         .with("request", facts_.try_id)
         .with("model", facts_.model.value())
@@ -432,7 +428,9 @@
         .with("patience_ms", patience.count());
     const auto self = shared_from_this();
     waiting_key_ = {route_->priority, ++context_.waits};
-    context_.waiting[waiting_key_] = [self] { self->dispatch(); };
+    context_.waiting[waiting_key_] = [self] {
+        self->dispatch();
+    };
     wait_timer_ = context_.timers.add(now + patience, [self] {
         self->wait_timer_ = 0;
         self->refuse(errc::no_replica, self->return_time());
@@ -463,10 +461,8 @@
     }
     const auto now = steady_now();
     if (facts.load)
-        context_.loads.reported(attempt_->server,
-                                facts.load->running,
-                                facts.load->waiting,
-                                now);
+        context_.loads.reported(
+            attempt_->server, facts.load->running, facts.load->waiting, now);
     attempt_->head = head;
     attempt_->facts = std::move(facts);
     attempt_->streams = route_->kind == call_kind::stream &&
@@ -531,8 +527,7 @@
     context_.measures.record_first_event(
         static_cast<double>((steady_now() - received_at_).count()));
     answer_head head = *attempt_->head;
-    head.headers =
-        end_to_end_headers(head.headers, *context_.platform.codec);
+    head.headers = end_to_end_headers(head.headers, *context_.platform.codec);
     caller_->begin_stream(head);
 }
 
@@ -546,8 +541,7 @@
 bool gateway_call::is_failure_to_repeat() const
 {
     constexpr unsigned first_failure = 500;
-    return route_->repeatable() &&
-           attempt_->head->status >= first_failure;
+    return route_->repeatable() && attempt_->head->status >= first_failure;
 }
 
 attempt_end gateway_call::classify(exchange_end end) const
@@ -601,18 +595,17 @@
             .with("request", facts_.try_id)
             .with("server", attempt_->server.value())
             .with("end", static_cast<std::int64_t>(end))
-            .with("status",
-                  attempt_->head ? attempt_->head->status : 0)
+            .with("status", attempt_->head ? attempt_->head->status : 0)
             .with("after_ms",
                   attempt_->sending ? (now - attempt_->sent_at).count() : 0);
         return;
     }
     if (for_engine() || route_->kind == call_kind::stream)
         return;
-    auto& time = context_.service_times.try_emplace(service_, assumed_service_ms)
-                     .first->second;
-    const auto sample =
-        static_cast<double>((now - attempt_->sent_at).count());
+    auto& time =
+        context_.service_times.try_emplace(service_, assumed_service_ms)
+            .first->second;
+    const auto sample = static_cast<double>((now - attempt_->sent_at).count());
     time += time_weight * (sample - time);
 }
 
@@ -636,8 +629,7 @@
         runs_ < static_cast<int>(std::max(route_->max_runs, 1U));
     const bool room = may_run && (end == attempt_end::not_sent ||
                                   context_.budget(service_).available(now));
-    const auto step =
-        progress_->after_attempt(end, delivering_, room, now);
+    const auto step = progress_->after_attempt(end, delivering_, room, now);
     switch (step) {
     case next_step::finish:
         if (attempt_->streams)
@@ -689,8 +681,7 @@
     context_.measures.record_first_event(
         static_cast<double>((steady_now() - received_at_).count()));
     answer_head head = *attempt_->head;
-    head.headers =
-        end_to_end_headers(head.headers, *context_.platform.codec);
+    head.headers = end_to_end_headers(head.headers, *context_.platform.codec);
     const std::string body = std::move(attempt_->body);
     const auto caller = caller_;
     finish(errc::ok);
@@ -738,8 +729,8 @@
 /// together.
 duration gateway_call::return_time()
 {
-    std::uniform_int_distribution<std::int64_t> spread(
-        shortest_return.count(), longest_return.count());
+    std::uniform_int_distribution<std::int64_t> spread(shortest_return.count(),
+                                                       longest_return.count());
     return duration(spread(context_.random));
 }
 
@@ -755,8 +746,8 @@
     const bool ran = progress_ && progress_->may_have_run();
     const auto told =
         ran && kind != errc::timeout ? errc::outcome_unknown : kind;
-    const auto answer = make_own_answer(
-        told, facts_.try_id, ran ? std::nullopt : retry_after);
+    const auto answer =
+        make_own_answer(told, facts_.try_id, ran ? std::nullopt : retry_after);
     const auto caller = caller_;
     finish(told);
     if (caller)
--- a/libs/gateway/src/gateway_context.cpp
+++ b/libs/gateway/src/gateway_context.cpp
@@ -17,8 +17,8 @@
     if (place.value() == settings.failure_domain)
         return distance::same_domain;
     const auto found = regions_.find(place);
-    const bool same_region = found != regions_.end() &&
-                             found->second.value() == settings.region;
+    const bool same_region =
+        found != regions_.end() && found->second.value() == settings.region;
     return same_region ? distance::same_region : distance::other_region;
 }
 
--- a/libs/gateway/src/gateway_metrics.cpp
+++ b/libs/gateway/src/gateway_metrics.cpp
@@ -25,8 +25,7 @@
 
 auto make_kinds()
 {
-    return histogram::make_histogram(
-        histogram::axis::integer<>(0, end_kinds));
+    return histogram::make_histogram(histogram::axis::integer<>(0, end_kinds));
 }
 
 using time_histogram = decltype(make_times());
@@ -62,8 +61,7 @@
     time_histogram wait = make_times();
 };
 
-gateway_metrics::gateway_metrics()
-    : histograms_(std::make_unique<histograms>())
+gateway_metrics::gateway_metrics() : histograms_(std::make_unique<histograms>())
 {
 }
 
--- a/libs/gateway/src/http_text.cpp
+++ b/libs/gateway/src/http_text.cpp
@@ -28,9 +28,10 @@
 
 bool is_connection_header(std::string_view name)
 {
-    return std::any_of(connection_headers.begin(),
-                       connection_headers.end(),
-                       [name](auto known) { return equal_ignoring_case(name, known); });
+    return std::any_of(
+        connection_headers.begin(),
+        connection_headers.end(),
+        [name](auto known) { return equal_ignoring_case(name, known); });
 }
 
 /// True where a `Connection` header names the header as its own.
@@ -94,8 +95,8 @@
     constexpr std::size_t usual_head_bytes = 512;
     out.reserve(usual_head_bytes + request.body.size());
     out += request.method + ' ' + request.target + " HTTP/1.1\r\n";
-    for (const auto& [name, value] :
-         end_to_end_headers(request.headers, codec)) {
+    for (const auto& [name, value] : end_to_end_headers(request.headers, codec))
+    {
         const bool replaced =
             std::any_of(added.begin(), added.end(), [&name](const auto& own) {
                 return equal_ignoring_case(own.first, name);
@@ -117,14 +118,12 @@
     return out;
 }
 
-std::string write_answer_head(const answer_head& head,
-                              const header_list& added)
+std::string write_answer_head(const answer_head& head, const header_list& added)
 {
     std::string out = "HTTP/1.1 " + std::to_string(head.status) + ' ';
-    out += head.reason.empty()
-               ? std::string(
-                     http::obsolete_reason(http::int_to_status(head.status)))
-               : head.reason;
+    out += head.reason.empty() ? std::string(http::obsolete_reason(
+                                     http::int_to_status(head.status)))
+                               : head.reason;
     out += "\r\n";
     for (const auto& [name, value] : head.headers)
         append_header(out, name, value);
--- a/libs/gateway/src/own_answer.cpp
+++ b/libs/gateway/src/own_answer.cpp
@@ -10,15 +10,22 @@
 unsigned status_of(errc kind)
 {
     switch (kind) {
-    case errc::not_found: return 404;
+    case errc::not_found:
+        return 404;
     case errc::outcome_unknown:
     case errc::protocol_error:
-    case errc::connection_lost: return 502;
-    case errc::timeout: return 504;
-    case errc::quarantined: return 422;
-    case errc::too_large: return 413;
-    case errc::invalid_input: return 400;
-    default: return 503;
+    case errc::connection_lost:
+        return 502;
+    case errc::timeout:
+        return 504;
+    case errc::quarantined:
+        return 422;
+    case errc::too_large:
+        return 413;
+    case errc::invalid_input:
+        return 400;
+    default:
+        return 503;
     }
 }
 
--- a/libs/gateway/src/peer_news.cpp
+++ b/libs/gateway/src/peer_news.cpp
@@ -71,12 +71,11 @@
     constexpr std::uint64_t hundred = 100;
     std::vector<schema::outstanding_load> records;
     for (const auto& entry : work)
-        records.emplace_back(
-            entry.server,
-            static_cast<std::uint16_t>(
-                std::min<std::uint64_t>(entry.requests, largest)),
-            static_cast<std::uint16_t>(
-                std::min(entry.prompt_tokens / hundred, largest)));
+        records.emplace_back(entry.server,
+                             static_cast<std::uint16_t>(std::min<std::uint64_t>(
+                                 entry.requests, largest)),
+                             static_cast<std::uint16_t>(std::min(
+                                 entry.prompt_tokens / hundred, largest)));
     return records;
 }
 
@@ -221,8 +220,7 @@
 asio::awaitable<void> peer_news::run()
 {
     for (;;) {
-        co_await sleep_for_ms(holding_ ? shortest_news_ms
-                                        : news_interval_ms());
+        co_await sleep_for_ms(holding_ ? shortest_news_ms : news_interval_ms());
         const auto now = steady_now();
         if (holding_ && now >= beat_at_)
             announce({});
@@ -344,8 +342,8 @@
 /// The holder hears from every daemon, so many of them speak less often.
 std::int64_t peer_news::news_interval_ms() const
 {
-    const auto share = static_cast<std::int64_t>(context_.daemons()) *
-                       news_ms_a_daemon;
+    const auto share =
+        static_cast<std::int64_t>(context_.daemons()) * news_ms_a_daemon;
     return std::clamp(share, shortest_news_ms, longest_news_ms);
 }
 
@@ -385,9 +383,8 @@
         return;
     case schema::message_kind::snapshot:
         watch_.take_configuration(
-            std::string_view(
-                reinterpret_cast<const char*>(message.body.data()),
-                message.body.size()),
+            std::string_view(reinterpret_cast<const char*>(message.body.data()),
+                             message.body.size()),
             sender.value());
         return;
     default:
@@ -412,11 +409,10 @@
         now);
     bool changed = false;
     for (const auto& news : message.servers)
-        changed |= context_.directory.learn(
-            server_id(news->server),
-            to_held(*news),
-            {message.epoch, message.sequence},
-            now);
+        changed |= context_.directory.learn(server_id(news->server),
+                                            to_held(*news),
+                                            {message.epoch, message.sequence},
+                                            now);
     if (changed)
         context_.wake_waiting();
 }
--- a/libs/gateway/src/peer_news.hpp
+++ b/libs/gateway/src/peer_news.hpp
@@ -79,10 +79,8 @@
 
     void send_to_all(schema::peer_message_record message, time_point now);
     void pass_on(const schema::peer_message_record& message);
-    const member* relay_of(const failure_domain_id& domain,
-                           time_point now);
-    std::vector<peer_address>
-    neighbours(const failure_domain_id& domain) const;
+    const member* relay_of(const failure_domain_id& domain, time_point now);
+    std::vector<peer_address> neighbours(const failure_domain_id& domain) const;
     std::int64_t news_interval_ms() const;
     void take_relayed(const schema::peer_message_record& message,
                       time_point now);
--- a/libs/gateway/src/placement_duty.cpp
+++ b/libs/gateway/src/placement_duty.cpp
@@ -98,7 +98,8 @@
     return stored;
 }
 
-placement_options make_placement(const schema::gateway_settings_record& settings)
+placement_options
+make_placement(const schema::gateway_settings_record& settings)
 {
     const auto& given = *settings.placement;
     placement_options options;
@@ -115,14 +116,22 @@
 const char* answer_name(engine_answer answer)
 {
     switch (answer) {
-    case engine_answer::accepted: return "accepted";
-    case engine_answer::holds: return "holds";
-    case engine_answer::busy: return "busy";
-    case engine_answer::stale_fence: return "stale_fence";
-    case engine_answer::invalid: return "invalid";
-    case engine_answer::wrong_server: return "wrong_server";
-    case engine_answer::not_sent: return "not_sent";
-    case engine_answer::unknown: break;
+    case engine_answer::accepted:
+        return "accepted";
+    case engine_answer::holds:
+        return "holds";
+    case engine_answer::busy:
+        return "busy";
+    case engine_answer::stale_fence:
+        return "stale_fence";
+    case engine_answer::invalid:
+        return "invalid";
+    case engine_answer::wrong_server:
+        return "wrong_server";
+    case engine_answer::not_sent:
+        return "not_sent";
+    case engine_answer::unknown:
+        break;
     }
     return "unknown";
 }
@@ -190,16 +199,14 @@
     const auto id = context_.self.value() + "-" + std::to_string(++writes_) +
                     "-" + std::to_string(context_.random());
     const bool was_free = lease_.holder().empty() && lease_.version() > 0;
-    const auto row =
-        lease_.next_write(!hears_holder && context_.configuration != nullptr,
-                          id,
-                          boot_now());
+    const auto row = lease_.next_write(
+        !hears_holder && context_.configuration != nullptr, id, boot_now());
     if (!row)
         co_return;
     if (!held && was_free)
-        orders_from_ = boot_now() + duration(static_cast<std::int64_t>(
-                                        context_.settings.bounds
-                                            ->holder_change_ms));
+        orders_from_ =
+            boot_now() + duration(static_cast<std::int64_t>(
+                             context_.settings.bounds->holder_change_ms));
     co_await write_lease(*row);
     if (!held && lease_.held(boot_now()))
         log_event(log_level::info, "lease_taken")
@@ -305,8 +312,7 @@
         for (const auto& demand : message.demand)
             controller.add_demand(model_id(demand->model), demand->work);
         for (const auto& need : message.needs)
-            controller.need_adapter(
-                model_id(need->model), need->adapter, now);
+            controller.need_adapter(model_id(need->model), need->adapter, now);
         for (const auto& use : message.uses)
             controller.used_adapter(model_id(use->model), use->adapter, now);
     }
@@ -320,8 +326,8 @@
     for (const auto& service : context_.configuration->services) {
         if (!service.engine)
             continue;
-        auto [found, fresh] = controllers_.try_emplace(
-            service.id, *service.engine, options, now);
+        auto [found, fresh] =
+            controllers_.try_emplace(service.id, *service.engine, options, now);
         if (!fresh)
             found->second.set_engine(*service.engine);
         std::vector<const backend_state*> servers;
@@ -377,8 +383,7 @@
     const auto* state = context_.directory.find(action.server);
     if (state == nullptr)
         return;
-    engine_address to{
-        action.server, state->entry.address, state->entry.port};
+    engine_address to{action.server, state->entry.address, state->entry.port};
     if (action.kind == placement_action::what::order)
         context_.serving.spawn(send_order(service, action, std::move(to)));
     else
--- a/libs/gateway/src/placement_duty.hpp
+++ b/libs/gateway/src/placement_duty.hpp
@@ -48,12 +48,10 @@
                  placement_controller& controller,
                  time_point now);
     void carry_out(const service_id& service, const placement_action& action);
-    boost::asio::awaitable<void> send_order(service_id service,
-                                            placement_action action,
-                                            engine_address to);
-    boost::asio::awaitable<void> read_report(service_id service,
-                                             server_id server,
-                                             engine_address from);
+    boost::asio::awaitable<void>
+    send_order(service_id service, placement_action action, engine_address to);
+    boost::asio::awaitable<void>
+    read_report(service_id service, server_id server, engine_address from);
     void publish(time_point now);
     void log_demand(time_point now);
 
--- a/libs/gateway/src/store_watch.cpp
+++ b/libs/gateway/src/store_watch.cpp
@@ -87,8 +87,7 @@
 {
     auto decoded = std::make_shared<gateway_configuration>();
     if (const auto error =
-            context_.platform.decode_configuration(bytes, *decoded))
-    {
+            context_.platform.decode_configuration(bytes, *decoded)) {
         log_event(log_level::error, "configuration_unreadable")
             .with("source", source)
             .with("error", error.message());
--- a/libs/net/include/barleyfork/net/http_client.hpp
+++ b/libs/net/include/barleyfork/net/http_client.hpp
@@ -22,6 +22,9 @@
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
     duration timeout{2000};
+    /// A new connection is given up after this, however long the call may
+    /// take: the kernel's own tries come seconds apart.
+    duration connect_timeout{1000};
 };
 
 /// The answer to a small request.
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -3,6 +3,7 @@
 #include <barleyfork/net/socket_options.hpp>
 #include <barleyfork/net/sockets.hpp>
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -55,7 +56,6 @@
     const auto key = to_string(endpoint);
     const auto timeout = request.timeout;
     beast::tcp_stream stream(co_await asio::this_coro::executor);
-    stream.expires_after(timeout);
     auto& kept = idle_[key];
     bool reused = false;
     while (!kept.empty() && !reused) {
@@ -69,6 +69,7 @@
         beast::error_code parse_error;
         const auto address = asio::ip::make_address(endpoint.host, parse_error);
         const tcp::endpoint target(address, endpoint.port);
+        stream.expires_after(std::min(timeout, request.connect_timeout));
         auto [error] = co_await stream.async_connect(target, as_result);
         if (error || parse_error) {
             reply.error = to_failure(error, endpoint);
@@ -77,6 +78,7 @@
         }
         set_live_options(stream.socket());
     }
+    stream.expires_after(timeout);
     auto message = to_request(endpoint, request);
     auto [write_error, written] =
         co_await http::async_write(stream, message, as_result);
--- a/libs/net/src/peer_link.cpp
+++ b/libs/net/src/peer_link.cpp
@@ -49,10 +49,9 @@
                      bool fresh_connection)
 {
     auto frame = encode_frame(message, secret_);
-    owner_.try_post(
-        [this, to, frame = std::move(frame), fresh_connection] {
-            owner_.spawn(deliver(to, frame, fresh_connection));
-        });
+    owner_.try_post([this, to, frame = std::move(frame), fresh_connection] {
+        owner_.spawn(deliver(to, frame, fresh_connection));
+    });
 }
 
 void peer_link::broadcast(const std::vector<peer_address>& to,
@@ -97,8 +96,7 @@
             co_return;
         bytes_received_ += header.size() + payload.size();
         schema::peer_message_record message;
-        const auto error = decode_frame(
-            header, payload, secret_, message);
+        const auto error = decode_frame(header, payload, secret_, message);
         if (error) {
             log_event(log_level::warn, "peer_frame_refused")
                 .with("error", error.message());
@@ -112,8 +110,7 @@
 void peer_link::bind_source(socket& connection,
                             boost::system::error_code& error) const
 {
-    const auto own =
-        asio::ip::make_address(own_address_, error);
+    const auto own = asio::ip::make_address(own_address_, error);
     if (error || own.is_unspecified())
         return;
     const tcp::endpoint source(own, 0);
--- a/tools/barleyfork_gateway/main.cpp
+++ b/tools/barleyfork_gateway/main.cpp
@@ -68,8 +68,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     barleyfork::start_log(
         settings.log->level, settings.log->file, settings.instance);
-    barleyfork::gateway running(
-        std::move(settings), path, std::move(platform));
+    barleyfork::gateway running(std::move(settings), path, std::move(platform));
     if (const auto failed = running.start()) {
         barleyfork::stop_log();
         return fail(exit_cannot_start, failed.message());
--- a/tools/capacity/decision_cost.cpp
+++ b/tools/capacity/decision_cost.cpp
@@ -7,9 +7,9 @@
 #include <barleyfork/core/catalog.hpp>
 #include <barleyfork/core/placement_planner.hpp>
 #include <barleyfork/core/replica_picker.hpp>
-#include <barleyfork/store/row_codec.hpp>
 #include <barleyfork/schema/deployment_delta.hpp>
 #include <barleyfork/schema/toml_reader.hpp>
+#include <barleyfork/store/row_codec.hpp>
 
 #include <ctime>
 #include <malloc.h>
--- a/tools/policy_driver/policies.cpp
+++ b/tools/policy_driver/policies.cpp
@@ -238,7 +238,8 @@
                          oldest->model,
                          oldest->version,
                          oldest->memory_mib,
-                         step_reason::make_room, {}});
+                         step_reason::make_room,
+                         {}});
         return true;
     }
 
