--- a/libs/core/include/barleyfork/core/gateway_configuration.hpp
+++ b/libs/core/include/barleyfork/core/gateway_configuration.hpp
@@ -98,7 +98,7 @@
 struct caller_limits
 {
     std::uint32_t max_header_bytes = 16 * 1024;
-    std::uint64_t max_body_bytes = 4 * 1024 * 1024;
+    std::uint64_t max_body_bytes = std::uint64_t{4} * 1024 * 1024;
     duration header_timeout{3000};
     duration idle_timeout{15000};
 };
--- a/libs/core/src/backend_loads.cpp
+++ b/libs/core/src/backend_loads.cpp
@@ -127,8 +127,9 @@
             for (const auto& [server, work] : news.work)
                 add(work);
     std::vector<peer_work> all;
-    for (auto& [server, work] : sum)
-        all.push_back(std::move(work));
+    all.reserve(sum.size());
+    for (const auto& [server, work] : sum)
+        all.push_back(work);
     return all;
 }
 
--- a/libs/core/src/placement_controller.cpp
+++ b/libs/core/src/placement_controller.cpp
@@ -467,15 +467,16 @@
 placement_controller::demand() const
 {
     std::vector<model_demand> result;
-    for (const auto& [model, estimate] : demand_) {
-        if (estimate.fast() < negligible_demand)
+    for (const auto& entry : demand_) {
+        const auto& model = entry.first;
+        const double load = entry.second.fast();
+        if (load < negligible_demand)
             continue;
         const auto holders = std::count_if(
             servers_.begin(), servers_.end(), [&model](const auto& item) {
                 return item.second.held.find(model) != nullptr;
             });
-        result.push_back(
-            {model, estimate.fast(), static_cast<std::size_t>(holders)});
+        result.push_back({model, load, static_cast<std::size_t>(holders)});
     }
     return result;
 }
--- a/libs/gateway/src/gateway_context.hpp
+++ b/libs/gateway/src/gateway_context.hpp
@@ -65,10 +65,11 @@
     /// Calls that wait look again at what can serve them.
     void wake_waiting();
 
+    /// First, so that it outlives all that holds sockets of its loop.
+    duty serving{"serving", ring_capacity};
     schema::gateway_settings_record settings;
     platform_port platform;
     instance_id self;
-    duty serving{"serving", ring_capacity};
     timer_queue timers;
     backend_pool pool;
     gateway_metrics measures;
