Reset exchanges that are given up

An exchange that is cut short is reset. Ruled out: the daemon's own lateness (it had given the request up 0.9 s before).

--- a/libs/gateway/src/backend_connection.cpp
+++ b/libs/gateway/src/backend_connection.cpp
@@ -265,9 +265,14 @@
 {
     if (state_ == state::closed)
         return;
+    const bool in_exchange = state_ == state::busy;
     state_ = state::closed;
     timers_.cancel(connect_timer_);
     boost::system::error_code ignored;
+    // A request that was given up must not arrive later: a plain close would
+    // let the kernel go on delivering it once a silent way heals.
+    if (in_exchange)
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     socket_.close(ignored);
 }
 
