--- a/libs/core/include/barleyfork/core/gateway_configuration.hpp
+++ b/libs/core/include/barleyfork/core/gateway_configuration.hpp
@@ -44,6 +44,11 @@
     duration timeout{0};
     /// An answer within this time meets its target.
     duration latency_target{0};
+    /// What the queues before an engine are measured against: the longest
+    /// target among this route and the less urgent ones of its services, so
+    /// that no less urgent request is queued where this one is not. Set by
+    /// `set_queue_targets`.
+    duration queue_target{0};
     /// 0 is the most urgent.
     std::uint32_t priority = 0;
     /// Backend servers that one try of a caller may run on.
@@ -120,6 +125,9 @@
                                  std::string_view host,
                                  std::string_view path);
 
+/// Sets every route's `queue_target` from the targets and priorities of all.
+void set_queue_targets(gateway_configuration& configuration);
+
 /// Picks a service by the weights of the route; `draw` is a random number.
 /// Null where the route names none.
 const service_id* choose_service(const gateway_route& route,
--- a/libs/core/src/gateway_configuration.cpp
+++ b/libs/core/src/gateway_configuration.cpp
@@ -3,6 +3,7 @@
 #include <barleyfork/base/text.hpp>
 
 #include <algorithm>
+#include <map>
 
 namespace barleyfork {
 
@@ -32,6 +33,25 @@
     return best;
 }
 
+void set_queue_targets(gateway_configuration& configuration)
+{
+    // For each service, the longest target of each priority.
+    std::map<service_id, std::map<std::uint32_t, duration>> longest;
+    for (const auto& route : configuration.routes) {
+        for (const auto& share : route.services) {
+            auto& target = longest[share.service][route.priority];
+            target = std::max(target, route.latency_target);
+        }
+    }
+    for (auto& route : configuration.routes) {
+        route.queue_target = route.latency_target;
+        for (const auto& share : route.services)
+            for (const auto& [priority, target] : longest[share.service])
+                if (priority >= route.priority)
+                    route.queue_target = std::max(route.queue_target, target);
+    }
+}
+
 const service_id* choose_service(const gateway_route& route, std::uint64_t draw)
 {
     std::uint64_t total = 0;
--- a/libs/core/src/placement_controller.cpp
+++ b/libs/core/src/placement_controller.cpp
@@ -120,7 +120,7 @@
 {
     std::erase_if(server.unsettled, [&server, now](const auto& load) {
         return now >= load.until ||
-               (server.sequence &&
+               (server.sequence && !server.running &&
                 *server.sequence > load.command.expected_sequence);
     });
 }
@@ -543,7 +543,7 @@
                                                 const model_id& model) const
 {
     return server.usable && server.held.find(model) != nullptr &&
-           !is_closing(server, model) && server.sequence &&
+           !is_closing(server, model) && server.sequence && !server.running &&
            !server.awaiting_answer && !server.uncertain;
 }
 
--- a/libs/core/tests/gateway_parts_test.cpp
+++ b/libs/core/tests/gateway_parts_test.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST_SUITE(gateway_parts_test);
     CPPUNIT_TEST(the_longest_prefix_of_the_host_wins);
     CPPUNIT_TEST(shares_follow_their_weights);
+    CPPUNIT_TEST(urgent_routes_are_queued_where_others_are);
     CPPUNIT_TEST(a_vanished_server_is_awaited_only_after_an_outage);
     CPPUNIT_TEST(the_holders_word_stands_until_the_list_caught_up);
     CPPUNIT_TEST(older_news_of_the_holder_is_ignored);
@@ -94,6 +95,30 @@
         CPPUNIT_ASSERT(choose_service(route, 1) == nullptr);
     }
 
+    void urgent_routes_are_queued_where_others_are()
+    {
+        gateway_configuration configuration;
+        const auto add = [&](const char* name, int priority, int target) {
+            auto route = make_route("h", name);
+            route.priority = static_cast<std::uint32_t>(priority);
+            route.latency_target = duration(target);
+            route.services = {{service_id("w"), 1}};
+            configuration.routes.push_back(route);
+        };
+        add("/urgent/", 0, 600);
+        add("/middle/", 1, 800);
+        add("/patient/", 2, 1500);
+        add("/last/", 3, 700);
+        set_queue_targets(configuration);
+        const auto target = [&](int index) {
+            return configuration.routes.at(index).queue_target;
+        };
+        CPPUNIT_ASSERT(target(0) == duration{1500});
+        CPPUNIT_ASSERT(target(1) == duration{1500});
+        CPPUNIT_ASSERT(target(2) == duration{1500});
+        CPPUNIT_ASSERT(target(3) == duration{700});
+    }
+
     void a_vanished_server_is_awaited_only_after_an_outage()
     {
         backend_directory directory;
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -26,8 +26,8 @@
 constexpr int wait_targets = 2;
 /// Expected times to the first event, as shares of the target, up to which a
 /// request is sent and from which it is refused at once.
-constexpr double queue_target_share = 1.25;
-constexpr double hopeless_target_share = 3.0;
+constexpr double queue_target_share = 2.0;
+constexpr double hopeless_target_share = 6.0;
 /// A caller that is told to return comes between these.
 constexpr duration shortest_return{200};
 constexpr duration longest_return{800};
@@ -270,7 +270,7 @@
         return outlook::send;
     if (chosen.expected_ms >= left)
         return outlook::hopeless;
-    const auto target = static_cast<double>(route_->latency_target.count());
+    const auto target = static_cast<double>(route_->queue_target.count());
     if (!for_engine() || target <= 0.0 ||
         chosen.expected_ms <= queue_target_share * target)
         return outlook::send;
--- a/libs/gateway/src/store_watch.cpp
+++ b/libs/gateway/src/store_watch.cpp
@@ -96,6 +96,7 @@
     if (context_.configuration &&
         decoded->version <= context_.configuration->version)
         return;
+    set_queue_targets(*decoded);
     log_event(log_level::info, "configuration_in_force")
         .with("version", static_cast<std::int64_t>(decoded->version))
         .with("source", source)
