--- a/libs/core/src/placement_controller.cpp
+++ b/libs/core/src/placement_controller.cpp
@@ -120,7 +120,7 @@
 {
     std::erase_if(server.unsettled, [&server, now](const auto& load) {
         return now >= load.until ||
-               (server.sequence && !server.running &&
+               (server.sequence &&
                 *server.sequence > load.command.expected_sequence);
     });
 }
--- a/tools/barleyfork/commands.cpp
+++ b/tools/barleyfork/commands.cpp
@@ -3,12 +3,14 @@
 #include "tables.hpp"
 
 #include <barleyfork/base/digest.hpp>
+#include <barleyfork/logs/request_story.hpp>
 #include <barleyfork/net/url.hpp>
 #include <barleyfork/schema/toml_reader.hpp>
 
 #include <algorithm>
 #include <array>
 #include <boost/json.hpp>
+#include <fstream>
 #include <iostream>
 
 namespace barleyfork {
@@ -27,6 +29,8 @@
     std::string_view name;
     std::size_t arguments;
     command_function run;
+    /// Any number of further words may follow.
+    bool takes_more = false;
 };
 
 tool_exit report(const failure& error)
@@ -190,13 +194,62 @@
     });
 }
 
+/// The lines of the named logs, or of standard input where none is named.
+bool read_logs(words paths, std::vector<log_line>& out)
+{
+    const auto read = [&out](std::istream& in) {
+        for (std::string text; std::getline(in, text);)
+            if (auto line = parse_log_line(text))
+                out.push_back(std::move(*line));
+    };
+    if (paths.empty())
+        read(std::cin);
+    for (const auto& path : paths) {
+        std::ifstream in(path);
+        if (!in) {
+            std::cerr << "barleyfork: " << path
+                      << " can't be read; name a daemon's log\n";
+            return false;
+        }
+        read(in);
+    }
+    return true;
+}
+
+tool_exit why(operator_client&, words args, const command_options&)
+{
+    std::vector<log_line> log;
+    if (!read_logs(args.subspan(1), log))
+        return tool_exit::usage;
+    const auto story = tell_story(log, args[0]);
+    if (story.lines.empty()) {
+        std::cerr << "barleyfork: no line of request " << args[0]
+                  << "; give the logs of all daemons of that time\n";
+        return tool_exit::refused;
+    }
+    std::cout << story.cause << "\n";
+    for (const auto& line : story.lines)
+        std::cout << line.text << "\n";
+    return tool_exit::ok;
+}
+
+tool_exit causes(operator_client&, words args, const command_options&)
+{
+    std::vector<log_line> log;
+    if (!read_logs(args, log))
+        return tool_exit::usage;
+    for (const auto& [cause, count] : count_causes(log))
+        std::cout << count << "\t" << cause << "\n";
+    return tool_exit::ok;
+}
+
 tool_exit digest(operator_client&, words args, const command_options&)
 {
     std::cout << content_digest(args[0]) << "\n";
     return tool_exit::ok;
 }
 
-constexpr std::array<command, 8> commands{{
+constexpr std::array<command, 10> commands{{
     {"apply", 1, apply},
     {"get", 0, get},
     {"history", 0, history},
@@ -205,6 +258,8 @@
     {"drain", 1, drain},
     {"trace", 1, trace},
     {"digest", 1, digest},
+    {"why", 1, why, true},
+    {"causes", 0, causes, true},
 }};
 
 } // namespace
@@ -215,12 +270,13 @@
     const auto found = std::find_if(
         commands.begin(), commands.end(), [&all](const command& entry) {
             return !all.empty() && entry.name == all[0] &&
-                   entry.arguments + 1 == all.size();
+                   (entry.arguments + 1 == all.size() ||
+                    (entry.takes_more && entry.arguments < all.size()));
         });
     if (found == commands.end()) {
         std::cerr << "barleyfork: commands are apply FILE, get, history, "
                      "status, explain MODEL, drain INSTANCE, trace ID, "
-                     "digest KEY\n";
+                     "digest KEY, why REQUEST_ID [LOG...], causes [LOG...]\n";
         return tool_exit::usage;
     }
     return found->run(client, all.subspan(1), options);
