--- a/libs/core/include/barleyfork/core/server_choice.hpp
+++ b/libs/core/include/barleyfork/core/server_choice.hpp
@@ -27,6 +27,8 @@
     std::uint32_t slots = 1;
     /// This request was on the server before.
     bool tried = false;
+    /// A connection to it is open and idle.
+    bool connected = false;
 };
 
 /// What a request asks of an engine, and how fast engines are known to be.
--- a/libs/core/src/server_choice.cpp
+++ b/libs/core/src/server_choice.cpp
@@ -20,13 +20,16 @@
 /// Paid traffic and the way itself, as milliseconds.
 constexpr std::array<double, 3> engine_distance_ms{0.0, 4.0, 60.0};
 constexpr std::array<double, 3> plain_distance_ms{0.0, 4.0, 30.0};
+/// What opening a connection costs the server and the way, as milliseconds.
+constexpr double connect_ms = 8.0;
 /// Costs that differ by less are equal, in ms.
 constexpr double tie_ms = 2.0;
 
 double standing_cost(const server_candidate& candidate)
 {
     return candidate.load.failure * failure_ms +
-           (candidate.tried ? tried_ms : 0.0);
+           (candidate.tried ? tried_ms : 0.0) +
+           (candidate.connected ? 0.0 : connect_ms);
 }
 
 /// What the server reported beyond this daemon's own, fading with age.
--- a/libs/gateway/src/backend_pool.cpp
+++ b/libs/gateway/src/backend_pool.cpp
@@ -43,6 +43,16 @@
         });
 }
 
+bool backend_pool::has_idle(const boost::asio::ip::tcp::endpoint& target,
+                            bool repeatable,
+                            time_point now) const
+{
+    const auto found = idle_.find(target);
+    const double share = repeatable ? repeatable_share : careful_share;
+    return found != idle_.end() && !found->second.empty() &&
+           found->second.back()->is_usable(now, share);
+}
+
 void backend_pool::sweep(time_point now)
 {
     for (auto& [target, kept] : idle_) {
--- a/libs/gateway/src/backend_pool.hpp
+++ b/libs/gateway/src/backend_pool.hpp
@@ -24,6 +24,11 @@
             bool repeatable,
             time_point now);
 
+    /// True where `acquire` would give a kept connection.
+    bool has_idle(const boost::asio::ip::tcp::endpoint& target,
+                  bool repeatable,
+                  time_point now) const;
+
     /// Drops idle connections that servers are about to close.
     void sweep(time_point now);
 
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -40,6 +40,12 @@
 constexpr double time_weight = 0.1;
 constexpr double assumed_service_ms = 30.0;
 
+asio::ip::tcp::endpoint endpoint_of(const backend_entry& entry)
+{
+    boost::system::error_code error;
+    return {asio::ip::make_address(entry.address, error), entry.port};
+}
+
 bool is_success(unsigned status)
 {
     return status >= 200 && status < 300;
@@ -216,6 +222,8 @@
         candidate.away = context_.distance_to(state.entry.failure_domain);
         candidate.slots = state.entry.slots;
         candidate.tried = sends > 0;
+        candidate.connected = context_.pool.has_idle(
+            endpoint_of(state.entry), route_->repeatable(), now);
         found.push_back(std::move(candidate));
     }
     return found;
@@ -248,11 +256,9 @@
     if (!index)
         return std::nullopt;
     const auto& picked = found[*index];
-    const auto& entry = context_.directory.find(picked.server)->entry;
-    boost::system::error_code error;
     choice chosen;
     chosen.server = picked.server;
-    chosen.target = {asio::ip::make_address(entry.address, error), entry.port};
+    chosen.target = endpoint_of(context_.directory.find(picked.server)->entry);
     chosen.expected_ms = expected_ms(picked);
     chosen.candidates = found.size();
     return chosen;
