--- a/libs/gateway/src/peer_news.cpp
+++ b/libs/gateway/src/peer_news.cpp
@@ -138,9 +138,16 @@
     message.address = context_.settings.address;
     message.port = context_.settings.peer_port;
     message.failure_domain = context_.settings.failure_domain;
+    message.configuration_version = configuration_version();
     return message;
 }
 
+/// The version in force here; 0 where none is.
+std::uint64_t peer_news::configuration_version() const noexcept
+{
+    return context_.configuration ? context_.configuration->version : 0;
+}
+
 /// Writes this daemon's row; one that is there already is replaced.
 asio::awaitable<void> peer_news::register_self()
 {
@@ -379,7 +386,8 @@
             on_demand_(message);
         return;
     case schema::message_kind::snapshot_request:
-        send_snapshot(address);
+        if (message.configuration_version < configuration_version())
+            send_snapshot(address);
         return;
     case schema::message_kind::snapshot:
         watch_.take_configuration(
--- a/libs/gateway/src/peer_news.hpp
+++ b/libs/gateway/src/peer_news.hpp
@@ -82,6 +82,7 @@
     const member* relay_of(const failure_domain_id& domain, time_point now);
     std::vector<peer_address> neighbours(const failure_domain_id& domain) const;
     std::int64_t news_interval_ms() const;
+    std::uint64_t configuration_version() const noexcept;
     void take_relayed(const schema::peer_message_record& message,
                       time_point now);
     void send_snapshot(const peer_address& to);
--- a/libs/schema/include/barleyfork/schema/peer_generated.h
+++ b/libs/schema/include/barleyfork/schema/peer_generated.h
@@ -995,6 +995,7 @@
   bool list_fresh = false;
   std::string failure_domain{};
   bool pass_on = false;
+  uint64_t configuration_version = 0;
   peer_message_record() = default;
   peer_message_record(const peer_message_record &o);
   peer_message_record(peer_message_record&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1030,7 +1031,8 @@
     VT_ROWS = 36,
     VT_LIST_FRESH = 38,
     VT_FAILURE_DOMAIN = 40,
-    VT_PASS_ON = 42
+    VT_PASS_ON = 42,
+    VT_CONFIGURATION_VERSION = 44
   };
   barleyfork::schema::message_kind kind() const {
     return static_cast<barleyfork::schema::message_kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -1092,6 +1094,9 @@
   bool pass_on() const {
     return GetField<uint8_t>(VT_PASS_ON, 0) != 0;
   }
+  uint64_t configuration_version() const {
+    return GetField<uint64_t>(VT_CONFIGURATION_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -1135,6 +1140,7 @@
            VerifyOffset(verifier, VT_FAILURE_DOMAIN) &&
            verifier.VerifyString(failure_domain()) &&
            VerifyField<uint8_t>(verifier, VT_PASS_ON, 1) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIGURATION_VERSION, 8) &&
            verifier.EndTable();
   }
   peer_message_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1206,6 +1212,9 @@
   void add_pass_on(bool pass_on) {
     fbb_.AddElement<uint8_t>(peer_message::VT_PASS_ON, static_cast<uint8_t>(pass_on), 0);
   }
+  void add_configuration_version(uint64_t configuration_version) {
+    fbb_.AddElement<uint64_t>(peer_message::VT_CONFIGURATION_VERSION, configuration_version, 0);
+  }
   explicit peer_messageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1239,8 +1248,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::listed_row>>> rows = 0,
     bool list_fresh = false,
     flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
-    bool pass_on = false) {
+    bool pass_on = false,
+    uint64_t configuration_version = 0) {
   peer_messageBuilder builder_(_fbb);
+  builder_.add_configuration_version(configuration_version);
   builder_.add_epoch(epoch);
   builder_.add_sequence(sequence);
   builder_.add_failure_domain(failure_domain);
@@ -1290,7 +1301,8 @@
     const std::vector<flatbuffers::Offset<barleyfork::schema::listed_row>> *rows = nullptr,
     bool list_fresh = false,
     const char *failure_domain = nullptr,
-    bool pass_on = false) {
+    bool pass_on = false,
+    uint64_t configuration_version = 0) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::member>>(*members) : 0;
   auto quarantine__ = quarantine ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::quarantine_entry>>(*quarantine) : 0;
   auto digest__ = digest ? _fbb.CreateString(digest) : 0;
@@ -1324,7 +1336,8 @@
       rows__,
       list_fresh,
       failure_domain__,
-      pass_on);
+      pass_on,
+      configuration_version);
 }
 
 flatbuffers::Offset<peer_message> Createpeer_message(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1615,7 +1628,8 @@
         outstanding(o.outstanding),
         list_fresh(o.list_fresh),
         failure_domain(o.failure_domain),
-        pass_on(o.pass_on) {
+        pass_on(o.pass_on),
+        configuration_version(o.configuration_version) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new barleyfork::schema::member_record(*members_) : nullptr); }
   quarantine.reserve(o.quarantine.size());
@@ -1653,6 +1667,7 @@
   std::swap(list_fresh, o.list_fresh);
   std::swap(failure_domain, o.failure_domain);
   std::swap(pass_on, o.pass_on);
+  std::swap(configuration_version, o.configuration_version);
   return *this;
 }
 
@@ -1685,6 +1700,7 @@
   { auto _e = list_fresh(); _o->list_fresh = _e; }
   { auto _e = failure_domain(); if (_e) _o->failure_domain = _e->str(); }
   { auto _e = pass_on(); _o->pass_on = _e; }
+  { auto _e = configuration_version(); _o->configuration_version = _e; }
 }
 
 inline flatbuffers::Offset<peer_message> peer_message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1715,6 +1731,7 @@
   auto _list_fresh = _o->list_fresh;
   auto _failure_domain = _o->failure_domain.empty() ? 0 : _fbb.CreateString(_o->failure_domain);
   auto _pass_on = _o->pass_on;
+  auto _configuration_version = _o->configuration_version;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       _kind,
@@ -1736,7 +1753,8 @@
       _rows,
       _list_fresh,
       _failure_domain,
-      _pass_on);
+      _pass_on,
+      _configuration_version);
 }
 
 inline const barleyfork::schema::peer_message *Getpeer_message(const void *buf) {
