--- a/tools/check_pages.sh
+++ b/tools/check_pages.sh
@@ -15,7 +15,7 @@
 for word in $(sed -n 's/^    {"\([a-z_]*\)",.*/\1/p' libs/base/src/error.cpp) \
     $(grep -rhoE 'log_event\(\s*log_level::[a-z]+,\s*"[a-z_]+"' libs/*/src |
         sed 's/.*"\(.*\)"/\1/' | sort -u) \
-    $(sed -n 's/^  \([a-z_]*\):.*;/\1/p' libs/schema/schemas/settings.fbs |
+    $(sed -n 's/^  \([a-z_]*\):.*;/\1/p' libs/schema/schemas/{settings,gateway}.fbs |
         sort -u); do
     grep -qw "$word" docs/OPERATIONS.md ||
         missing "docs/OPERATIONS.md does not explain $word"
@@ -36,7 +36,7 @@
 
 # Every link within the pages leads to a file.
 for page in README.md BUILDING.md CONTRIBUTING.md RELEASE_NOTES.md \
-    docs/*.md libs/*/README.md; do
+    docs/*.md libs/*/README.md platform/README.md; do
     for target in $(grep -oE '\]\([^)#:]+\)' "$page" | tr -d '])(' || true); do
         [ -e "$(dirname "$page")/$target" ] ||
             missing "$page links to $target, which is not there"
