--- a/libs/logs/src/request_story.cpp
+++ b/libs/logs/src/request_story.cpp
@@ -147,9 +147,8 @@
     while (at < cause.size()) {
         const auto end = std::min(cause.find(' ', at), cause.size());
         const auto word = cause.substr(at, end - at);
-        const bool is_name =
-            may_be_name &&
-            word.find_first_of("0123456789") != std::string::npos;
+        const bool is_name = may_be_name && word.find_first_of("0123456789") !=
+                                                std::string::npos;
         if (!is_name)
             general += (general.empty() ? "" : " ") + word;
         may_be_name = word == "server" || word == "model" || word == "adapter";
