Read the configuration once a failure domain and pass it on

Requests took 1.6 s over it, a given-up request's reset too, so GONE broke; half of the callers were refused for 20 s. Ruled out: a lost reset (the log shows it sent at once), slow daemons (0.4 % of a core), the store's own rate. Change: an answer is read for as long as its parts keep coming; one daemon of a failure domain, by link and id, follows the configuration and passes it on, a starting daemon asks its neighbours first; frames over 2 KB are compressed; the holder passes on only list changes that tell more than a heartbeat, and others read the list each 30 s; failed calls to the store are repeated ever later, up to 1.8 s.

--- a/libs/core/include/barleyfork/core/backend_directory.hpp
+++ b/libs/core/include/barleyfork/core/backend_directory.hpp
@@ -58,6 +58,11 @@
     /// Models whose weights it has at hand, so that a load is quick.
     std::vector<model_id> in_memory;
     std::vector<model_id> on_disk;
+
+    /// True where `later` tells nothing new of the server. Time that runs out
+    /// is no news.
+    static bool differ_in_heartbeats_only(const backend_entry& earlier,
+                                          const backend_entry& later);
 };
 
 /// Orders the news of placement's holders.
@@ -174,9 +179,10 @@
         return servers_;
     }
 
-private:
+    /// True while entries may be missing only because the store was away.
     bool awaits_return(time_point now) const noexcept;
 
+private:
     std::map<server_id, backend_state> servers_;
     duration list_lag_{2500};
     bool store_reachable_ = true;
--- a/libs/core/src/backend_directory.cpp
+++ b/libs/core/src/backend_directory.cpp
@@ -2,9 +2,29 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 namespace barleyfork {
 
+bool backend_entry::differ_in_heartbeats_only(const backend_entry& earlier,
+                                              const backend_entry& later)
+{
+    const auto told = [](const backend_entry& entry) {
+        return std::tie(entry.id,
+                        entry.service,
+                        entry.address,
+                        entry.port,
+                        entry.failure_domain,
+                        entry.draining,
+                        entry.slots,
+                        entry.held,
+                        entry.in_memory,
+                        entry.on_disk);
+    };
+    return told(earlier) == told(later) &&
+           earlier.leaves_in.has_value() == later.leaves_in.has_value();
+}
+
 bool held_model::has_adapter(const std::string& adapter) const
 {
     return std::find(adapters.begin(), adapters.end(), adapter) !=
--- a/libs/core/tests/gateway_parts_test.cpp
+++ b/libs/core/tests/gateway_parts_test.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST(shares_follow_their_weights);
     CPPUNIT_TEST(urgent_routes_are_queued_where_others_are);
     CPPUNIT_TEST(a_vanished_server_is_awaited_only_after_an_outage);
+    CPPUNIT_TEST(a_heartbeat_alone_is_no_news);
     CPPUNIT_TEST(the_holders_word_stands_until_the_list_caught_up);
     CPPUNIT_TEST(older_news_of_the_holder_is_ignored);
     CPPUNIT_TEST(a_refused_model_is_left_alone_for_a_while);
@@ -137,6 +138,29 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.expire(later).size());
     }
 
+    /// Heartbeats come from every server each second; only what they change
+    /// is passed on between failure domains.
+    void a_heartbeat_alone_is_no_news()
+    {
+        const auto earlier = make_entry("i", "m");
+        auto later = earlier;
+        later.heartbeats = 9;
+        CPPUNIT_ASSERT(
+            backend_entry::differ_in_heartbeats_only(earlier, later));
+        auto leaving = later;
+        leaving.draining = true;
+        CPPUNIT_ASSERT(
+            !backend_entry::differ_in_heartbeats_only(earlier, leaving));
+        auto restarted = later;
+        restarted.held.started_ms = 2;
+        CPPUNIT_ASSERT(
+            !backend_entry::differ_in_heartbeats_only(earlier, restarted));
+        auto unloaded = later;
+        unloaded.held.models.clear();
+        CPPUNIT_ASSERT(
+            !backend_entry::differ_in_heartbeats_only(earlier, unloaded));
+    }
+
     void the_holders_word_stands_until_the_list_caught_up()
     {
         backend_directory directory;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -143,6 +143,7 @@
     context.on_need = [this] {
         news.send_demand();
     };
+    watch.on_configuration([this] { news.pass_configuration_on(); });
     auto& duty = context.serving;
     duty.spawn(accept_loop());
     duty.spawn(signal_loop());
@@ -151,6 +152,7 @@
     duty.spawn(watch.follow_servers());
     duty.spawn(news.follow_members());
     duty.spawn(news.run());
+    duty.spawn(news.speak_to_neighbours());
     duty.spawn(placement.run());
 }
 
--- a/libs/gateway/src/peer_news.cpp
+++ b/libs/gateway/src/peer_news.cpp
@@ -29,6 +29,10 @@
 constexpr std::int64_t holder_member_interval_ms = 3000;
 constexpr std::int64_t member_pause_ms = 2000;
 constexpr std::int64_t retry_pause_ms = 700;
+/// Time between a reader's words to its neighbours: three in a word's life.
+constexpr std::int64_t word_interval_ms = 400;
+/// Neighbours that a starting daemon asks for what they know.
+constexpr std::size_t neighbours_asked = 2;
 
 schema::server_news_record to_record(const server_holding& news)
 {
@@ -139,6 +143,9 @@
     message.port = context_.settings.peer_port;
     message.failure_domain = context_.settings.failure_domain;
     message.configuration_version = configuration_version();
+    message.link_mbps = static_cast<float>(context_.settings.link_mbps);
+    message.configuration_position = watch_.configuration_position();
+    message.list_position = watch_.list_position();
     return message;
 }
 
@@ -148,80 +155,165 @@
     return context_.configuration ? context_.configuration->version : 0;
 }
 
-/// Writes this daemon's row; one that is there already is replaced.
+/// Writes this daemon's row; one of an earlier process is replaced.
 asio::awaitable<void> peer_news::register_self()
 {
     json::object value;
     value["address"] = context_.settings.address;
     value["port"] = context_.settings.peer_port;
     value["failure_domain"] = context_.settings.failure_domain;
+    value["link_mbps"] = context_.settings.link_mbps;
     const auto text = json::serialize(value);
     const auto key = context_.self.value();
-    std::uint64_t version = 0;
-    for (;;) {
+    while (own_row_.value != text) {
         context_.measures.count_store_call();
         const auto written = co_await context_.platform.store->write_row(
-            member_table, key, text, version);
+            member_table, key, text, own_row_.version);
         if (written.end == store_write_end::done)
             co_return;
         if (written.end != store_write_end::conflict)
             co_await sleep_for_ms(retry_pause_ms);
-        context_.measures.count_store_call();
-        const auto read =
-            co_await context_.platform.store->read_row(member_table, key);
-        const bool present = !read.error && !read.rows.empty();
-        if (present && read.rows.front().value == text)
-            co_return;
-        version = present ? read.rows.front().version : 0;
+        co_await read_members();
     }
 }
 
+asio::awaitable<bool> peer_news::read_members()
+{
+    context_.measures.count_store_call();
+    const auto read =
+        co_await context_.platform.store->read_table(member_table);
+    if (!read.error)
+        take_members(read);
+    co_return !read.error;
+}
+
 asio::awaitable<void> peer_news::follow_members()
 {
+    // A daemon that starts anew finds its neighbours listed.
+    if (co_await read_members())
+        ask_neighbours();
     co_await register_self();
     // Those that start together are listed by now.
     co_await sleep_for_ms(member_pause_ms);
     for (;;) {
-        context_.measures.count_store_call();
-        const auto read =
-            co_await context_.platform.store->read_table(member_table);
-        if (!read.error)
-            take_members(read);
-        const bool sparse = !read.error && !holding_;
-        co_await sleep_for_ms(read.error ? retry_pause_ms
-                              : sparse   ? member_interval_ms
-                                         : holder_member_interval_ms);
+        const bool done = co_await read_members();
+        const bool sparse = done && !holding_;
+        co_await sleep_for_ms(!done    ? retry_pause_ms
+                              : sparse ? member_interval_ms
+                                       : holder_member_interval_ms);
     }
 }
 
 void peer_news::take_members(const store_read& read)
 {
+    own_row_ = store_row();
     for (const auto& row : read.rows) {
-        const instance_id id(row.key);
-        if (row.deleted) {
-            members_.erase(id);
-            continue;
-        }
-        boost::system::error_code error;
-        const auto value = json::parse(row.value, error);
-        if (error || !value.is_object()) {
-            log_event(log_level::warn, "member_row_unreadable")
-                .with("instance", row.key);
-            continue;
-        }
-        const auto* address = value.as_object().if_contains("address");
-        const auto* port = value.as_object().if_contains("port");
-        const auto* domain = value.as_object().if_contains("failure_domain");
-        if (address == nullptr || !address->is_string() || port == nullptr ||
-            !port->is_number() || domain == nullptr || !domain->is_string())
-            continue;
-        auto& entry = members_[id];
-        entry.address = {std::string(address->as_string()),
-                         port->to_number<std::uint16_t>()};
-        entry.failure_domain =
-            failure_domain_id(std::string(domain->as_string()));
+        if (row.key == context_.self.value())
+            own_row_ = row;
+        take_member(row);
     }
     context_.set_daemons(members_.size());
+    place_self();
+}
+
+void peer_news::take_member(const store_row& row)
+{
+    const instance_id id(row.key);
+    if (row.deleted) {
+        members_.erase(id);
+        return;
+    }
+    boost::system::error_code error;
+    const auto value = json::parse(row.value, error);
+    if (error || !value.is_object()) {
+        log_event(log_level::warn, "member_row_unreadable")
+            .with("instance", row.key);
+        return;
+    }
+    const auto* address = value.as_object().if_contains("address");
+    const auto* port = value.as_object().if_contains("port");
+    const auto* domain = value.as_object().if_contains("failure_domain");
+    const auto* link = value.as_object().if_contains("link_mbps");
+    if (address == nullptr || !address->is_string() || port == nullptr ||
+        !port->is_number() || domain == nullptr || !domain->is_string())
+        return;
+    auto& entry = members_[id];
+    entry.address = {std::string(address->as_string()),
+                     port->to_number<std::uint16_t>()};
+    entry.failure_domain = failure_domain_id(std::string(domain->as_string()));
+    if (link != nullptr && link->is_number())
+        entry.link_mbps = link->to_number<double>();
+}
+
+/// Finds this daemon's place among its neighbours.
+void peer_news::place_self()
+{
+    const failure_domain_id own(context_.settings.failure_domain);
+    const reader_rank self{context_.settings.link_mbps, context_.self};
+    std::size_t better = 0;
+    for (const auto& [id, entry] : members_)
+        if (id != context_.self && entry.failure_domain == own &&
+            reader_rank{entry.link_mbps, id}.is_better_than(self))
+            ++better;
+    watch_.readers().set_better_placed(better);
+}
+
+/// A daemon that starts asks some neighbours, so that what is known in its
+/// failure domain need not come from the store once more.
+void peer_news::ask_neighbours()
+{
+    auto known =
+        neighbours(failure_domain_id(context_.settings.failure_domain));
+    std::shuffle(known.begin(), known.end(), context_.random);
+    known.resize(std::min(known.size(), neighbours_asked));
+    for (const auto& neighbour : known)
+        request_snapshot(neighbour);
+}
+
+asio::awaitable<void> peer_news::speak_to_neighbours()
+{
+    const failure_domain_id own(context_.settings.failure_domain);
+    for (;;) {
+        const bool follows = watch_.follows();
+        if (follows || told_following_) {
+            auto message = make_message(schema::message_kind::following);
+            message.follows = follows;
+            link_.broadcast(neighbours(own), message);
+        }
+        told_following_ = follows;
+        co_await sleep_for_ms(word_interval_ms);
+    }
+}
+
+void peer_news::pass_configuration_on()
+{
+    if (!watch_.follows())
+        return;
+    const auto& bytes = watch_.configuration_bytes();
+    auto message = make_message(schema::message_kind::snapshot);
+    message.body.assign(bytes.begin(), bytes.end());
+    link_.broadcast(
+        neighbours(failure_domain_id(context_.settings.failure_domain)),
+        message);
+}
+
+/// A reader that knows more is asked for it; one that does not shows that
+/// what is known here is all there is.
+void peer_news::on_reader_word(const schema::peer_message_record& message,
+                               const member& speaker)
+{
+    watch_.readers().on_word(
+        {message.link_mbps, instance_id(message.sender->instance)},
+        message.follows,
+        steady_now());
+    if (!message.follows)
+        return;
+    const bool newer = message.configuration_version > configuration_version();
+    const bool list = watch_.list_position() == 0 && message.list_position > 0;
+    if (newer || list)
+        request_snapshot(speaker.address);
+    if (message.configuration_version == configuration_version())
+        watch_.configuration_known_to(message.configuration_position);
 }
 
 asio::awaitable<void> peer_news::run()
@@ -372,6 +464,7 @@
     auto& known = members_[sender];
     known.address = address;
     known.failure_domain = failure_domain_id(message.failure_domain);
+    known.link_mbps = message.link_mbps;
     known.heard_at = steady_now();
     switch (message.kind) {
     case schema::message_kind::placement:
@@ -386,14 +479,13 @@
             on_demand_(message);
         return;
     case schema::message_kind::snapshot_request:
-        if (message.configuration_version < configuration_version())
-            send_snapshot(address);
+        send_snapshot(message);
         return;
     case schema::message_kind::snapshot:
-        watch_.take_configuration(
-            std::string_view(reinterpret_cast<const char*>(message.body.data()),
-                             message.body.size()),
-            sender.value());
+        take_snapshot(message);
+        return;
+    case schema::message_kind::following:
+        on_reader_word(message, known);
         return;
     default:
         log_event(log_level::warn, "peer_message_ignored")
@@ -442,17 +534,44 @@
     if (!next)
         watch_.ask_for_list();
     if (message.list_fresh && next)
-        watch_.list_relayed_at(now);
+        watch_.list_relayed_at(now, message.list_position);
 }
 
-void peer_news::send_snapshot(const peer_address& to)
+/// Sends what the asking daemon does not know yet.
+void peer_news::send_snapshot(const schema::peer_message_record& request)
 {
-    const auto& bytes = watch_.configuration_bytes();
-    if (bytes.empty())
+    const bool newer = request.configuration_version < configuration_version();
+    const bool list = request.list_position == 0 && context_.servers_known;
+    if (!newer && !list)
         return;
     auto message = make_message(schema::message_kind::snapshot);
-    message.body.assign(bytes.begin(), bytes.end());
-    link_.send(to, std::move(message), false);
+    const auto& bytes = watch_.configuration_bytes();
+    if (newer)
+        message.body.assign(bytes.begin(), bytes.end());
+    if (list)
+        for (const auto& row : watch_.list_rows())
+            message.rows.push_back(to_record(row));
+    link_.send({request.address, request.port}, std::move(message), false);
+}
+
+void peer_news::take_snapshot(const schema::peer_message_record& message)
+{
+    if (!message.body.empty())
+        watch_.take_configuration(
+            std::string_view(reinterpret_cast<const char*>(message.body.data()),
+                             message.body.size()),
+            message.sender->instance);
+    std::vector<store_row> rows;
+    for (const auto& row : message.rows)
+        rows.push_back(to_row(*row));
+    if (!rows.empty())
+        watch_.take_list_of_neighbour(rows, message.list_position);
+}
+
+void peer_news::request_snapshot(const peer_address& from)
+{
+    link_.send(
+        from, make_message(schema::message_kind::snapshot_request), false);
 }
 
 /// Asks one peer, picked by chance, for the newest configuration.
@@ -464,9 +583,7 @@
     auto peer = members_.begin();
     std::advance(peer, static_cast<std::ptrdiff_t>(index));
     if (peer->first != context_.self)
-        link_.send(peer->second.address,
-                   make_message(schema::message_kind::snapshot_request),
-                   false);
+        request_snapshot(peer->second.address);
 }
 
 } // namespace barleyfork
--- a/libs/gateway/src/peer_news.hpp
+++ b/libs/gateway/src/peer_news.hpp
@@ -48,6 +48,12 @@
     /// Sends demand and heartbeats.
     boost::asio::awaitable<void> run();
 
+    /// Tells the neighbours while this daemon follows the store for them.
+    boost::asio::awaitable<void> speak_to_neighbours();
+
+    /// A newer configuration came: the neighbours of a reader get it.
+    void pass_configuration_on();
+
     /// Sends demand at once.
     void send_demand();
 
@@ -74,6 +80,7 @@
     {
         peer_address address;
         failure_domain_id failure_domain;
+        double link_mbps = 0.0;
         time_point heard_at{};
     };
 
@@ -85,9 +92,17 @@
     std::uint64_t configuration_version() const noexcept;
     void take_relayed(const schema::peer_message_record& message,
                       time_point now);
-    void send_snapshot(const peer_address& to);
+    void send_snapshot(const schema::peer_message_record& request);
+    void take_snapshot(const schema::peer_message_record& message);
+    void request_snapshot(const peer_address& from);
     void ask_for_snapshot();
+    void ask_neighbours();
+    void on_reader_word(const schema::peer_message_record& message,
+                        const member& speaker);
+    boost::asio::awaitable<bool> read_members();
     void take_members(const store_read& read);
+    void take_member(const store_row& row);
+    void place_self();
     boost::asio::awaitable<void> register_self();
 
     gateway_context& context_;
@@ -95,6 +110,10 @@
     peer_link link_;
     demand_handler on_demand_;
     std::map<instance_id, member> members_;
+    /// This daemon's row as the store has it.
+    store_row own_row_;
+    /// The neighbours were told last that this daemon follows the store.
+    bool told_following_ = false;
     /// Who passes news on in each other failure domain.
     std::map<failure_domain_id, instance_id> relays_;
     std::optional<peer_address> holder_;
--- a/libs/gateway/src/store_watch.cpp
+++ b/libs/gateway/src/store_watch.cpp
@@ -2,6 +2,7 @@
 
 #include <barleyfork/base/log.hpp>
 
+#include <algorithm>
 #include <boost/asio/awaitable.hpp>
 #include <utility>
 
@@ -11,9 +12,15 @@
 
 namespace {
 
-/// Pause after a failed call; spread so that daemons don't come together.
+/// Pause after a failed call; spread so that daemons don't come together, and
+/// doubled with each further failure up to so many times.
 constexpr std::int64_t shortest_pause_ms = 150;
 constexpr std::int64_t longest_pause_ms = 450;
+constexpr int most_doublings = 2;
+/// How often a daemon that leaves the reading to a neighbour looks again.
+constexpr std::int64_t neighbour_tick_ms = 100;
+/// A daemon that knows nothing waits for a neighbour's word this long.
+constexpr duration longest_wait_for_neighbour{2000};
 
 /// How often it is asked whether the list is due.
 constexpr std::int64_t list_tick_ms = 150;
@@ -22,41 +29,60 @@
 /// A holder whose own reading is older than this does not vouch for the list.
 constexpr duration list_freshness{800};
 
-std::int64_t pause_ms(std::mt19937_64& random)
+} // namespace
+
+store_watch::store_watch(gateway_context& context)
+    : context_(context),
+      readers_({context.settings.link_mbps, context.self}, steady_now()),
+      started_at_(steady_now())
 {
-    std::uniform_int_distribution<std::int64_t> spread(shortest_pause_ms,
-                                                       longest_pause_ms);
-    return spread(random);
 }
 
-/// How far one table has been read.
-struct table_position
+bool store_watch::table_position::advance(const store_read& read)
 {
-    std::uint64_t version = 0;
-    bool known = false;
+    if (read.version < version)
+        return false;
+    version = read.version;
+    known = true;
+    return true;
+}
 
-    /// Takes in an answer; false for one from the store's past.
-    bool advance(const store_read& read)
-    {
-        if (read.version < version)
-            return false;
-        version = read.version;
-        known = true;
-        return true;
-    }
-};
+/// True while a neighbour reads the store and what is `known` here suffices.
+bool store_watch::waits_for_neighbour(bool known, time_point now)
+{
+    const bool reads = readers_.decide(now);
+    return !reads && (known || now < started_at_ + longest_wait_for_neighbour);
+}
 
-} // namespace
+std::int64_t store_watch::failure_pause_ms()
+{
+    std::uniform_int_distribution<std::int64_t> spread(shortest_pause_ms,
+                                                       longest_pause_ms);
+    const int doublings = std::min(failures_, most_doublings);
+    ++failures_;
+    return spread(context_.random) << doublings;
+}
 
-store_watch::store_watch(gateway_context& context) : context_(context) {}
+void store_watch::configuration_known_to(std::uint64_t position)
+{
+    if (position <= configuration_position_.version)
+        return;
+    configuration_position_.version = position;
+    configuration_position_.known = true;
+}
 
 asio::awaitable<void> store_watch::follow_configuration()
 {
     const auto table = context_.platform.configuration_table;
     const auto key = context_.platform.configuration_key;
     const duration wait(context_.settings.store->watch_wait_ms);
-    table_position position;
+    auto& position = configuration_position_;
     for (;;) {
+        if (waits_for_neighbour(context_.configuration != nullptr,
+                                steady_now())) {
+            co_await sleep_for_ms(neighbour_tick_ms);
+            continue;
+        }
         context_.measures.count_store_call();
         auto& store = *context_.platform.store;
         const bool whole = !position.known;
@@ -70,7 +96,7 @@
                 position.known = false;
             else
                 set_reachable(!read.error, read.error);
-            co_await sleep_for_ms(pause_ms(context_.random));
+            co_await sleep_for_ms(failure_pause_ms());
             continue;
         }
         set_reachable(true, {});
@@ -78,7 +104,7 @@
             if (row.key == key && !row.deleted)
                 take_configuration(row.value, "store");
         if (!context_.configuration)
-            co_await sleep_for_ms(pause_ms(context_.random));
+            co_await sleep_for_ms(shortest_pause_ms);
     }
 }
 
@@ -105,20 +131,26 @@
     context_.measures.set_version(decoded->version);
     context_.configuration = std::move(decoded);
     context_.wake_waiting();
+    if (on_configuration_)
+        on_configuration_();
 }
 
 asio::awaitable<void> store_watch::follow_servers()
 {
     const auto table = context_.platform.server_table;
-    table_position position;
+    auto& position = list_position_;
     for (;;) {
-        co_await sleep_for_ms(position.known ? list_tick_ms : 0);
         const auto began = steady_now();
-        if (position.known && !is_list_due(began)) {
+        const bool due = position.known ? is_list_due(began)
+                                        : !waits_for_neighbour(false, began);
+        if (!due) {
             end_round();
+            co_await sleep_for_ms(position.known ? list_tick_ms
+                                                 : neighbour_tick_ms);
             continue;
         }
         list_wanted_ = false;
+        reading_list_ = true;
         context_.measures.count_store_call();
         auto& store = *context_.platform.store;
         const bool whole = !position.known;
@@ -128,6 +160,7 @@
         else
             read = co_await store.read_changes(
                 table, position.version, duration{0});
+        reading_list_ = false;
         if (read.error || !position.advance(read)) {
             if (kind_of(read.error.code) == errc::conflict)
                 position.known = false;
@@ -135,16 +168,17 @@
                 set_reachable(!read.error, read.error);
             list_wanted_ = true;
             end_round();
-            co_await sleep_for_ms(pause_ms(context_.random));
+            co_await sleep_for_ms(failure_pause_ms());
             continue;
         }
         set_reachable(true, {});
         read_at_ = began;
         if (whole)
-            take_list(read, began);
+            take_list(read.rows, began);
         else
             take_changes(read.rows, began);
         end_round();
+        co_await sleep_for_ms(list_tick_ms);
     }
 }
 
@@ -153,7 +187,8 @@
 bool store_watch::is_list_due(time_point now) const
 {
     const auto& settings = *context_.settings.store;
-    const bool relayed = now < relayed_at_ + relay_silence;
+    const bool relayed = now < relayed_at_ + relay_silence &&
+                         !context_.directory.awaits_return(now);
     const auto interval = relaying_ ? settings.holder_interval_ms
                           : relayed ? settings.relayed_interval_ms
                                     : settings.server_interval_ms;
@@ -164,8 +199,20 @@
 /// that wait look again.
 void store_watch::end_round()
 {
-    for (const auto& gone : context_.directory.expire(steady_now()))
+    for (const auto& gone : context_.directory.expire(steady_now())) {
         log_event(log_level::info, "server_gone").with("server", gone.value());
+        list_wanted_ = true;
+    }
+}
+
+/// A read that is wanted or under way closes a gap in the news: until then
+/// the position stays before the gap.
+void store_watch::list_relayed_at(time_point now,
+                                  std::uint64_t position) noexcept
+{
+    relayed_at_ = now;
+    if (list_position_.known && !list_wanted_ && !reading_list_)
+        list_position_.version = std::max(list_position_.version, position);
 }
 
 void store_watch::set_relaying(bool relaying)
@@ -190,11 +237,11 @@
         take_changes(rows, steady_now());
 }
 
-void store_watch::take_list(const store_read& read, time_point now)
+void store_watch::take_list(const std::vector<store_row>& rows, time_point now)
 {
     std::vector<backend_entry> entries;
-    for (const auto& row : read.rows) {
-        row_versions_[row.key] = row.version;
+    for (const auto& row : rows) {
+        rows_[row.key] = row;
         if (auto entry = decode(row))
             entries.push_back(std::move(*entry));
     }
@@ -203,6 +250,24 @@
     context_.wake_waiting();
 }
 
+void store_watch::take_list_of_neighbour(const std::vector<store_row>& rows,
+                                         std::uint64_t position)
+{
+    if (list_position_.known || position == 0)
+        return;
+    list_position_ = {position, true};
+    take_list(rows, steady_now());
+}
+
+std::vector<store_row> store_watch::list_rows() const
+{
+    std::vector<store_row> rows;
+    for (const auto& [key, row] : rows_)
+        if (!row.deleted)
+            rows.push_back(row);
+    return rows;
+}
+
 /// Changes are applied in their order: a row may stand in them twice, and
 /// they come both from the store and from the holder.
 void store_watch::take_changes(const std::vector<store_row>& rows,
@@ -210,17 +275,24 @@
 {
     bool changed = false;
     for (const auto& row : rows) {
-        auto& applied = row_versions_[row.key];
-        if (row.version <= applied)
+        auto& applied = rows_[row.key];
+        if (row.version <= applied.version)
             continue;
-        applied = row.version;
-        changed = true;
-        if (relaying_)
-            to_relay_.push_back(row);
+        applied = row;
         if (const auto entry = decode(row)) {
+            const auto* known = context_.directory.find(entry->id);
+            const bool news =
+                known == nullptr || known->missing_since ||
+                !backend_entry::differ_in_heartbeats_only(known->entry, *entry);
+            changed = changed || news;
+            if (relaying_ && news)
+                to_relay_.push_back(row);
             context_.directory.update(*entry);
             continue;
         }
+        changed = true;
+        if (relaying_)
+            to_relay_.push_back(row);
         log_event(log_level::info, "server_unlisted")
             .with("server", row.key)
             .with("row_version", static_cast<std::int64_t>(row.version));
@@ -267,6 +339,8 @@
 void store_watch::set_reachable(bool reachable, const failure& error)
 {
     context_.directory.set_store_reachable(reachable, steady_now());
+    if (reachable)
+        failures_ = 0;
     if (reachable == reachable_)
         return;
     reachable_ = reachable;
--- a/libs/net/include/barleyfork/net/frame.hpp
+++ b/libs/net/include/barleyfork/net/frame.hpp
@@ -15,7 +15,7 @@
 /// Larger frames are refused before they are read.
 constexpr std::size_t largest_frame_bytes = 8 * 1024 * 1024;
 
-/// Packs a message into one authenticated frame.
+/// Packs a message into one authenticated frame; large ones are compressed.
 std::string encode_frame(const schema::peer_message_record& message,
                          std::string_view secret);
 
--- a/libs/net/include/barleyfork/net/http_client.hpp
+++ b/libs/net/include/barleyfork/net/http_client.hpp
@@ -21,7 +21,12 @@
     std::string target;
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
+    /// Until the answer begins.
     duration timeout{2000};
+    /// Between the parts of an answer that began. A large answer over a full
+    /// link takes long; giving it up only to ask again would keep the link
+    /// full.
+    duration longest_silence{1000};
     /// A new connection is given up after this, however long the call may
     /// take: the kernel's own tries come seconds apart.
     duration connect_timeout{1000};
--- a/libs/net/src/frame.cpp
+++ b/libs/net/src/frame.cpp
@@ -3,12 +3,65 @@
 #include <barleyfork/base/digest.hpp>
 
 #include <boost/endian/conversion.hpp>
+#include <vector>
+#include <zstd.h>
 
 namespace barleyfork {
 
 namespace {
 
 constexpr std::size_t length_bytes = 4;
+/// The first byte of a payload says how the rest is written.
+constexpr char plain_mark = 'p';
+constexpr char compressed_mark = 'z';
+/// Smaller messages gain too little.
+constexpr std::size_t least_to_compress = 2048;
+/// The library's fastest ordinary level: daemons have a share of a core.
+constexpr int compression_level = 1;
+
+std::string compress(std::string_view bytes)
+{
+    std::string out(ZSTD_compressBound(bytes.size()), '\0');
+    const auto size = ZSTD_compress(
+        out.data(), out.size(), bytes.data(), bytes.size(), compression_level);
+    if (ZSTD_isError(size) != 0)
+        return {};
+    out.resize(size);
+    return out;
+}
+
+/// A payload: its mark, then the message as it is or compressed.
+std::string make_payload(std::string_view bytes)
+{
+    if (bytes.size() >= least_to_compress) {
+        const auto compressed = compress(bytes);
+        if (!compressed.empty() && compressed.size() < bytes.size())
+            return compressed_mark + compressed;
+    }
+    return plain_mark + std::string(bytes);
+}
+
+/// The message's bytes; `room` keeps them where they were compressed.
+failure
+open_payload(std::string_view payload, std::string& room, std::string_view& out)
+{
+    const char mark = payload.empty() ? '\0' : payload.front();
+    out = payload.substr(payload.empty() ? 0 : 1);
+    if (mark == plain_mark)
+        return {};
+    if (mark != compressed_mark)
+        return make_failure(errc::protocol_error, "the peer frame's mark");
+    const auto size = ZSTD_getFrameContentSize(out.data(), out.size());
+    if (size > largest_frame_bytes)
+        return make_failure(errc::protocol_error, "the peer frame's size");
+    room.resize(size);
+    const auto got =
+        ZSTD_decompress(room.data(), room.size(), out.data(), out.size());
+    if (ZSTD_isError(got) != 0 || got != size)
+        return make_failure(errc::protocol_error, "the peer frame's content");
+    out = room;
+    return {};
+}
 
 } // namespace
 
@@ -17,9 +70,9 @@
 {
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(schema::peer_message::Pack(builder, &message));
-    const std::string_view payload(
-        reinterpret_cast<const char*>(builder.GetBufferPointer()),
-        builder.GetSize());
+    const auto payload =
+        make_payload({reinterpret_cast<const char*>(builder.GetBufferPointer()),
+                      builder.GetSize()});
     std::string frame(length_bytes, '\0');
     boost::endian::store_big_u32(reinterpret_cast<unsigned char*>(frame.data()),
                                  static_cast<std::uint32_t>(payload.size()));
@@ -47,12 +100,17 @@
     const auto tag = header.substr(length_bytes);
     if (!equal_in_constant_time(tag, authentication_tag(secret, payload)))
         return make_failure(errc::forbidden, "the peer frame's tag");
-    flatbuffers::Verifier verifier(
-        reinterpret_cast<const std::uint8_t*>(payload.data()), payload.size());
+    std::string room;
+    std::string_view bytes;
+    if (auto error = open_payload(payload, room, bytes))
+        return error;
+    // The marked payload is aligned nowhere; fields may need it.
+    const std::vector<std::uint8_t> aligned(bytes.begin(), bytes.end());
+    flatbuffers::Verifier verifier(aligned.data(), aligned.size());
     if (!verifier.VerifyBuffer<schema::peer_message>())
         return make_failure(errc::protocol_error, "the peer message");
     out = schema::peer_message_record();
-    flatbuffers::GetRoot<schema::peer_message>(payload.data())->UnPackTo(&out);
+    flatbuffers::GetRoot<schema::peer_message>(aligned.data())->UnPackTo(&out);
     return {};
 }
 
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -47,6 +47,22 @@
                         to_string(endpoint) + " (" + error.message() + ")");
 }
 
+/// Reads an answer for as long as its parts keep coming.
+template <typename Parser>
+asio::awaitable<beast::error_code>
+read_answer(beast::tcp_stream& stream, Parser& parser, duration longest_silence)
+{
+    beast::flat_buffer buffer;
+    while (!parser.is_done()) {
+        auto [error, size] =
+            co_await http::async_read_some(stream, buffer, parser, as_result);
+        if (error)
+            co_return error;
+        stream.expires_after(longest_silence);
+    }
+    co_return beast::error_code();
+}
+
 } // namespace
 
 asio::awaitable<http_reply> http_client::call(const http_endpoint& endpoint,
@@ -86,11 +102,10 @@
         reply.error = to_failure(write_error, endpoint);
         co_return reply;
     }
-    beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(largest_reply);
-    auto [read_error, read] =
-        co_await http::async_read(stream, buffer, parser, as_result);
+    const auto read_error =
+        co_await read_answer(stream, parser, request.longest_silence);
     if (read_error) {
         reply.error = to_failure(read_error, endpoint);
         co_return reply;
--- a/libs/net/tests/frame_test.cpp
+++ b/libs/net/tests/frame_test.cpp
@@ -34,6 +34,7 @@
 {
     CPPUNIT_TEST_SUITE(frame_test);
     CPPUNIT_TEST(frame_comes_back);
+    CPPUNIT_TEST(a_configuration_is_compressed);
     CPPUNIT_TEST(changed_frames_are_refused);
     CPPUNIT_TEST(urls_are_checked);
     CPPUNIT_TEST_SUITE_END();
@@ -48,6 +49,25 @@
                        errc::forbidden);
     }
 
+    /// A configuration of 1700 routes must not fill a narrow link.
+    void a_configuration_is_compressed()
+    {
+        schema::peer_message_record message;
+        message.sender = std::make_unique<schema::member_record>();
+        message.sender->instance = "entry-1";
+        constexpr int routes = 1700;
+        for (int i = 0; i < routes; ++i) {
+            const auto route = R"({"name":"r)" + std::to_string(i * 7919) +
+                               R"(","host":"h.example","kind":"safe"})";
+            message.body.insert(message.body.end(), route.begin(), route.end());
+        }
+        const auto frame = encode_frame(message, "secret");
+        CPPUNIT_ASSERT(frame.size() < message.body.size() / 4);
+        schema::peer_message_record back;
+        CPPUNIT_ASSERT(!decode(frame, "secret", back));
+        CPPUNIT_ASSERT(back.body == message.body);
+    }
+
     void changed_frames_are_refused()
     {
         check_property("frame", 500, [] {
--- a/libs/net/tests/http_client_test.cpp
+++ b/libs/net/tests/http_client_test.cpp
@@ -3,10 +3,14 @@
 #include <barleyfork/net/duty.hpp>
 #include <barleyfork/net/http_client.hpp>
 
+#include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
 #include <future>
 #include <netinet/in.h>
+#include <string>
+#include <string_view>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 #include <vector>
 
@@ -59,12 +63,74 @@
     std::vector<int> fillers_;
 };
 
+/// Answers one request with pieces of a body, as a full link brings them.
+class slow_answerer
+{
+public:
+    slow_answerer(int pieces, duration pause)
+    {
+        listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+        address_.sin_family = AF_INET;
+        address_.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        auto* address = reinterpret_cast<sockaddr*>(&address_);
+        socklen_t size = sizeof(address_);
+        ::bind(listener_, address, size);
+        ::getsockname(listener_, address, &size);
+        ::listen(listener_, 1);
+        worker_ = std::thread([this, pieces, pause] { answer(pieces, pause); });
+    }
+    slow_answerer(const slow_answerer&) = delete;
+    slow_answerer& operator=(const slow_answerer&) = delete;
+    ~slow_answerer()
+    {
+        over_ = true;
+        ::shutdown(listener_, SHUT_RDWR);
+        worker_.join();
+        ::close(listener_);
+    }
+
+    http_endpoint endpoint() const
+    {
+        return {"127.0.0.1", ntohs(address_.sin_port), ""};
+    }
+
+private:
+    static void write(int connection, std::string_view bytes)
+    {
+        // A client that gave up is seen by the test itself.
+        static_cast<void>(
+            ::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+    }
+
+    void answer(int pieces, duration pause)
+    {
+        const int connection = ::accept(listener_, nullptr, nullptr);
+        if (connection < 0)
+            return;
+        write(connection,
+              "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(pieces) +
+                  "\r\n\r\n");
+        for (int i = 0; i < pieces && !over_; ++i) {
+            std::this_thread::sleep_for(pause);
+            write(connection, "x");
+        }
+        ::close(connection);
+    }
+
+    int listener_ = -1;
+    sockaddr_in address_{};
+    std::atomic<bool> over_{false};
+    std::thread worker_;
+};
+
 } // namespace
 
 class http_client_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(http_client_test);
     CPPUNIT_TEST(a_long_call_gives_up_a_hanging_connection_early);
+    CPPUNIT_TEST(an_answer_that_keeps_coming_is_read_to_its_end);
+    CPPUNIT_TEST(an_answer_that_stops_coming_is_given_up);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -76,7 +142,8 @@
         duty work("test", 16);
         http_client client;
         std::promise<http_reply> done;
-        work.spawn(call(client, listener.endpoint(), done));
+        constexpr duration timeout{20000};
+        work.spawn(call(client, listener.endpoint(), timeout, done));
         work.start();
         auto reply = done.get_future();
         constexpr std::chrono::seconds bound{5};
@@ -87,14 +154,47 @@
         CPPUNIT_ASSERT(reply.get().not_sent);
     }
 
+    /// Many daemons that start together behind one narrow link each get their
+    /// large answer late; to give up and ask again would only fill the link.
+    void an_answer_that_keeps_coming_is_read_to_its_end()
+    {
+        constexpr int pieces = 8;
+        const auto reply = ask_slow(pieces, duration{300});
+        CPPUNIT_ASSERT(!reply.error);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{pieces}, reply.body.size());
+    }
+
+    void an_answer_that_stops_coming_is_given_up()
+    {
+        const auto reply = ask_slow(2, duration{3000});
+        CPPUNIT_ASSERT(kind_of(reply.error.code) == errc::timeout);
+    }
+
 private:
+    /// Asks with a timeout of one second.
+    static http_reply ask_slow(int pieces, duration pause)
+    {
+        const slow_answerer answerer(pieces, pause);
+        duty work("test", 16);
+        http_client client;
+        std::promise<http_reply> done;
+        constexpr duration timeout{1000};
+        work.spawn(call(client, answerer.endpoint(), timeout, done));
+        work.start();
+        auto reply = done.get_future().get();
+        work.stop();
+        work.discard();
+        return reply;
+    }
+
     static boost::asio::awaitable<void> call(http_client& client,
                                              http_endpoint endpoint,
+                                             duration timeout,
                                              std::promise<http_reply>& done)
     {
         http_call request;
         request.target = "/";
-        request.timeout = duration{20000};
+        request.timeout = timeout;
         done.set_value(co_await client.call(endpoint, std::move(request)));
     }
 };
--- a/libs/schema/include/barleyfork/schema/gateway_generated.h
+++ b/libs/schema/include/barleyfork/schema/gateway_generated.h
@@ -131,7 +131,7 @@
   uint32_t watch_wait_ms = 20000;
   uint32_t server_interval_ms = 900;
   uint32_t holder_interval_ms = 500;
-  uint32_t relayed_interval_ms = 10000;
+  uint32_t relayed_interval_ms = 30000;
 };
 
 /// The store that keeps what must last, and how it is asked. The list of
@@ -166,7 +166,7 @@
     return GetField<uint32_t>(VT_HOLDER_INTERVAL_MS, 500);
   }
   uint32_t relayed_interval_ms() const {
-    return GetField<uint32_t>(VT_RELAYED_INTERVAL_MS, 10000);
+    return GetField<uint32_t>(VT_RELAYED_INTERVAL_MS, 30000);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -204,7 +204,7 @@
     fbb_.AddElement<uint32_t>(store_settings::VT_HOLDER_INTERVAL_MS, holder_interval_ms, 500);
   }
   void add_relayed_interval_ms(uint32_t relayed_interval_ms) {
-    fbb_.AddElement<uint32_t>(store_settings::VT_RELAYED_INTERVAL_MS, relayed_interval_ms, 10000);
+    fbb_.AddElement<uint32_t>(store_settings::VT_RELAYED_INTERVAL_MS, relayed_interval_ms, 30000);
   }
   explicit store_settingsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -225,7 +225,7 @@
     uint32_t watch_wait_ms = 20000,
     uint32_t server_interval_ms = 900,
     uint32_t holder_interval_ms = 500,
-    uint32_t relayed_interval_ms = 10000) {
+    uint32_t relayed_interval_ms = 30000) {
   store_settingsBuilder builder_(_fbb);
   builder_.add_relayed_interval_ms(relayed_interval_ms);
   builder_.add_holder_interval_ms(holder_interval_ms);
@@ -248,7 +248,7 @@
     uint32_t watch_wait_ms = 20000,
     uint32_t server_interval_ms = 900,
     uint32_t holder_interval_ms = 500,
-    uint32_t relayed_interval_ms = 10000) {
+    uint32_t relayed_interval_ms = 30000) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
   return barleyfork::schema::Createstore_settings(
       _fbb,
--- a/libs/schema/include/barleyfork/schema/peer_generated.h
+++ b/libs/schema/include/barleyfork/schema/peer_generated.h
@@ -102,11 +102,12 @@
   placement = 7,
   snapshot_request = 8,
   snapshot = 9,
+  following = 10,
   MIN = probe,
-  MAX = snapshot
+  MAX = following
 };
 
-inline const message_kind (&EnumValuesmessage_kind())[10] {
+inline const message_kind (&EnumValuesmessage_kind())[11] {
   static const message_kind values[] = {
     message_kind::probe,
     message_kind::acknowledgement,
@@ -117,13 +118,14 @@
     message_kind::demand,
     message_kind::placement,
     message_kind::snapshot_request,
-    message_kind::snapshot
+    message_kind::snapshot,
+    message_kind::following
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage_kind() {
-  static const char * const names[11] = {
+  static const char * const names[12] = {
     "probe",
     "acknowledgement",
     "push",
@@ -134,13 +136,14 @@
     "placement",
     "snapshot_request",
     "snapshot",
+    "following",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage_kind(message_kind e) {
-  if (flatbuffers::IsOutRange(e, message_kind::probe, message_kind::snapshot)) return "";
+  if (flatbuffers::IsOutRange(e, message_kind::probe, message_kind::following)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage_kind()[index];
 }
@@ -996,13 +999,21 @@
   std::string failure_domain{};
   bool pass_on = false;
   uint64_t configuration_version = 0;
+  bool follows = false;
+  float link_mbps = 0.0f;
+  uint64_t configuration_position = 0;
+  uint64_t list_position = 0;
   peer_message_record() = default;
   peer_message_record(const peer_message_record &o);
   peer_message_record(peer_message_record&&) FLATBUFFERS_NOEXCEPT = default;
   peer_message_record &operator=(peer_message_record o) FLATBUFFERS_NOEXCEPT;
 };
 
-/// One gossip message; every kind carries the same news. `epoch` is the
+/// One gossip message; every kind carries the same news. `following` says
+/// whether the sender follows the store for its failure domain, and how far it
+/// has come: `configuration_position` and `list_position` are versions of the
+/// store up to which it knows all changes, 0 where it knows none. A request
+/// for a snapshot says with them what is known already. `epoch` is the
 /// lease epoch of a placement's holder; `body` of a snapshot is the newest
 /// configuration in the store's own form. `rows` are changes of the server
 /// list; `list_fresh` says that the sender read the list just now. A daemon
@@ -1032,7 +1043,11 @@
     VT_LIST_FRESH = 38,
     VT_FAILURE_DOMAIN = 40,
     VT_PASS_ON = 42,
-    VT_CONFIGURATION_VERSION = 44
+    VT_CONFIGURATION_VERSION = 44,
+    VT_FOLLOWS = 46,
+    VT_LINK_MBPS = 48,
+    VT_CONFIGURATION_POSITION = 50,
+    VT_LIST_POSITION = 52
   };
   barleyfork::schema::message_kind kind() const {
     return static_cast<barleyfork::schema::message_kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -1097,6 +1112,18 @@
   uint64_t configuration_version() const {
     return GetField<uint64_t>(VT_CONFIGURATION_VERSION, 0);
   }
+  bool follows() const {
+    return GetField<uint8_t>(VT_FOLLOWS, 0) != 0;
+  }
+  float link_mbps() const {
+    return GetField<float>(VT_LINK_MBPS, 0.0f);
+  }
+  uint64_t configuration_position() const {
+    return GetField<uint64_t>(VT_CONFIGURATION_POSITION, 0);
+  }
+  uint64_t list_position() const {
+    return GetField<uint64_t>(VT_LIST_POSITION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -1141,6 +1168,10 @@
            verifier.VerifyString(failure_domain()) &&
            VerifyField<uint8_t>(verifier, VT_PASS_ON, 1) &&
            VerifyField<uint64_t>(verifier, VT_CONFIGURATION_VERSION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_FOLLOWS, 1) &&
+           VerifyField<float>(verifier, VT_LINK_MBPS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIGURATION_POSITION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LIST_POSITION, 8) &&
            verifier.EndTable();
   }
   peer_message_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1215,6 +1246,18 @@
   void add_configuration_version(uint64_t configuration_version) {
     fbb_.AddElement<uint64_t>(peer_message::VT_CONFIGURATION_VERSION, configuration_version, 0);
   }
+  void add_follows(bool follows) {
+    fbb_.AddElement<uint8_t>(peer_message::VT_FOLLOWS, static_cast<uint8_t>(follows), 0);
+  }
+  void add_link_mbps(float link_mbps) {
+    fbb_.AddElement<float>(peer_message::VT_LINK_MBPS, link_mbps, 0.0f);
+  }
+  void add_configuration_position(uint64_t configuration_position) {
+    fbb_.AddElement<uint64_t>(peer_message::VT_CONFIGURATION_POSITION, configuration_position, 0);
+  }
+  void add_list_position(uint64_t list_position) {
+    fbb_.AddElement<uint64_t>(peer_message::VT_LIST_POSITION, list_position, 0);
+  }
   explicit peer_messageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1249,11 +1292,18 @@
     bool list_fresh = false,
     flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
     bool pass_on = false,
-    uint64_t configuration_version = 0) {
+    uint64_t configuration_version = 0,
+    bool follows = false,
+    float link_mbps = 0.0f,
+    uint64_t configuration_position = 0,
+    uint64_t list_position = 0) {
   peer_messageBuilder builder_(_fbb);
+  builder_.add_list_position(list_position);
+  builder_.add_configuration_position(configuration_position);
   builder_.add_configuration_version(configuration_version);
   builder_.add_epoch(epoch);
   builder_.add_sequence(sequence);
+  builder_.add_link_mbps(link_mbps);
   builder_.add_failure_domain(failure_domain);
   builder_.add_rows(rows);
   builder_.add_outstanding(outstanding);
@@ -1269,6 +1319,7 @@
   builder_.add_configuration(configuration);
   builder_.add_sender(sender);
   builder_.add_port(port);
+  builder_.add_follows(follows);
   builder_.add_pass_on(pass_on);
   builder_.add_list_fresh(list_fresh);
   builder_.add_kind(kind);
@@ -1302,7 +1353,11 @@
     bool list_fresh = false,
     const char *failure_domain = nullptr,
     bool pass_on = false,
-    uint64_t configuration_version = 0) {
+    uint64_t configuration_version = 0,
+    bool follows = false,
+    float link_mbps = 0.0f,
+    uint64_t configuration_position = 0,
+    uint64_t list_position = 0) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::member>>(*members) : 0;
   auto quarantine__ = quarantine ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::quarantine_entry>>(*quarantine) : 0;
   auto digest__ = digest ? _fbb.CreateString(digest) : 0;
@@ -1337,7 +1392,11 @@
       list_fresh,
       failure_domain__,
       pass_on,
-      configuration_version);
+      configuration_version,
+      follows,
+      link_mbps,
+      configuration_position,
+      list_position);
 }
 
 flatbuffers::Offset<peer_message> Createpeer_message(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1629,7 +1688,11 @@
         list_fresh(o.list_fresh),
         failure_domain(o.failure_domain),
         pass_on(o.pass_on),
-        configuration_version(o.configuration_version) {
+        configuration_version(o.configuration_version),
+        follows(o.follows),
+        link_mbps(o.link_mbps),
+        configuration_position(o.configuration_position),
+        list_position(o.list_position) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new barleyfork::schema::member_record(*members_) : nullptr); }
   quarantine.reserve(o.quarantine.size());
@@ -1668,6 +1731,10 @@
   std::swap(failure_domain, o.failure_domain);
   std::swap(pass_on, o.pass_on);
   std::swap(configuration_version, o.configuration_version);
+  std::swap(follows, o.follows);
+  std::swap(link_mbps, o.link_mbps);
+  std::swap(configuration_position, o.configuration_position);
+  std::swap(list_position, o.list_position);
   return *this;
 }
 
@@ -1701,6 +1768,10 @@
   { auto _e = failure_domain(); if (_e) _o->failure_domain = _e->str(); }
   { auto _e = pass_on(); _o->pass_on = _e; }
   { auto _e = configuration_version(); _o->configuration_version = _e; }
+  { auto _e = follows(); _o->follows = _e; }
+  { auto _e = link_mbps(); _o->link_mbps = _e; }
+  { auto _e = configuration_position(); _o->configuration_position = _e; }
+  { auto _e = list_position(); _o->list_position = _e; }
 }
 
 inline flatbuffers::Offset<peer_message> peer_message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1732,6 +1803,10 @@
   auto _failure_domain = _o->failure_domain.empty() ? 0 : _fbb.CreateString(_o->failure_domain);
   auto _pass_on = _o->pass_on;
   auto _configuration_version = _o->configuration_version;
+  auto _follows = _o->follows;
+  auto _link_mbps = _o->link_mbps;
+  auto _configuration_position = _o->configuration_position;
+  auto _list_position = _o->list_position;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       _kind,
@@ -1754,7 +1829,11 @@
       _list_fresh,
       _failure_domain,
       _pass_on,
-      _configuration_version);
+      _configuration_version,
+      _follows,
+      _link_mbps,
+      _configuration_position,
+      _list_position);
 }
 
 inline const barleyfork::schema::peer_message *Getpeer_message(const void *buf) {
