Miss a victim from its unload on, and let a move cost more

Change: the victim is missed for the whole horizon, the newcomer serves after unload and load; move_price 1.

--- a/libs/core/include/barleyfork/core/placement_planner.hpp
+++ b/libs/core/include/barleyfork/core/placement_planner.hpp
@@ -106,6 +106,8 @@
     double move_price = 1.0;
     /// How long a shortfall is expected to last, in seconds.
     double horizon_seconds = 60.0;
+    /// How long an unload waits for the requests that run, in seconds.
+    double unload_seconds = 0.0;
     /// Loads that may be started now, from the weight store's rate.
     std::uint32_t load_budget = 2;
     /// Of them, loads that may use the weight store.
--- a/libs/core/src/placement_round.cpp
+++ b/libs/core/src/placement_round.cpp
@@ -252,11 +252,20 @@
         });
 }
 
-/// Spreads the demand over the placement with the choice carried out, and
-/// compares; moves and the risk to victims are taken off.
+double placement_round::unserved_with(const serving_servers& serving) const
+{
+    const auto estimate = spread_demand(input_, serving);
+    return std::accumulate(
+        estimate.unserved.begin(), estimate.unserved.end(), 0.0);
+}
+
+/// Compares the placement with the choice carried out to the present one: the
+/// victims are missed from now on, the new replica serves only once it is
+/// loaded; moves and the risk to victims are taken off.
 double placement_round::evaluate(const load_choice& choice) const
 {
     const auto& server = input_.servers[choice.server];
+    const auto& options = input_.options;
     auto serving = serving_;
     double potential = potential_change(choice.model, 1);
     for (const auto victim : choice.victims) {
@@ -266,17 +275,18 @@
         potential += potential_change(found->second, -1);
         std::erase(serving[found->second], choice.server);
     }
+    const double without_victims =
+        choice.victims.empty() ? total_unserved_ : unserved_with(serving);
     serving[choice.model].push_back(choice.server);
-    const auto after = spread_demand(input_, serving);
-    const double gain =
-        total_unserved_ -
-        std::accumulate(after.unserved.begin(), after.unserved.end(), 0.0);
+    const double gain = without_victims - unserved_with(serving);
+    const double loss = without_victims - total_unserved_;
+    const double wait =
+        load_seconds(choice) +
+        (choice.victims.empty() ? 0.0 : options.unload_seconds);
+    const double served_seconds = std::max(options.horizon_seconds - wait, 0.0);
     const auto moves = static_cast<double>(1 + choice.victims.size());
-    const auto& options = input_.options;
-    const double served_seconds =
-        std::max(options.horizon_seconds - load_seconds(choice), 0.0);
     return served_seconds * (gain + burst_chance * potential) -
-           moves * options.move_price;
+           options.horizon_seconds * loss - moves * options.move_price;
 }
 
 const planner_copy* placement_round::copy_of(std::size_t server,
--- a/libs/core/src/placement_round.hpp
+++ b/libs/core/src/placement_round.hpp
@@ -68,6 +68,7 @@
     choose_victims(std::size_t server, std::uint64_t needed_mib) const;
     std::optional<double> eviction_loss(std::size_t server,
                                         const planner_replica& replica) const;
+    double unserved_with(const serving_servers& serving) const;
     double evaluate(const load_choice& choice) const;
     double potential_change(std::size_t model, int replicas) const;
     const planner_copy* copy_of(std::size_t server, std::size_t model) const;
--- a/libs/gateway/src/placement_duty.cpp
+++ b/libs/gateway/src/placement_duty.cpp
@@ -106,6 +106,7 @@
     options.planner.move_price = given.move_price;
     options.planner.horizon_seconds = given.horizon_s;
     options.planner.target_utilisation = given.target_utilisation;
+    options.planner.unload_seconds = given.unload_s;
     // Demand moves faster than domains fail here; room goes to demand.
     options.planner.spread_domains = false;
     options.interval = duration(given.interval_ms);
--- a/libs/schema/include/barleyfork/schema/gateway_generated.h
+++ b/libs/schema/include/barleyfork/schema/gateway_generated.h
@@ -389,14 +389,16 @@
 
 struct placement_settings_record : public flatbuffers::NativeTable {
   typedef placement_settings TableType;
-  double move_price = 0.3;
+  double move_price = 1.0;
   double horizon_s = 15.0;
   double target_utilisation = 0.35;
+  double unload_s = 2.0;
   uint32_t interval_ms = 250;
 };
 
-/// Trade-offs of placement: what a move costs in server-seconds of work, and
-/// how long a shortfall is expected to last.
+/// Trade-offs of placement: what a move costs in server-seconds of work, how
+/// long a shortfall is expected to last, and how long an unload waits for
+/// running requests.
 struct placement_settings FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef placement_settings_record NativeTableType;
   typedef placement_settingsBuilder Builder;
@@ -405,10 +407,11 @@
     VT_MOVE_PRICE = 4,
     VT_HORIZON_S = 6,
     VT_TARGET_UTILISATION = 8,
-    VT_INTERVAL_MS = 10
+    VT_UNLOAD_S = 10,
+    VT_INTERVAL_MS = 12
   };
   double move_price() const {
-    return GetField<double>(VT_MOVE_PRICE, 0.3);
+    return GetField<double>(VT_MOVE_PRICE, 1.0);
   }
   double horizon_s() const {
     return GetField<double>(VT_HORIZON_S, 15.0);
@@ -416,6 +419,9 @@
   double target_utilisation() const {
     return GetField<double>(VT_TARGET_UTILISATION, 0.35);
   }
+  double unload_s() const {
+    return GetField<double>(VT_UNLOAD_S, 2.0);
+  }
   uint32_t interval_ms() const {
     return GetField<uint32_t>(VT_INTERVAL_MS, 250);
   }
@@ -424,6 +430,7 @@
            VerifyField<double>(verifier, VT_MOVE_PRICE, 8) &&
            VerifyField<double>(verifier, VT_HORIZON_S, 8) &&
            VerifyField<double>(verifier, VT_TARGET_UTILISATION, 8) &&
+           VerifyField<double>(verifier, VT_UNLOAD_S, 8) &&
            VerifyField<uint32_t>(verifier, VT_INTERVAL_MS, 4) &&
            verifier.EndTable();
   }
@@ -437,7 +444,7 @@
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
   void add_move_price(double move_price) {
-    fbb_.AddElement<double>(placement_settings::VT_MOVE_PRICE, move_price, 0.3);
+    fbb_.AddElement<double>(placement_settings::VT_MOVE_PRICE, move_price, 1.0);
   }
   void add_horizon_s(double horizon_s) {
     fbb_.AddElement<double>(placement_settings::VT_HORIZON_S, horizon_s, 15.0);
@@ -445,6 +452,9 @@
   void add_target_utilisation(double target_utilisation) {
     fbb_.AddElement<double>(placement_settings::VT_TARGET_UTILISATION, target_utilisation, 0.35);
   }
+  void add_unload_s(double unload_s) {
+    fbb_.AddElement<double>(placement_settings::VT_UNLOAD_S, unload_s, 2.0);
+  }
   void add_interval_ms(uint32_t interval_ms) {
     fbb_.AddElement<uint32_t>(placement_settings::VT_INTERVAL_MS, interval_ms, 250);
   }
@@ -461,11 +471,13 @@
 
 inline flatbuffers::Offset<placement_settings> Createplacement_settings(
     flatbuffers::FlatBufferBuilder &_fbb,
-    double move_price = 0.3,
+    double move_price = 1.0,
     double horizon_s = 15.0,
     double target_utilisation = 0.35,
+    double unload_s = 2.0,
     uint32_t interval_ms = 250) {
   placement_settingsBuilder builder_(_fbb);
+  builder_.add_unload_s(unload_s);
   builder_.add_target_utilisation(target_utilisation);
   builder_.add_horizon_s(horizon_s);
   builder_.add_move_price(move_price);
@@ -930,6 +942,7 @@
   { auto _e = move_price(); _o->move_price = _e; }
   { auto _e = horizon_s(); _o->horizon_s = _e; }
   { auto _e = target_utilisation(); _o->target_utilisation = _e; }
+  { auto _e = unload_s(); _o->unload_s = _e; }
   { auto _e = interval_ms(); _o->interval_ms = _e; }
 }
 
@@ -944,12 +957,14 @@
   auto _move_price = _o->move_price;
   auto _horizon_s = _o->horizon_s;
   auto _target_utilisation = _o->target_utilisation;
+  auto _unload_s = _o->unload_s;
   auto _interval_ms = _o->interval_ms;
   return barleyfork::schema::Createplacement_settings(
       _fbb,
       _move_price,
       _horizon_s,
       _target_utilisation,
+      _unload_s,
       _interval_ms);
 }
 
