Choose by chance among servers that old news can't tell apart

Change: daemons speak each 3 ms times their number, the holder each 200 ms; servers that differ by less than the work that may have come unheard are alike, open connections go first among them; callers of streams are taken to leave after the silence that the platform states, so what can't begin by then is refused at once. The logs say the adapter and the time to the first event. Tests: servers_alike_but_for_unheard_work_share, open_connections_go_first_among_servers_alike, callers_leave_after_the_longest_of_three; written after the change.

--- a/libs/core/include/barleyfork/core/gateway_configuration.hpp
+++ b/libs/core/include/barleyfork/core/gateway_configuration.hpp
@@ -44,6 +44,9 @@
     duration timeout{0};
     /// An answer within this time meets its target.
     duration latency_target{0};
+    /// A pause between events of a stream up to this still meets its target;
+    /// zero where there is none.
+    duration longest_pause{0};
     /// What the queues before an engine are measured against: the longest
     /// target among this route and the less urgent ones of its services, so
     /// that no less urgent request is queued where this one is not. Set by
@@ -63,6 +66,10 @@
         return kind == call_kind::idempotent ||
                (kind == call_kind::stream && resumable);
     }
+
+    /// How long a caller of a stream waits for its next event, the first one
+    /// included, before it leaves.
+    duration caller_patience() const noexcept;
 };
 
 /// A model that an engine service offers.
--- a/libs/core/include/barleyfork/core/server_choice.hpp
+++ b/libs/core/include/barleyfork/core/server_choice.hpp
@@ -37,6 +37,9 @@
     std::uint64_t prompt_tokens = 0;
     double ms_per_token = 0.0;
     double base_ms = 0.0;
+    /// Work that other daemons may have sent to a server unheard of; servers
+    /// that differ by less are alike.
+    double uncertainty_ms = 0.0;
 };
 
 /// Milliseconds until an engine would send the first event.
--- a/libs/core/src/gateway_configuration.cpp
+++ b/libs/core/src/gateway_configuration.cpp
@@ -7,6 +7,23 @@
 
 namespace barleyfork {
 
+namespace {
+
+/// Callers of streams leave after a silence of the longest of these: a fixed
+/// time, so many times the route's target, so many times its longest pause.
+constexpr duration least_patience{2000};
+constexpr int patience_targets = 4;
+constexpr int patience_pauses = 8;
+
+} // namespace
+
+duration gateway_route::caller_patience() const noexcept
+{
+    return std::max({least_patience,
+                     patience_targets * latency_target,
+                     patience_pauses * longest_pause});
+}
+
 const gateway_service*
 gateway_configuration::find_service(const service_id& id) const
 {
--- a/libs/core/src/server_choice.cpp
+++ b/libs/core/src/server_choice.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <vector>
 
 namespace barleyfork {
 
@@ -44,22 +45,34 @@
     return fresh * static_cast<double>(reported - own);
 }
 
+/// Picks by chance among the candidates that cost about as little as the
+/// cheapest; those to which a connection is open go first.
 template <typename Cost>
-std::optional<std::size_t> choose_cheapest(
-    std::span<const server_candidate> candidates, Cost cost, std::uint64_t draw)
+std::optional<std::size_t>
+choose_cheapest(std::span<const server_candidate> candidates,
+                Cost cost,
+                double band_ms,
+                std::uint64_t draw)
 {
-    std::optional<std::size_t> best;
-    double best_cost = 0.0;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        // The draw decides where the round begins, so equals share evenly.
-        const auto index = (i + draw) % candidates.size();
-        const double value = cost(candidates[index]);
-        if (best && value > best_cost - tie_ms)
+    std::vector<double> costs;
+    costs.reserve(candidates.size());
+    for (const auto& candidate : candidates)
+        costs.push_back(cost(candidate));
+    if (costs.empty())
+        return std::nullopt;
+    const double bound =
+        *std::min_element(costs.begin(), costs.end()) + band_ms;
+    std::vector<std::size_t> cheap;
+    std::vector<std::size_t> connected;
+    for (std::size_t i = 0; i < costs.size(); ++i) {
+        if (costs[i] > bound)
             continue;
-        best = index;
-        best_cost = value;
+        cheap.push_back(i);
+        if (candidates[i].connected)
+            connected.push_back(i);
     }
-    return best;
+    const auto& from = connected.empty() ? cheap : connected;
+    return from[draw % from.size()];
 }
 
 } // namespace
@@ -110,6 +123,7 @@
             return expected_first_event_ms(candidate, work) +
                    engine_distance_ms.at(away) + standing_cost(candidate);
         },
+        std::max(work.uncertainty_ms, tie_ms),
         draw);
 }
 
@@ -125,6 +139,7 @@
             return expected_answer_ms(candidate, service_ms) +
                    plain_distance_ms.at(away) + standing_cost(candidate);
         },
+        tie_ms,
         draw);
 }
 
--- a/libs/core/tests/gateway_parts_test.cpp
+++ b/libs/core/tests/gateway_parts_test.cpp
@@ -11,6 +11,7 @@
 #include <barleyfork/testing/property.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <map>
 
 namespace barleyfork {
 
@@ -63,6 +64,9 @@
     CPPUNIT_TEST(peers_work_counts_once);
     CPPUNIT_TEST(a_failing_server_comes_last);
     CPPUNIT_TEST(near_servers_come_first_until_they_are_full);
+    CPPUNIT_TEST(servers_alike_but_for_unheard_work_share);
+    CPPUNIT_TEST(open_connections_go_first_among_servers_alike);
+    CPPUNIT_TEST(callers_leave_after_the_longest_of_three);
     CPPUNIT_TEST(the_pace_is_learned);
     CPPUNIT_TEST(a_late_renewal_is_as_old_as_its_sending);
     CPPUNIT_TEST_SUITE_END();
@@ -317,6 +321,58 @@
         CPPUNIT_ASSERT(!choose_engine({}, work, 1));
     }
 
+    /// Daemons that hear the same old news must not all choose the one server
+    /// that looks best in it.
+    void servers_alike_but_for_unheard_work_share()
+    {
+        std::vector<server_candidate> found{
+            make_candidate("a", distance::same_domain),
+            make_candidate("b", distance::same_domain),
+            make_candidate("c", distance::same_domain)};
+        constexpr std::uint32_t little = 20;
+        constexpr std::uint32_t much = 400;
+        found[1].load.peer_outstanding = little;
+        found[2].load.peer_outstanding = much;
+        engine_work work;
+        work.uncertainty_ms = 40.0;
+        std::map<std::size_t, int> chosen;
+        constexpr std::uint64_t draws = 100;
+        for (std::uint64_t draw = 0; draw < draws; ++draw)
+            ++chosen[*choose_engine(found, work, draw)];
+        CPPUNIT_ASSERT_EQUAL(50, chosen[0]);
+        CPPUNIT_ASSERT_EQUAL(50, chosen[1]);
+        work.uncertainty_ms = 0.0;
+        for (std::uint64_t draw = 0; draw < draws; ++draw)
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                                 *choose_engine(found, work, draw));
+    }
+
+    void open_connections_go_first_among_servers_alike()
+    {
+        std::vector<server_candidate> found{
+            make_candidate("a", distance::same_domain),
+            make_candidate("b", distance::same_domain)};
+        found[1].connected = true;
+        found[1].load.peer_outstanding = 2;
+        engine_work work;
+        work.uncertainty_ms = 40.0;
+        constexpr std::uint64_t draws = 10;
+        for (std::uint64_t draw = 0; draw < draws; ++draw)
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                                 *choose_engine(found, work, draw));
+    }
+
+    void callers_leave_after_the_longest_of_three()
+    {
+        gateway_route route;
+        route.latency_target = duration{100};
+        CPPUNIT_ASSERT(route.caller_patience() == duration{2000});
+        route.latency_target = duration{800};
+        CPPUNIT_ASSERT(route.caller_patience() == duration{3200});
+        route.longest_pause = duration{500};
+        CPPUNIT_ASSERT(route.caller_patience() == duration{4000});
+    }
+
     void the_pace_is_learned()
     {
         pace_estimator pace;
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -179,6 +179,7 @@
         found == context_.paces.end() ? pace_estimator() : found->second;
     work.ms_per_token = pace.ms_per_token();
     work.base_ms = pace.base_ms();
+    work.uncertainty_ms = context_.unheard_work_ms();
     return work;
 }
 
@@ -264,6 +265,14 @@
     return chosen;
 }
 
+/// When the caller is expected to leave if no answer has begun by then.
+time_point gateway_call::leaves_at() const
+{
+    if (route_->kind != call_kind::stream)
+        return deadline_;
+    return std::min(deadline_, received_at_ + route_->caller_patience());
+}
+
 /// An engine's queue is kept short enough that what is in it can still meet
 /// its target; what would be late there waits here, where it may still go
 /// elsewhere, or is refused while its caller has time to come back.
@@ -271,7 +280,7 @@
                                           time_point now) const
 {
     const bool begun = delivering_ || progress_->may_have_run();
-    const auto left = static_cast<double>((deadline_ - now).count());
+    const auto left = static_cast<double>((leaves_at() - now).count());
     if (begun)
         return outlook::send;
     if (chosen.expected_ms >= left)
@@ -344,6 +353,7 @@
         .with("request", facts_.try_id)
         .with("server", chosen.server.value())
         .with("model", facts_.model.value())
+        .with("adapter", facts_.adapter)
         .with("send", sends_ + 1)
         .with("candidates", static_cast<std::int64_t>(chosen.candidates))
         .with("expected_ms", static_cast<std::int64_t>(chosen.expected_ms))
@@ -421,7 +431,7 @@
     if (waiting_since_)
         return;
     waiting_since_ = now;
-    auto patience = (deadline_ - now) / wait_share;
+    auto patience = (leaves_at() - now) / wait_share;
     if (why == lack::no_room)
         patience = std::min(patience, route_->latency_target);
     else if (route_->latency_target.count() > 0)
@@ -530,13 +540,18 @@
 void gateway_call::begin_stream()
 {
     delivering_ = true;
-    context_.measures.record_first_event(
-        static_cast<double>((steady_now() - received_at_).count()));
+    record_first_event();
     answer_head head = *attempt_->head;
     head.headers = end_to_end_headers(head.headers, *context_.platform.codec);
     caller_->begin_stream(head);
 }
 
+void gateway_call::record_first_event()
+{
+    first_event_ms_ = (steady_now() - received_at_).count();
+    context_.measures.record_first_event(static_cast<double>(first_event_ms_));
+}
+
 bool gateway_call::is_sound_answer() const
 {
     const auto& facts = attempt_->facts;
@@ -684,8 +699,7 @@
 
 void gateway_call::deliver_answer()
 {
-    context_.measures.record_first_event(
-        static_cast<double>((steady_now() - received_at_).count()));
+    record_first_event();
     answer_head head = *attempt_->head;
     head.headers = end_to_end_headers(head.headers, *context_.platform.codec);
     const std::string body = std::move(attempt_->body);
@@ -784,6 +798,7 @@
         .with("outcome", error_name(kind))
         .with("status", status)
         .with("sends", sends_)
+        .with("first_event_ms", first_event_ms_)
         .with("after_ms", (steady_now() - received_at_).count());
 }
 
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -118,6 +118,8 @@
     void forward_events(std::vector<std::string> events);
     bool is_repeated_event(const std::string& event);
     void begin_stream();
+    void record_first_event();
+    time_point leaves_at() const;
     void finish_stream();
     void deliver_answer();
 
@@ -144,6 +146,8 @@
     int runs_ = 0;
     /// The answer has begun to go to the caller.
     bool delivering_ = false;
+    /// Until the caller got the first part of the answer; -1 where none.
+    std::int64_t first_event_ms_ = -1;
     /// The id of the last event that the caller got.
     std::string last_event_;
     timer_queue::timer_id deadline_timer_ = 0;
--- a/libs/gateway/src/gateway_context.cpp
+++ b/libs/gateway/src/gateway_context.cpp
@@ -2,6 +2,16 @@
 
 namespace barleyfork {
 
+namespace {
+
+constexpr duration shortest_news{200};
+constexpr duration longest_news{800};
+constexpr duration news_a_daemon{3};
+/// The share of its time that a busy server works.
+constexpr double busy_utilisation = 0.8;
+
+} // namespace
+
 gateway_context::gateway_context(schema::gateway_settings_record given,
                                  platform_port port)
     : settings(std::move(given)), platform(std::move(port)),
@@ -45,6 +55,18 @@
         budget.set_daemons(count);
 }
 
+duration gateway_context::news_interval() const noexcept
+{
+    const auto share = static_cast<std::int64_t>(daemons()) * news_a_daemon;
+    return std::clamp(share, shortest_news, longest_news);
+}
+
+double gateway_context::unheard_work_ms() const noexcept
+{
+    const auto late = news_interval() - shortest_news;
+    return busy_utilisation * static_cast<double>(late.count());
+}
+
 void gateway_context::wake_waiting()
 {
     if (waiting.empty())
--- a/libs/gateway/src/gateway_context.hpp
+++ b/libs/gateway/src/gateway_context.hpp
@@ -62,6 +62,14 @@
         return std::max<std::size_t>(daemons_, 1);
     }
 
+    /// Time between a daemon's messages to the placement's holder. It hears
+    /// from every daemon, so many of them speak less often.
+    duration news_interval() const noexcept;
+
+    /// Work that other daemons may have sent to a server since their last
+    /// news where these are rare, in milliseconds of the server.
+    double unheard_work_ms() const noexcept;
+
     /// Calls that wait look again at what can serve them.
     void wake_waiting();
 
