Give adapters that are kept out a turn, and order each one once

Ruled out: the rate of adapter orders (few a second), the store. Change: those kept out longest go first; after 1.5 s one of them may displace an adapter that had its place for 2 s; an adapter whose load awaits its answer is not ordered again. Tests: no_adapter_is_kept_out_for_good and an_adapter_is_ordered_once, both seen to fail without the change.

--- a/libs/core/include/barleyfork/core/placement_controller.hpp
+++ b/libs/core/include/barleyfork/core/placement_controller.hpp
@@ -210,6 +210,25 @@
 
     using adapter_key = std::pair<model_id, std::string>;
 
+    /// Callers wait for an adapter that no server holds.
+    struct adapter_need
+    {
+        /// The first and the last request that it kept waiting.
+        time_point since{};
+        time_point asked_at{};
+    };
+
+    /// An adapter that may make way; the smaller, the sooner.
+    struct adapter_victim
+    {
+        bool in_use = false;
+        time_point since{};
+        adapter_key key;
+
+        friend auto operator<=>(const adapter_victim&,
+                                const adapter_victim&) = default;
+    };
+
     struct engine_server
     {
         failure_domain_id failure_domain;
@@ -224,6 +243,8 @@
         std::vector<model_id> in_memory;
         std::vector<model_id> on_disk;
         bool awaiting_answer = false;
+        /// The adapter whose load awaits its answer.
+        std::optional<adapter_key> asked_for;
         std::optional<running_order> running;
         /// Models that are to go, in the order of their unloads.
         std::deque<closing_model> closing;
@@ -275,12 +296,20 @@
     void collect_closings(time_point now, actions& out);
     void collect_probes(time_point now, actions& out);
     void collect_adapters(time_point now, actions& out);
-    bool place_adapter(const adapter_key& key, time_point now, actions& out);
+    bool is_asked_for(const adapter_key& key) const;
+    bool place_adapter(const adapter_key& key,
+                       time_point since,
+                       time_point now,
+                       actions& out);
     bool takes_adapter_orders(const engine_server& server,
                               const model_id& model) const;
-    bool make_adapter_room(const model_id& model, time_point now, actions& out);
-    std::optional<std::pair<adapter_key, time_point>>
-    oldest_adapter(const engine_server& server) const;
+    void make_adapter_room(const model_id& model,
+                           bool for_starving,
+                           time_point now,
+                           actions& out);
+    std::optional<adapter_victim> oldest_adapter(const engine_server& server,
+                                                 bool for_starving,
+                                                 time_point now) const;
     void order(const server_id& id,
                engine_server& server,
                engine_command command,
@@ -308,8 +337,10 @@
     std::map<server_id, engine_server> servers_;
     std::map<model_id, double> work_;
     std::map<model_id, demand_estimator> demand_;
-    std::map<adapter_key, time_point> needs_;
+    std::map<adapter_key, adapter_need> needs_;
+    /// When each adapter was last used and last given a place.
     std::map<adapter_key, time_point> used_;
+    std::map<adapter_key, time_point> placed_;
     std::deque<time_point> store_loads_;
 };
 
--- a/libs/core/src/placement_controller.cpp
+++ b/libs/core/src/placement_controller.cpp
@@ -23,8 +23,14 @@
 constexpr duration adapter_time{25};
 /// A wish for an adapter that can't be met is dropped after this.
 constexpr duration need_life{3000};
-/// Adapters used within this time don't make way for others.
+/// How long callers have waited for an adapter is forgotten when nobody asked
+/// for it for this long.
+constexpr duration need_memory{10000};
+/// Adapters used within this time don't make way for others, unless they had
+/// their place for a turn and another one is kept out.
 constexpr duration adapter_rest{1000};
+constexpr duration adapter_turn{2000};
+constexpr duration kept_out{1500};
 /// A model that waits for room gives the room up after this.
 constexpr duration reservation_life{4000};
 /// Demand that moves within seconds is followed as fast.
@@ -89,6 +95,7 @@
     server.going.clear();
     server.unsettled.clear();
     server.awaiting_answer = false;
+    server.asked_for.reset();
     server.sequence.reset();
     server.uncertain = false;
     server.probe_at = now;
@@ -134,7 +141,9 @@
                                         const std::string& adapter,
                                         time_point now)
 {
-    needs_[{model, adapter}] = now;
+    auto& need = needs_.try_emplace({model, adapter}, adapter_need{now, now})
+                     .first->second;
+    need.asked_at = now;
 }
 
 void placement_controller::used_adapter(const model_id& model,
@@ -488,6 +497,8 @@
                                  actions& out)
 {
     server.awaiting_answer = true;
+    if (!command.adapter.empty() && command.kind == order_kind::load)
+        server.asked_for = adapter_key{command.model, command.adapter};
     out.push_back(
         {placement_action::what::order, id, std::move(command), reason});
 }
@@ -526,17 +537,20 @@
     }
 }
 
+/// Those that were kept out for longest go first.
 void placement_controller::collect_adapters(time_point now, actions& out)
 {
     std::erase_if(needs_, [now](const auto& item) {
-        return now > item.second + need_life;
+        return now > item.second.asked_at + need_memory;
     });
-    std::vector<adapter_key> met;
-    for (const auto& [key, at] : needs_)
-        if (place_adapter(key, now, out))
-            met.push_back(key);
-    for (const auto& key : met)
-        needs_.erase(key);
+    std::vector<std::pair<time_point, adapter_key>> wanted;
+    for (const auto& [key, need] : needs_)
+        if (now <= need.asked_at + need_life)
+            wanted.emplace_back(need.since, key);
+    std::sort(wanted.begin(), wanted.end());
+    for (const auto& [since, key] : wanted)
+        if (place_adapter(key, since, now, out))
+            needs_.erase(key);
 }
 
 bool placement_controller::takes_adapter_orders(const engine_server& server,
@@ -547,11 +561,22 @@
            !server.awaiting_answer && !server.uncertain;
 }
 
+/// Its load was ordered and not answered yet.
+bool placement_controller::is_asked_for(const adapter_key& key) const
+{
+    return std::any_of(servers_.begin(), servers_.end(), [&key](const auto& s) {
+        return s.second.asked_for == key;
+    });
+}
+
 /// Orders the adapter where its model is; true once some server has it.
 bool placement_controller::place_adapter(const adapter_key& key,
+                                         time_point since,
                                          time_point now,
                                          actions& out)
 {
+    if (is_asked_for(key))
+        return false;
     server_id best;
     std::size_t fewest = engine_.max_adapters;
     for (const auto& [id, server] : servers_) {
@@ -568,7 +593,8 @@
         fewest = count;
     }
     if (best.empty()) {
-        make_adapter_room(key.first, now, out);
+        const bool starves = now >= since + kept_out;
+        make_adapter_room(key.first, starves, now, out);
         return false;
     }
     auto& server = servers_.at(best);
@@ -580,54 +606,66 @@
     return false;
 }
 
-/// The adapter on a server that was used longest ago, and when.
-std::optional<std::pair<placement_controller::adapter_key, time_point>>
-placement_controller::oldest_adapter(const engine_server& server) const
+/// Which adapter of a server makes way first: of those used within the rest
+/// time the one longest in its place, else the one used longest ago.
+std::optional<placement_controller::adapter_victim>
+placement_controller::oldest_adapter(const engine_server& server,
+                                     bool for_starving,
+                                     time_point now) const
 {
-    std::optional<std::pair<adapter_key, time_point>> oldest;
+    const auto time_of = [](const auto& times, const adapter_key& key) {
+        const auto found = times.find(key);
+        return found == times.end() ? time_point{} : found->second;
+    };
+    std::optional<adapter_victim> oldest;
     for (const auto& held : server.held.models) {
         for (const auto& adapter : held.adapters) {
             const adapter_key key{held.model, adapter};
             if (is_going(server, key))
                 continue;
-            const auto used = used_.find(key);
-            const auto at = used == used_.end() ? time_point{} : used->second;
-            if (!oldest || at < oldest->second)
-                oldest.emplace(key, at);
+            const auto used = time_of(used_, key);
+            const auto placed = time_of(placed_, key);
+            const bool rests = now >= used + adapter_rest;
+            const bool had_turn = now >= placed + adapter_turn;
+            if (!rests && !(for_starving && had_turn))
+                continue;
+            const adapter_victim candidate{!rests, rests ? used : placed, key};
+            if (!oldest || candidate < *oldest)
+                oldest = candidate;
         }
     }
     return oldest;
 }
 
-/// Unloads the adapter that was used longest ago on any server that holds
-/// the model, if it has rested.
-bool placement_controller::make_adapter_room(const model_id& model,
+/// Unloads the adapter that makes way first on any server that holds the
+/// model, if there is one.
+void placement_controller::make_adapter_room(const model_id& model,
+                                             bool for_starving,
                                              time_point now,
                                              actions& out)
 {
     server_id best;
-    std::optional<std::pair<adapter_key, time_point>> oldest;
+    std::optional<adapter_victim> oldest;
     for (const auto& [id, server] : servers_) {
         if (!takes_adapter_orders(server, model))
             continue;
-        const auto candidate = oldest_adapter(server);
-        if (!candidate || (oldest && candidate->second >= oldest->second))
+        const auto candidate = oldest_adapter(server, for_starving, now);
+        if (!candidate || (oldest && !(*candidate < *oldest)))
             continue;
         oldest = candidate;
         best = id;
     }
-    if (!oldest || now < oldest->second + adapter_rest)
-        return false;
+    if (!oldest)
+        return;
     auto& server = servers_.at(best);
     order(best,
           server,
           {order_kind::unload,
-           oldest->first.first,
-           oldest->first.second,
+           oldest->key.first,
+           oldest->key.second,
            *server.sequence},
-          "adapter_room",
+          for_starving ? "adapter_turn" : "adapter_room",
           out);
-    return true;
 }
 
 void placement_controller::on_answer(const server_id& id,
@@ -640,6 +678,7 @@
         return;
     auto& server = found->second;
     server.awaiting_answer = false;
+    server.asked_for.reset();
     const bool closes = !server.closing.empty() && command.adapter.empty() &&
                         command.kind == order_kind::unload;
     if (closes)
@@ -738,6 +777,7 @@
             server.coming.push_back(
                 {command.model, command.adapter, now + adapter_time});
             used_[key] = now;
+            placed_[key] = now;
         }
     }
     server.changed = true;
--- a/libs/core/tests/placement_controller_property_test.cpp
+++ b/libs/core/tests/placement_controller_property_test.cpp
@@ -200,6 +200,24 @@
             RC_ASSERT(!known.crashed);
     }
 
+    /// A caller's request for an adapter: it runs where the adapter is held,
+    /// else it asks for the adapter.
+    void call(const std::string& model,
+              const std::string& adapter,
+              std::set<std::string>& served)
+    {
+        for (const auto& [id, engine] : engines_) {
+            const auto shown = controller_.published(id, now_);
+            const auto* held = shown ? shown->find(model_id(model)) : nullptr;
+            if (held == nullptr || !held->has_adapter(adapter))
+                continue;
+            controller_.used_adapter(model_id(model), adapter, now_);
+            served.insert(adapter);
+            return;
+        }
+        controller_.need_adapter(model_id(model), adapter, now_);
+    }
+
 private:
     void restart(fake_engine& engine)
     {
@@ -277,6 +295,8 @@
     CPPUNIT_TEST_SUITE(placement_controller_property_test);
     CPPUNIT_TEST(engines_are_never_overfilled);
     CPPUNIT_TEST(an_adapter_in_use_keeps_its_place);
+    CPPUNIT_TEST(no_adapter_is_kept_out_for_good);
+    CPPUNIT_TEST(an_adapter_is_ordered_once);
     CPPUNIT_TEST(a_server_that_differs_from_the_list_is_asked);
     CPPUNIT_TEST_SUITE_END();
 
@@ -322,6 +342,26 @@
         }
     }
 
+    /// Callers ask for more adapters than there are places, all the time: each
+    /// one gets its turn, whatever its name and however busy the others are.
+    void no_adapter_is_kept_out_for_good()
+    {
+        controller_world world;
+        constexpr int rounds = 60;
+        std::set<std::string> all;
+        for (int i = 0; i < 3 * server_count * int{most_adapters}; ++i)
+            all.insert("a" + std::to_string(i));
+        std::set<std::string> served;
+        for (int i = 0; i < rounds; ++i) {
+            for (const auto& adapter : all)
+                world.call("m0", adapter, served);
+            for (int server = 0; server < server_count; ++server)
+                world.apply({act::finish, 0, server});
+            world.apply({act::tick, 0, 0});
+        }
+        CPPUNIT_ASSERT(served == all);
+    }
+
     void a_server_that_differs_from_the_list_is_asked()
     {
         const time_point start{duration{100000}};
@@ -340,6 +380,35 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports(controller, later));
     }
 
+    /// Callers ask again before the first order's answer is there.
+    void an_adapter_is_ordered_once()
+    {
+        const time_point start{duration{100000}};
+        // Nothing but m0, so that no model order is under way.
+        auto engine = make_engine();
+        engine.models.resize(1);
+        placement_controller controller(engine, placement_options{}, start);
+        std::vector<backend_state> states(server_count);
+        std::vector<const backend_state*> views;
+        for (int s = 0; s < server_count; ++s) {
+            auto& state = states[static_cast<std::size_t>(s)];
+            state.entry.id = server_name(s);
+            state.entry.held.models.push_back({model_id("m0"), true, {}});
+            views.push_back(&state);
+        }
+        controller.observe(views, start);
+        for (const auto& state : states)
+            controller.on_report(
+                state.entry.id, {state.entry.held, 0, false}, start);
+        std::size_t orders = 0;
+        for (int i = 0; i < 2; ++i) {
+            controller.need_adapter(model_id("m0"), "a1", start);
+            for (const auto& action : controller.collect(start))
+                orders += action.command.adapter == "a1" ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders);
+    }
+
 private:
     static std::size_t reports(placement_controller& controller, time_point now)
     {
