Change the relay of a failure domain until one is heard

The whole domain stayed without news; its wishes for adapters were dropped, its daemons read the list themselves. Change: relay_choice takes the next daemon in turn with each message until one is heard. Daemons whose row is known read the list of members each 60 s. Test: relay_choice_test, a_dead_holder_does_not_stay_the_relay.

--- a/libs/core/src/placement_round.cpp
+++ b/libs/core/src/placement_round.cpp
@@ -280,9 +280,8 @@
     serving[choice.model].push_back(choice.server);
     const double gain = without_victims - unserved_with(serving);
     const double loss = without_victims - total_unserved_;
-    const double wait =
-        load_seconds(choice) +
-        (choice.victims.empty() ? 0.0 : options.unload_seconds);
+    const double wait = load_seconds(choice) +
+                        (choice.victims.empty() ? 0.0 : options.unload_seconds);
     const double served_seconds = std::max(options.horizon_seconds - wait, 0.0);
     const auto moves = static_cast<double>(1 + choice.victims.size());
     return served_seconds * (gain + burst_chance * potential) -
--- /dev/null
+++ b/libs/core/src/relay_choice.cpp
@@ -0,0 +1,47 @@
+#include <barleyfork/core/relay_choice.hpp>
+
+#include <algorithm>
+#include <iterator>
+
+namespace barleyfork {
+
+namespace {
+
+bool is_heard(const relay_candidate& candidate, time_point now)
+{
+    return candidate.heard_at != time_point{} &&
+           now < candidate.heard_at + relay_choice::silence;
+}
+
+} // namespace
+
+std::optional<std::size_t>
+relay_choice::pick(const failure_domain_id& domain,
+                   std::span<const relay_candidate> candidates,
+                   time_point now)
+{
+    if (candidates.empty())
+        return std::nullopt;
+    auto& last = last_[domain];
+    const auto same =
+        std::find_if(candidates.begin(),
+                     candidates.end(),
+                     [&last](const auto& c) { return c.id == last; });
+    if (same != candidates.end() && is_heard(*same, now))
+        return std::distance(candidates.begin(), same);
+    auto chosen = std::max_element(
+        candidates.begin(), candidates.end(), [](const auto& x, const auto& y) {
+            return x.heard_at < y.heard_at;
+        });
+    if (!is_heard(*chosen, now)) {
+        chosen = std::find_if(candidates.begin(),
+                              candidates.end(),
+                              [&last](const auto& c) { return last < c.id; });
+        if (chosen == candidates.end())
+            chosen = candidates.begin();
+    }
+    last = chosen->id;
+    return std::distance(candidates.begin(), chosen);
+}
+
+} // namespace barleyfork
--- a/libs/gateway/src/peer_news.cpp
+++ b/libs/gateway/src/peer_news.cpp
@@ -14,18 +14,12 @@
 namespace {
 
 constexpr const char* member_table = "barleyfork_members";
-/// Time between a daemon's messages to the holder.
-constexpr std::int64_t shortest_news_ms = 200;
-constexpr std::int64_t longest_news_ms = 800;
-constexpr std::int64_t news_ms_a_daemon = 10;
-/// A daemon that was not heard for this long passes nothing on.
-constexpr duration relay_silence{1500};
 /// A holder that has nothing to tell still shows that it is there.
-constexpr duration beat_interval{400};
+constexpr duration beat_interval{200};
 constexpr duration holder_silence{1800};
 /// How often the list of daemons is read; the holder, which tells them all,
 /// learns of new ones from themselves too.
-constexpr std::int64_t member_interval_ms = 20000;
+constexpr std::int64_t member_interval_ms = 60000;
 constexpr std::int64_t holder_member_interval_ms = 3000;
 constexpr std::int64_t member_pause_ms = 2000;
 constexpr std::int64_t retry_pause_ms = 700;
@@ -192,9 +186,10 @@
     // A daemon that starts anew finds its neighbours listed.
     if (co_await read_members())
         ask_neighbours();
+    const bool listed_before = own_row_.version > 0;
     co_await register_self();
-    // Those that start together are listed by now.
-    co_await sleep_for_ms(member_pause_ms);
+    // Those that start for the first time together are listed by now.
+    co_await sleep_for_ms(listed_before ? member_interval_ms : member_pause_ms);
     for (;;) {
         const bool done = co_await read_members();
         const bool sparse = done && !holding_;
@@ -319,7 +314,7 @@
 asio::awaitable<void> peer_news::run()
 {
     for (;;) {
-        co_await sleep_for_ms(holding_ ? shortest_news_ms : news_interval_ms());
+        co_await sleep_for_ms(context_.news_interval().count());
         const auto now = steady_now();
         if (holding_ && now >= beat_at_)
             announce({});
@@ -395,28 +390,16 @@
     link_.broadcast(relays, message);
 }
 
-/// The daemon that passes news on in a failure domain: the last one while it
-/// is heard, else the one that was heard last.
+/// The daemon that passes news on in a failure domain.
 const peer_news::member* peer_news::relay_of(const failure_domain_id& domain,
                                              time_point now)
 {
-    const auto known = relays_.find(domain);
-    if (known != relays_.end()) {
-        const auto found = members_.find(known->second);
-        if (found != members_.end() &&
-            now < found->second.heard_at + relay_silence)
-            return &found->second;
-    }
-    const member* best = nullptr;
-    for (const auto& [id, entry] : members_) {
-        if (entry.failure_domain != domain)
-            continue;
-        if (best != nullptr && entry.heard_at <= best->heard_at)
-            continue;
-        best = &entry;
-        relays_[domain] = id;
-    }
-    return best;
+    std::vector<relay_candidate> candidates;
+    for (const auto& [id, entry] : members_)
+        if (entry.failure_domain == domain)
+            candidates.push_back({id, entry.heard_at});
+    const auto chosen = relays_.pick(domain, candidates, now);
+    return chosen ? &members_.at(candidates[*chosen].id) : nullptr;
 }
 
 std::vector<peer_address>
@@ -438,14 +421,6 @@
         neighbours(failure_domain_id(context_.settings.failure_domain)), copy);
 }
 
-/// The holder hears from every daemon, so many of them speak less often.
-std::int64_t peer_news::news_interval_ms() const
-{
-    const auto share =
-        static_cast<std::int64_t>(context_.daemons()) * news_ms_a_daemon;
-    return std::clamp(share, shortest_news_ms, longest_news_ms);
-}
-
 void peer_news::set_holding(bool holds, std::uint64_t epoch)
 {
     holding_ = holds;
--- a/libs/gateway/src/peer_news.hpp
+++ b/libs/gateway/src/peer_news.hpp
@@ -4,6 +4,7 @@
 #include "gateway_context.hpp"
 #include "store_watch.hpp"
 
+#include <barleyfork/core/relay_choice.hpp>
 #include <barleyfork/net/peer_link.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -88,7 +89,6 @@
     void pass_on(const schema::peer_message_record& message);
     const member* relay_of(const failure_domain_id& domain, time_point now);
     std::vector<peer_address> neighbours(const failure_domain_id& domain) const;
-    std::int64_t news_interval_ms() const;
     std::uint64_t configuration_version() const noexcept;
     void take_relayed(const schema::peer_message_record& message,
                       time_point now);
@@ -115,7 +115,7 @@
     /// The neighbours were told last that this daemon follows the store.
     bool told_following_ = false;
     /// Who passes news on in each other failure domain.
-    std::map<failure_domain_id, instance_id> relays_;
+    relay_choice relays_;
     std::optional<peer_address> holder_;
     time_point holder_heard_at_{};
     std::uint64_t holder_epoch_ = 0;
