Pass on what a whole reading of the server list changed

Cause: found by reading the change: a holder whose history the store forgot reads the list whole, and told nobody what that changed, while the other daemons advance their position by its word and no longer see the change themselves. Rows that left stayed in what a starting neighbour is given. Change: a whole reading is compared row by row; differences are passed on like single changes. The log says when a daemon begins and leaves the reading for its failure domain. Test: what_a_whole_reading_shows_is_passed_on, seen to fail without the change.

--- a/libs/gateway/src/store_watch.cpp
+++ b/libs/gateway/src/store_watch.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/asio/awaitable.hpp>
+#include <set>
 #include <utility>
 
 namespace barleyfork {
@@ -50,7 +51,12 @@
 /// True while a neighbour reads the store and what is `known` here suffices.
 bool store_watch::waits_for_neighbour(bool known, time_point now)
 {
+    const bool read_before = readers_.is_reader();
     const bool reads = readers_.decide(now);
+    if (reads != read_before)
+        log_event(log_level::info, reads ? "reading_began" : "reading_left")
+            .with("configuration_position",
+                  static_cast<std::int64_t>(configuration_position_.version));
     return !reads && (known || now < started_at_ + longest_wait_for_neighbour);
 }
 
@@ -174,7 +180,7 @@
         set_reachable(true, {});
         read_at_ = began;
         if (whole)
-            take_list(read.rows, began);
+            take_list(read.rows, read.version, began);
         else
             take_changes(read.rows, began);
         end_round();
@@ -237,14 +243,30 @@
         take_changes(rows, steady_now());
 }
 
-void store_watch::take_list(const std::vector<store_row>& rows, time_point now)
+/// Takes in the whole list as it was at `position`. What it changes is passed
+/// on like single changes: daemons that hear the holder rely on it.
+void store_watch::take_list(const std::vector<store_row>& rows,
+                            std::uint64_t position,
+                            time_point now)
 {
     std::vector<backend_entry> entries;
+    std::set<std::string> listed;
     for (const auto& row : rows) {
-        rows_[row.key] = row;
+        listed.insert(row.key);
+        auto& applied = rows_[row.key];
+        if (relaying_ && row.version > applied.version)
+            to_relay_.push_back(row);
+        applied = row;
         if (auto entry = decode(row))
             entries.push_back(std::move(*entry));
     }
+    for (auto& [key, row] : rows_) {
+        if (row.deleted || listed.contains(key))
+            continue;
+        row = {key, {}, position, true};
+        if (relaying_)
+            to_relay_.push_back(row);
+    }
     context_.directory.replace(entries, now);
     context_.servers_known = true;
     context_.wake_waiting();
@@ -256,7 +278,7 @@
     if (list_position_.known || position == 0)
         return;
     list_position_ = {position, true};
-    take_list(rows, steady_now());
+    take_list(rows, position, steady_now());
 }
 
 std::vector<store_row> store_watch::list_rows() const
--- a/libs/gateway/src/store_watch.hpp
+++ b/libs/gateway/src/store_watch.hpp
@@ -121,7 +121,9 @@
 
     bool waits_for_neighbour(bool known, time_point now);
     std::int64_t failure_pause_ms();
-    void take_list(const std::vector<store_row>& rows, time_point now);
+    void take_list(const std::vector<store_row>& rows,
+                   std::uint64_t position,
+                   time_point now);
     void take_changes(const std::vector<store_row>& rows, time_point now);
     bool is_list_due(time_point now) const;
     void end_round();
