--- a/libs/net/tests/http_client_test.cpp
+++ b/libs/net/tests/http_client_test.cpp
@@ -18,6 +18,46 @@
 
 namespace {
 
+/// A listening socket on loopback.
+class loopback_listener
+{
+public:
+    explicit loopback_listener(int backlog)
+    {
+        address_.sin_family = AF_INET;
+        address_.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address_);
+        ::bind(socket_, generic_address(), size);
+        ::getsockname(socket_, generic_address(), &size);
+        ::listen(socket_, backlog);
+    }
+    loopback_listener(const loopback_listener&) = delete;
+    loopback_listener& operator=(const loopback_listener&) = delete;
+    ~loopback_listener()
+    {
+        ::close(socket_);
+    }
+
+    int socket() const noexcept
+    {
+        return socket_;
+    }
+
+    sockaddr* generic_address() noexcept
+    {
+        return reinterpret_cast<sockaddr*>(&address_);
+    }
+
+    http_endpoint endpoint() const
+    {
+        return {"127.0.0.1", ntohs(address_.sin_port), ""};
+    }
+
+private:
+    int socket_ = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address_{};
+};
+
 /// A listening socket whose queue is full: the kernel drops what opens
 /// further connections, as a silent cut does.
 class full_listener
@@ -25,19 +65,11 @@
 public:
     full_listener()
     {
-        listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
-        address_.sin_family = AF_INET;
-        address_.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        auto* address = reinterpret_cast<sockaddr*>(&address_);
-        socklen_t size = sizeof(address_);
-        ::bind(listener_, address, size);
-        ::getsockname(listener_, address, &size);
-        ::listen(listener_, 0);
         constexpr int enough_to_fill = 4;
         for (int i = 0; i < enough_to_fill; ++i) {
             const int filler =
                 ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-            ::connect(filler, address, size);
+            ::connect(filler, listener_.generic_address(), sizeof(sockaddr_in));
             fillers_.push_back(filler);
         }
         constexpr useconds_t settle_us = 50000;
@@ -49,17 +81,15 @@
     {
         for (const int filler : fillers_)
             ::close(filler);
-        ::close(listener_);
     }
 
     http_endpoint endpoint() const
     {
-        return {"127.0.0.1", ntohs(address_.sin_port), ""};
+        return listener_.endpoint();
     }
 
 private:
-    int listener_ = -1;
-    sockaddr_in address_{};
+    loopback_listener listener_{0};
     std::vector<int> fillers_;
 };
 
@@ -69,14 +99,6 @@
 public:
     slow_answerer(int pieces, duration pause)
     {
-        listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
-        address_.sin_family = AF_INET;
-        address_.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        auto* address = reinterpret_cast<sockaddr*>(&address_);
-        socklen_t size = sizeof(address_);
-        ::bind(listener_, address, size);
-        ::getsockname(listener_, address, &size);
-        ::listen(listener_, 1);
         worker_ = std::thread([this, pieces, pause] { answer(pieces, pause); });
     }
     slow_answerer(const slow_answerer&) = delete;
@@ -84,14 +106,13 @@
     ~slow_answerer()
     {
         over_ = true;
-        ::shutdown(listener_, SHUT_RDWR);
+        ::shutdown(listener_.socket(), SHUT_RDWR);
         worker_.join();
-        ::close(listener_);
     }
 
     http_endpoint endpoint() const
     {
-        return {"127.0.0.1", ntohs(address_.sin_port), ""};
+        return listener_.endpoint();
     }
 
 private:
@@ -104,7 +125,7 @@
 
     void answer(int pieces, duration pause)
     {
-        const int connection = ::accept(listener_, nullptr, nullptr);
+        const int connection = ::accept(listener_.socket(), nullptr, nullptr);
         if (connection < 0)
             return;
         write(connection,
@@ -117,8 +138,7 @@
         ::close(connection);
     }
 
-    int listener_ = -1;
-    sockaddr_in address_{};
+    loopback_listener listener_{1};
     std::atomic<bool> over_{false};
     std::thread worker_;
 };
