Unpack a frame once and name a daemon's neighbours in one place

Found on reading the change again: a compressed frame was unpacked into a string and then copied for its alignment; five places built the daemon's own failure domain only to ask for its neighbours.

--- a/libs/gateway/src/peer_news.cpp
+++ b/libs/gateway/src/peer_news.cpp
@@ -257,8 +257,7 @@
 /// failure domain need not come from the store once more.
 void peer_news::ask_neighbours()
 {
-    auto known =
-        neighbours(failure_domain_id(context_.settings.failure_domain));
+    auto known = neighbours();
     std::shuffle(known.begin(), known.end(), context_.random);
     known.resize(std::min(known.size(), neighbours_asked));
     for (const auto& neighbour : known)
@@ -267,13 +266,12 @@
 
 asio::awaitable<void> peer_news::speak_to_neighbours()
 {
-    const failure_domain_id own(context_.settings.failure_domain);
     for (;;) {
         const bool follows = watch_.follows();
         if (follows || told_following_) {
             auto message = make_message(schema::message_kind::following);
             message.follows = follows;
-            link_.broadcast(neighbours(own), message);
+            link_.broadcast(neighbours(), message);
         }
         told_following_ = follows;
         co_await sleep_for_ms(word_interval_ms);
@@ -287,9 +285,7 @@
     const auto& bytes = watch_.configuration_bytes();
     auto message = make_message(schema::message_kind::snapshot);
     message.body.assign(bytes.begin(), bytes.end());
-    link_.broadcast(
-        neighbours(failure_domain_id(context_.settings.failure_domain)),
-        message);
+    link_.broadcast(neighbours(), message);
 }
 
 /// A reader that knows more is asked for it; one that does not shows that
@@ -378,7 +374,7 @@
 void peer_news::send_to_all(schema::peer_message_record message, time_point now)
 {
     const failure_domain_id own(context_.settings.failure_domain);
-    link_.broadcast(neighbours(own), message);
+    link_.broadcast(neighbours(), message);
     std::set<failure_domain_id> domains;
     for (const auto& [id, entry] : members_)
         domains.insert(entry.failure_domain);
@@ -402,9 +398,9 @@
     return chosen ? &members_.at(candidates[*chosen].id) : nullptr;
 }
 
-std::vector<peer_address>
-peer_news::neighbours(const failure_domain_id& domain) const
+std::vector<peer_address> peer_news::neighbours() const
 {
+    const failure_domain_id domain(context_.settings.failure_domain);
     std::vector<peer_address> found;
     for (const auto& [id, entry] : members_)
         if (id != context_.self && entry.failure_domain == domain)
@@ -417,8 +413,7 @@
     schema::peer_message_record copy;
     copy = message;
     copy.pass_on = false;
-    link_.broadcast(
-        neighbours(failure_domain_id(context_.settings.failure_domain)), copy);
+    link_.broadcast(neighbours(), copy);
 }
 
 void peer_news::set_holding(bool holds, std::uint64_t epoch)
--- a/libs/gateway/src/peer_news.hpp
+++ b/libs/gateway/src/peer_news.hpp
@@ -88,7 +88,8 @@
     void send_to_all(schema::peer_message_record message, time_point now);
     void pass_on(const schema::peer_message_record& message);
     const member* relay_of(const failure_domain_id& domain, time_point now);
-    std::vector<peer_address> neighbours(const failure_domain_id& domain) const;
+    /// The other daemons of this one's failure domain.
+    std::vector<peer_address> neighbours() const;
     std::uint64_t configuration_version() const noexcept;
     void take_relayed(const schema::peer_message_record& message,
                       time_point now);
--- a/libs/net/src/frame.cpp
+++ b/libs/net/src/frame.cpp
@@ -41,25 +41,26 @@
     return plain_mark + std::string(bytes);
 }
 
-/// The message's bytes; `room` keeps them where they were compressed.
-failure
-open_payload(std::string_view payload, std::string& room, std::string_view& out)
+/// The message's bytes, in a place of their own: behind its mark a message is
+/// not aligned as its fields need.
+failure open_payload(std::string_view payload, std::vector<std::uint8_t>& out)
 {
     const char mark = payload.empty() ? '\0' : payload.front();
-    out = payload.substr(payload.empty() ? 0 : 1);
-    if (mark == plain_mark)
+    const auto content = payload.substr(payload.empty() ? 0 : 1);
+    if (mark == plain_mark) {
+        out.assign(content.begin(), content.end());
         return {};
+    }
     if (mark != compressed_mark)
         return make_failure(errc::protocol_error, "the peer frame's mark");
-    const auto size = ZSTD_getFrameContentSize(out.data(), out.size());
+    const auto size = ZSTD_getFrameContentSize(content.data(), content.size());
     if (size > largest_frame_bytes)
         return make_failure(errc::protocol_error, "the peer frame's size");
-    room.resize(size);
+    out.resize(size);
     const auto got =
-        ZSTD_decompress(room.data(), room.size(), out.data(), out.size());
+        ZSTD_decompress(out.data(), out.size(), content.data(), content.size());
     if (ZSTD_isError(got) != 0 || got != size)
         return make_failure(errc::protocol_error, "the peer frame's content");
-    out = room;
     return {};
 }
 
@@ -100,17 +101,14 @@
     const auto tag = header.substr(length_bytes);
     if (!equal_in_constant_time(tag, authentication_tag(secret, payload)))
         return make_failure(errc::forbidden, "the peer frame's tag");
-    std::string room;
-    std::string_view bytes;
-    if (auto error = open_payload(payload, room, bytes))
+    std::vector<std::uint8_t> bytes;
+    if (auto error = open_payload(payload, bytes))
         return error;
-    // The marked payload is aligned nowhere; fields may need it.
-    const std::vector<std::uint8_t> aligned(bytes.begin(), bytes.end());
-    flatbuffers::Verifier verifier(aligned.data(), aligned.size());
+    flatbuffers::Verifier verifier(bytes.data(), bytes.size());
     if (!verifier.VerifyBuffer<schema::peer_message>())
         return make_failure(errc::protocol_error, "the peer message");
     out = schema::peer_message_record();
-    flatbuffers::GetRoot<schema::peer_message>(aligned.data())->UnPackTo(&out);
+    flatbuffers::GetRoot<schema::peer_message>(bytes.data())->UnPackTo(&out);
     return {};
 }
 
