--- a/build.sh
+++ b/build.sh
@@ -8,11 +8,17 @@
 run_dir=run
 trace_id=4bf92f3577b34da6a3ce929d0e0e4736
 
+# What the deployed build needs, and what tests and checks need beside it.
+declared_packages() {
+    sed -n '/^packages/,/^]/s/^ *"\(.*\)",$/\1/p' deploy/system.toml
+    cat .ci/packages
+}
+
 install_packages() {
     local missing
-    missing=$(while read -r package; do
+    missing=$(declared_packages | while read -r package; do
         dpkg -s "$package" >/dev/null 2>&1 || echo "$package"
-    done < .ci/packages)
+    done)
     [ -z "$missing" ] && return
     apt-get update -qq
     # shellcheck disable=SC2086
