--- a/build.sh
+++ b/build.sh
@@ -28,7 +28,7 @@
 
 build() {
     cmake -G Ninja -B "$build_dir" -DCMAKE_CXX_COMPILER_LAUNCHER=ccache \
-        >/dev/null
+        -DBARLEYFORK_WARNINGS_AS_ERRORS=ON >/dev/null
     ninja -C "$build_dir"
 }
 
--- a/tools/barleyfork/tables.cpp
+++ b/tools/barleyfork/tables.cpp
@@ -18,8 +18,11 @@
         return json::value_to<std::string>(value);
     if (value.is_array()) {
         std::string text;
-        for (const auto& entry : value.as_array())
-            text += (text.empty() ? "" : ",") + to_text(entry);
+        for (const auto& entry : value.as_array()) {
+            if (!text.empty())
+                text += ',';
+            text += to_text(entry);
+        }
         return text;
     }
     return json::serialize(value);
--- a/tools/check_packages/build_inputs.py
+++ b/tools/check_packages/build_inputs.py
@@ -14,6 +14,9 @@
 import tempfile
 from pathlib import Path
 
+# What the build printed is kept under this name in its target folder.
+BUILD_LOG = "build.log"
+
 # What the driver starts on its own for a C++ file.
 COMPILER_STEPS = ("cc1plus", "collect2", "as", "ld")
 
@@ -38,6 +41,7 @@
                          env=clean_environment(), stdin=subprocess.DEVNULL,
                          stdout=subprocess.PIPE, stderr=subprocess.STDOUT,
                          text=True, check=False)
+    (checkout / "target" / BUILD_LOG).write_text(run.stdout)
     if run.returncode != 0:
         raise BuildError(f"`build` failed:\n{run.stdout[-4000:]}")
 
