Count work past a server's capacity more than work past its target

Cause: the planner counted all work past 0.35 of a server as unserved alike. Ruled out: the weight store's rate (8 loads were allowed), the lease (held to 13.0), servers busy with orders (18 steps were allowed). Change: work past a server's capacity counts once more. Test: a_saturated_model_gets_servers_of_a_busy_one failed before; busy_servers_are_not_moved_about guards against moves without need.

--- a/libs/core/include/barleyfork/core/placement_planner.hpp
+++ b/libs/core/include/barleyfork/core/placement_planner.hpp
@@ -117,6 +117,9 @@
     bool spread_domains = true;
     /// Utilisation above which a server is counted as short of capacity.
     double target_utilisation = 0.85;
+    /// How much more work past a server's whole capacity counts than work
+    /// past its target.
+    double saturation_weight = 1.0;
 };
 
 /// The whole input of one planning round.
@@ -132,7 +135,8 @@
 {
     /// Work on each server, in the order of the input.
     std::vector<double> server_load;
-    /// Work of each model that finds no capacity.
+    /// Work of each model past its servers' targets, the part past their
+    /// capacity weighted more; all of it where no server holds the model.
     std::vector<double> unserved;
 };
 
--- a/libs/core/src/load_estimate.cpp
+++ b/libs/core/src/load_estimate.cpp
@@ -31,6 +31,19 @@
     }
 }
 
+/// Work on a server that counts as unserved. Past the target it is late at
+/// times; past the capacity it is surely lost and makes the rest late, so it
+/// counts more. Otherwise servers that are all past their target would look
+/// alike, however much more one has than another.
+double work_past_limits(double load,
+                        const planner_server& server,
+                        const planner_options& options)
+{
+    const double target = server.capacity * options.target_utilisation;
+    return std::max(load - target, 0.0) +
+           options.saturation_weight * std::max(load - server.capacity, 0.0);
+}
+
 } // namespace
 
 serving_servers collect_serving(const planner_input& input)
@@ -72,14 +85,15 @@
                           result.server_load);
     for (std::size_t m = 0; m < serving.size(); ++m) {
         if (serving[m].empty())
-            result.unserved[m] = input.models[m].demand;
+            result.unserved[m] = (1.0 + input.options.saturation_weight) *
+                                 input.models[m].demand;
         for (std::size_t i = 0; i < serving[m].size(); ++i) {
             const auto s = serving[m][i];
             const double load = result.server_load[s];
-            const double limit =
-                input.servers[s].capacity * input.options.target_utilisation;
-            if (load > limit)
-                result.unserved[m] += work[m][i] * (load - limit) / load;
+            if (load > 0.0)
+                result.unserved[m] +=
+                    work[m][i] / load *
+                    work_past_limits(load, input.servers[s], input.options);
         }
     }
     return result;
--- /dev/null
+++ b/libs/core/tests/placement_overload_test.cpp
@@ -0,0 +1,113 @@
+/// Placement when every server has more work than its target: the load
+/// patterns of played days, without a bench.
+
+#include <barleyfork/core/placement_planner.hpp>
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <string>
+
+namespace barleyfork {
+
+namespace {
+
+constexpr std::uint32_t model_mib = 25;
+constexpr std::uint64_t server_mib = 80;
+
+planner_model make_model(const std::string& name, double demand)
+{
+    planner_model model;
+    model.id = model_id(name);
+    model.memory_mib = model_mib;
+    model.demand = demand;
+    model.peak_demand = demand;
+    model.load_seconds = 3.0;
+    return model;
+}
+
+/// Servers that hold the given models and are full.
+planner_server make_server(std::size_t index,
+                           const std::vector<std::string>& models)
+{
+    planner_server server;
+    server.id = server_id("s" + std::to_string(index));
+    server.memory_mib = server_mib;
+    for (const auto& model : models) {
+        planner_replica replica;
+        replica.model = model_id(model);
+        replica.version = 1;
+        replica.memory_mib = model_mib;
+        replica.ready = true;
+        server.replicas.push_back(replica);
+        server.committed_mib += model_mib;
+    }
+    return server;
+}
+
+planner_options make_options()
+{
+    planner_options options;
+    options.move_price = 1.0;
+    options.horizon_seconds = 15.0;
+    options.unload_seconds = 2.0;
+    options.target_utilisation = 0.35;
+    options.load_budget = 18;
+    options.store_budget = 8;
+    options.spread_domains = false;
+    return options;
+}
+
+bool makes_room_for(const std::vector<planned_step>& steps, const char* model)
+{
+    return std::any_of(steps.begin(), steps.end(), [model](const auto& step) {
+        const auto& wanted =
+            step.kind == order_kind::load ? step.model : step.room_for;
+        return wanted == model_id(model);
+    });
+}
+
+} // namespace
+
+class placement_overload_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(placement_overload_test);
+    CPPUNIT_TEST(a_saturated_model_gets_servers_of_a_busy_one);
+    CPPUNIT_TEST(busy_servers_are_not_moved_about);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// One model has twice the work that its two servers can do. All other
+    /// servers are past their target, and far from their capacity.
+    void a_saturated_model_gets_servers_of_a_busy_one()
+    {
+        planner_input input;
+        input.options = make_options();
+        input.models = {make_model("busy", 8.0),
+                        make_model("quiet", 0.05),
+                        make_model("saturated", 3.8)};
+        for (std::size_t s = 0; s < 14; ++s)
+            input.servers.push_back(make_server(s, {"busy", "quiet"}));
+        for (std::size_t s = 14; s < 16; ++s)
+            input.servers.push_back(make_server(s, {"saturated", "quiet"}));
+        for (auto& server : input.servers)
+            server.committed_mib = server.memory_mib;
+        CPPUNIT_ASSERT(makes_room_for(plan_placement(input), "saturated"));
+    }
+
+    /// Where all are past their target alike, a move would only cost.
+    void busy_servers_are_not_moved_about()
+    {
+        planner_input input;
+        input.options = make_options();
+        input.models = {make_model("a", 4.0), make_model("b", 4.0)};
+        for (std::size_t s = 0; s < 8; ++s)
+            input.servers.push_back(make_server(s, {s % 2 == 0 ? "a" : "b"}));
+        for (auto& server : input.servers)
+            server.committed_mib = server.memory_mib;
+        CPPUNIT_ASSERT(plan_placement(input).empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(placement_overload_test);
+
+} // namespace barleyfork
