Plan only for servers that take orders

Cause: a step for a server that is busy with an order was planned and then left out, round after round, while others were free. Change: the planner is told which servers take orders and passes over the others; what they hold still counts as serving. Test: a_server_that_takes_no_orders_is_passed_over, seen to fail with the flag ignored.

--- a/libs/core/include/barleyfork/core/placement_planner.hpp
+++ b/libs/core/include/barleyfork/core/placement_planner.hpp
@@ -77,6 +77,8 @@
     std::uint64_t committed_mib = 0;
     /// False while it is leaving, silent or not adopted.
     bool usable = true;
+    /// False while it can't be given an order; what it holds still serves.
+    bool takes_orders = true;
     std::vector<planner_replica> replicas;
     /// Models whose weights the server has copies of: a load is quick and
     /// does not use the weight store.
--- a/libs/core/src/placement_controller.cpp
+++ b/libs/core/src/placement_controller.cpp
@@ -272,6 +272,7 @@
     entry.memory_mib = engine_.memory_mb;
     entry.committed_mib = committed_mb(server);
     entry.usable = server.usable;
+    entry.takes_orders = is_idle(server);
     const auto add = [&](const model_id& model, bool ready, bool changing) {
         const auto* declared = model_of(model);
         planner_replica replica;
--- a/libs/core/src/placement_round.cpp
+++ b/libs/core/src/placement_round.cpp
@@ -150,8 +150,7 @@
     std::pair<std::size_t, double> best_cost;
     for (std::size_t s = 0; s < input_.servers.size(); ++s) {
         const auto& server = input_.servers[s];
-        if (!server.usable || holds(s, model) || !may_load_on(s, model) ||
-            free_mib(s) < needed_mib(s, model))
+        if (!may_load_on(s, model) || free_mib(s) < needed_mib(s, model))
             continue;
         const std::pair<std::size_t, double> cost{
             domain_replicas(model, s),
@@ -303,7 +302,9 @@
 /// Without a copy on the server the load uses the weight store.
 bool placement_round::may_load_on(std::size_t server, std::size_t model) const
 {
-    return store_budget_ > 0 || copy_of(server, model) != nullptr;
+    const auto& target = input_.servers[server];
+    return target.usable && target.takes_orders && !holds(server, model) &&
+           (store_budget_ > 0 || copy_of(server, model) != nullptr);
 }
 
 double placement_round::load_seconds(const load_choice& choice) const
@@ -320,8 +321,7 @@
 {
     std::vector<std::pair<double, load_choice>> ranked;
     for (std::size_t s = 0; s < input_.servers.size(); ++s) {
-        if (!input_.servers[s].usable || holds(s, model) ||
-            !may_load_on(s, model))
+        if (!may_load_on(s, model))
             continue;
         auto victims = choose_victims(s, needed_mib(s, model));
         if (!victims ||
--- a/libs/core/tests/placement_overload_test.cpp
+++ b/libs/core/tests/placement_overload_test.cpp
@@ -73,6 +73,7 @@
     CPPUNIT_TEST_SUITE(placement_overload_test);
     CPPUNIT_TEST(a_saturated_model_gets_servers_of_a_busy_one);
     CPPUNIT_TEST(busy_servers_are_not_moved_about);
+    CPPUNIT_TEST(a_server_that_takes_no_orders_is_passed_over);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -106,6 +107,22 @@
             server.committed_mib = server.memory_mib;
         CPPUNIT_ASSERT(plan_placement(input).empty());
     }
+
+    /// The least loaded server was ordered by another holder just before.
+    void a_server_that_takes_no_orders_is_passed_over()
+    {
+        planner_input input;
+        input.options = make_options();
+        input.models = {make_model("a", 0.2), make_model("lost", 0.1)};
+        for (std::size_t s = 0; s < 2; ++s)
+            input.servers.push_back(make_server(s, {}));
+        input.servers[1].replicas = make_server(1, {"a"}).replicas;
+        input.servers[0].takes_orders = false;
+        const auto steps = plan_placement(input);
+        CPPUNIT_ASSERT(makes_room_for(steps, "lost"));
+        for (const auto& step : steps)
+            CPPUNIT_ASSERT(step.server == server_id("s1"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(placement_overload_test);
