Hand the placement's lease over and tell what still binds its next holder

Cause: daemons noticed a release only by 1.8 s of silence; the next holder then waited 3 s for every server, since it knew of no order of the last one; for 5 s it took a fifth of the weight store's rate. A holder that was restarted waited as if it were another. Ruled out: a shorter term of the lease (a frozen holder needs it); orders at once on all servers (two holders may not take turns on one server). Change: a holder that lets go writes into its row how long ago it ordered each server and loads from the store, then names the daemon that is to take the lease: the widest link, of equal ones the process that started last. The next one holds back only the servers that were ordered within the bound. Where nothing is told, loads count as unknown for one window after the old holder's end, not for one window of the new one. A process that finds its own instance, at its own address, in the row goes on after 0.5 s: there is no other holder. Tests: holder_change_test (seven cases) and lease_row_test (four); written with the change and not run against the old code, which has no place to tell orders. Left: an outage of the store stops orders, as before.

--- a/libs/core/include/barleyfork/core/placement_controller.hpp
+++ b/libs/core/include/barleyfork/core/placement_controller.hpp
@@ -6,6 +6,7 @@
 #include <barleyfork/core/backend_directory.hpp>
 #include <barleyfork/core/demand_estimator.hpp>
 #include <barleyfork/core/gateway_configuration.hpp>
+#include <barleyfork/core/holder_change.hpp>
 #include <barleyfork/core/placement_planner.hpp>
 
 #include <cstdint>
@@ -98,6 +99,8 @@
     duration list_lag{2500};
     /// An order without an answer may still be carried out this long after.
     duration late_order_life{15000};
+    /// A server takes no order sooner than this after one of another holder.
+    duration holder_gap{3300};
 };
 
 /// Decides the orders of all backend servers of one engine service, under a
@@ -113,7 +116,7 @@
 public:
     placement_controller(engine_options engine,
                          placement_options options,
-                         time_point now);
+                         const previous_holder& previous);
 
     /// Plans no more often than this from now on.
     void set_interval(duration interval) noexcept
@@ -169,6 +172,9 @@
     /// All models that callers ask for.
     std::vector<model_demand> demand() const;
 
+    /// The orders that bind the next holder.
+    past_orders recent_orders(time_point now) const;
+
     /// Servers whose `published` changed since the last call.
     std::vector<server_id> take_changed(time_point now);
 
@@ -233,6 +239,8 @@
     {
         failure_domain_id failure_domain;
         bool usable = true;
+        /// Another holder gave it an order a short time ago.
+        bool held_back = false;
         /// False until the list told of it for the first time.
         bool known = false;
         held_state held;
@@ -277,6 +285,7 @@
     std::size_t store_loads_running() const;
     std::uint32_t load_budget(time_point now);
     void settle(engine_server& server, time_point now);
+    bool is_held_back(const server_id& id, time_point now) const;
     void adopt(engine_server& server, const held_state& held, time_point now);
     void
     begin_anew(engine_server& server, const held_state& held, time_point now);
@@ -314,6 +323,7 @@
                engine_server& server,
                engine_command command,
                const char* reason,
+               time_point now,
                actions& out);
     static void doubt(engine_server& server, time_point probe_at);
     void on_accepted(engine_server& server,
@@ -332,7 +342,8 @@
 
     engine_options engine_;
     placement_options options_;
-    time_point began_at_;
+    /// Until then loads of an earlier holder may count that are not known.
+    time_point unknown_loads_until_{};
     std::optional<time_point> planned_at_;
     std::map<server_id, engine_server> servers_;
     std::map<model_id, double> work_;
@@ -342,6 +353,10 @@
     std::map<adapter_key, time_point> used_;
     std::map<adapter_key, time_point> placed_;
     std::deque<time_point> store_loads_;
+    /// When each server was given its last order, by any holder.
+    std::map<server_id, time_point> ordered_at_;
+    /// From when servers take this holder's orders, where that is not at once.
+    std::map<server_id, time_point> orders_from_;
 };
 
 } // namespace barleyfork
--- a/libs/core/src/placement_controller.cpp
+++ b/libs/core/src/placement_controller.cpp
@@ -28,9 +28,9 @@
 /// One version of each model is declared.
 constexpr std::uint32_t only_version = 1;
 constexpr double ms_per_second = 1000.0;
-/// The share of the store's bound that a new holder takes at first: what its
-/// predecessor used is not known.
-constexpr double first_window_share = 0.2;
+/// The share of the store's bound that a new holder takes while loads of its
+/// predecessor may count that are not known.
+constexpr double share_beside_unknown = 0.2;
 
 bool contains(const std::vector<model_id>& models, const model_id& model)
 {
@@ -41,9 +41,19 @@
 
 placement_controller::placement_controller(engine_options engine,
                                            placement_options options,
-                                           time_point now)
-    : engine_(std::move(engine)), options_(options), began_at_(now)
+                                           const previous_holder& previous)
+    : engine_(std::move(engine)), options_(options)
 {
+    if (!previous.told) {
+        unknown_loads_until_ = previous.ended_at + options_.load_window;
+        return;
+    }
+    const auto& told = *previous.told;
+    store_loads_.assign(told.store_loads.begin(), told.store_loads.end());
+    std::sort(store_loads_.begin(), store_loads_.end());
+    ordered_at_ = told.last_order;
+    for (const auto& [server, at] : told.last_order)
+        orders_from_[server] = at + options_.holder_gap;
 }
 
 void placement_controller::set_engine(engine_options engine)
@@ -64,6 +74,7 @@
         auto& server = servers_[id];
         server.failure_domain = state->entry.failure_domain;
         server.usable = state->usable() && !state->missing_since;
+        server.held_back = is_held_back(id, now);
         server.in_memory = state->entry.in_memory;
         server.on_disk = state->entry.on_disk;
         adopt(server, state->entry.held, now);
@@ -71,6 +82,25 @@
     }
 }
 
+bool placement_controller::is_held_back(const server_id& id,
+                                        time_point now) const
+{
+    const auto found = orders_from_.find(id);
+    return found != orders_from_.end() && now < found->second;
+}
+
+past_orders placement_controller::recent_orders(time_point now) const
+{
+    past_orders recent;
+    for (const auto& [server, at] : ordered_at_)
+        if (now < at + options_.holder_gap)
+            recent.last_order.emplace(server, at);
+    for (const auto at : store_loads_)
+        if (now < at + options_.load_window)
+            recent.store_loads.push_back(at);
+    return recent;
+}
+
 /// A process that is not known yet: its sequence is asked for.
 void placement_controller::begin_anew(engine_server& server,
                                       const held_state& held,
@@ -181,8 +211,9 @@
 
 bool placement_controller::is_idle(const engine_server& server) const
 {
-    return server.usable && server.sequence && !server.awaiting_answer &&
-           !server.running && server.closing.empty() && !server.uncertain;
+    return server.usable && !server.held_back && server.sequence &&
+           !server.awaiting_answer && !server.running &&
+           server.closing.empty() && !server.uncertain;
 }
 
 bool placement_controller::is_closing(const engine_server& server,
@@ -245,9 +276,9 @@
         store_loads_.pop_front();
     const double window_s =
         static_cast<double>(options_.load_window.count()) / ms_per_second;
-    const bool first_window = now < began_at_ + options_.load_window;
+    const bool some_unknown = now < unknown_loads_until_;
     const double bound = engine_.loads_per_second * window_s *
-                         (first_window ? first_window_share : 1.0);
+                         (some_unknown ? share_beside_unknown : 1.0);
     const auto in_window = static_cast<double>(store_loads_.size());
     double longest_s = 0.0;
     for (const auto& model : engine_.models)
@@ -406,6 +437,7 @@
           server,
           {order_kind::load, model, {}, *server.sequence},
           reason,
+          now,
           out);
     return true;
 }
@@ -450,9 +482,11 @@
                                  engine_server& server,
                                  engine_command command,
                                  const char* reason,
+                                 time_point now,
                                  actions& out)
 {
     server.awaiting_answer = true;
+    ordered_at_[id] = now;
     if (!command.adapter.empty() && command.kind == order_kind::load)
         server.asked_for = adapter_key{command.model, command.adapter};
     out.push_back(
@@ -462,7 +496,7 @@
 void placement_controller::collect_closings(time_point now, actions& out)
 {
     for (auto& [id, server] : servers_) {
-        if (server.closing.empty() || server.running ||
+        if (server.closing.empty() || server.running || server.held_back ||
             now < server.closing.front().order_at || server.awaiting_answer ||
             !server.sequence)
             continue;
@@ -471,6 +505,7 @@
               server,
               {order_kind::unload, going.model, {}, *server.sequence},
               going.reason,
+              now,
               out);
     }
 }
--- a/libs/core/src/placement_controller_adapters.cpp
+++ b/libs/core/src/placement_controller_adapters.cpp
@@ -77,9 +77,10 @@
 bool placement_controller::takes_adapter_orders(const engine_server& server,
                                                 const model_id& model) const
 {
-    return server.usable && server.held.find(model) != nullptr &&
-           !is_closing(server, model) && server.sequence && !server.running &&
-           !server.awaiting_answer && !server.uncertain;
+    return server.usable && !server.held_back &&
+           server.held.find(model) != nullptr && !is_closing(server, model) &&
+           server.sequence && !server.running && !server.awaiting_answer &&
+           !server.uncertain;
 }
 
 /// Its load was ordered and not answered yet.
@@ -123,6 +124,7 @@
           server,
           {order_kind::load, key.first, key.second, *server.sequence},
           "adapter",
+          now,
           out);
     return false;
 }
@@ -186,6 +188,7 @@
            oldest->key.second,
            *server.sequence},
           for_starving ? "adapter_turn" : "adapter_room",
+          now,
           out);
 }
 
--- /dev/null
+++ b/libs/core/tests/holder_change_test.cpp
@@ -0,0 +1,172 @@
+/// What a holder of the placement's lease leaves to the next one: the time
+/// without orders is as short as the bounds on orders and loads allow.
+
+#include <barleyfork/core/holder_change.hpp>
+#include <barleyfork/core/placement_controller.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <string>
+#include <vector>
+
+namespace barleyfork {
+
+namespace {
+
+constexpr time_point start{duration{100000}};
+constexpr std::uint32_t model_mb = 300;
+
+engine_options make_engine()
+{
+    engine_options engine;
+    engine.memory_mb = 1000;
+    engine.max_adapters = 2;
+    engine.loads_per_second = 1.0;
+    for (const char* name : {"m0", "m1", "m2"}) {
+        engine_model model;
+        model.id = model_id(name);
+        model.memory_mb = model_mb;
+        model.load_time = duration{2000};
+        model.adapters = 4;
+        model.adapter_mb = 10;
+        engine.models.push_back(std::move(model));
+    }
+    return engine;
+}
+
+} // namespace
+
+class holder_change_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(holder_change_test);
+    CPPUNIT_TEST(servers_without_recent_orders_take_them_at_once);
+    CPPUNIT_TEST(a_server_ordered_just_before_waits);
+    CPPUNIT_TEST(told_loads_count_and_no_more);
+    CPPUNIT_TEST(unknown_loads_count_for_one_window_of_the_old_holder);
+    CPPUNIT_TEST(orders_are_left_to_the_holder_after_the_next);
+    CPPUNIT_TEST(the_widest_link_goes_first_then_the_youngest);
+    CPPUNIT_TEST(a_silent_daemon_is_no_successor);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void servers_without_recent_orders_take_them_at_once()
+    {
+        auto controller = make(told({}, {}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, orders(controller, start));
+    }
+
+    void a_server_ordered_just_before_waits()
+    {
+        constexpr duration before{1000};
+        auto controller = make(told({{server_id("s0"), start - before}}, {}));
+        const auto free_at = start - before + placement_options{}.holder_gap;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders(controller, start));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                             orders(controller, free_at - duration{1}));
+        const auto planned_again = free_at + placement_options{}.interval;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders(controller, planned_again));
+    }
+
+    /// The store may begin 5 loads in 5 s; the old holder used 4.
+    void told_loads_count_and_no_more()
+    {
+        const std::vector<time_point> loads(4, start - duration{1000});
+        auto controller = make(told({}, loads));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders(controller, start));
+        auto fresh = make(told({}, {}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, orders(fresh, start));
+    }
+
+    void unknown_loads_count_for_one_window_of_the_old_holder()
+    {
+        previous_holder previous;
+        previous.ended_at = start - placement_options{}.holder_gap;
+        auto controller = make(previous);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders(controller, start));
+        const auto known_at =
+            previous.ended_at + placement_options{}.load_window;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders(controller, known_at));
+    }
+
+    void orders_are_left_to_the_holder_after_the_next()
+    {
+        constexpr duration before{1000};
+        auto controller =
+            make(told({{server_id("s0"), start - before}}, {start - before}));
+        const auto recent = controller.recent_orders(start);
+        CPPUNIT_ASSERT(recent.last_order.at(server_id("s0")) == start - before);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, recent.store_loads.size());
+        const auto later = start + placement_options{}.load_window;
+        CPPUNIT_ASSERT(controller.recent_orders(later).last_order.empty());
+        CPPUNIT_ASSERT(controller.recent_orders(later).store_loads.empty());
+    }
+
+    void the_widest_link_goes_first_then_the_youngest()
+    {
+        const std::vector<successor_candidate> daemons{
+            {instance_id("a"), 10.0, 9, start},
+            {instance_id("b"), 200.0, 1, start},
+            {instance_id("c"), 200.0, 2, start}};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, *choose_successor(daemons, start));
+    }
+
+    void a_silent_daemon_is_no_successor()
+    {
+        const std::vector<successor_candidate> daemons{
+            {instance_id("a"), 10.0, 9, start - successor_silence},
+            {instance_id("b"), 10.0, 1, time_point{}}};
+        CPPUNIT_ASSERT(!choose_successor(daemons, start));
+        CPPUNIT_ASSERT(!choose_successor({}, start));
+    }
+
+private:
+    static previous_holder told(std::map<server_id, time_point> last_order,
+                                std::vector<time_point> loads)
+    {
+        previous_holder previous;
+        previous.ended_at = start;
+        previous.told = past_orders{std::move(last_order), std::move(loads)};
+        return previous;
+    }
+
+    /// Two servers that hold m0; nobody holds m1 and m2.
+    placement_controller make(const previous_holder& previous)
+    {
+        states_.assign(2, backend_state{});
+        placement_controller controller(
+            make_engine(), placement_options{}, previous);
+        for (std::size_t s = 0; s < states_.size(); ++s) {
+            auto& entry = states_[s].entry;
+            entry.id = server_id("s" + std::to_string(s));
+            entry.held.models = {{model_id("m0"), true, {}}};
+        }
+        observe(controller, start);
+        for (const auto& state : states_)
+            controller.on_report(
+                state.entry.id, {state.entry.held, 0, false}, start);
+        return controller;
+    }
+
+    void observe(placement_controller& controller, time_point now)
+    {
+        std::vector<const backend_state*> views;
+        for (const auto& state : states_)
+            views.push_back(&state);
+        controller.observe(views, now);
+    }
+
+    /// How many servers are ordered something new at that time.
+    std::size_t orders(placement_controller& controller, time_point now)
+    {
+        observe(controller, now);
+        std::size_t count = 0;
+        for (const auto& action : controller.collect(now))
+            count += action.kind == placement_action::what::order ? 1 : 0;
+        return count;
+    }
+
+    std::vector<backend_state> states_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(holder_change_test);
+
+} // namespace barleyfork
--- a/libs/core/tests/placement_controller_property_test.cpp
+++ b/libs/core/tests/placement_controller_property_test.cpp
@@ -144,7 +144,8 @@
 class controller_world
 {
 public:
-    controller_world() : controller_(make_engine(), placement_options{}, now_)
+    controller_world()
+        : controller_(make_engine(), placement_options{}, previous_holder{})
     {
         for (int s = 0; s < server_count; ++s) {
             auto& engine = engines_[server_name(s)];
@@ -366,7 +367,7 @@
     {
         const time_point start{duration{100000}};
         placement_controller controller(
-            make_engine(), placement_options{}, start);
+            make_engine(), placement_options{}, previous_holder{});
         backend_state state;
         state.entry.id = server_id("s0");
         const backend_state* view = &state;
@@ -387,7 +388,8 @@
         // Nothing but m0, so that no model order is under way.
         auto engine = make_engine();
         engine.models.resize(1);
-        placement_controller controller(engine, placement_options{}, start);
+        placement_controller controller(
+            engine, placement_options{}, previous_holder{});
         std::vector<backend_state> states(server_count);
         std::vector<const backend_state*> views;
         for (int s = 0; s < server_count; ++s) {
--- a/libs/gateway/src/peer_news.cpp
+++ b/libs/gateway/src/peer_news.cpp
@@ -1,6 +1,7 @@
 #include "peer_news.hpp"
 
 #include <barleyfork/base/log.hpp>
+#include <barleyfork/core/holder_change.hpp>
 
 #include <algorithm>
 #include <boost/json.hpp>
@@ -116,7 +117,8 @@
       link_(context.serving,
             context.settings.address,
             context.settings.peer_secret,
-            [this](schema::peer_message_record message) { receive(message); })
+            [this](schema::peer_message_record message) { receive(message); }),
+      started_ms_(static_cast<std::uint64_t>(wall_clock_ms()))
 {
 }
 
@@ -133,6 +135,7 @@
     message.sequence = ++sequence_;
     message.sender = std::make_unique<schema::member_record>();
     message.sender->instance = context_.self.value();
+    message.sender->incarnation = started_ms_;
     message.address = context_.settings.address;
     message.port = context_.settings.peer_port;
     message.failure_domain = context_.settings.failure_domain;
@@ -436,6 +439,7 @@
     known.failure_domain = failure_domain_id(message.failure_domain);
     known.link_mbps = message.link_mbps;
     known.heard_at = steady_now();
+    known.started_ms = message.sender->incarnation;
     switch (message.kind) {
     case schema::message_kind::placement:
         if (message.pass_on)
@@ -467,6 +471,10 @@
 {
     if (message.epoch < holder_epoch_)
         return;
+    if (message.released) {
+        on_release(message);
+        return;
+    }
     const auto now = steady_now();
     holder_epoch_ = message.epoch;
     holder_heard_at_ = now;
@@ -487,6 +495,37 @@
         context_.wake_waiting();
 }
 
+/// News of the epoch that may still be under way is not the holder's any
+/// more.
+void peer_news::on_release(const schema::peer_message_record& message)
+{
+    holder_epoch_ = message.epoch + 1;
+    holder_.reset();
+    if (on_released_)
+        on_released_(message.successor == context_.self.value());
+}
+
+instance_id peer_news::successor(time_point now) const
+{
+    std::vector<successor_candidate> candidates;
+    for (const auto& [id, entry] : members_)
+        if (id != context_.self)
+            candidates.push_back(
+                {id, entry.link_mbps, entry.started_ms, entry.heard_at});
+    const auto chosen = choose_successor(candidates, now);
+    return chosen ? candidates[*chosen].id : instance_id();
+}
+
+void peer_news::announce_release(std::uint64_t epoch,
+                                 const instance_id& successor)
+{
+    auto message = make_message(schema::message_kind::placement);
+    message.epoch = epoch;
+    message.released = true;
+    message.successor = successor.value();
+    send_to_all(std::move(message), steady_now());
+}
+
 /// Follows the list of servers by the holder's word. News that was missed
 /// makes this daemon read the list itself.
 void peer_news::take_relayed(const schema::peer_message_record& message,
--- a/libs/gateway/src/peer_news.hpp
+++ b/libs/gateway/src/peer_news.hpp
@@ -34,6 +34,20 @@
 
     peer_news(gateway_context& context, store_watch& watch);
 
+    /// Called with true where this daemon is to take the lease that its holder
+    /// let go.
+    void on_released(std::function<void(bool)> handler)
+    {
+        on_released_ = std::move(handler);
+    }
+
+    /// Who is to hold the placement's lease after this daemon; empty where
+    /// nobody was heard lately.
+    instance_id successor(time_point now) const;
+
+    /// Tells all that this daemon let the lease of `epoch` go.
+    void announce_release(std::uint64_t epoch, const instance_id& successor);
+
     /// Where demand goes while this daemon holds the placement's lease.
     void on_demand(demand_handler handler)
     {
@@ -76,6 +90,7 @@
     schema::peer_message_record make_message(schema::message_kind kind);
     void receive(const schema::peer_message_record& message);
     void on_placement(const schema::peer_message_record& message);
+    void on_release(const schema::peer_message_record& message);
     /// What is known of another daemon.
     struct member
     {
@@ -83,6 +98,7 @@
         failure_domain_id failure_domain;
         double link_mbps = 0.0;
         time_point heard_at{};
+        std::uint64_t started_ms = 0;
     };
 
     void send_to_all(schema::peer_message_record message, time_point now);
@@ -110,6 +126,9 @@
     store_watch& watch_;
     peer_link link_;
     demand_handler on_demand_;
+    std::function<void(bool)> on_released_;
+    /// When this process started, in Unix milliseconds.
+    std::uint64_t started_ms_;
     std::map<instance_id, member> members_;
     /// This daemon's row as the store has it.
     store_row own_row_;
--- a/libs/gateway/src/placement_duty.cpp
+++ b/libs/gateway/src/placement_duty.cpp
@@ -1,14 +1,13 @@
 #include "placement_duty.hpp"
 
+#include "lease_row_codec.hpp"
+
 #include <barleyfork/base/digest.hpp>
 #include <barleyfork/base/log.hpp>
 
-#include <boost/json.hpp>
-
 namespace barleyfork {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 
 namespace {
 
@@ -24,7 +23,13 @@
 /// Planning takes at most one part in so many of the time.
 constexpr int planning_share = 8;
 constexpr std::int64_t holder_tick_ms = 50;
-constexpr std::int64_t candidate_tick_ms = 300;
+constexpr std::int64_t candidate_tick_ms = 100;
+/// The candidates' looks at an unheard holder's lease are spread at least so.
+constexpr std::int64_t shortest_read_spread_ms = 300;
+/// Candidates that a holder which let go did not name look this much later.
+constexpr duration successor_head_start{600};
+/// What an earlier process of this instance sent has arrived after this.
+constexpr duration own_restart_gap{500};
 /// A daemon with this share of a processor and this link is a good holder;
 /// smaller ones hold back by up to the delay.
 constexpr double full_share = 0.5;
@@ -41,63 +46,22 @@
 /// How often a candidate reads the row while it hears no holder.
 constexpr duration read_interval{700};
 
+/// No server gets orders of two holders within this.
+duration holder_gap(const schema::bound_settings_record& bounds)
+{
+    return duration(static_cast<std::int64_t>(bounds.holder_change_ms)) +
+           lease_slack;
+}
+
 lease_options make_options(const schema::bound_settings_record& bounds)
 {
-    const duration change(static_cast<std::int64_t>(bounds.holder_change_ms));
     lease_options options;
-    options.margin = change + lease_slack;
+    options.margin = holder_gap(bounds);
     options.term = lease_validity + options.margin;
     options.renewal = lease_renewal;
     return options;
 }
 
-/// The lease as it lies in the store.
-struct stored_lease
-{
-    lease_row row;
-    /// No later than this on the store's clock was it sent; 0 where unknown.
-    std::int64_t sent_ms = 0;
-};
-
-std::string encode_lease(const lease_row& row, std::int64_t sent_ms)
-{
-    json::object value;
-    value["holder"] = row.holder.value();
-    value["epoch"] = row.epoch;
-    value["write_id"] = row.write_id;
-    value["sent_ms"] = sent_ms;
-    return json::serialize(value);
-}
-
-/// Fails softly: a row that is not a lease counts as a free one of epoch 0,
-/// and the conditional write replaces it.
-stored_lease decode_lease(const std::string& text)
-{
-    stored_lease stored;
-    auto& row = stored.row;
-    boost::system::error_code error;
-    const auto value = json::parse(text, error);
-    if (error || !value.is_object()) {
-        log_event(log_level::error, "lease_row_unreadable")
-            .with("table", lease_table);
-        return stored;
-    }
-    const auto& object = value.as_object();
-    if (const auto* holder = object.if_contains("holder");
-        holder != nullptr && holder->is_string())
-        row.holder = instance_id(std::string(holder->as_string()));
-    if (const auto* epoch = object.if_contains("epoch");
-        epoch != nullptr && epoch->is_number())
-        row.epoch = epoch->to_number<std::uint64_t>();
-    if (const auto* id = object.if_contains("write_id");
-        id != nullptr && id->is_string())
-        row.write_id = std::string(id->as_string());
-    if (const auto* sent = object.if_contains("sent_ms");
-        sent != nullptr && sent->is_int64())
-        stored.sent_ms = sent->as_int64();
-    return stored;
-}
-
 placement_options
 make_placement(const schema::gateway_settings_record& settings)
 {
@@ -111,6 +75,7 @@
     options.planner.spread_domains = false;
     options.interval = duration(given.interval_ms);
     options.load_window = seconds(settings.bounds->load_window_s);
+    options.holder_gap = holder_gap(*settings.bounds);
     return options;
 }
 
@@ -145,6 +110,7 @@
     : context_(context), watch_(watch), news_(news),
       lease_(context.self, make_options(*context.settings.bounds))
 {
+    news.on_released([this](bool named) { on_released(named); });
 }
 
 asio::awaitable<void> placement_duty::run()
@@ -181,7 +147,7 @@
 void placement_duty::schedule_read(time_point now)
 {
     const auto spread_ms = std::max<std::int64_t>(
-        candidate_tick_ms,
+        shortest_read_spread_ms,
         read_spread_ms * static_cast<std::int64_t>(context_.daemons()));
     std::uniform_int_distribution<std::int64_t> spread(0, spread_ms);
     next_read_ = std::max(now + read_interval, lease_.expires_at()) +
@@ -199,20 +165,44 @@
     }
     const auto id = context_.self.value() + "-" + std::to_string(++writes_) +
                     "-" + std::to_string(context_.random());
-    const bool was_free = lease_.holder().empty() && lease_.version() > 0;
     const auto row = lease_.next_write(
         !hears_holder && context_.configuration != nullptr, id, boot_now());
     if (!row)
         co_return;
-    if (!held && was_free)
-        orders_from_ =
-            boot_now() + duration(static_cast<std::int64_t>(
-                             context_.settings.bounds->holder_change_ms));
+    if (!held)
+        take_over(boot_now(), steady_now());
+    wrote_ = true;
     co_await write_lease(*row);
     if (!held && lease_.held(boot_now()))
         log_event(log_level::info, "lease_taken")
             .with("lease", lease_key)
-            .with("epoch", static_cast<std::int64_t>(lease_.epoch()));
+            .with("epoch", static_cast<std::int64_t>(lease_.epoch()))
+            .with("orders_told", previous_.told ? "yes" : "no");
+}
+
+/// What the lease says of its last holder: one that let go and told its
+/// orders, one that let go just before, or one whose term has ended.
+void placement_duty::take_over(time_point now, time_point steady)
+{
+    previous_ = previous_holder();
+    orders_from_ = time_point{};
+    const auto gap = holder_gap(*context_.settings.bounds);
+    if (lease_.version() == 0)
+        return;
+    if (!lease_.holder().empty()) {
+        previous_.ended_at = steady - gap;
+        return;
+    }
+    previous_.ended_at = steady;
+    if (!left_orders_) {
+        orders_from_ = now + (own_before_ ? own_restart_gap : gap);
+        return;
+    }
+    previous_.told.emplace();
+    for (const auto& [server, age] : left_orders_->last_order)
+        previous_.told->last_order.emplace(server, left_orders_seen_at_ - age);
+    for (const auto age : left_orders_->store_loads)
+        previous_.told->store_loads.push_back(left_orders_seen_at_ - age);
 }
 
 asio::awaitable<void> placement_duty::read_lease()
@@ -245,22 +235,27 @@
     const auto* row = read.rows.empty() ? nullptr : &read.rows.front();
     auto seen = row == nullptr ? stored_lease{} : decode_lease(row->value);
     // A process of this instance held it before; there is no other now.
-    if (!lease_seen_ && seen.row.holder == context_.self)
+    own_before_ = !wrote_ && seen.row.holder == context_.self &&
+                  seen.holder_address == context_.settings.address;
+    if (own_before_)
         seen.row.holder = instance_id();
-    lease_seen_ = true;
     // A renewal that was held up on its way is as old as its sending.
-    const duration age(seen.sent_ms == 0 ? 0 : read.store_ms - seen.sent_ms);
-    lease_.observe(seen.row,
-                   row == nullptr ? 0 : row->version,
-                   boot_now(),
-                   std::max(age, duration{0}));
+    const duration age(
+        seen.sent_ms == 0
+            ? 0
+            : std::max<std::int64_t>(read.store_ms - seen.sent_ms, 0));
+    left_orders_ = std::move(seen.orders);
+    left_orders_seen_at_ = steady_now() - age;
+    lease_.observe(
+        seen.row, row == nullptr ? 0 : row->version, boot_now(), age);
 }
 
 asio::awaitable<void> placement_duty::write_lease(lease_row row)
 {
     context_.measures.count_store_call();
     const auto began = boot_now();
-    const auto text = encode_lease(row, latest_store_ms(began));
+    const auto text = encode_lease(
+        {row, context_.settings.address, latest_store_ms(began), std::nullopt});
     const auto written = co_await context_.platform.store->write_row(
         lease_table, lease_key, text, lease_.version());
     if (written.end != store_write_end::done) {
@@ -271,19 +266,55 @@
     lease_.written(row, written.version, boot_now());
 }
 
+/// The row tells the next holder what still binds it; then the daemons hear
+/// who that is to be.
 asio::awaitable<void> placement_duty::release()
 {
     stopping_ = true;
+    const auto now = steady_now();
     const auto row = lease_.release("released", boot_now());
+    const auto orders = recent_orders(now);
     controllers_.clear();
     news_.set_holding(false, 0);
     if (!row)
         co_return;
-    log_event(log_level::info, "lease_released").with("lease", lease_key);
+    const auto successor = news_.successor(now);
+    log_event(log_level::info, "lease_released")
+        .with("lease", lease_key)
+        .with("successor", successor.value());
     context_.measures.count_store_call();
-    const auto text = encode_lease(*row, latest_store_ms(boot_now()));
-    co_await context_.platform.store->write_row(
+    const auto text = encode_lease(
+        {*row, std::string(), latest_store_ms(boot_now()), orders});
+    const auto written = co_await context_.platform.store->write_row(
         lease_table, lease_key, text, lease_.version());
+    if (written.end == store_write_end::done)
+        news_.announce_release(row->epoch, successor);
+}
+
+/// Orders of all services, by age: clocks of daemons are never compared.
+order_ages placement_duty::recent_orders(time_point now) const
+{
+    order_ages ages;
+    for (const auto& [service, controller] : controllers_) {
+        const auto recent = controller.recent_orders(now);
+        for (const auto& [server, at] : recent.last_order)
+            ages.last_order.emplace(server, now - at);
+        for (const auto at : recent.store_loads)
+            ages.store_loads.push_back(now - at);
+    }
+    return ages;
+}
+
+/// Nobody holds the lease any more: the named daemon looks at once, others
+/// when it should have been heard.
+void placement_duty::on_released(bool named)
+{
+    if (named) {
+        next_read_ = boot_now();
+        return;
+    }
+    schedule_read(boot_now());
+    next_read_ = std::max(next_read_, boot_now() + successor_head_start);
 }
 
 bool placement_duty::may_order(time_point now) const
@@ -327,8 +358,8 @@
     for (const auto& service : context_.configuration->services) {
         if (!service.engine)
             continue;
-        auto [found, fresh] =
-            controllers_.try_emplace(service.id, *service.engine, options, now);
+        auto [found, fresh] = controllers_.try_emplace(
+            service.id, *service.engine, options, previous_);
         if (!fresh)
             found->second.set_engine(*service.engine);
         std::vector<const backend_state*> servers;
--- a/libs/gateway/src/placement_duty.hpp
+++ b/libs/gateway/src/placement_duty.hpp
@@ -2,6 +2,7 @@
 #define BARLEYFORK_GATEWAY_SRC_PLACEMENT_DUTY_HPP
 
 #include "gateway_context.hpp"
+#include "lease_row_codec.hpp"
 #include "peer_news.hpp"
 
 #include <barleyfork/core/lease.hpp>
@@ -36,6 +37,9 @@
     std::int64_t handicap_ms() const;
     void schedule_read(time_point now);
     boost::asio::awaitable<void> keep_lease();
+    void take_over(time_point now, time_point steady);
+    void on_released(bool named);
+    order_ages recent_orders(time_point now) const;
     boost::asio::awaitable<void> read_lease();
     boost::asio::awaitable<void> write_lease(lease_row row);
     void observe(const store_read& read);
@@ -59,7 +63,8 @@
     store_watch& watch_;
     peer_news& news_;
     lease lease_;
-    bool lease_seen_ = false;
+    /// This process has tried to take the lease.
+    bool wrote_ = false;
     bool stopping_ = false;
     std::uint64_t writes_ = 0;
     /// What the store's clock said last, and when that was asked.
@@ -68,8 +73,15 @@
     time_point next_read_{};
     time_point next_demand_log_{};
     time_point published_at_{};
-    /// A holder that let go may have ordered just before.
+    /// A holder that let go without telling may have ordered just before.
     time_point orders_from_{};
+    /// An earlier process of this instance held the lease last.
+    bool own_before_ = false;
+    /// What the last holder left in the row, and when that was.
+    std::optional<order_ages> left_orders_;
+    time_point left_orders_seen_at_{};
+    /// Whom this daemon took the lease from.
+    previous_holder previous_;
     std::map<service_id, placement_controller> controllers_;
 };
 
--- /dev/null
+++ b/libs/gateway/tests/lease_row_test.cpp
@@ -0,0 +1,79 @@
+/// The placement's lease as it lies in the store, and rows that are none.
+
+#include "lease_row_codec.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace barleyfork {
+
+class lease_row_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(lease_row_test);
+    CPPUNIT_TEST(what_was_written_is_read);
+    CPPUNIT_TEST(a_holder_leaves_its_orders);
+    CPPUNIT_TEST(orders_that_can_not_be_read_are_not_known);
+    CPPUNIT_TEST(a_row_that_is_no_lease_is_a_free_one);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void what_was_written_is_read()
+    {
+        const auto read = decode_lease(encode_lease(make()));
+        CPPUNIT_ASSERT(read.row.holder == instance_id("a"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, read.row.epoch);
+        CPPUNIT_ASSERT_EQUAL(std::string("a-1"), read.row.write_id);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1"), read.holder_address);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{5000}, read.sent_ms);
+        CPPUNIT_ASSERT(!read.orders);
+    }
+
+    void a_holder_leaves_its_orders()
+    {
+        auto stored = make();
+        stored.orders.emplace();
+        stored.orders->last_order[server_id("s")] = duration{40};
+        stored.orders->store_loads = {duration{40}, duration{900}};
+        const auto read = decode_lease(encode_lease(stored));
+        CPPUNIT_ASSERT(read.orders.has_value());
+        CPPUNIT_ASSERT(read.orders->last_order == stored.orders->last_order);
+        CPPUNIT_ASSERT(read.orders->store_loads == stored.orders->store_loads);
+    }
+
+    /// To take part of them for all would let two holders order one server.
+    void orders_that_can_not_be_read_are_not_known()
+    {
+        for (const char* orders :
+             {R"("x")",
+              R"({"last_order_ms":{}})",
+              R"({"last_order_ms":{"s":"x"},"store_loads_ms":[]})",
+              R"({"last_order_ms":{},"store_loads_ms":[null]})"})
+        {
+            const auto text =
+                std::string(R"({"holder":"","epoch":3,"orders":)") + orders +
+                "}";
+            const auto read = decode_lease(text);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, read.row.epoch);
+            CPPUNIT_ASSERT(!read.orders);
+        }
+    }
+
+    void a_row_that_is_no_lease_is_a_free_one()
+    {
+        for (const char* text : {"", "[]", "null", R"({"holder":1})"}) {
+            const auto read = decode_lease(text);
+            CPPUNIT_ASSERT(read.row.holder.empty());
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, read.row.epoch);
+            CPPUNIT_ASSERT(!read.orders);
+        }
+    }
+
+private:
+    static stored_lease make()
+    {
+        return {{instance_id("a"), 7, "a-1"}, "10.0.0.1", 5000, std::nullopt};
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(lease_row_test);
+
+} // namespace barleyfork
--- a/libs/schema/include/barleyfork/schema/peer_generated.h
+++ b/libs/schema/include/barleyfork/schema/peer_generated.h
@@ -191,7 +191,9 @@
   barleyfork::schema::member_state state = barleyfork::schema::member_state::alive;
 };
 
-/// What one daemon says of another or of itself. Addresses and failure
+/// What one daemon says of another or of itself. `incarnation` grows with each
+/// process of an instance; the gateway's is its start in Unix milliseconds.
+/// Addresses and failure
 /// domains come from the platform's instance list, not from peers.
 struct member FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef member_record NativeTableType;
@@ -1003,6 +1005,8 @@
   float link_mbps = 0.0f;
   uint64_t configuration_position = 0;
   uint64_t list_position = 0;
+  bool released = false;
+  std::string successor{};
   peer_message_record() = default;
   peer_message_record(const peer_message_record &o);
   peer_message_record(peer_message_record&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1017,7 +1021,9 @@
 /// lease epoch of a placement's holder; `body` of a snapshot is the newest
 /// configuration in the store's own form. `rows` are changes of the server
 /// list; `list_fresh` says that the sender read the list just now. A daemon
-/// that is told to `pass_on` sends the message to the others of its domain.
+/// that is told to `pass_on` sends the message to the others of its domain. A
+/// holder that lets its lease go says so by `released`, and which daemon is to
+/// take it by `successor`.
 struct peer_message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef peer_message_record NativeTableType;
   typedef peer_messageBuilder Builder;
@@ -1047,7 +1053,9 @@
     VT_FOLLOWS = 46,
     VT_LINK_MBPS = 48,
     VT_CONFIGURATION_POSITION = 50,
-    VT_LIST_POSITION = 52
+    VT_LIST_POSITION = 52,
+    VT_RELEASED = 54,
+    VT_SUCCESSOR = 56
   };
   barleyfork::schema::message_kind kind() const {
     return static_cast<barleyfork::schema::message_kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -1124,6 +1132,12 @@
   uint64_t list_position() const {
     return GetField<uint64_t>(VT_LIST_POSITION, 0);
   }
+  bool released() const {
+    return GetField<uint8_t>(VT_RELEASED, 0) != 0;
+  }
+  const flatbuffers::String *successor() const {
+    return GetPointer<const flatbuffers::String *>(VT_SUCCESSOR);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -1172,6 +1186,9 @@
            VerifyField<float>(verifier, VT_LINK_MBPS, 4) &&
            VerifyField<uint64_t>(verifier, VT_CONFIGURATION_POSITION, 8) &&
            VerifyField<uint64_t>(verifier, VT_LIST_POSITION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_RELEASED, 1) &&
+           VerifyOffset(verifier, VT_SUCCESSOR) &&
+           verifier.VerifyString(successor()) &&
            verifier.EndTable();
   }
   peer_message_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1258,6 +1275,12 @@
   void add_list_position(uint64_t list_position) {
     fbb_.AddElement<uint64_t>(peer_message::VT_LIST_POSITION, list_position, 0);
   }
+  void add_released(bool released) {
+    fbb_.AddElement<uint8_t>(peer_message::VT_RELEASED, static_cast<uint8_t>(released), 0);
+  }
+  void add_successor(flatbuffers::Offset<flatbuffers::String> successor) {
+    fbb_.AddOffset(peer_message::VT_SUCCESSOR, successor);
+  }
   explicit peer_messageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1296,13 +1319,16 @@
     bool follows = false,
     float link_mbps = 0.0f,
     uint64_t configuration_position = 0,
-    uint64_t list_position = 0) {
+    uint64_t list_position = 0,
+    bool released = false,
+    flatbuffers::Offset<flatbuffers::String> successor = 0) {
   peer_messageBuilder builder_(_fbb);
   builder_.add_list_position(list_position);
   builder_.add_configuration_position(configuration_position);
   builder_.add_configuration_version(configuration_version);
   builder_.add_epoch(epoch);
   builder_.add_sequence(sequence);
+  builder_.add_successor(successor);
   builder_.add_link_mbps(link_mbps);
   builder_.add_failure_domain(failure_domain);
   builder_.add_rows(rows);
@@ -1319,6 +1345,7 @@
   builder_.add_configuration(configuration);
   builder_.add_sender(sender);
   builder_.add_port(port);
+  builder_.add_released(released);
   builder_.add_follows(follows);
   builder_.add_pass_on(pass_on);
   builder_.add_list_fresh(list_fresh);
@@ -1357,7 +1384,9 @@
     bool follows = false,
     float link_mbps = 0.0f,
     uint64_t configuration_position = 0,
-    uint64_t list_position = 0) {
+    uint64_t list_position = 0,
+    bool released = false,
+    const char *successor = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::member>>(*members) : 0;
   auto quarantine__ = quarantine ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::quarantine_entry>>(*quarantine) : 0;
   auto digest__ = digest ? _fbb.CreateString(digest) : 0;
@@ -1370,6 +1399,7 @@
   auto outstanding__ = outstanding ? _fbb.CreateVectorOfStructs<barleyfork::schema::outstanding_load>(*outstanding) : 0;
   auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::listed_row>>(*rows) : 0;
   auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
+  auto successor__ = successor ? _fbb.CreateString(successor) : 0;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       kind,
@@ -1396,7 +1426,9 @@
       follows,
       link_mbps,
       configuration_position,
-      list_position);
+      list_position,
+      released,
+      successor__);
 }
 
 flatbuffers::Offset<peer_message> Createpeer_message(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1692,7 +1724,9 @@
         follows(o.follows),
         link_mbps(o.link_mbps),
         configuration_position(o.configuration_position),
-        list_position(o.list_position) {
+        list_position(o.list_position),
+        released(o.released),
+        successor(o.successor) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new barleyfork::schema::member_record(*members_) : nullptr); }
   quarantine.reserve(o.quarantine.size());
@@ -1735,6 +1769,8 @@
   std::swap(link_mbps, o.link_mbps);
   std::swap(configuration_position, o.configuration_position);
   std::swap(list_position, o.list_position);
+  std::swap(released, o.released);
+  std::swap(successor, o.successor);
   return *this;
 }
 
@@ -1772,6 +1808,8 @@
   { auto _e = link_mbps(); _o->link_mbps = _e; }
   { auto _e = configuration_position(); _o->configuration_position = _e; }
   { auto _e = list_position(); _o->list_position = _e; }
+  { auto _e = released(); _o->released = _e; }
+  { auto _e = successor(); if (_e) _o->successor = _e->str(); }
 }
 
 inline flatbuffers::Offset<peer_message> peer_message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1807,6 +1845,8 @@
   auto _link_mbps = _o->link_mbps;
   auto _configuration_position = _o->configuration_position;
   auto _list_position = _o->list_position;
+  auto _released = _o->released;
+  auto _successor = _o->successor.empty() ? 0 : _fbb.CreateString(_o->successor);
   return barleyfork::schema::Createpeer_message(
       _fbb,
       _kind,
@@ -1833,7 +1873,9 @@
       _follows,
       _link_mbps,
       _configuration_position,
-      _list_position);
+      _list_position,
+      _released,
+      _successor);
 }
 
 inline const barleyfork::schema::peer_message *Getpeer_message(const void *buf) {
