Serve plain requests on a stopping daemon until shortly before its end

Cause: a stopping daemon refused all from 2.6 s on, for up to 5 s more. Where fewer than half of a failure domain's daemons are in rotation the balancer uses all of them, so callers came there all the while. Change: drain_plan decides, apart from sockets: plain requests are begun until 0.7 s before the end, and what is unanswered then gets a true answer instead of a cut. Streams are refused as before. Tried and reverted: streams that should fit, by 1.5 times the longest of late, were begun too. No estimate under load is sure enough for a rule without tolerance.

--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -168,7 +168,7 @@
 
 void caller_session::append_connection_header(std::string& out) const
 {
-    if (!keep_alive_ || context_.draining)
+    if (!keep_alive_ || context_.drain.draining())
         out += "Connection: close\r\n";
 }
 
@@ -184,7 +184,7 @@
     if (!head_request_)
         text += body;
     pending_ += text;
-    if (context_.draining)
+    if (context_.drain.draining())
         keep_alive_ = false;
     answer_done();
 }
@@ -201,7 +201,7 @@
         text += "Transfer-Encoding: chunked\r\n";
     append_connection_header(text);
     text += "\r\n";
-    if (context_.draining)
+    if (context_.drain.draining())
         keep_alive_ = false;
     pending_ += text;
     flush();
@@ -240,7 +240,7 @@
 void caller_session::answer_done()
 {
     call_.reset();
-    if (!keep_alive_ || context_.draining) {
+    if (!keep_alive_ || context_.drain.draining()) {
         begin_close();
         return;
     }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -33,10 +33,6 @@
 constexpr std::int64_t sweep_interval_ms = 500;
 /// How often the settings file is looked at.
 constexpr duration settings_check{2000};
-/// The balancer stops sending connections within this time.
-constexpr duration leave_rotation{2600};
-/// What is left of the time to stop when the last requests are cut.
-constexpr duration stop_margin{500};
 constexpr std::int64_t drain_tick_ms = 50;
 /// Descriptors kept for files, servers, peers and the store.
 constexpr std::uint32_t reserved_descriptors = 600;
@@ -245,7 +241,7 @@
 
 bool gateway::state::is_ready() const
 {
-    return !context.draining && context.configuration != nullptr &&
+    return !context.drain.draining() && context.configuration != nullptr &&
            context.servers_known;
 }
 
@@ -273,30 +269,30 @@
 asio::awaitable<void> gateway::state::drain()
 {
     const auto began = steady_now();
-    context.draining = true;
-    context.closes_at = began + leave_rotation;
+    context.drain =
+        drain_plan(began, seconds(context.settings.bounds->grace_s));
     log_event(log_level::info, "drain_started")
-        .with("active", static_cast<std::int64_t>(context.active_calls));
+        .with("active", static_cast<std::int64_t>(context.calls.size()));
     context.serving.spawn(placement.release());
-    const auto grace = seconds(context.settings.bounds->grace_s);
-    const auto end = began + std::max(grace - stop_margin, leave_rotation);
     bool idle_closed = false;
-    while (steady_now() < end) {
+    while (steady_now() < context.drain.ends_at()) {
         co_await sleep_for_ms(drain_tick_ms);
-        const bool left = steady_now() >= began + leave_rotation;
+        const bool left = context.drain.left_rotation(steady_now());
         if (left && !idle_closed) {
             idle_closed = true;
             for (const auto& entry : sessions)
                 if (const auto session = entry.lock())
                     session->drain();
         }
-        if (left && context.active_calls == 0)
+        if (left && context.calls.empty())
             break;
     }
-    const bool whole = context.active_calls == 0;
+    const auto active = context.calls.size();
+    context.end_calls();
+    const bool whole = context.calls.empty();
     log_event(log_level::info, "drain_ended")
         .with("whole", whole ? "true" : "false")
-        .with("active", static_cast<std::int64_t>(context.active_calls))
+        .with("active", static_cast<std::int64_t>(active))
         .with("took_ms", (steady_now() - began).count());
     // Answers on their way out are written before the process ends.
     co_await sleep_for_ms(drain_tick_ms);
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -95,12 +95,15 @@
     : context_(context), caller_(std::move(caller)),
       request_(std::move(request))
 {
-    ++context_.active_calls;
+    number_ = ++context_.calls_begun;
+    context_.calls[number_] = [this] {
+        on_daemon_ends();
+    };
 }
 
 gateway_call::~gateway_call()
 {
-    --context_.active_calls;
+    context_.calls.erase(number_);
 }
 
 void gateway_call::begin()
@@ -109,17 +112,23 @@
     received_at_ = now;
     deadline_ = now + default_timeout;
     facts_ = context_.platform.codec->read_call(request_.headers);
-    if (now >= context_.closes_at) {
+    if (!find_route())
+        return;
+    if (!begins_while_draining(now)) {
         refuse(errc::draining, shortest_return);
         return;
     }
-    if (!find_route())
-        return;
     set_deadline(now);
     count_demand();
     dispatch();
 }
 
+bool gateway_call::begins_while_draining(time_point now) const
+{
+    return route_->kind == call_kind::stream ? context_.drain.begins_stream(now)
+                                             : context_.drain.begins_plain(now);
+}
+
 bool gateway_call::find_route()
 {
     configuration_ = context_.configuration;
@@ -725,6 +734,15 @@
         refuse(errc::overloaded, return_time());
 }
 
+/// An answer that has begun may still come to its end; any other would be
+/// cut without a word.
+void gateway_call::on_daemon_ends()
+{
+    const auto self = shared_from_this();
+    if (!delivering_)
+        on_deadline();
+}
+
 void gateway_call::on_caller_gone()
 {
     if (over_)
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -90,6 +90,8 @@
     };
 
     bool find_route();
+    bool begins_while_draining(time_point now) const;
+    void on_daemon_ends();
     void set_deadline(time_point now);
     void count_demand();
     void dispatch();
@@ -130,6 +132,8 @@
     void log_end(errc kind, unsigned status) const;
 
     gateway_context& context_;
+    /// This call's place among those that run.
+    std::uint64_t number_ = 0;
     std::shared_ptr<caller_port> caller_;
     caller_request request_;
     call_facts facts_;
--- a/libs/gateway/src/gateway_context.cpp
+++ b/libs/gateway/src/gateway_context.cpp
@@ -10,6 +10,18 @@
 /// The share of its time that a busy server works.
 constexpr double busy_utilisation = 0.8;
 
+/// Calls what the map holds; each call may remove entries.
+template <class Key>
+void call_each(const std::map<Key, std::function<void()>>& handlers)
+{
+    if (handlers.empty())
+        return;
+    const auto copy = handlers;
+    for (const auto& [key, handler] : copy)
+        if (handlers.contains(key))
+            handler();
+}
+
 } // namespace
 
 gateway_context::gateway_context(schema::gateway_settings_record given,
@@ -69,12 +81,12 @@
 
 void gateway_context::wake_waiting()
 {
-    if (waiting.empty())
-        return;
-    const auto woken = waiting;
-    for (const auto& [place, wake] : woken)
-        if (waiting.contains(place))
-            wake();
+    call_each(waiting);
+}
+
+void gateway_context::end_calls()
+{
+    call_each(calls);
 }
 
 } // namespace barleyfork
--- a/libs/gateway/src/gateway_context.hpp
+++ b/libs/gateway/src/gateway_context.hpp
@@ -7,6 +7,7 @@
 
 #include <barleyfork/core/backend_directory.hpp>
 #include <barleyfork/core/backend_loads.hpp>
+#include <barleyfork/core/drain_plan.hpp>
 #include <barleyfork/core/gateway_configuration.hpp>
 #include <barleyfork/core/pace_estimator.hpp>
 #include <barleyfork/core/server_choice.hpp>
@@ -73,6 +74,9 @@
     /// Calls that wait look again at what can serve them.
     void wake_waiting();
 
+    /// The daemon ends: calls whose answers have not begun are answered.
+    void end_calls();
+
     /// First, so that it outlives all that holds sockets of its loop.
     duty serving{"serving", ring_capacity};
     schema::gateway_settings_record settings;
@@ -97,10 +101,11 @@
     std::map<waiting_place, std::function<void()>> waiting;
     /// Waits since the start; numbers them.
     std::uint64_t waits = 0;
-    bool draining = false;
-    /// From when a draining daemon begins no further request.
-    time_point closes_at = time_point::max();
-    std::size_t active_calls = 0;
+    drain_plan drain;
+    /// What each call does at the latest when the daemon ends, by its number.
+    std::map<std::uint64_t, std::function<void()>> calls;
+    /// Calls since the start; numbers them.
+    std::uint64_t calls_begun = 0;
     std::mt19937_64 random{std::random_device{}()};
 
 private:
--- a/libs/gateway/src/store_watch.hpp
+++ b/libs/gateway/src/store_watch.hpp
@@ -78,7 +78,7 @@
     /// True while this daemon follows the store for its neighbours too.
     bool follows() const noexcept
     {
-        return readers_.is_reader() && reachable_ && !context_.draining;
+        return readers_.is_reader() && reachable_ && !context_.drain.draining();
     }
 
     /// Up to which versions of the store all changes of the configuration
