Let adapters leave before they are unloaded

Cause: an adapter that was to make way was unloaded while requests used it. The engine takes the order, waits for those requests (a driver's briefing runs for 6 s and more) and refuses every other order meanwhile, so one unload kept five places and all loads of that server from everyone. Places were freed one server at a time, and a freed one was given away up to 50 ms later. Change: daemons say which adapters their requests use now, 8 bytes each. An adapter that makes way gets no further requests first and is unloaded once none uses it, or after 10 s; those that rest and are not used go first. As many leave at a time as callers wait for. The place is given away as soon as the unload is answered.

--- a/libs/core/include/barleyfork/core/placement_controller.hpp
+++ b/libs/core/include/barleyfork/core/placement_controller.hpp
@@ -3,6 +3,7 @@
 
 #include <barleyfork/base/strong_id.hpp>
 #include <barleyfork/base/time.hpp>
+#include <barleyfork/core/adapter_use.hpp>
 #include <barleyfork/core/backend_directory.hpp>
 #include <barleyfork/core/demand_estimator.hpp>
 #include <barleyfork/core/gateway_configuration.hpp>
@@ -101,6 +102,8 @@
     duration late_order_life{15000};
     /// A server takes no order sooner than this after one of another holder.
     duration holder_gap{3300};
+    /// Daemons have heard of news, and were heard again, after this.
+    duration news_round{500};
 };
 
 /// Decides the orders of all backend servers of one engine service, under a
@@ -143,6 +146,11 @@
                       const std::string& adapter,
                       time_point now);
 
+    /// Which adapters a daemon's requests use now.
+    void tell_uses(const instance_id& daemon,
+                   std::span<const adapter_use> uses,
+                   time_point now);
+
     /// What is to be done now. An order's answer must be given to `on_answer`
     /// before the server gets another.
     std::vector<placement_action> collect(time_point now);
@@ -235,6 +243,15 @@
                                 const adapter_victim&) = default;
     };
 
+    /// An adapter that gets no further requests, so that its unload need not
+    /// wait for one.
+    struct leaving_adapter
+    {
+        adapter_key key;
+        time_point since{};
+        const char* reason = "";
+    };
+
     struct engine_server
     {
         failure_domain_id failure_domain;
@@ -264,6 +281,8 @@
         bool uncertain = false;
         std::vector<unsettled_load> unsettled;
         std::vector<coming_adapter> coming;
+        /// Adapters that are to be unloaded.
+        std::vector<leaving_adapter> leaving;
         /// Adapters whose unload waits for their requests to end.
         std::vector<adapter_key> going;
         bool changed = true;
@@ -305,18 +324,16 @@
     void collect_closings(time_point now, actions& out);
     void collect_probes(time_point now, actions& out);
     void collect_adapters(time_point now, actions& out);
+    void collect_leaving(time_point now, actions& out);
     bool is_asked_for(const adapter_key& key) const;
-    bool place_adapter(const adapter_key& key,
-                       time_point since,
-                       time_point now,
-                       actions& out);
+    bool place_adapter(const adapter_key& key, time_point now, actions& out);
     bool takes_adapter_orders(const engine_server& server,
                               const model_id& model) const;
-    void make_adapter_room(const model_id& model,
-                           bool for_starving,
-                           time_point now,
-                           actions& out);
-    std::optional<adapter_victim> oldest_adapter(const engine_server& server,
+    std::size_t places_made(const model_id& model, time_point now) const;
+    void
+    make_adapter_room(const model_id& model, bool for_starving, time_point now);
+    std::optional<adapter_victim> oldest_adapter(const server_id& id,
+                                                 const engine_server& server,
                                                  bool for_starving,
                                                  time_point now) const;
     void order(const server_id& id,
@@ -333,6 +350,11 @@
                            const engine_command& command,
                            time_point now);
     static bool is_going(const engine_server& server, const adapter_key& key);
+    bool
+    is_used(const server_id& id, const adapter_key& key, time_point now) const;
+    bool has_left(const server_id& id,
+                  const leaving_adapter& leaving,
+                  time_point now) const;
     void on_adapter_going(engine_server& server,
                           const engine_command& command,
                           time_point now);
@@ -352,6 +374,7 @@
     /// When each adapter was last used and last given a place.
     std::map<adapter_key, time_point> used_;
     std::map<adapter_key, time_point> placed_;
+    told_uses running_;
     std::deque<time_point> store_loads_;
     /// When each server was given its last order, by any holder.
     std::map<server_id, time_point> ordered_at_;
--- a/libs/core/src/placement_controller.cpp
+++ b/libs/core/src/placement_controller.cpp
@@ -110,6 +110,7 @@
     server.closing.clear();
     server.reserved.reset();
     server.coming.clear();
+    server.leaving.clear();
     server.going.clear();
     server.unsettled.clear();
     server.awaiting_answer = false;
@@ -634,6 +635,10 @@
         const auto* held = server.held.find(key.first);
         return held == nullptr || !held->has_adapter(key.second);
     });
+    std::erase_if(server.leaving, [&server](const auto& leaving) {
+        const auto* held = server.held.find(leaving.key.first);
+        return held == nullptr || !held->has_adapter(leaving.key.second);
+    });
     if (!server.going.empty())
         server.probe_at = now + first_probe;
 }
@@ -652,9 +657,9 @@
             (server.running && server.running->command.model == held.model &&
              server.running->command.kind == order_kind::unload);
         held.ready = !going;
-        for (const auto& [model, adapter] : server.going)
-            if (model == held.model)
-                std::erase(held.adapters, adapter);
+        std::erase_if(held.adapters, [&](const auto& adapter) {
+            return is_going(server, {held.model, adapter});
+        });
         for (const auto& coming : server.coming)
             if (coming.model == held.model && now < coming.ready_at)
                 std::erase(held.adapters, coming.adapter);
@@ -670,8 +675,9 @@
             std::erase_if(server.coming, [now](const auto& coming) {
                 return now >= coming.ready_at;
             });
-        const bool in_progress =
-            server.running || !server.closing.empty() || !server.going.empty();
+        const bool in_progress = server.running || !server.closing.empty() ||
+                                 !server.going.empty() ||
+                                 !server.leaving.empty();
         const bool due =
             in_progress && now >= server.published_at + repeat_news;
         if (!server.changed && arrived == 0 && !due)
--- a/libs/core/src/placement_controller_adapters.cpp
+++ b/libs/core/src/placement_controller_adapters.cpp
@@ -22,6 +22,11 @@
 constexpr duration adapter_rest{1000};
 constexpr duration adapter_turn{2000};
 constexpr duration kept_out{1500};
+/// An adapter whose requests take longer than this to end is not counted on.
+constexpr duration usual_leave{1000};
+/// An adapter that leaves is unloaded after this at the latest. An unload
+/// that waits for requests keeps its server from all other orders.
+constexpr duration longest_leave{10000};
 
 } // namespace
 
@@ -51,11 +56,41 @@
     return count;
 }
 
+/// It leaves, or its unload was ordered: it is not to get further requests.
 bool placement_controller::is_going(const engine_server& server,
                                     const adapter_key& key)
 {
-    return std::find(server.going.begin(), server.going.end(), key) !=
-           server.going.end();
+    const bool leaves =
+        std::any_of(server.leaving.begin(),
+                    server.leaving.end(),
+                    [&key](const auto& leaving) { return leaving.key == key; });
+    return leaves || std::find(server.going.begin(), server.going.end(), key) !=
+                         server.going.end();
+}
+
+void placement_controller::tell_uses(const instance_id& daemon,
+                                     std::span<const adapter_use> uses,
+                                     time_point now)
+{
+    running_.tell(daemon, uses, now);
+}
+
+bool placement_controller::is_used(const server_id& id,
+                                   const adapter_key& key,
+                                   time_point now) const
+{
+    return running_.contains(make_adapter_use(id, key.first, key.second), now);
+}
+
+/// No daemon sends there any more, and none has a request there.
+bool placement_controller::has_left(const server_id& id,
+                                    const leaving_adapter& leaving,
+                                    time_point now) const
+{
+    if (now < leaving.since + options_.news_round)
+        return false;
+    return now >= leaving.since + longest_leave ||
+           !is_used(id, leaving.key, now);
 }
 
 /// Those that were kept out for longest go first.
@@ -64,14 +99,66 @@
     std::erase_if(needs_, [now](const auto& item) {
         return now > item.second.asked_at + need_memory;
     });
+    collect_leaving(now, out);
     std::vector<std::pair<time_point, adapter_key>> wanted;
     for (const auto& [key, need] : needs_)
         if (now <= need.asked_at + need_life)
             wanted.emplace_back(need.since, key);
     std::sort(wanted.begin(), wanted.end());
-    for (const auto& [since, key] : wanted)
-        if (place_adapter(key, since, now, out))
+    std::map<model_id, std::size_t> without_place;
+    for (const auto& [since, key] : wanted) {
+        if (place_adapter(key, now, out)) {
             needs_.erase(key);
+            continue;
+        }
+        // Those that wait longer get the places that are being made.
+        const auto before = without_place[key.first]++;
+        if (!is_asked_for(key) && before >= places_made(key.first, now))
+            make_adapter_room(key.first, now >= since + kept_out, now);
+    }
+    collect_leaving(now, out);
+}
+
+/// Unloads what has left, one order a server at a time.
+void placement_controller::collect_leaving(time_point now, actions& out)
+{
+    for (auto& [id, server] : servers_) {
+        if (server.leaving.empty())
+            continue;
+        const auto due = std::find_if(
+            server.leaving.begin(),
+            server.leaving.end(),
+            [&](const auto& entry) { return has_left(id, entry, now); });
+        if (due == server.leaving.end() ||
+            !takes_adapter_orders(server, due->key.first))
+            continue;
+        const auto leaving = *due;
+        order(id,
+              server,
+              {order_kind::unload,
+               leaving.key.first,
+               leaving.key.second,
+               *server.sequence},
+              leaving.reason,
+              now,
+              out);
+    }
+}
+
+/// Places for adapters of a model that should be free soon.
+std::size_t placement_controller::places_made(const model_id& model,
+                                              time_point now) const
+{
+    std::size_t count = 0;
+    for (const auto& [id, server] : servers_)
+        if (server.usable && server.held.find(model) != nullptr)
+            count += static_cast<std::size_t>(
+                std::count_if(server.leaving.begin(),
+                              server.leaving.end(),
+                              [now](const auto& leaving) {
+                                  return now < leaving.since + usual_leave;
+                              }));
+    return count;
 }
 
 bool placement_controller::takes_adapter_orders(const engine_server& server,
@@ -93,7 +180,6 @@
 
 /// Orders the adapter where its model is; true once some server has it.
 bool placement_controller::place_adapter(const adapter_key& key,
-                                         time_point since,
                                          time_point now,
                                          actions& out)
 {
@@ -114,11 +200,8 @@
         best = id;
         fewest = count;
     }
-    if (best.empty()) {
-        const bool starves = now >= since + kept_out;
-        make_adapter_room(key.first, starves, now, out);
+    if (best.empty())
         return false;
-    }
     auto& server = servers_.at(best);
     order(best,
           server,
@@ -132,7 +215,8 @@
 /// Which adapter of a server makes way first: of those used within the rest
 /// time the one longest in its place, else the one used longest ago.
 std::optional<placement_controller::adapter_victim>
-placement_controller::oldest_adapter(const engine_server& server,
+placement_controller::oldest_adapter(const server_id& id,
+                                     const engine_server& server,
                                      bool for_starving,
                                      time_point now) const
 {
@@ -148,7 +232,8 @@
                 continue;
             const auto used = time_of(used_, key);
             const auto placed = time_of(placed_, key);
-            const bool rests = now >= used + adapter_rest;
+            const bool rests =
+                now >= used + adapter_rest && !is_used(id, key, now);
             const bool had_turn = now >= placed + adapter_turn;
             if (!rests && !(for_starving && had_turn))
                 continue;
@@ -160,36 +245,32 @@
     return oldest;
 }
 
-/// Unloads the adapter that makes way first on any server that holds the
-/// model, if there is one.
+/// The adapter that makes way first on any server that holds the model
+/// leaves, if there is one: it gets no further requests from now on, and is
+/// unloaded when those that run should have ended.
 void placement_controller::make_adapter_room(const model_id& model,
                                              bool for_starving,
-                                             time_point now,
-                                             actions& out)
+                                             time_point now)
 {
-    server_id best;
+    engine_server* best = nullptr;
     std::optional<adapter_victim> oldest;
-    for (const auto& [id, server] : servers_) {
-        if (!takes_adapter_orders(server, model))
+    for (auto& [id, server] : servers_) {
+        if (!server.usable || server.held.find(model) == nullptr ||
+            is_closing(server, model))
             continue;
-        const auto candidate = oldest_adapter(server, for_starving, now);
+        const auto candidate = oldest_adapter(id, server, for_starving, now);
         if (!candidate || (oldest && !(*candidate < *oldest)))
             continue;
         oldest = candidate;
-        best = id;
+        best = &server;
     }
     if (!oldest)
         return;
-    auto& server = servers_.at(best);
-    order(best,
-          server,
-          {order_kind::unload,
-           oldest->key.first,
-           oldest->key.second,
-           *server.sequence},
-          for_starving ? "adapter_turn" : "adapter_room",
-          now,
-          out);
+    // One that rests needs no round of news: nobody has used it for longer.
+    const auto since = oldest->in_use ? now : now - options_.news_round;
+    best->leaving.push_back(
+        {oldest->key, since, for_starving ? "adapter_turn" : "adapter_room"});
+    best->changed = true;
 }
 
 /// Requests still use the adapter: it takes its place until the server's own
@@ -198,7 +279,10 @@
                                             const engine_command& command,
                                             time_point now)
 {
-    server.going.push_back({command.model, command.adapter});
+    const adapter_key key{command.model, command.adapter};
+    std::erase_if(server.leaving,
+                  [&key](const auto& leaving) { return leaving.key == key; });
+    server.going.push_back(key);
     server.probe_at = now + first_probe;
     server.changed = true;
 }
@@ -216,6 +300,9 @@
         if (command.kind == order_kind::unload) {
             std::erase(held.adapters, command.adapter);
             std::erase(server.going, key);
+            std::erase_if(server.leaving, [&key](const auto& leaving) {
+                return leaving.key == key;
+            });
         }
         else if (!held.has_adapter(command.adapter)) {
             held.adapters.push_back(command.adapter);
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -351,6 +351,10 @@
 {
     attempt_.emplace();
     attempt_->server = chosen.server;
+    if (!facts_.adapter.empty())
+        attempt_->uses_adapter.emplace(
+            context_.adapters,
+            make_adapter_use(chosen.server, facts_.model, facts_.adapter));
     const auto load = context_.loads.view(chosen.server, route_->priority, now);
     attempt_->tokens_ahead = load.own_waiting_tokens + facts_.prompt_tokens;
     attempt_->ticket = context_.loads.begin(
@@ -796,6 +800,8 @@
 void gateway_call::finish(errc kind)
 {
     over_ = true;
+    if (attempt_)
+        attempt_->uses_adapter.reset();
     stop_waiting();
     context_.timers.cancel(deadline_timer_);
     context_.timers.cancel(patience_timer_);
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -43,10 +43,32 @@
     void on_end(exchange_end end) override;
 
 private:
+    /// Counts an adapter as used for as long as the attempt lasts.
+    class adapter_mark
+    {
+    public:
+        adapter_mark(running_uses& uses, adapter_use use)
+            : uses_(uses), use_(use)
+        {
+            uses_.begin(use_);
+        }
+        adapter_mark(const adapter_mark&) = delete;
+        adapter_mark& operator=(const adapter_mark&) = delete;
+        ~adapter_mark()
+        {
+            uses_.end(use_);
+        }
+
+    private:
+        running_uses& uses_;
+        adapter_use use_;
+    };
+
     /// One send of the request to a server.
     struct attempt
     {
         server_id server;
+        std::optional<adapter_mark> uses_adapter;
         std::shared_ptr<backend_connection> connection;
         load_ticket ticket{};
         bool sending = false;
--- a/libs/gateway/src/gateway_context.hpp
+++ b/libs/gateway/src/gateway_context.hpp
@@ -5,6 +5,7 @@
 #include "gateway_metrics.hpp"
 #include "timer_queue.hpp"
 
+#include <barleyfork/core/adapter_use.hpp>
 #include <barleyfork/core/backend_directory.hpp>
 #include <barleyfork/core/backend_loads.hpp>
 #include <barleyfork/core/drain_plan.hpp>
@@ -95,6 +96,8 @@
     /// What one request takes a plain service, in ms, smoothed.
     std::map<service_id, double> service_times;
     placement_wishes wishes;
+    /// Adapters that this daemon's requests use on the servers.
+    running_uses adapters;
     /// Called when an adapter is wanted at once.
     std::function<void()> on_need;
     /// Calls that wait for a server, the most urgent and oldest first.
--- a/libs/gateway/src/peer_news.cpp
+++ b/libs/gateway/src/peer_news.cpp
@@ -349,6 +349,8 @@
     for (const auto& use : wishes.uses)
         message.uses.push_back(to_record(use));
     message.outstanding = to_records(outstanding);
+    for (const auto& use : context_.adapters.list())
+        message.running.emplace_back(use.server, use.adapter);
     wishes = placement_wishes();
     link_.send(*holder_, std::move(message), false);
 }
--- a/libs/gateway/src/placement_duty.cpp
+++ b/libs/gateway/src/placement_duty.cpp
@@ -333,6 +333,7 @@
             controller.need_adapter(model, adapter, now);
         for (const auto& [model, adapter] : wishes.uses)
             controller.used_adapter(model, adapter, now);
+        controller.tell_uses(context_.self, context_.adapters.list(), now);
     }
     wishes = placement_wishes();
 }
@@ -340,7 +341,12 @@
 void placement_duty::on_demand(const schema::peer_message_record& message)
 {
     const auto now = steady_now();
+    std::vector<adapter_use> uses;
+    for (const auto& use : message.running)
+        uses.push_back({use.server_hash(), use.adapter_hash()});
+    const instance_id daemon(message.sender->instance);
     for (auto& [service, controller] : controllers_) {
+        controller.tell_uses(daemon, uses, now);
         for (const auto& demand : message.demand)
             controller.add_demand(model_id(demand->model), demand->work);
         for (const auto& need : message.needs)
@@ -354,7 +360,8 @@
 
 void placement_duty::update_controllers(time_point now)
 {
-    const auto options = make_placement(context_.settings);
+    auto options = make_placement(context_.settings);
+    options.news_round = 2 * context_.news_interval() + publish_interval;
     for (const auto& service : context_.configuration->services) {
         if (!service.engine)
             continue;
@@ -453,6 +460,9 @@
         co_return;
     const auto now = steady_now();
     found->second.on_answer(action.server, action.command, reply.answer, now);
+    // The place that an adapter left is given away at once.
+    if (!action.command.adapter.empty() && may_order(boot_now()))
+        work(now);
 }
 
 asio::awaitable<void> placement_duty::read_report(service_id service,
--- a/libs/schema/include/barleyfork/schema/peer_generated.h
+++ b/libs/schema/include/barleyfork/schema/peer_generated.h
@@ -46,6 +46,8 @@
 
 struct outstanding_load;
 
+struct used_adapter;
+
 struct listed_row;
 struct listed_rowBuilder;
 struct listed_row_record;
@@ -184,6 +186,35 @@
   using type = outstanding_load;
 };
 
+/// An adapter on a backend server that requests use, both by hash.
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) used_adapter FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t server_hash_;
+  uint32_t adapter_hash_;
+
+ public:
+  struct Traits;
+  used_adapter()
+      : server_hash_(0),
+        adapter_hash_(0) {
+  }
+  used_adapter(uint32_t _server_hash, uint32_t _adapter_hash)
+      : server_hash_(flatbuffers::EndianScalar(_server_hash)),
+        adapter_hash_(flatbuffers::EndianScalar(_adapter_hash)) {
+  }
+  uint32_t server_hash() const {
+    return flatbuffers::EndianScalar(server_hash_);
+  }
+  uint32_t adapter_hash() const {
+    return flatbuffers::EndianScalar(adapter_hash_);
+  }
+};
+FLATBUFFERS_STRUCT_END(used_adapter, 8);
+
+struct used_adapter::Traits {
+  using type = used_adapter;
+};
+
 struct member_record : public flatbuffers::NativeTable {
   typedef member TableType;
   std::string instance{};
@@ -1007,6 +1038,7 @@
   uint64_t list_position = 0;
   bool released = false;
   std::string successor{};
+  std::vector<barleyfork::schema::used_adapter> running{};
   peer_message_record() = default;
   peer_message_record(const peer_message_record &o);
   peer_message_record(peer_message_record&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1020,7 +1052,8 @@
 /// for a snapshot says with them what is known already. `epoch` is the
 /// lease epoch of a placement's holder; `body` of a snapshot is the newest
 /// configuration in the store's own form. `rows` are changes of the server
-/// list; `list_fresh` says that the sender read the list just now. A daemon
+/// list; `running` are the adapters that the sender's requests use now;
+/// `list_fresh` says that the sender read the list just now. A daemon
 /// that is told to `pass_on` sends the message to the others of its domain. A
 /// holder that lets its lease go says so by `released`, and which daemon is to
 /// take it by `successor`.
@@ -1055,7 +1088,8 @@
     VT_CONFIGURATION_POSITION = 50,
     VT_LIST_POSITION = 52,
     VT_RELEASED = 54,
-    VT_SUCCESSOR = 56
+    VT_SUCCESSOR = 56,
+    VT_RUNNING = 58
   };
   barleyfork::schema::message_kind kind() const {
     return static_cast<barleyfork::schema::message_kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -1138,6 +1172,9 @@
   const flatbuffers::String *successor() const {
     return GetPointer<const flatbuffers::String *>(VT_SUCCESSOR);
   }
+  const flatbuffers::Vector<const barleyfork::schema::used_adapter *> *running() const {
+    return GetPointer<const flatbuffers::Vector<const barleyfork::schema::used_adapter *> *>(VT_RUNNING);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -1189,6 +1226,8 @@
            VerifyField<uint8_t>(verifier, VT_RELEASED, 1) &&
            VerifyOffset(verifier, VT_SUCCESSOR) &&
            verifier.VerifyString(successor()) &&
+           VerifyOffset(verifier, VT_RUNNING) &&
+           verifier.VerifyVector(running()) &&
            verifier.EndTable();
   }
   peer_message_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1281,6 +1320,9 @@
   void add_successor(flatbuffers::Offset<flatbuffers::String> successor) {
     fbb_.AddOffset(peer_message::VT_SUCCESSOR, successor);
   }
+  void add_running(flatbuffers::Offset<flatbuffers::Vector<const barleyfork::schema::used_adapter *>> running) {
+    fbb_.AddOffset(peer_message::VT_RUNNING, running);
+  }
   explicit peer_messageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1321,13 +1363,15 @@
     uint64_t configuration_position = 0,
     uint64_t list_position = 0,
     bool released = false,
-    flatbuffers::Offset<flatbuffers::String> successor = 0) {
+    flatbuffers::Offset<flatbuffers::String> successor = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const barleyfork::schema::used_adapter *>> running = 0) {
   peer_messageBuilder builder_(_fbb);
   builder_.add_list_position(list_position);
   builder_.add_configuration_position(configuration_position);
   builder_.add_configuration_version(configuration_version);
   builder_.add_epoch(epoch);
   builder_.add_sequence(sequence);
+  builder_.add_running(running);
   builder_.add_successor(successor);
   builder_.add_link_mbps(link_mbps);
   builder_.add_failure_domain(failure_domain);
@@ -1386,7 +1430,8 @@
     uint64_t configuration_position = 0,
     uint64_t list_position = 0,
     bool released = false,
-    const char *successor = nullptr) {
+    const char *successor = nullptr,
+    const std::vector<barleyfork::schema::used_adapter> *running = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::member>>(*members) : 0;
   auto quarantine__ = quarantine ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::quarantine_entry>>(*quarantine) : 0;
   auto digest__ = digest ? _fbb.CreateString(digest) : 0;
@@ -1400,6 +1445,7 @@
   auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::listed_row>>(*rows) : 0;
   auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
   auto successor__ = successor ? _fbb.CreateString(successor) : 0;
+  auto running__ = running ? _fbb.CreateVectorOfStructs<barleyfork::schema::used_adapter>(*running) : 0;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       kind,
@@ -1428,7 +1474,8 @@
       configuration_position,
       list_position,
       released,
-      successor__);
+      successor__,
+      running__);
 }
 
 flatbuffers::Offset<peer_message> Createpeer_message(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1726,7 +1773,8 @@
         configuration_position(o.configuration_position),
         list_position(o.list_position),
         released(o.released),
-        successor(o.successor) {
+        successor(o.successor),
+        running(o.running) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new barleyfork::schema::member_record(*members_) : nullptr); }
   quarantine.reserve(o.quarantine.size());
@@ -1771,6 +1819,7 @@
   std::swap(list_position, o.list_position);
   std::swap(released, o.released);
   std::swap(successor, o.successor);
+  std::swap(running, o.running);
   return *this;
 }
 
@@ -1810,6 +1859,7 @@
   { auto _e = list_position(); _o->list_position = _e; }
   { auto _e = released(); _o->released = _e; }
   { auto _e = successor(); if (_e) _o->successor = _e->str(); }
+  { auto _e = running(); if (_e) { _o->running.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->running[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<peer_message> peer_message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1847,6 +1897,7 @@
   auto _list_position = _o->list_position;
   auto _released = _o->released;
   auto _successor = _o->successor.empty() ? 0 : _fbb.CreateString(_o->successor);
+  auto _running = _o->running.size() ? _fbb.CreateVectorOfStructs(_o->running) : 0;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       _kind,
@@ -1875,7 +1926,8 @@
       _configuration_position,
       _list_position,
       _released,
-      _successor);
+      _successor,
+      _running);
 }
 
 inline const barleyfork::schema::peer_message *Getpeer_message(const void *buf) {
