Tell peers how urgent the work is that waits on servers

Cause: a daemon's news told how many prompt tokens wait on a server, not how urgent they are, so a request of priority 0 was weighed against all of them, although engines let it go first. Ruled out: the pace (the middle kind's estimates fit); own waiting requests (already told apart by priority). Change: news carries waiting tokens of priority 0, 1 and less, 12 bytes a server instead of 8; an engine's own count of waiting requests is taken in the same proportion. Test: peers_less_urgent_work_makes_way; failed with the peers' work counted whole, as before.

--- a/libs/core/include/barleyfork/core/backend_loads.hpp
+++ b/libs/core/include/barleyfork/core/backend_loads.hpp
@@ -4,6 +4,7 @@
 #include <barleyfork/base/strong_id.hpp>
 #include <barleyfork/base/time.hpp>
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <span>
@@ -40,7 +41,10 @@
     duration oldest_wait{0};
     /// What peers have outstanding, by their news.
     std::uint32_t peer_outstanding = 0;
+    /// Prompt tokens that wait there for peers.
     std::uint64_t peer_tokens = 0;
+    /// The share of all tokens known to wait there that is as urgent.
+    double urgent_share = 1.0;
     /// What the server said of itself, and how long ago.
     std::uint32_t reported_running = 0;
     std::uint32_t reported_waiting = 0;
@@ -50,13 +54,38 @@
     double failure = 0.0;
 };
 
+/// Tokens of prompts that wait on a server, by how urgent their requests are:
+/// priority 0, priority 1, and all less urgent ones.
+struct waiting_tokens
+{
+    static constexpr std::size_t classes = 3;
+
+    std::array<std::uint64_t, classes> by_class{};
+
+    void add(std::uint32_t priority, std::uint64_t tokens) noexcept;
+    void remove(std::uint32_t priority, std::uint64_t tokens) noexcept;
+
+    /// Those that a request of this priority does not go before.
+    std::uint64_t up_to(std::uint32_t priority) const noexcept;
+
+    std::uint64_t all() const noexcept
+    {
+        return up_to(classes);
+    }
+
+    waiting_tokens& operator+=(const waiting_tokens& other) noexcept;
+
+    /// Stops at zero: the two may come from different times.
+    waiting_tokens& operator-=(const waiting_tokens& other) noexcept;
+};
+
 /// Work that a peer has outstanding on one backend server.
 struct peer_work
 {
     /// The server's `server_hash`.
     std::uint32_t server = 0;
     std::uint32_t requests = 0;
-    std::uint64_t prompt_tokens = 0;
+    waiting_tokens tokens;
 };
 
 /// A short name for a server in messages between daemons; two servers of one
@@ -123,7 +152,7 @@
     {
         std::map<load_ticket, waiting_request> waiting;
         std::uint32_t outstanding = 0;
-        std::uint64_t waiting_tokens = 0;
+        waiting_tokens tokens;
         std::uint32_t running_there = 0;
         std::uint32_t waiting_there = 0;
         time_point reported_at{};
--- a/libs/core/src/backend_loads.cpp
+++ b/libs/core/src/backend_loads.cpp
@@ -18,6 +18,48 @@
 
 } // namespace
 
+namespace {
+
+std::size_t class_of(std::uint32_t priority) noexcept
+{
+    return std::min<std::size_t>(priority, waiting_tokens::classes - 1);
+}
+
+} // namespace
+
+void waiting_tokens::add(std::uint32_t priority, std::uint64_t tokens) noexcept
+{
+    by_class[class_of(priority)] += tokens;
+}
+
+void waiting_tokens::remove(std::uint32_t priority,
+                            std::uint64_t tokens) noexcept
+{
+    by_class[class_of(priority)] -= tokens;
+}
+
+std::uint64_t waiting_tokens::up_to(std::uint32_t priority) const noexcept
+{
+    std::uint64_t sum = 0;
+    for (std::size_t i = 0; i <= class_of(priority); ++i)
+        sum += by_class[i];
+    return sum;
+}
+
+waiting_tokens& waiting_tokens::operator+=(const waiting_tokens& other) noexcept
+{
+    for (std::size_t i = 0; i < classes; ++i)
+        by_class[i] += other.by_class[i];
+    return *this;
+}
+
+waiting_tokens& waiting_tokens::operator-=(const waiting_tokens& other) noexcept
+{
+    for (std::size_t i = 0; i < classes; ++i)
+        by_class[i] -= std::min(by_class[i], other.by_class[i]);
+    return *this;
+}
+
 std::uint32_t server_hash(const server_id& server) noexcept
 {
     return static_cast<std::uint32_t>(hash64(server.value()));
@@ -31,7 +73,7 @@
     const load_ticket ticket{next_ticket_++};
     auto& load = loads_[server];
     load.waiting.emplace(ticket, waiting_request{now, prompt_tokens, priority});
-    load.waiting_tokens += prompt_tokens;
+    load.tokens.add(priority, prompt_tokens);
     ++load.outstanding;
     return ticket;
 }
@@ -41,7 +83,7 @@
     const auto found = load.waiting.find(ticket);
     if (found == load.waiting.end())
         return;
-    load.waiting_tokens -= found->second.tokens;
+    load.tokens.remove(found->second.priority, found->second.tokens);
     load.waiting.erase(found);
 }
 
@@ -107,7 +149,7 @@
     for (const auto& [server, load] : loads_)
         if (load.outstanding > 0)
             work.push_back(
-                {server_hash(server), load.outstanding, load.waiting_tokens});
+                {server_hash(server), load.outstanding, load.tokens});
     return work;
 }
 
@@ -118,7 +160,7 @@
         auto& entry = sum[work.server];
         entry.server = work.server;
         entry.requests += work.requests;
-        entry.prompt_tokens += work.prompt_tokens;
+        entry.tokens += work.tokens;
     };
     for (const auto& work : own_work())
         add(work);
@@ -145,8 +187,7 @@
         if (found == own.end())
             continue;
         work.requests -= std::min(work.requests, found->second.requests);
-        work.prompt_tokens -=
-            std::min(work.prompt_tokens, found->second.prompt_tokens);
+        work.tokens -= found->second.tokens;
     }
     return others;
 }
@@ -156,14 +197,16 @@
                               time_point now) const
 {
     load_view view;
+    waiting_tokens known;
     const auto name = server_hash(server);
     for (const auto& [peer, news] : peers_) {
         const auto work = news.work.find(name);
         if (now > news.at + peer_news_life || work == news.work.end())
             continue;
         view.peer_outstanding += work->second.requests;
-        view.peer_tokens += work->second.prompt_tokens;
+        known += work->second.tokens;
     }
+    view.peer_tokens = known.up_to(priority);
     const auto found = loads_.find(server);
     if (found == loads_.end())
         return view;
@@ -176,6 +219,10 @@
         view.own_waiting_tokens += request.tokens;
         view.oldest_wait = std::max(view.oldest_wait, now - request.sent_at);
     }
+    known += load.tokens;
+    if (known.all() > 0)
+        view.urgent_share = static_cast<double>(known.up_to(priority)) /
+                            static_cast<double>(known.all());
     view.reported_running = load.running_there;
     view.reported_waiting = load.waiting_there;
     view.report_age = now - load.reported_at;
--- a/libs/core/src/server_choice.cpp
+++ b/libs/core/src/server_choice.cpp
@@ -84,7 +84,7 @@
     const double known =
         static_cast<double>(load.own_waiting_tokens + load.peer_tokens);
     const double reported =
-        usual_prompt_tokens *
+        usual_prompt_tokens * load.urgent_share *
         reported_beyond(load.reported_waiting, load.own_waiting, load);
     const double queue_ms = std::max(known, reported) * work.ms_per_token;
     const double waited = static_cast<double>(load.oldest_wait.count());
--- a/libs/core/tests/gateway_parts_test.cpp
+++ b/libs/core/tests/gateway_parts_test.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(retries_stay_within_every_window);
     CPPUNIT_TEST(less_urgent_work_does_not_count);
     CPPUNIT_TEST(peers_work_counts_once);
+    CPPUNIT_TEST(peers_less_urgent_work_makes_way);
     CPPUNIT_TEST(a_failing_server_comes_last);
     CPPUNIT_TEST(near_servers_come_first_until_they_are_full);
     CPPUNIT_TEST(servers_alike_but_for_unheard_work_share);
@@ -277,7 +278,7 @@
         backend_loads loads;
         const server_id server("s");
         loads.begin(server, 1000, 0, start);
-        const peer_work all{server_hash(server), 3, 2500};
+        const peer_work all{server_hash(server), 3, {{2500, 0, 0}}};
         const auto others = loads.without_own({&all, 1});
         loads.on_peer_work(instance_id("all"), others, start);
         const auto view = loads.view(server, 0, start);
@@ -287,6 +288,28 @@
         CPPUNIT_ASSERT_EQUAL(0U, stale.peer_outstanding);
     }
 
+    /// What less urgent requests of peers wait for makes way.
+    void peers_less_urgent_work_makes_way()
+    {
+        backend_loads loads;
+        const server_id server("s");
+        const peer_work work{server_hash(server), 30, {{1000, 60000, 0}}};
+        loads.on_peer_work(instance_id("all"), {&work, 1}, start);
+        loads.begin(server, 100, 0, start);
+        loads.reported(server, 10, 20, start);
+        engine_work own;
+        own.prompt_tokens = 1000;
+        own.ms_per_token = 0.05;
+        own.base_ms = 0.0;
+        server_candidate candidate;
+        candidate.load = loads.view(server, 0, start);
+        const auto urgent = expected_first_event_ms(candidate, own);
+        candidate.load = loads.view(server, 1, start);
+        const auto usual = expected_first_event_ms(candidate, own);
+        constexpr double tenfold = 10.0;
+        CPPUNIT_ASSERT(usual > tenfold * urgent);
+    }
+
     void a_failing_server_comes_last()
     {
         backend_loads loads;
--- a/libs/gateway/src/peer_news.cpp
+++ b/libs/gateway/src/peer_news.cpp
@@ -63,30 +63,39 @@
     return record;
 }
 
+constexpr std::uint64_t hundred = 100;
+
+std::uint16_t to_short(std::uint64_t number)
+{
+    constexpr std::uint64_t largest = 65535;
+    return static_cast<std::uint16_t>(std::min(number, largest));
+}
+
 std::vector<schema::outstanding_load>
 to_records(std::span<const peer_work> work)
 {
-    constexpr std::uint64_t largest = 65535;
-    constexpr std::uint64_t hundred = 100;
     std::vector<schema::outstanding_load> records;
-    for (const auto& entry : work)
+    for (const auto& entry : work) {
+        const auto& tokens = entry.tokens.by_class;
         records.emplace_back(entry.server,
-                             static_cast<std::uint16_t>(std::min<std::uint64_t>(
-                                 entry.requests, largest)),
-                             static_cast<std::uint16_t>(std::min(
-                                 entry.prompt_tokens / hundred, largest)));
+                             to_short(entry.requests),
+                             to_short(tokens[0] / hundred),
+                             to_short(tokens[1] / hundred),
+                             to_short(tokens[2] / hundred));
+    }
     return records;
 }
 
 std::vector<peer_work>
 to_work(std::span<const schema::outstanding_load> records)
 {
-    constexpr std::uint64_t hundred = 100;
     std::vector<peer_work> work;
     for (const auto& record : records)
         work.push_back({record.server_hash(),
                         record.requests(),
-                        record.hundred_tokens() * hundred});
+                        {{record.hundred_tokens() * hundred,
+                          record.hundred_tokens_1() * hundred,
+                          record.hundred_tokens_2() * hundred}}});
     return work;
 }
 
--- a/libs/schema/include/barleyfork/schema/peer_generated.h
+++ b/libs/schema/include/barleyfork/schema/peer_generated.h
@@ -151,24 +151,31 @@
 }
 
 /// Requests outstanding on a backend server and the tokens of the prompts
-/// that wait there, in hundreds; the server by a hash of its id.
+/// that wait there, in hundreds: of priority 0, of priority 1, and of less
+/// urgent ones; the server by a hash of its id.
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) outstanding_load FLATBUFFERS_FINAL_CLASS {
  private:
   uint32_t server_hash_;
   uint16_t requests_;
   uint16_t hundred_tokens_;
+  uint16_t hundred_tokens_1_;
+  uint16_t hundred_tokens_2_;
 
  public:
   struct Traits;
   outstanding_load()
       : server_hash_(0),
         requests_(0),
-        hundred_tokens_(0) {
+        hundred_tokens_(0),
+        hundred_tokens_1_(0),
+        hundred_tokens_2_(0) {
   }
-  outstanding_load(uint32_t _server_hash, uint16_t _requests, uint16_t _hundred_tokens)
+  outstanding_load(uint32_t _server_hash, uint16_t _requests, uint16_t _hundred_tokens, uint16_t _hundred_tokens_1, uint16_t _hundred_tokens_2)
       : server_hash_(flatbuffers::EndianScalar(_server_hash)),
         requests_(flatbuffers::EndianScalar(_requests)),
-        hundred_tokens_(flatbuffers::EndianScalar(_hundred_tokens)) {
+        hundred_tokens_(flatbuffers::EndianScalar(_hundred_tokens)),
+        hundred_tokens_1_(flatbuffers::EndianScalar(_hundred_tokens_1)),
+        hundred_tokens_2_(flatbuffers::EndianScalar(_hundred_tokens_2)) {
   }
   uint32_t server_hash() const {
     return flatbuffers::EndianScalar(server_hash_);
@@ -179,8 +186,14 @@
   uint16_t hundred_tokens() const {
     return flatbuffers::EndianScalar(hundred_tokens_);
   }
+  uint16_t hundred_tokens_1() const {
+    return flatbuffers::EndianScalar(hundred_tokens_1_);
+  }
+  uint16_t hundred_tokens_2() const {
+    return flatbuffers::EndianScalar(hundred_tokens_2_);
+  }
 };
-FLATBUFFERS_STRUCT_END(outstanding_load, 8);
+FLATBUFFERS_STRUCT_END(outstanding_load, 12);
 
 struct outstanding_load::Traits {
   using type = outstanding_load;
