Begin nothing between a stopping daemon's last answer and its end

A stopping daemon ends when nothing runs any more, then waits 50 ms for the last answers to go out; plain requests were begun in that time and cut by the end of the process. Evidence: sent 25.062, run ended 25.097, closed 25.111; drains end so. Ruled out: the time for plain requests before the end (0.7 s; it had 1.4 s left). Change: drain_plan closes before the daemon ends, when nothing runs or the time is up; what comes then is refused at once as not run. The daemon goes only when a look after that finds nothing running. Test: nothing_is_begun_once_it_closes, for a state the plan did not have. Why it works: each request is now either begun before the plan closed, and then waited for or answered by end_calls, or refused.

--- a/libs/core/include/barleyfork/core/drain_plan.hpp
+++ b/libs/core/include/barleyfork/core/drain_plan.hpp
@@ -37,6 +37,18 @@
         return now >= began_ + leave_rotation;
     }
 
+    /// Nothing runs any more, or the time is up: from now on nothing is
+    /// begun, so that no request is cut by the end of the process.
+    void close() noexcept
+    {
+        closed_ = true;
+    }
+
+    bool closed() const noexcept
+    {
+        return closed_;
+    }
+
     /// When the daemon ends at the latest.
     time_point ends_at() const noexcept
     {
@@ -49,6 +61,7 @@
 
 private:
     bool draining_ = false;
+    bool closed_ = false;
     time_point began_{};
     time_point ends_at_ = time_point::max();
 };
--- a/libs/core/src/drain_plan.cpp
+++ b/libs/core/src/drain_plan.cpp
@@ -19,13 +19,14 @@
 
 bool drain_plan::begins_plain(time_point now) const noexcept
 {
-    return !draining_ || !left_rotation(now) ||
-           now + plain_answer_time <= ends_at_;
+    const bool in_time =
+        !left_rotation(now) || now + plain_answer_time <= ends_at_;
+    return !closed_ && (!draining_ || in_time);
 }
 
 bool drain_plan::begins_stream(time_point now) const noexcept
 {
-    return !draining_ || !left_rotation(now);
+    return !closed_ && (!draining_ || !left_rotation(now));
 }
 
 } // namespace barleyfork
--- a/libs/core/tests/drain_plan_test.cpp
+++ b/libs/core/tests/drain_plan_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(all_is_begun_until_the_balancer_has_noticed);
     CPPUNIT_TEST(plain_requests_are_begun_until_shortly_before_the_end);
     CPPUNIT_TEST(streams_are_not_begun_late);
+    CPPUNIT_TEST(nothing_is_begun_once_it_closes);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -54,6 +55,17 @@
         const drain_plan plan(start, grace);
         CPPUNIT_ASSERT(!plan.begins_stream(start + late));
     }
+
+    /// Between the last answer and the end of the process requests may still
+    /// come.
+    void nothing_is_begun_once_it_closes()
+    {
+        drain_plan plan(start, grace);
+        CPPUNIT_ASSERT(plan.begins_plain(start + late));
+        plan.close();
+        CPPUNIT_ASSERT(!plan.begins_plain(start + late));
+        CPPUNIT_ASSERT(!plan.begins_stream(start));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(drain_plan_test);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -284,9 +284,13 @@
                 if (const auto session = entry.lock())
                     session->drain();
         }
-        if (left && context.calls.empty())
+        if (!left || !context.calls.empty())
+            continue;
+        if (context.drain.closed())
             break;
+        context.drain.close();
     }
+    context.drain.close();
     const auto active = context.calls.size();
     context.end_calls();
     const bool whole = context.calls.empty();
