Tell waiting work by priority in a field of its own

Change: the old field stays, unused; the new one is `work`. Daemons of either version pass over what they don't know. Tests: all of core and platform pass; no behaviour changes within one version.

--- a/libs/gateway/src/peer_news.cpp
+++ b/libs/gateway/src/peer_news.cpp
@@ -71,10 +71,10 @@
     return static_cast<std::uint16_t>(std::min(number, largest));
 }
 
-std::vector<schema::outstanding_load>
+std::vector<schema::outstanding_work>
 to_records(std::span<const peer_work> work)
 {
-    std::vector<schema::outstanding_load> records;
+    std::vector<schema::outstanding_work> records;
     for (const auto& entry : work) {
         const auto& tokens = entry.tokens.by_class;
         records.emplace_back(entry.server,
@@ -87,13 +87,13 @@
 }
 
 std::vector<peer_work>
-to_work(std::span<const schema::outstanding_load> records)
+to_work(std::span<const schema::outstanding_work> records)
 {
     std::vector<peer_work> work;
     for (const auto& record : records)
         work.push_back({record.server_hash(),
                         record.requests(),
-                        {{record.hundred_tokens() * hundred,
+                        {{record.hundred_tokens_0() * hundred,
                           record.hundred_tokens_1() * hundred,
                           record.hundred_tokens_2() * hundred}}});
     return work;
@@ -357,7 +357,7 @@
         message.needs.push_back(to_record(need));
     for (const auto& use : wishes.uses)
         message.uses.push_back(to_record(use));
-    message.outstanding = to_records(outstanding);
+    message.work = to_records(outstanding);
     for (const auto& use : context_.adapters.list())
         message.running.emplace_back(use.server, use.adapter);
     wishes = placement_wishes();
@@ -372,7 +372,7 @@
     auto message = make_message(schema::message_kind::placement);
     message.epoch = order.epoch;
     message.sequence = order.sequence;
-    message.outstanding = to_records(context_.loads.all_work(now));
+    message.work = to_records(context_.loads.all_work(now));
     message.list_fresh = watch_.list_is_fresh(now);
     for (const auto& news : changed)
         message.servers.push_back(
@@ -459,7 +459,7 @@
         return;
     case schema::message_kind::demand:
         context_.loads.on_peer_work(
-            sender, to_work(message.outstanding), steady_now());
+            sender, to_work(message.work), steady_now());
         if (on_demand_)
             on_demand_(message);
         return;
@@ -494,7 +494,7 @@
     // One name for the sum of all others, whoever the holder is.
     context_.loads.on_peer_work(
         instance_id("all"),
-        context_.loads.without_own(to_work(message.outstanding)),
+        context_.loads.without_own(to_work(message.work)),
         now);
     bool changed = false;
     for (const auto& news : message.servers)
--- a/libs/schema/include/barleyfork/schema/peer_generated.h
+++ b/libs/schema/include/barleyfork/schema/peer_generated.h
@@ -46,6 +46,8 @@
 
 struct outstanding_load;
 
+struct outstanding_work;
+
 struct used_adapter;
 
 struct listed_row;
@@ -150,30 +152,65 @@
   return EnumNamesmessage_kind()[index];
 }
 
+/// As daemons up to 0.3.0 told it, without the priority.
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) outstanding_load FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t server_hash_;
+  uint16_t requests_;
+  uint16_t hundred_tokens_;
+
+ public:
+  struct Traits;
+  outstanding_load()
+      : server_hash_(0),
+        requests_(0),
+        hundred_tokens_(0) {
+  }
+  outstanding_load(uint32_t _server_hash, uint16_t _requests, uint16_t _hundred_tokens)
+      : server_hash_(flatbuffers::EndianScalar(_server_hash)),
+        requests_(flatbuffers::EndianScalar(_requests)),
+        hundred_tokens_(flatbuffers::EndianScalar(_hundred_tokens)) {
+  }
+  uint32_t server_hash() const {
+    return flatbuffers::EndianScalar(server_hash_);
+  }
+  uint16_t requests() const {
+    return flatbuffers::EndianScalar(requests_);
+  }
+  uint16_t hundred_tokens() const {
+    return flatbuffers::EndianScalar(hundred_tokens_);
+  }
+};
+FLATBUFFERS_STRUCT_END(outstanding_load, 8);
+
+struct outstanding_load::Traits {
+  using type = outstanding_load;
+};
+
 /// Requests outstanding on a backend server and the tokens of the prompts
 /// that wait there, in hundreds: of priority 0, of priority 1, and of less
 /// urgent ones; the server by a hash of its id.
-FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) outstanding_load FLATBUFFERS_FINAL_CLASS {
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) outstanding_work FLATBUFFERS_FINAL_CLASS {
  private:
   uint32_t server_hash_;
   uint16_t requests_;
-  uint16_t hundred_tokens_;
+  uint16_t hundred_tokens_0_;
   uint16_t hundred_tokens_1_;
   uint16_t hundred_tokens_2_;
 
  public:
   struct Traits;
-  outstanding_load()
+  outstanding_work()
       : server_hash_(0),
         requests_(0),
-        hundred_tokens_(0),
+        hundred_tokens_0_(0),
         hundred_tokens_1_(0),
         hundred_tokens_2_(0) {
   }
-  outstanding_load(uint32_t _server_hash, uint16_t _requests, uint16_t _hundred_tokens, uint16_t _hundred_tokens_1, uint16_t _hundred_tokens_2)
+  outstanding_work(uint32_t _server_hash, uint16_t _requests, uint16_t _hundred_tokens_0, uint16_t _hundred_tokens_1, uint16_t _hundred_tokens_2)
       : server_hash_(flatbuffers::EndianScalar(_server_hash)),
         requests_(flatbuffers::EndianScalar(_requests)),
-        hundred_tokens_(flatbuffers::EndianScalar(_hundred_tokens)),
+        hundred_tokens_0_(flatbuffers::EndianScalar(_hundred_tokens_0)),
         hundred_tokens_1_(flatbuffers::EndianScalar(_hundred_tokens_1)),
         hundred_tokens_2_(flatbuffers::EndianScalar(_hundred_tokens_2)) {
   }
@@ -183,8 +220,8 @@
   uint16_t requests() const {
     return flatbuffers::EndianScalar(requests_);
   }
-  uint16_t hundred_tokens() const {
-    return flatbuffers::EndianScalar(hundred_tokens_);
+  uint16_t hundred_tokens_0() const {
+    return flatbuffers::EndianScalar(hundred_tokens_0_);
   }
   uint16_t hundred_tokens_1() const {
     return flatbuffers::EndianScalar(hundred_tokens_1_);
@@ -193,10 +230,10 @@
     return flatbuffers::EndianScalar(hundred_tokens_2_);
   }
 };
-FLATBUFFERS_STRUCT_END(outstanding_load, 12);
+FLATBUFFERS_STRUCT_END(outstanding_work, 12);
 
-struct outstanding_load::Traits {
-  using type = outstanding_load;
+struct outstanding_work::Traits {
+  using type = outstanding_work;
 };
 
 /// An adapter on a backend server that requests use, both by hash.
@@ -1039,7 +1076,6 @@
   std::vector<std::unique_ptr<barleyfork::schema::adapter_need_record>> needs{};
   std::vector<std::unique_ptr<barleyfork::schema::adapter_need_record>> uses{};
   std::vector<std::unique_ptr<barleyfork::schema::server_news_record>> servers{};
-  std::vector<barleyfork::schema::outstanding_load> outstanding{};
   std::vector<std::unique_ptr<barleyfork::schema::listed_row_record>> rows{};
   bool list_fresh = false;
   std::string failure_domain{};
@@ -1052,6 +1088,7 @@
   bool released = false;
   std::string successor{};
   std::vector<barleyfork::schema::used_adapter> running{};
+  std::vector<barleyfork::schema::outstanding_work> work{};
   peer_message_record() = default;
   peer_message_record(const peer_message_record &o);
   peer_message_record(peer_message_record&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1090,7 +1127,6 @@
     VT_NEEDS = 28,
     VT_USES = 30,
     VT_SERVERS = 32,
-    VT_OUTSTANDING = 34,
     VT_ROWS = 36,
     VT_LIST_FRESH = 38,
     VT_FAILURE_DOMAIN = 40,
@@ -1102,7 +1138,8 @@
     VT_LIST_POSITION = 52,
     VT_RELEASED = 54,
     VT_SUCCESSOR = 56,
-    VT_RUNNING = 58
+    VT_RUNNING = 58,
+    VT_WORK = 60
   };
   barleyfork::schema::message_kind kind() const {
     return static_cast<barleyfork::schema::message_kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -1149,9 +1186,6 @@
   const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::server_news>> *servers() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::server_news>> *>(VT_SERVERS);
   }
-  const flatbuffers::Vector<const barleyfork::schema::outstanding_load *> *outstanding() const {
-    return GetPointer<const flatbuffers::Vector<const barleyfork::schema::outstanding_load *> *>(VT_OUTSTANDING);
-  }
   const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::listed_row>> *rows() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::listed_row>> *>(VT_ROWS);
   }
@@ -1188,6 +1222,9 @@
   const flatbuffers::Vector<const barleyfork::schema::used_adapter *> *running() const {
     return GetPointer<const flatbuffers::Vector<const barleyfork::schema::used_adapter *> *>(VT_RUNNING);
   }
+  const flatbuffers::Vector<const barleyfork::schema::outstanding_work *> *work() const {
+    return GetPointer<const flatbuffers::Vector<const barleyfork::schema::outstanding_work *> *>(VT_WORK);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -1222,8 +1259,6 @@
            VerifyOffset(verifier, VT_SERVERS) &&
            verifier.VerifyVector(servers()) &&
            verifier.VerifyVectorOfTables(servers()) &&
-           VerifyOffset(verifier, VT_OUTSTANDING) &&
-           verifier.VerifyVector(outstanding()) &&
            VerifyOffset(verifier, VT_ROWS) &&
            verifier.VerifyVector(rows()) &&
            verifier.VerifyVectorOfTables(rows()) &&
@@ -1241,6 +1276,8 @@
            verifier.VerifyString(successor()) &&
            VerifyOffset(verifier, VT_RUNNING) &&
            verifier.VerifyVector(running()) &&
+           VerifyOffset(verifier, VT_WORK) &&
+           verifier.VerifyVector(work()) &&
            verifier.EndTable();
   }
   peer_message_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1297,9 +1334,6 @@
   void add_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::server_news>>> servers) {
     fbb_.AddOffset(peer_message::VT_SERVERS, servers);
   }
-  void add_outstanding(flatbuffers::Offset<flatbuffers::Vector<const barleyfork::schema::outstanding_load *>> outstanding) {
-    fbb_.AddOffset(peer_message::VT_OUTSTANDING, outstanding);
-  }
   void add_rows(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::listed_row>>> rows) {
     fbb_.AddOffset(peer_message::VT_ROWS, rows);
   }
@@ -1336,6 +1370,9 @@
   void add_running(flatbuffers::Offset<flatbuffers::Vector<const barleyfork::schema::used_adapter *>> running) {
     fbb_.AddOffset(peer_message::VT_RUNNING, running);
   }
+  void add_work(flatbuffers::Offset<flatbuffers::Vector<const barleyfork::schema::outstanding_work *>> work) {
+    fbb_.AddOffset(peer_message::VT_WORK, work);
+  }
   explicit peer_messageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1365,7 +1402,6 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::adapter_need>>> needs = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::adapter_need>>> uses = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::server_news>>> servers = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const barleyfork::schema::outstanding_load *>> outstanding = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::listed_row>>> rows = 0,
     bool list_fresh = false,
     flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
@@ -1377,19 +1413,20 @@
     uint64_t list_position = 0,
     bool released = false,
     flatbuffers::Offset<flatbuffers::String> successor = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const barleyfork::schema::used_adapter *>> running = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const barleyfork::schema::used_adapter *>> running = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const barleyfork::schema::outstanding_work *>> work = 0) {
   peer_messageBuilder builder_(_fbb);
   builder_.add_list_position(list_position);
   builder_.add_configuration_position(configuration_position);
   builder_.add_configuration_version(configuration_version);
   builder_.add_epoch(epoch);
   builder_.add_sequence(sequence);
+  builder_.add_work(work);
   builder_.add_running(running);
   builder_.add_successor(successor);
   builder_.add_link_mbps(link_mbps);
   builder_.add_failure_domain(failure_domain);
   builder_.add_rows(rows);
-  builder_.add_outstanding(outstanding);
   builder_.add_servers(servers);
   builder_.add_uses(uses);
   builder_.add_needs(needs);
@@ -1432,7 +1469,6 @@
     const std::vector<flatbuffers::Offset<barleyfork::schema::adapter_need>> *needs = nullptr,
     const std::vector<flatbuffers::Offset<barleyfork::schema::adapter_need>> *uses = nullptr,
     const std::vector<flatbuffers::Offset<barleyfork::schema::server_news>> *servers = nullptr,
-    const std::vector<barleyfork::schema::outstanding_load> *outstanding = nullptr,
     const std::vector<flatbuffers::Offset<barleyfork::schema::listed_row>> *rows = nullptr,
     bool list_fresh = false,
     const char *failure_domain = nullptr,
@@ -1444,7 +1480,8 @@
     uint64_t list_position = 0,
     bool released = false,
     const char *successor = nullptr,
-    const std::vector<barleyfork::schema::used_adapter> *running = nullptr) {
+    const std::vector<barleyfork::schema::used_adapter> *running = nullptr,
+    const std::vector<barleyfork::schema::outstanding_work> *work = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::member>>(*members) : 0;
   auto quarantine__ = quarantine ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::quarantine_entry>>(*quarantine) : 0;
   auto digest__ = digest ? _fbb.CreateString(digest) : 0;
@@ -1454,11 +1491,11 @@
   auto needs__ = needs ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::adapter_need>>(*needs) : 0;
   auto uses__ = uses ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::adapter_need>>(*uses) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::server_news>>(*servers) : 0;
-  auto outstanding__ = outstanding ? _fbb.CreateVectorOfStructs<barleyfork::schema::outstanding_load>(*outstanding) : 0;
   auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::listed_row>>(*rows) : 0;
   auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
   auto successor__ = successor ? _fbb.CreateString(successor) : 0;
   auto running__ = running ? _fbb.CreateVectorOfStructs<barleyfork::schema::used_adapter>(*running) : 0;
+  auto work__ = work ? _fbb.CreateVectorOfStructs<barleyfork::schema::outstanding_work>(*work) : 0;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       kind,
@@ -1476,7 +1513,6 @@
       needs__,
       uses__,
       servers__,
-      outstanding__,
       rows__,
       list_fresh,
       failure_domain__,
@@ -1488,7 +1524,8 @@
       list_position,
       released,
       successor__,
-      running__);
+      running__,
+      work__);
 }
 
 flatbuffers::Offset<peer_message> Createpeer_message(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1776,7 +1813,6 @@
         address(o.address),
         port(o.port),
         epoch(o.epoch),
-        outstanding(o.outstanding),
         list_fresh(o.list_fresh),
         failure_domain(o.failure_domain),
         pass_on(o.pass_on),
@@ -1787,7 +1823,8 @@
         list_position(o.list_position),
         released(o.released),
         successor(o.successor),
-        running(o.running) {
+        running(o.running),
+        work(o.work) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new barleyfork::schema::member_record(*members_) : nullptr); }
   quarantine.reserve(o.quarantine.size());
@@ -1820,7 +1857,6 @@
   std::swap(needs, o.needs);
   std::swap(uses, o.uses);
   std::swap(servers, o.servers);
-  std::swap(outstanding, o.outstanding);
   std::swap(rows, o.rows);
   std::swap(list_fresh, o.list_fresh);
   std::swap(failure_domain, o.failure_domain);
@@ -1833,6 +1869,7 @@
   std::swap(released, o.released);
   std::swap(successor, o.successor);
   std::swap(running, o.running);
+  std::swap(work, o.work);
   return *this;
 }
 
@@ -1860,7 +1897,6 @@
   { auto _e = needs(); if (_e) { _o->needs.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->needs[_i] = std::unique_ptr<barleyfork::schema::adapter_need_record>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = uses(); if (_e) { _o->uses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->uses[_i] = std::unique_ptr<barleyfork::schema::adapter_need_record>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = servers(); if (_e) { _o->servers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->servers[_i] = std::unique_ptr<barleyfork::schema::server_news_record>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = outstanding(); if (_e) { _o->outstanding.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->outstanding[_i] = *_e->Get(_i); } } }
   { auto _e = rows(); if (_e) { _o->rows.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rows[_i] = std::unique_ptr<barleyfork::schema::listed_row_record>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = list_fresh(); _o->list_fresh = _e; }
   { auto _e = failure_domain(); if (_e) _o->failure_domain = _e->str(); }
@@ -1873,6 +1909,7 @@
   { auto _e = released(); _o->released = _e; }
   { auto _e = successor(); if (_e) _o->successor = _e->str(); }
   { auto _e = running(); if (_e) { _o->running.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->running[_i] = *_e->Get(_i); } } }
+  { auto _e = work(); if (_e) { _o->work.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->work[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<peer_message> peer_message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1898,7 +1935,6 @@
   auto _needs = _o->needs.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::adapter_need>> (_o->needs.size(), [](size_t i, _VectorArgs *__va) { return Createadapter_need(*__va->__fbb, __va->__o->needs[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _uses = _o->uses.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::adapter_need>> (_o->uses.size(), [](size_t i, _VectorArgs *__va) { return Createadapter_need(*__va->__fbb, __va->__o->uses[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _servers = _o->servers.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::server_news>> (_o->servers.size(), [](size_t i, _VectorArgs *__va) { return Createserver_news(*__va->__fbb, __va->__o->servers[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _outstanding = _o->outstanding.size() ? _fbb.CreateVectorOfStructs(_o->outstanding) : 0;
   auto _rows = _o->rows.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::listed_row>> (_o->rows.size(), [](size_t i, _VectorArgs *__va) { return Createlisted_row(*__va->__fbb, __va->__o->rows[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _list_fresh = _o->list_fresh;
   auto _failure_domain = _o->failure_domain.empty() ? 0 : _fbb.CreateString(_o->failure_domain);
@@ -1911,6 +1947,7 @@
   auto _released = _o->released;
   auto _successor = _o->successor.empty() ? 0 : _fbb.CreateString(_o->successor);
   auto _running = _o->running.size() ? _fbb.CreateVectorOfStructs(_o->running) : 0;
+  auto _work = _o->work.size() ? _fbb.CreateVectorOfStructs(_o->work) : 0;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       _kind,
@@ -1928,7 +1965,6 @@
       _needs,
       _uses,
       _servers,
-      _outstanding,
       _rows,
       _list_fresh,
       _failure_domain,
@@ -1940,7 +1976,8 @@
       _list_position,
       _released,
       _successor,
-      _running);
+      _running,
+      _work);
 }
 
 inline const barleyfork::schema::peer_message *Getpeer_message(const void *buf) {
