Split the gateway's call and the placement's duty by job

What takes in a server's answer, and what takes, renews and hands over the lease, stand in files of their own; constants went with their users.

--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -43,6 +43,9 @@
     void on_end(exchange_end end) override;
 
 private:
+    /// What a plain service takes for a request until one was answered.
+    static constexpr double assumed_service_ms = 30.0;
+
     /// Counts an adapter as used for as long as the attempt lasts.
     class adapter_mark
     {
--- /dev/null
+++ b/libs/gateway/src/gateway_call_answers.cpp
@@ -0,0 +1,309 @@
+/// The part of a call that takes in a server's answer.
+
+#include "gateway_call.hpp"
+
+#include "own_answer.hpp"
+
+#include <barleyfork/base/log.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace barleyfork {
+
+namespace {
+
+/// A server that refused is not asked again sooner than this.
+constexpr duration refusal_pause{30};
+/// Weight of one more answer in a plain service's smoothed time.
+constexpr double time_weight = 0.1;
+
+bool is_success(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
+/// Statuses that promise a caller that its request was not run.
+bool promises_not_run(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+/// The id of an event of a stream; empty where it has none.
+std::string_view event_id(std::string_view event)
+{
+    std::size_t at = 0;
+    while (at < event.size()) {
+        const auto end = std::min(event.find('\n', at), event.size());
+        auto line = event.substr(at, end - at);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        if (line.starts_with("id:")) {
+            line.remove_prefix(3);
+            while (line.starts_with(' '))
+                line.remove_prefix(1);
+            return line;
+        }
+        at = end + 1;
+    }
+    return {};
+}
+
+std::optional<std::int64_t> to_number(std::string_view text)
+{
+    std::int64_t number = 0;
+    const auto* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number);
+    if (parsed.ec != std::errc() || parsed.ptr != end)
+        return std::nullopt;
+    return number;
+}
+
+} // namespace
+
+bool gateway_call::on_head(const answer_head& head)
+{
+    auto facts = context_.platform.codec->read_answer(
+        head.status, head.headers, attempt_->server);
+    if (!facts.try_id.empty() && facts.try_id != facts_.try_id) {
+        log_event(log_level::warn, "stray_answer_dropped")
+            .with("request", facts_.try_id)
+            .with("belongs_to", facts.try_id)
+            .with("server", attempt_->server.value());
+        return false;
+    }
+    const auto now = steady_now();
+    if (facts.load)
+        context_.loads.reported(
+            attempt_->server, facts.load->running, facts.load->waiting, now);
+    attempt_->head = head;
+    attempt_->facts = std::move(facts);
+    attempt_->streams = route_->kind == call_kind::stream &&
+                        is_success(head.status) && is_sound_answer();
+    context_.timers.cancel(patience_timer_);
+    if (!attempt_->streams)
+        context_.loads.answering(attempt_->server, attempt_->ticket);
+    return true;
+}
+
+void gateway_call::on_body(std::string_view bytes)
+{
+    if (!attempt_->streams) {
+        attempt_->body += bytes;
+        return;
+    }
+    forward_events(attempt_->splitter.feed(bytes));
+}
+
+void gateway_call::forward_events(std::vector<std::string> events)
+{
+    std::string out;
+    for (auto& event : events) {
+        if (is_repeated_event(event))
+            continue;
+        out += event;
+    }
+    if (events.empty() || out.empty())
+        return;
+    if (!attempt_->first_event) {
+        attempt_->first_event = true;
+        context_.loads.answering(attempt_->server, attempt_->ticket);
+        context_.wake_waiting();
+        const auto elapsed = steady_now() - attempt_->sent_at;
+        if (for_engine() && !delivering_)
+            context_.paces[facts_.model].observe(attempt_->tokens_ahead,
+                                                 elapsed);
+    }
+    if (!delivering_)
+        begin_stream();
+    if (caller_)
+        caller_->send_part(out);
+}
+
+/// Remembers how far the caller has come; true for what it has already.
+bool gateway_call::is_repeated_event(const std::string& event)
+{
+    const auto id = event_id(event);
+    if (id.empty())
+        return false;
+    const auto number = to_number(id);
+    const auto last = to_number(last_event_);
+    if (number && last && *number <= *last)
+        return true;
+    last_event_ = std::string(id);
+    return false;
+}
+
+void gateway_call::begin_stream()
+{
+    delivering_ = true;
+    record_first_event();
+    answer_head head = *attempt_->head;
+    head.headers = end_to_end_headers(head.headers, *context_.platform.codec);
+    caller_->begin_stream(head);
+}
+
+void gateway_call::record_first_event()
+{
+    first_event_ms_ = (steady_now() - received_at_).count();
+    context_.measures.record_first_event(static_cast<double>(first_event_ms_));
+}
+
+bool gateway_call::is_sound_answer() const
+{
+    const auto& facts = attempt_->facts;
+    return facts.signed_by_server && facts.try_id == facts_.try_id;
+}
+
+/// A failing answer of an idempotent request, worth another try.
+bool gateway_call::is_failure_to_repeat() const
+{
+    constexpr unsigned first_failure = 500;
+    return route_->repeatable() && attempt_->head->status >= first_failure;
+}
+
+attempt_end gateway_call::classify(exchange_end end) const
+{
+    if (!attempt_->sending)
+        return attempt_end::not_sent;
+    if (attempt_->head && attempt_->facts.not_run)
+        return attempt_end::refused_by_server;
+    if (end == exchange_end::lost)
+        return delivering_ ? attempt_end::lost_in_answer
+                           : attempt_end::lost_before_answer;
+    if (attempt_->streams)
+        return attempt_->splitter.has_partial() ? attempt_end::lost_in_answer
+                                                : attempt_end::answered;
+    if (delivering_)
+        return attempt_end::lost_in_answer;
+    const auto status = attempt_->head->status;
+    if (is_success(status) && !is_sound_answer())
+        return attempt_end::lost_before_answer;
+    if (is_failure_to_repeat())
+        return attempt_end::lost_before_answer;
+    if (promises_not_run(status) && !route_->repeatable())
+        return attempt_end::lost_before_answer;
+    return attempt_end::answered;
+}
+
+void gateway_call::on_end(exchange_end end)
+{
+    if (over_ || !attempt_)
+        return;
+    const auto now = steady_now();
+    context_.timers.cancel(patience_timer_);
+    attempt_->answer_whole = end == exchange_end::whole;
+    const auto ended = classify(end);
+    record_end(ended, now);
+    if (ended == attempt_end::refused_by_server)
+        on_refused_by_server(now);
+    after_attempt(ended, now);
+}
+
+void gateway_call::record_end(attempt_end end, time_point now)
+{
+    const bool good = end == attempt_end::answered;
+    const auto record = good ? load_end::good
+                        : end == attempt_end::refused_by_server
+                            ? load_end::refused
+                            : load_end::failed;
+    context_.loads.end(attempt_->server, attempt_->ticket, record, now);
+    if (!good) {
+        log_event(log_level::warn, "send_failed")
+            .with("request", facts_.try_id)
+            .with("server", attempt_->server.value())
+            .with("end", static_cast<std::int64_t>(end))
+            .with("status", attempt_->head ? attempt_->head->status : 0)
+            .with("after_ms",
+                  attempt_->sending ? (now - attempt_->sent_at).count() : 0);
+        return;
+    }
+    if (for_engine() || route_->kind == call_kind::stream)
+        return;
+    auto& time =
+        context_.service_times.try_emplace(service_, assumed_service_ms)
+            .first->second;
+    const auto sample = static_cast<double>((now - attempt_->sent_at).count());
+    time += time_weight * (sample - time);
+}
+
+/// The server did not run it: it is another process, does not hold the
+/// model, or has no room.
+void gateway_call::on_refused_by_server(time_point now)
+{
+    const auto& server = attempt_->server;
+    if (attempt_->facts.wrong_server)
+        context_.directory.misdirected(server);
+    else if (for_engine() && attempt_->head->status == 421)
+        context_.directory.not_held(server, facts_.model, facts_.adapter, now);
+}
+
+void gateway_call::after_attempt(attempt_end end, time_point now)
+{
+    if (end == attempt_end::lost_before_answer ||
+        end == attempt_end::lost_in_answer)
+        ++runs_;
+    const bool may_run =
+        runs_ < static_cast<int>(std::max(route_->max_runs, 1U));
+    const bool room = may_run && (end == attempt_end::not_sent ||
+                                  context_.budget(service_).available(now));
+    const auto step = progress_->after_attempt(end, delivering_, room, now);
+    switch (step) {
+    case next_step::finish:
+        if (attempt_->streams)
+            finish_stream();
+        else
+            deliver_answer();
+        return;
+    case next_step::retry:
+    case next_step::resume: {
+        const bool pause = end == attempt_end::refused_by_server;
+        attempt_.reset();
+        if (!pause) {
+            dispatch();
+            return;
+        }
+        const auto self = shared_from_this();
+        context_.timers.add(now + refusal_pause, [self] { self->dispatch(); });
+        return;
+    }
+    case next_step::refuse_not_run:
+        refuse(errc::overloaded, return_time());
+        return;
+    case next_step::report_unknown:
+        // The server's own failing answer says more than one of ours.
+        if (attempt_ && attempt_->head && is_failure_to_repeat() &&
+            attempt_->facts.signed_by_server && attempt_->answer_whole)
+            deliver_answer();
+        else
+            refuse(errc::outcome_unknown, std::nullopt);
+        return;
+    case next_step::abort_answer:
+        finish(errc::connection_lost);
+        return;
+    }
+}
+
+void gateway_call::finish_stream()
+{
+    if (!delivering_)
+        begin_stream();
+    const auto caller = caller_;
+    finish(errc::ok);
+    if (caller)
+        caller->end_stream();
+}
+
+void gateway_call::deliver_answer()
+{
+    record_first_event();
+    answer_head head = *attempt_->head;
+    head.headers = end_to_end_headers(head.headers, *context_.platform.codec);
+    const std::string body = std::move(attempt_->body);
+    const auto caller = caller_;
+    finish(errc::ok);
+    if (caller)
+        caller->send_whole(head, body);
+}
+
+} // namespace barleyfork
--- a/libs/gateway/src/placement_duty.hpp
+++ b/libs/gateway/src/placement_duty.hpp
@@ -33,7 +33,11 @@
     void on_demand(const schema::peer_message_record& message);
 
 private:
-    void take_wishes();
+    /// No server gets orders of two holders within this.
+    static duration holder_gap(const schema::bound_settings_record& bounds);
+    static lease_options
+    make_lease_options(const schema::bound_settings_record& bounds);
+
     std::int64_t handicap_ms() const;
     void schedule_read(time_point now);
     boost::asio::awaitable<void> keep_lease();
@@ -46,6 +50,8 @@
     void note_store_clock(std::int64_t store_ms, time_point began);
     std::int64_t latest_store_ms(time_point now) const;
     bool may_order(time_point now) const;
+
+    void take_wishes();
     void work(time_point now);
     void update_controllers(time_point now);
     void collect(const service_id& service,
--- /dev/null
+++ b/libs/gateway/src/placement_duty_lease.cpp
@@ -0,0 +1,246 @@
+/// The part of the placement's duty that takes the lease, renews it and hands
+/// it over.
+
+#include "placement_duty.hpp"
+
+#include "lease_row_codec.hpp"
+
+#include <barleyfork/base/log.hpp>
+
+#include <algorithm>
+
+namespace barleyfork {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr const char* lease_table = "barleyfork_lease";
+constexpr const char* lease_key = "placement";
+
+/// How long a holder acts without having renewed.
+constexpr duration lease_validity{1700};
+constexpr duration lease_renewal{600};
+/// Slack for the time a message takes.
+constexpr duration lease_slack{300};
+/// The candidates' looks at an unheard holder's lease are spread at least so.
+constexpr std::int64_t shortest_read_spread_ms = 300;
+/// Candidates that a holder which let go did not name look this much later.
+constexpr duration successor_head_start{600};
+/// What an earlier process of this instance sent has arrived after this.
+constexpr duration own_restart_gap{500};
+/// A daemon with this share of a processor and this link is a good holder;
+/// smaller ones hold back by up to the delay.
+constexpr double full_share = 0.5;
+constexpr double full_link_mbps = 200.0;
+constexpr double small_daemon_delay_ms = 1500.0;
+/// Candidates' looks are spread by so much for each daemon.
+constexpr std::int64_t read_spread_ms = 20;
+/// How often a candidate reads the row while it hears no holder.
+constexpr duration read_interval{700};
+
+} // namespace
+
+/// No server gets orders of two holders within this.
+duration placement_duty::holder_gap(const schema::bound_settings_record& bounds)
+{
+    return duration(static_cast<std::int64_t>(bounds.holder_change_ms)) +
+           lease_slack;
+}
+
+lease_options
+placement_duty::make_lease_options(const schema::bound_settings_record& bounds)
+{
+    lease_options options;
+    options.margin = holder_gap(bounds);
+    options.term = lease_validity + options.margin;
+    options.renewal = lease_renewal;
+    return options;
+}
+
+/// Daemons with little of a processor or a narrow link let others try first.
+std::int64_t placement_duty::handicap_ms() const
+{
+    const auto& settings = context_.settings;
+    const double processor = std::min(settings.cpu_share / full_share, 1.0);
+    const double link = std::min(settings.link_mbps / full_link_mbps, 1.0);
+    return static_cast<std::int64_t>(small_daemon_delay_ms *
+                                     (1.0 - std::min(processor, link)));
+}
+
+/// A candidate looks at the lease when it ends, spread so that the one that
+/// takes it is heard before most others ask.
+void placement_duty::schedule_read(time_point now)
+{
+    const auto spread_ms = std::max<std::int64_t>(
+        shortest_read_spread_ms,
+        read_spread_ms * static_cast<std::int64_t>(context_.daemons()));
+    std::uniform_int_distribution<std::int64_t> spread(0, spread_ms);
+    next_read_ = std::max(now + read_interval, lease_.expires_at()) +
+                 duration(spread(context_.random) + handicap_ms());
+}
+
+asio::awaitable<void> placement_duty::keep_lease()
+{
+    const auto now = boot_now();
+    const bool held = lease_.held(now);
+    const bool hears_holder = news_.hears_holder(steady_now());
+    if (!held && now >= next_read_ && !hears_holder) {
+        co_await read_lease();
+        schedule_read(boot_now());
+    }
+    const auto id = context_.self.value() + "-" + std::to_string(++writes_) +
+                    "-" + std::to_string(context_.random());
+    const auto row = lease_.next_write(
+        !hears_holder && context_.configuration != nullptr, id, boot_now());
+    if (!row)
+        co_return;
+    if (!held)
+        take_over(boot_now(), steady_now());
+    wrote_ = true;
+    co_await write_lease(*row);
+    if (!held && lease_.held(boot_now()))
+        log_event(log_level::info, "lease_taken")
+            .with("lease", lease_key)
+            .with("epoch", static_cast<std::int64_t>(lease_.epoch()))
+            .with("orders_told", previous_.told ? "yes" : "no");
+}
+
+/// What the lease says of its last holder: one that let go and told its
+/// orders, one that let go just before, or one whose term has ended.
+void placement_duty::take_over(time_point now, time_point steady)
+{
+    previous_ = previous_holder();
+    orders_from_ = time_point{};
+    const auto gap = holder_gap(*context_.settings.bounds);
+    if (lease_.version() == 0)
+        return;
+    if (!lease_.holder().empty()) {
+        previous_.ended_at = steady - gap;
+        return;
+    }
+    previous_.ended_at = steady;
+    if (!left_orders_) {
+        orders_from_ = now + (own_before_ ? own_restart_gap : gap);
+        return;
+    }
+    previous_.told.emplace();
+    for (const auto& [server, age] : left_orders_->last_order)
+        previous_.told->last_order.emplace(server, left_orders_seen_at_ - age);
+    for (const auto age : left_orders_->store_loads)
+        previous_.told->store_loads.push_back(left_orders_seen_at_ - age);
+}
+
+asio::awaitable<void> placement_duty::read_lease()
+{
+    context_.measures.count_store_call();
+    const auto began = boot_now();
+    const auto read =
+        co_await context_.platform.store->read_row(lease_table, lease_key);
+    if (read.error)
+        co_return;
+    note_store_clock(read.store_ms, began);
+    observe(read);
+}
+
+/// The store's clock is at most what an answer said, plus the time since its
+/// request was sent.
+void placement_duty::note_store_clock(std::int64_t store_ms, time_point began)
+{
+    store_ms_ = store_ms;
+    store_ms_at_ = began;
+}
+
+std::int64_t placement_duty::latest_store_ms(time_point now) const
+{
+    return store_ms_ == 0 ? 0 : store_ms_ + (now - store_ms_at_).count();
+}
+
+void placement_duty::observe(const store_read& read)
+{
+    const auto* row = read.rows.empty() ? nullptr : &read.rows.front();
+    auto seen = row == nullptr ? stored_lease{} : decode_lease(row->value);
+    // A process of this instance held it before; there is no other now.
+    own_before_ = !wrote_ && seen.row.holder == context_.self &&
+                  seen.holder_address == context_.settings.address;
+    if (own_before_)
+        seen.row.holder = instance_id();
+    // A renewal that was held up on its way is as old as its sending.
+    const duration age(
+        seen.sent_ms == 0
+            ? 0
+            : std::max<std::int64_t>(read.store_ms - seen.sent_ms, 0));
+    left_orders_ = std::move(seen.orders);
+    left_orders_seen_at_ = steady_now() - age;
+    lease_.observe(
+        seen.row, row == nullptr ? 0 : row->version, boot_now(), age);
+}
+
+asio::awaitable<void> placement_duty::write_lease(lease_row row)
+{
+    context_.measures.count_store_call();
+    const auto began = boot_now();
+    const auto text = encode_lease(
+        {row, context_.settings.address, latest_store_ms(began), std::nullopt});
+    const auto written = co_await context_.platform.store->write_row(
+        lease_table, lease_key, text, lease_.version());
+    if (written.end != store_write_end::done) {
+        co_await read_lease();
+        co_return;
+    }
+    note_store_clock(written.store_ms, began);
+    lease_.written(row, written.version, boot_now());
+}
+
+/// The row tells the next holder what still binds it; then the daemons hear
+/// who that is to be.
+asio::awaitable<void> placement_duty::release()
+{
+    stopping_ = true;
+    const auto now = steady_now();
+    const auto row = lease_.release("released", boot_now());
+    const auto orders = recent_orders(now);
+    controllers_.clear();
+    news_.set_holding(false, 0);
+    if (!row)
+        co_return;
+    const auto successor = news_.successor(now);
+    log_event(log_level::info, "lease_released")
+        .with("lease", lease_key)
+        .with("successor", successor.value());
+    context_.measures.count_store_call();
+    const auto text = encode_lease(
+        {*row, std::string(), latest_store_ms(boot_now()), orders});
+    const auto written = co_await context_.platform.store->write_row(
+        lease_table, lease_key, text, lease_.version());
+    if (written.end == store_write_end::done)
+        news_.announce_release(row->epoch, successor);
+}
+
+/// Orders of all services, by age: clocks of daemons are never compared.
+order_ages placement_duty::recent_orders(time_point now) const
+{
+    order_ages ages;
+    for (const auto& [service, controller] : controllers_) {
+        const auto recent = controller.recent_orders(now);
+        for (const auto& [server, at] : recent.last_order)
+            ages.last_order.emplace(server, now - at);
+        for (const auto at : recent.store_loads)
+            ages.store_loads.push_back(now - at);
+    }
+    return ages;
+}
+
+/// Nobody holds the lease any more: the named daemon looks at once, others
+/// when it should have been heard.
+void placement_duty::on_released(bool named)
+{
+    if (named) {
+        next_read_ = boot_now();
+        return;
+    }
+    schedule_read(boot_now());
+    next_read_ = std::max(next_read_, boot_now() + successor_head_start);
+}
+
+} // namespace barleyfork
