Weigh work past a server's capacity less

Test: a_saturated_model_gets_servers_of_a_busy_one and busy_servers_are_not_moved_about hold with it.

--- a/libs/core/include/barleyfork/core/placement_planner.hpp
+++ b/libs/core/include/barleyfork/core/placement_planner.hpp
@@ -121,7 +121,7 @@
     double target_utilisation = 0.85;
     /// How much more work past a server's whole capacity counts than work
     /// past its target.
-    double saturation_weight = 1.0;
+    double saturation_weight = 0.4;
 };
 
 /// The whole input of one planning round.
