Leave no holder's orders untold when the lease changes hands twice

(1) A holder that took the lease from one that told nothing, and let go within 5 s, told only its own orders, so the third would have taken the first's for none. (2) A process that took its own lease again after a crash forgot what the holder before it had ordered. Either could let two holders order one server within the bound. Change: orders_to_leave says nothing while orders that are not known still bind; renewals name the servers that others ordered within the bound, and a restarted process waits the whole bound where its row names some. Both are decisions of core, apart from sockets. Tests: what_is_not_known_is_not_told, orders_of_others_are_not_forgotten, written with the change.

--- a/libs/core/include/barleyfork/core/holder_change.hpp
+++ b/libs/core/include/barleyfork/core/holder_change.hpp
@@ -31,6 +31,28 @@
     std::optional<past_orders> told;
 };
 
+/// For how long orders of one holder bind others.
+struct order_bounds
+{
+    /// No server gets orders of two holders within this.
+    duration holder_gap{3300};
+    /// The weight store's bound holds over any span of this length.
+    duration load_window{5000};
+};
+
+/// What a holder that lets go may tell of its own and earlier orders; nothing
+/// while orders of an earlier holder bind that it was not told of.
+std::optional<past_orders> orders_to_leave(const previous_holder& previous,
+                                           past_orders own,
+                                           order_bounds bounds,
+                                           time_point now);
+
+/// The orders of earlier holders that still bind: a process that takes the
+/// lease again must not forget them.
+past_orders orders_of_others(const previous_holder& previous,
+                             order_bounds bounds,
+                             time_point now);
+
 /// A daemon that could hold the placement's lease next.
 struct successor_candidate
 {
--- a/libs/core/src/holder_change.cpp
+++ b/libs/core/src/holder_change.cpp
@@ -1,9 +1,40 @@
 #include <barleyfork/core/holder_change.hpp>
 
+#include <algorithm>
 #include <tuple>
 
 namespace barleyfork {
 
+past_orders orders_of_others(const previous_holder& previous,
+                             order_bounds bounds,
+                             time_point now)
+{
+    past_orders binding;
+    if (!previous.told)
+        return binding;
+    for (const auto& [server, at] : previous.told->last_order)
+        if (now < at + bounds.holder_gap)
+            binding.last_order.emplace(server, at);
+    for (const auto at : previous.told->store_loads)
+        if (now < at + bounds.load_window)
+            binding.store_loads.push_back(at);
+    return binding;
+}
+
+std::optional<past_orders> orders_to_leave(const previous_holder& previous,
+                                           past_orders own,
+                                           order_bounds bounds,
+                                           time_point now)
+{
+    const auto longest = std::max(bounds.holder_gap, bounds.load_window);
+    if (!previous.told && now < previous.ended_at + longest)
+        return std::nullopt;
+    const auto others = orders_of_others(previous, bounds, now);
+    for (const auto& [server, at] : others.last_order)
+        own.last_order.emplace(server, at);
+    return own;
+}
+
 std::optional<std::size_t>
 choose_successor(std::span<const successor_candidate> candidates,
                  time_point now)
--- a/libs/core/tests/holder_change_test.cpp
+++ b/libs/core/tests/holder_change_test.cpp
@@ -43,6 +43,8 @@
     CPPUNIT_TEST(told_loads_count_and_no_more);
     CPPUNIT_TEST(unknown_loads_count_for_one_window_of_the_old_holder);
     CPPUNIT_TEST(orders_are_left_to_the_holder_after_the_next);
+    CPPUNIT_TEST(what_is_not_known_is_not_told);
+    CPPUNIT_TEST(orders_of_others_are_not_forgotten);
     CPPUNIT_TEST(the_widest_link_goes_first_then_the_youngest);
     CPPUNIT_TEST(a_silent_daemon_is_no_successor);
     CPPUNIT_TEST_SUITE_END();
@@ -100,6 +102,35 @@
         CPPUNIT_ASSERT(controller.recent_orders(later).store_loads.empty());
     }
 
+    /// A holder that lets go soon after one that told nothing must not let
+    /// the next one think that there were no orders.
+    void what_is_not_known_is_not_told()
+    {
+        previous_holder previous;
+        previous.ended_at = start;
+        const order_bounds bounds;
+        const auto later = start + bounds.load_window;
+        CPPUNIT_ASSERT(
+            !orders_to_leave(previous, {}, bounds, later - duration{1}));
+        CPPUNIT_ASSERT(orders_to_leave(previous, {}, bounds, later));
+    }
+
+    void orders_of_others_are_not_forgotten()
+    {
+        const order_bounds bounds;
+        const server_id server("s0");
+        const auto previous = told({{server, start}}, {start});
+        const auto soon = start + duration{100};
+        const auto left = orders_to_leave(previous, {}, bounds, soon);
+        CPPUNIT_ASSERT(left && left->last_order.at(server) == start);
+        const auto binding = orders_of_others(previous, bounds, soon);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, binding.last_order.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, binding.store_loads.size());
+        const auto late = start + bounds.holder_gap;
+        CPPUNIT_ASSERT(
+            orders_of_others(previous, bounds, late).last_order.empty());
+    }
+
     void the_widest_link_goes_first_then_the_youngest()
     {
         const std::vector<successor_candidate> daemons{
--- a/libs/gateway/src/placement_duty.hpp
+++ b/libs/gateway/src/placement_duty.hpp
@@ -43,7 +43,8 @@
     boost::asio::awaitable<void> keep_lease();
     void take_over(time_point now, time_point steady);
     void on_released(bool named);
-    order_ages recent_orders(time_point now) const;
+    past_orders recent_orders(time_point now) const;
+    order_bounds bounds() const;
     boost::asio::awaitable<void> read_lease();
     boost::asio::awaitable<void> write_lease(lease_row row);
     void observe(const store_read& read);
--- a/libs/gateway/src/placement_duty_lease.cpp
+++ b/libs/gateway/src/placement_duty_lease.cpp
@@ -39,6 +39,17 @@
 /// How often a candidate reads the row while it hears no holder.
 constexpr duration read_interval{700};
 
+/// Clocks of daemons are never compared: the row tells ages.
+order_ages ages_of(const past_orders& orders, time_point now)
+{
+    order_ages ages;
+    for (const auto& [server, at] : orders.last_order)
+        ages.last_order.emplace(server, now - at);
+    for (const auto at : orders.store_loads)
+        ages.store_loads.push_back(now - at);
+    return ages;
+}
+
 } // namespace
 
 /// No server gets orders of two holders within this.
@@ -120,8 +131,13 @@
         return;
     }
     previous_.ended_at = steady;
+    if (own_before_) {
+        // Another holder's orders, where the row still names some, bind.
+        orders_from_ = now + (left_orders_ ? gap : own_restart_gap);
+        return;
+    }
     if (!left_orders_) {
-        orders_from_ = now + (own_before_ ? own_restart_gap : gap);
+        orders_from_ = now + gap;
         return;
     }
     previous_.told.emplace();
@@ -180,8 +196,12 @@
 {
     context_.measures.count_store_call();
     const auto began = boot_now();
-    const auto text = encode_lease(
-        {row, context_.settings.address, latest_store_ms(began), std::nullopt});
+    stored_lease stored{
+        row, context_.settings.address, latest_store_ms(began), std::nullopt};
+    const auto others = orders_of_others(previous_, bounds(), steady_now());
+    if (!others.last_order.empty())
+        stored.orders = ages_of(others, steady_now());
+    const auto text = encode_lease(stored);
     const auto written = co_await context_.platform.store->write_row(
         lease_table, lease_key, text, lease_.version());
     if (written.end != store_write_end::done) {
@@ -199,7 +219,8 @@
     stopping_ = true;
     const auto now = steady_now();
     const auto row = lease_.release("released", boot_now());
-    const auto orders = recent_orders(now);
+    const auto orders =
+        orders_to_leave(previous_, recent_orders(now), bounds(), now);
     controllers_.clear();
     news_.set_holding(false, 0);
     if (!row)
@@ -210,25 +231,34 @@
         .with("successor", successor.value());
     context_.measures.count_store_call();
     const auto text = encode_lease(
-        {*row, std::string(), latest_store_ms(boot_now()), orders});
+        {*row,
+         std::string(),
+         latest_store_ms(boot_now()),
+         orders ? std::optional(ages_of(*orders, now)) : std::nullopt});
     const auto written = co_await context_.platform.store->write_row(
         lease_table, lease_key, text, lease_.version());
     if (written.end == store_write_end::done)
         news_.announce_release(row->epoch, successor);
 }
 
-/// Orders of all services, by age: clocks of daemons are never compared.
-order_ages placement_duty::recent_orders(time_point now) const
+/// Orders of all services.
+past_orders placement_duty::recent_orders(time_point now) const
 {
-    order_ages ages;
+    past_orders orders;
     for (const auto& [service, controller] : controllers_) {
-        const auto recent = controller.recent_orders(now);
-        for (const auto& [server, at] : recent.last_order)
-            ages.last_order.emplace(server, now - at);
-        for (const auto at : recent.store_loads)
-            ages.store_loads.push_back(now - at);
+        auto recent = controller.recent_orders(now);
+        orders.last_order.merge(recent.last_order);
+        orders.store_loads.insert(orders.store_loads.end(),
+                                  recent.store_loads.begin(),
+                                  recent.store_loads.end());
     }
-    return ages;
+    return orders;
+}
+
+order_bounds placement_duty::bounds() const
+{
+    const auto& given = *context_.settings.bounds;
+    return {holder_gap(given), seconds(given.load_window_s)};
 }
 
 /// Nobody holds the lease any more: the named daemon looks at once, others
