--- a/libs/core/src/placement_controller_adapters.cpp
+++ b/libs/core/src/placement_controller_adapters.cpp
@@ -122,7 +122,8 @@
 /// Unloads what has left, one order a server at a time.
 void placement_controller::collect_leaving(time_point now, actions& out)
 {
-    for (auto& [id, server] : servers_) {
+    for (auto& [name, server] : servers_) {
+        const auto& id = name;
         if (server.leaving.empty())
             continue;
         const auto due = std::find_if(
