Plan from counts kept by index, and more steps where there are more servers

A round counted the replicas of a model by comparing names over all servers, for each replica it weighed, and took at most six steps. Ruled out: the store's rate (load_budget leaves 30 to 40 a second). Test: a_large_fleet_is_moved_as_fast_as_the_store_loads, failed with six steps.

--- a/libs/core/src/load_estimate.cpp
+++ b/libs/core/src/load_estimate.cpp
@@ -11,23 +11,33 @@
 /// Keeps a full server in the running so that shares can return to it.
 constexpr double least_weight = 1e-3;
 
+/// Less demand than this moves nothing, in server-seconds a second.
+constexpr double least_demand = 1e-6;
+
+/// One model's servers and its work on each.
+struct shared_work
+{
+    double demand = 0.0;
+    std::span<const std::size_t> servers;
+    std::span<double> work;
+};
+
 /// Re-splits one model's work by the room that the others leave.
-void rebalance(const planner_input& input,
-               double demand,
-               std::span<const std::size_t> servers,
-               std::vector<double>& work,
-               std::vector<double>& load)
+void rebalance(std::span<const double> capacity,
+               const shared_work& model,
+               std::span<double> load)
 {
     double total_weight = 0.0;
-    for (std::size_t i = 0; i < servers.size(); ++i) {
-        const auto s = servers[i];
-        load[s] -= work[i];
-        work[i] = std::max(input.servers[s].capacity - load[s], least_weight);
-        total_weight += work[i];
+    for (std::size_t i = 0; i < model.servers.size(); ++i) {
+        const auto s = model.servers[i];
+        load[s] -= model.work[i];
+        model.work[i] = std::max(capacity[s] - load[s], least_weight);
+        total_weight += model.work[i];
     }
-    for (std::size_t i = 0; i < servers.size(); ++i) {
-        work[i] *= demand / total_weight;
-        load[servers[i]] += work[i];
+    const double scale = model.demand / total_weight;
+    for (std::size_t i = 0; i < model.servers.size(); ++i) {
+        model.work[i] *= scale;
+        load[model.servers[i]] += model.work[i];
     }
 }
 
@@ -69,30 +79,44 @@
 load_estimate spread_demand(const planner_input& input,
                             const serving_servers& serving)
 {
-    std::vector<std::vector<double>> work(serving.size());
-    for (std::size_t m = 0; m < serving.size(); ++m)
-        work[m].assign(serving[m].size(), 0.0);
     load_estimate result;
     result.server_load.assign(input.servers.size(), 0.0);
     result.unserved.assign(serving.size(), 0.0);
-    for (int round = 0; round < balance_rounds; ++round)
-        for (std::size_t m = 0; m < serving.size(); ++m)
-            if (!serving[m].empty())
-                rebalance(input,
-                          input.models[m].demand,
-                          serving[m],
-                          work[m],
-                          result.server_load);
+    std::size_t shares = 0;
+    for (std::size_t m = 0; m < serving.size(); ++m)
+        if (input.models[m].demand >= least_demand)
+            shares += serving[m].size();
+    std::vector<double> work(shares, 0.0);
+    std::vector<shared_work> models;
+    std::vector<std::size_t> model_of;
+    std::size_t at = 0;
     for (std::size_t m = 0; m < serving.size(); ++m) {
+        const double demand = input.models[m].demand;
         if (serving[m].empty())
-            result.unserved[m] = (1.0 + input.options.saturation_weight) *
-                                 input.models[m].demand;
-        for (std::size_t i = 0; i < serving[m].size(); ++i) {
-            const auto s = serving[m][i];
+            result.unserved[m] =
+                (1.0 + input.options.saturation_weight) * demand;
+        if (serving[m].empty() || demand < least_demand)
+            continue;
+        const auto size = serving[m].size();
+        models.push_back(
+            {demand, serving[m], std::span(work).subspan(at, size)});
+        model_of.push_back(m);
+        at += size;
+    }
+    std::vector<double> capacity;
+    capacity.reserve(input.servers.size());
+    for (const auto& server : input.servers)
+        capacity.push_back(server.capacity);
+    for (int round = 0; round < balance_rounds; ++round)
+        for (const auto& model : models)
+            rebalance(capacity, model, result.server_load);
+    for (std::size_t k = 0; k < models.size(); ++k) {
+        for (std::size_t i = 0; i < models[k].servers.size(); ++i) {
+            const auto s = models[k].servers[i];
             const double load = result.server_load[s];
             if (load > 0.0)
-                result.unserved[m] +=
-                    work[m][i] / load *
+                result.unserved[model_of[k]] +=
+                    models[k].work[i] / load *
                     work_past_limits(load, input.servers[s], input.options);
         }
     }
--- a/libs/core/src/placement_round.cpp
+++ b/libs/core/src/placement_round.cpp
@@ -20,8 +20,10 @@
 /// Servers that one step weighs for a model, of those that look best.
 constexpr std::size_t weighed_servers = 8;
 /// Steps that one round takes for demand and for spares; further ones wait
-/// for the next round, which knows what these did.
-constexpr int most_demand_steps = 6;
+/// for the next round, which knows what these did. Demand moves on more
+/// servers at once where there are more.
+constexpr std::size_t least_demand_steps = 6;
+constexpr std::size_t servers_a_demand_step = 16;
 constexpr int most_spare_steps = 2;
 
 /// An order for it was sent and nobody knows whether it still acts.
@@ -43,9 +45,10 @@
     : input_(std::move(input)), budget_(input_.options.load_budget),
       store_budget_(input_.options.store_budget)
 {
+    index_models();
+    for (std::size_t s = 0; s < input_.servers.size(); ++s)
+        index_replicas(s);
     update_estimate();
-    for (std::size_t m = 0; m < input_.models.size(); ++m)
-        model_index_.emplace(input_.models[m].id, m);
     // A load waits for each unload in progress, so it is taken off now.
     const auto clearing = std::count_if(
         input_.servers.begin(), input_.servers.end(), is_clearing);
@@ -67,36 +70,59 @@
     return std::move(steps_);
 }
 
-placement_round::replica_count placement_round::count(std::size_t model) const
+void placement_round::index_models()
 {
-    replica_count result;
-    const auto& wanted = input_.models[model];
-    for (const auto& server : input_.servers) {
-        if (!server.usable)
-            continue;
-        for (const auto& replica : server.replicas) {
-            if (replica.model != wanted.id)
-                continue;
-            const bool current = replica.version == wanted.version;
-            result.ready += replica.ready ? 1 : 0;
-            result.ready_current += replica.ready && current ? 1 : 0;
-            result.loading_current +=
-                !replica.ready && replica.changing && current ? 1 : 0;
-        }
+    for (std::size_t m = 0; m < input_.models.size(); ++m)
+        model_index_.emplace(input_.models[m].id, m);
+    counts_.resize(input_.models.size());
+    replica_models_.resize(input_.servers.size());
+}
+
+/// Names the replicas' models by index once and counts them.
+void placement_round::index_replicas(std::size_t server)
+{
+    for (const auto& replica : input_.servers[server].replicas) {
+        const auto found = model_index_.find(replica.model);
+        const auto model =
+            found == model_index_.end() ? undeclared : found->second;
+        replica_models_[server].push_back(model);
+        add_to_count(server, replica, model, 1);
     }
-    return result;
+}
+
+/// Counts a replica of a usable server, or no more.
+void placement_round::add_to_count(std::size_t server,
+                                   const planner_replica& replica,
+                                   std::size_t model,
+                                   int change)
+{
+    if (model == undeclared || !input_.servers[server].usable)
+        return;
+    const bool current = replica.version == input_.models[model].version;
+    auto& result = counts_[model];
+    result.ready += replica.ready ? change : 0;
+    result.ready_current += replica.ready && current ? change : 0;
+    result.loading_current +=
+        !replica.ready && replica.changing && current ? change : 0;
+}
+
+const placement_round::replica_count&
+placement_round::count(std::size_t model) const
+{
+    return counts_[model];
 }
 
 /// Serves the model's version, or will, or is giving it up.
 bool placement_round::holds(std::size_t server, std::size_t model) const
 {
-    const auto& wanted = input_.models[model];
     const auto& replicas = input_.servers[server].replicas;
-    return std::any_of(
-        replicas.begin(), replicas.end(), [&wanted](const auto& replica) {
-            return replica.model == wanted.id &&
-                   replica.version == wanted.version && !is_dormant(replica);
-        });
+    const auto& models = replica_models_[server];
+    for (std::size_t r = 0; r < replicas.size(); ++r)
+        if (models[r] == model &&
+            replicas[r].version == input_.models[model].version &&
+            !is_dormant(replicas[r]))
+            return true;
+    return false;
 }
 
 /// Memory that a load would add; a dormant replica's counts already.
@@ -113,25 +139,15 @@
     return counted ? 0 : wanted.memory_mib;
 }
 
-std::size_t placement_round::domain_replicas(std::size_t model,
-                                             std::size_t server) const
+/// Usable servers that hold the model, by failure domain.
+placement_round::domain_counts
+placement_round::replicas_by_domain(std::size_t model) const
 {
-    std::size_t result = 0;
-    for (std::size_t s = 0; s < input_.servers.size(); ++s)
-        if (input_.servers[s].usable && holds(s, model) &&
-            input_.servers[s].failure_domain ==
-                input_.servers[server].failure_domain)
-            ++result;
-    return result;
-}
-
-std::size_t placement_round::domains_of(std::size_t model) const
-{
-    std::set<failure_domain_id> domains;
+    domain_counts result;
     for (std::size_t s = 0; s < input_.servers.size(); ++s)
         if (input_.servers[s].usable && holds(s, model))
-            domains.insert(input_.servers[s].failure_domain);
-    return domains.size();
+            ++result[input_.servers[s].failure_domain];
+    return result;
 }
 
 std::uint64_t placement_round::free_mib(std::size_t server) const
@@ -148,12 +164,14 @@
 {
     std::optional<std::size_t> best;
     std::pair<std::size_t, double> best_cost;
+    const auto in_domain = replicas_by_domain(model);
     for (std::size_t s = 0; s < input_.servers.size(); ++s) {
         const auto& server = input_.servers[s];
         if (!may_load_on(s, model) || free_mib(s) < needed_mib(s, model))
             continue;
+        const auto same = in_domain.find(server.failure_domain);
         const std::pair<std::size_t, double> cost{
-            domain_replicas(model, s),
+            same == in_domain.end() ? 0 : same->second,
             estimate_.server_load[s] / server.capacity -
                 1e-6 * static_cast<double>(free_mib(s))};
         if (best && cost >= best_cost)
@@ -170,10 +188,11 @@
 {
     std::vector<std::size_t> order;
     for (std::size_t m = 0; m < need.size(); ++m) {
-        const auto replicas = count(m);
+        if (need[m] < negligible_work)
+            continue;
+        const auto& replicas = count(m);
         const auto present = replicas.ready_current + replicas.loading_current;
-        if (need[m] >= negligible_work &&
-            present < input_.models[m].max_replicas)
+        if (present < input_.models[m].max_replicas)
             order.push_back(m);
     }
     std::stable_sort(order.begin(), order.end(), [&need](auto a, auto b) {
@@ -201,21 +220,21 @@
 }
 
 /// What unloading puts at risk in work, or nothing where it is not allowed.
-std::optional<double>
-placement_round::eviction_loss(std::size_t,
-                               const planner_replica& replica) const
+std::optional<double> placement_round::eviction_loss(std::size_t server,
+                                                     std::size_t index) const
 {
+    const auto& replica = input_.servers[server].replicas[index];
     if (!replica.ready || replica.changing)
         return std::nullopt;
-    const auto found = model_index_.find(replica.model);
-    if (found == model_index_.end())
+    const auto model = replica_models_[server][index];
+    if (model == undeclared)
         return 0.0;
-    const auto& wanted = input_.models[found->second];
-    const auto replicas = count(found->second);
+    const auto& wanted = input_.models[model];
+    const auto& replicas = count(model);
     if (replicas.ready <= wanted.min_replicas)
         return std::nullopt;
     const double share = wanted.demand / static_cast<double>(replicas.ready);
-    return share - burst_chance * potential_change(found->second, -1);
+    return share - burst_chance * potential_change(model, -1);
 }
 
 /// The cheapest replicas whose unloads free `needed_mib`.
@@ -226,7 +245,7 @@
     const auto& replicas = input_.servers[server].replicas;
     std::vector<std::pair<double, std::size_t>> candidates;
     for (std::size_t r = 0; r < replicas.size(); ++r)
-        if (const auto loss = eviction_loss(server, replicas[r]))
+        if (const auto loss = eviction_loss(server, r))
             candidates.emplace_back(*loss, r);
     std::sort(candidates.begin(), candidates.end());
     std::vector<std::size_t> victims;
@@ -261,23 +280,26 @@
 /// Compares the placement with the choice carried out to the present one: the
 /// victims are missed from now on, the new replica serves only once it is
 /// loaded; moves and the risk to victims are taken off.
-double placement_round::evaluate(const load_choice& choice) const
+double placement_round::evaluate(const load_choice& choice)
 {
-    const auto& server = input_.servers[choice.server];
     const auto& options = input_.options;
-    auto serving = serving_;
     double potential = potential_change(choice.model, 1);
+    std::vector<std::pair<std::size_t, std::vector<std::size_t>>> before;
     for (const auto victim : choice.victims) {
-        const auto found = model_index_.find(server.replicas[victim].model);
-        if (found == model_index_.end())
+        const auto model = replica_models_[choice.server][victim];
+        if (model == undeclared)
             continue;
-        potential += potential_change(found->second, -1);
-        std::erase(serving[found->second], choice.server);
+        potential += potential_change(model, -1);
+        before.emplace_back(model, serving_[model]);
+        std::erase(serving_[model], choice.server);
     }
     const double without_victims =
-        choice.victims.empty() ? total_unserved_ : unserved_with(serving);
-    serving[choice.model].push_back(choice.server);
-    const double gain = without_victims - unserved_with(serving);
+        choice.victims.empty() ? total_unserved_ : unserved_with(serving_);
+    serving_[choice.model].push_back(choice.server);
+    const double gain = without_victims - unserved_with(serving_);
+    serving_[choice.model].pop_back();
+    for (auto saved = before.rbegin(); saved != before.rend(); ++saved)
+        serving_[saved->first] = std::move(saved->second);
     const double loss = without_victims - total_unserved_;
     const double wait = load_seconds(choice) +
                         (choice.victims.empty() ? 0.0 : options.unload_seconds);
@@ -330,8 +352,7 @@
         load_choice choice{model, s, std::move(*victims), 0.0};
         double cost = estimate_.server_load[s] / input_.servers[s].capacity;
         for (const auto victim : choice.victims)
-            cost += eviction_loss(s, input_.servers[s].replicas[victim])
-                        .value_or(0.0);
+            cost += eviction_loss(s, victim).value_or(0.0);
         cost += load_seconds(choice) / input_.options.horizon_seconds;
         ranked.emplace_back(cost, std::move(choice));
     }
@@ -392,6 +413,8 @@
                                true,
                                false,
                                0.0});
+    replica_models_[server].push_back(model);
+    add_to_count(server, target.replicas.back(), model, 1);
     --budget_;
     if (copy_of(server, model) == nullptr && store_budget_ > 0)
         --store_budget_;
@@ -411,9 +434,12 @@
                       entry.memory_mib,
                       reason,
                       room_for});
+    const auto indexed = replica_models_[server][replica];
+    add_to_count(server, entry, indexed, -1);
     entry.ready = false;
     entry.changing = true;
     entry.unloading = true;
+    add_to_count(server, entry, indexed, 1);
 }
 
 /// Loads at once where there is room; else only makes room, and the load is
@@ -455,7 +481,7 @@
 {
     std::vector<std::size_t> lost;
     for (std::size_t m = 0; m < input_.models.size(); ++m) {
-        const auto replicas = count(m);
+        const auto& replicas = count(m);
         if (replicas.ready + replicas.loading_current == 0)
             lost.push_back(m);
     }
@@ -470,7 +496,7 @@
 void placement_round::bring_in_versions()
 {
     for (std::size_t m = 0; m < input_.models.size() && budget_ > 0; ++m) {
-        const auto replicas = count(m);
+        const auto& replicas = count(m);
         const bool behind = replicas.ready > replicas.ready_current;
         const auto floor = input_.models[m].min_replicas;
         if (behind && replicas.ready_current + replicas.loading_current < floor)
@@ -481,7 +507,7 @@
 void placement_round::repair_floors()
 {
     for (std::size_t m = 0; m < input_.models.size() && budget_ > 0; ++m) {
-        const auto replicas = count(m);
+        const auto& replicas = count(m);
         const auto present = replicas.ready_current + replicas.loading_current;
         if (present > 0 && present < input_.models[m].min_replicas)
             load_with_room(m, step_reason::floor);
@@ -494,21 +520,26 @@
     if (!input_.options.spread_domains)
         return;
     for (std::size_t m = 0; m < input_.models.size() && budget_ > 0; ++m) {
-        const auto replicas = count(m);
+        const auto& replicas = count(m);
         if (replicas.ready_current == 0 || replicas.loading_current > 0 ||
-            replicas.ready_current >= input_.models[m].max_replicas ||
-            domains_of(m) >= 2)
+            replicas.ready_current >= input_.models[m].max_replicas)
+            continue;
+        const auto in_domain = replicas_by_domain(m);
+        if (in_domain.size() >= 2)
             continue;
         const auto server = best_free_server(m);
-        if (server && domain_replicas(m, *server) == 0)
+        if (server &&
+            !in_domain.contains(input_.servers[*server].failure_domain))
             load(*server, m, step_reason::domain_spread);
     }
 }
 
 void placement_round::follow_demand()
 {
-    for (int step = 0; step < most_demand_steps && budget_ > 0 &&
-                       total_unserved_ >= negligible_work;
+    const auto most_steps = std::max(
+        least_demand_steps, input_.servers.size() / servers_a_demand_step);
+    for (std::size_t step = 0;
+         step < most_steps && budget_ > 0 && total_unserved_ >= negligible_work;
          ++step)
     {
         const auto models = models_by(estimate_.unserved);
@@ -544,13 +575,13 @@
         for (std::size_t r = 0; r < replicas.size(); ++r) {
             if (!replicas[r].ready || replicas[r].changing)
                 continue;
-            const auto found = model_index_.find(replicas[r].model);
-            if (found == model_index_.end()) {
+            const auto model = replica_models_[s][r];
+            if (model == undeclared) {
                 unload(s, r, step_reason::not_declared, {});
                 continue;
             }
-            const auto& wanted = input_.models[found->second];
-            const auto present = count(found->second).ready_current;
+            const auto& wanted = input_.models[model];
+            const auto present = count(model).ready_current;
             if (replicas[r].version != wanted.version &&
                 present >= wanted.min_replicas)
                 unload(s, r, step_reason::old_version, {});
--- a/libs/core/src/placement_round.hpp
+++ b/libs/core/src/placement_round.hpp
@@ -5,6 +5,8 @@
 
 #include <barleyfork/core/placement_planner.hpp>
 
+#include <limits>
+#include <map>
 #include <optional>
 #include <span>
 #include <unordered_map>
@@ -51,10 +53,19 @@
     void fill_idle_memory();
     void remove_leftovers();
 
-    replica_count count(std::size_t model) const;
+    using domain_counts = std::map<failure_domain_id, std::size_t>;
+    static constexpr std::size_t undeclared =
+        std::numeric_limits<std::size_t>::max();
+
+    void index_models();
+    void index_replicas(std::size_t server);
+    void add_to_count(std::size_t server,
+                      const planner_replica& replica,
+                      std::size_t model,
+                      int change);
+    const replica_count& count(std::size_t model) const;
     bool holds(std::size_t server, std::size_t model) const;
-    std::size_t domain_replicas(std::size_t model, std::size_t server) const;
-    std::size_t domains_of(std::size_t model) const;
+    domain_counts replicas_by_domain(std::size_t model) const;
     std::uint64_t free_mib(std::size_t server) const;
     std::uint64_t needed_mib(std::size_t server, std::size_t model) const;
 
@@ -67,9 +78,9 @@
     std::optional<std::vector<std::size_t>>
     choose_victims(std::size_t server, std::uint64_t needed_mib) const;
     std::optional<double> eviction_loss(std::size_t server,
-                                        const planner_replica& replica) const;
+                                        std::size_t index) const;
     double unserved_with(const serving_servers& serving) const;
-    double evaluate(const load_choice& choice) const;
+    double evaluate(const load_choice& choice);
     double potential_change(std::size_t model, int replicas) const;
     const planner_copy* copy_of(std::size_t server, std::size_t model) const;
     bool may_load_on(std::size_t server, std::size_t model) const;
@@ -90,6 +101,10 @@
     load_estimate estimate_;
     double total_unserved_ = 0.0;
     std::unordered_map<model_id, std::size_t> model_index_;
+    /// The models of each server's replicas, by index.
+    std::vector<std::vector<std::size_t>> replica_models_;
+    /// Replicas of each model on usable servers.
+    std::vector<replica_count> counts_;
     std::uint32_t budget_ = 0;
     std::uint32_t store_budget_ = 0;
     std::vector<planned_step> steps_;
--- a/libs/core/tests/placement_overload_test.cpp
+++ b/libs/core/tests/placement_overload_test.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST(a_saturated_model_gets_servers_of_a_busy_one);
     CPPUNIT_TEST(busy_servers_are_not_moved_about);
     CPPUNIT_TEST(a_server_that_takes_no_orders_is_passed_over);
+    CPPUNIT_TEST(a_large_fleet_is_moved_as_fast_as_the_store_loads);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -108,6 +109,29 @@
         CPPUNIT_ASSERT(plan_placement(input).empty());
     }
 
+    /// Demand moves to fifty models with one replica each. The weight store
+    /// gives forty loads a second and a round comes three times a second, so
+    /// a round has to begin at least four fifths of thirteen.
+    void a_large_fleet_is_moved_as_fast_as_the_store_loads()
+    {
+        constexpr std::size_t loads_owed = 11;
+        planner_input input;
+        input.options = make_options();
+        input.options.load_budget = 256;
+        input.options.store_budget = 200;
+        for (std::size_t m = 0; m < 350; ++m)
+            input.models.push_back(
+                make_model("m" + std::to_string(m), m < 50 ? 2.0 : 0.0));
+        for (std::size_t s = 0; s < 256; ++s) {
+            input.servers.push_back(
+                make_server(s,
+                            {"m" + std::to_string(s % 350),
+                             "m" + std::to_string((s + 94) % 350)}));
+            input.servers.back().committed_mib = server_mib - model_mib;
+        }
+        CPPUNIT_ASSERT(plan_placement(input).size() >= loads_owed);
+    }
+
     /// The least loaded server was ordered by another holder just before.
     void a_server_that_takes_no_orders_is_passed_over()
     {
--- a/tools/capacity/main.cpp
+++ b/tools/capacity/main.cpp
@@ -51,7 +51,7 @@
 {
     std::cout << "planning round of a cell\nservers  models  ms      core_% "
                  "at a round each 0.5 s\n";
-    for (const std::size_t servers : {10U, 25U, 50U}) {
+    for (const std::size_t servers : {10U, 25U, 50U, 128U, 256U}) {
         const auto models = servers * 3 / 2;
         const double ms = planning_ms(servers, models);
         std::cout << std::setw(7) << servers << std::setw(8) << models
