--- a/libs/core/include/barleyfork/core/reader_choice.hpp
+++ b/libs/core/include/barleyfork/core/reader_choice.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 
 namespace barleyfork {
 
@@ -49,6 +50,14 @@
     /// True while this daemon is to follow the store itself.
     bool decide(time_point now);
 
+    /// The best placed neighbour that is heard to follow the store.
+    std::optional<instance_id> best_reader(time_point now) const;
+
+    bool hears_reader(time_point now) const
+    {
+        return best_reader(now).has_value();
+    }
+
     /// The last decision.
     bool is_reader() const noexcept
     {
--- a/libs/core/src/reader_choice.cpp
+++ b/libs/core/src/reader_choice.cpp
@@ -37,6 +37,16 @@
     return static_cast<std::int64_t>(turns) * head_start;
 }
 
+std::optional<instance_id> reader_choice::best_reader(time_point now) const
+{
+    const word* best = nullptr;
+    for (const auto& [id, heard] : readers_)
+        if (now < heard.heard_at + word_life &&
+            (best == nullptr || heard.speaker.is_better_than(best->speaker)))
+            best = &heard;
+    return best == nullptr ? std::nullopt : std::optional(best->speaker.id);
+}
+
 bool reader_choice::decide(time_point now)
 {
     std::erase_if(readers_, [now](const auto& item) {
--- a/libs/gateway/src/gateway_metrics.cpp
+++ b/libs/gateway/src/gateway_metrics.cpp
@@ -1,5 +1,7 @@
 #include "gateway_metrics.hpp"
 
+#include <barleyfork/base/log.hpp>
+
 #include <boost/histogram.hpp>
 #include <sstream>
 
@@ -17,6 +19,13 @@
 using log_axis =
     histogram::axis::regular<double, histogram::axis::transform::log>;
 
+const char* purpose_name(store_purpose purpose)
+{
+    constexpr std::array<const char*, 4> names{
+        "configuration", "server_list", "members", "lease"};
+    return names.at(static_cast<std::size_t>(purpose));
+}
+
 auto make_times()
 {
     return histogram::make_histogram(
@@ -82,6 +91,15 @@
     histograms_->wait(milliseconds);
 }
 
+void gateway_metrics::count_store_call(store_purpose purpose,
+                                       std::string_view cause)
+{
+    ++store_calls_.at(static_cast<std::size_t>(purpose));
+    log_event(log_level::debug, "store_called")
+        .with("purpose", purpose_name(purpose))
+        .with("cause", cause);
+}
+
 std::string gateway_metrics::to_prometheus() const
 {
     std::ostringstream out;
@@ -94,7 +112,11 @@
     write_times(out, "barleyfork_wait_ms", histograms_->wait);
     write_counter(out, "barleyfork_repeats_total", repeats_);
     write_counter(out, "barleyfork_orders_total", orders_);
-    write_counter(out, "barleyfork_store_calls_total", store_calls_);
+    out << "# TYPE barleyfork_store_calls_total counter\n";
+    for (std::size_t i = 0; i < store_calls_.size(); ++i)
+        out << "barleyfork_store_calls_total{purpose=\""
+            << purpose_name(static_cast<store_purpose>(i)) << "\"} "
+            << store_calls_[i] << "\n";
     write_counter(out, "barleyfork_configuration_version", version_);
     return out.str();
 }
--- a/libs/gateway/src/gateway_metrics.hpp
+++ b/libs/gateway/src/gateway_metrics.hpp
@@ -3,12 +3,23 @@
 
 #include <barleyfork/base/error.hpp>
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace barleyfork {
 
+/// What a call to the platform's store is for.
+enum class store_purpose : std::uint8_t
+{
+    configuration,
+    server_list,
+    members,
+    lease,
+};
+
 /// Counters and latency histograms of one gateway; one duty's.
 class gateway_metrics
 {
@@ -33,10 +44,8 @@
     {
         ++orders_;
     }
-    void count_store_call() noexcept
-    {
-        ++store_calls_;
-    }
+    /// Counts a call to the store and leaves a log line on what caused it.
+    void count_store_call(store_purpose purpose, std::string_view cause);
     void set_version(std::uint64_t version) noexcept
     {
         version_ = version;
@@ -47,11 +56,12 @@
 
 private:
     struct histograms;
+    static constexpr std::size_t store_purposes = 4;
 
     std::unique_ptr<histograms> histograms_;
     std::uint64_t repeats_ = 0;
     std::uint64_t orders_ = 0;
-    std::uint64_t store_calls_ = 0;
+    std::array<std::uint64_t, store_purposes> store_calls_{};
     std::uint64_t version_ = 0;
 };
 
--- a/libs/gateway/src/peer_news.cpp
+++ b/libs/gateway/src/peer_news.cpp
@@ -15,7 +15,8 @@
 namespace {
 
 constexpr const char* member_table = "barleyfork_members";
-/// A holder that has nothing to tell still shows that it is there.
+/// A holder that has nothing to tell still shows that it is there: four times
+/// while its word on the list of servers stands.
 constexpr duration beat_interval{200};
 constexpr duration holder_silence{1800};
 /// How often the list of daemons is read; the holder, which tells them all,
@@ -65,6 +66,20 @@
 
 constexpr std::uint64_t hundred = 100;
 
+std::uint32_t age_ms(time_point known_at, time_point now)
+{
+    constexpr std::int64_t oldest_ms = 3600000;
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>((now - known_at).count(), 0, oldest_ms));
+}
+
+list_claim claim_of(const schema::peer_message_record& message, time_point now)
+{
+    return {message.list_since,
+            message.list_position,
+            now - duration(message.list_age_ms)};
+}
+
 std::uint16_t to_short(std::uint64_t number)
 {
     constexpr std::uint64_t largest = 65535;
@@ -119,6 +134,14 @@
     return row;
 }
 
+std::vector<store_row> rows_of(const schema::peer_message_record& message)
+{
+    std::vector<store_row> rows;
+    for (const auto& row : message.rows)
+        rows.push_back(to_row(*row));
+    return rows;
+}
+
 } // namespace
 
 peer_news::peer_news(gateway_context& context, store_watch& watch)
@@ -129,6 +152,7 @@
             [this](schema::peer_message_record message) { receive(message); }),
       started_ms_(static_cast<std::uint64_t>(wall_clock_ms()))
 {
+    watch.on_missed([this] { ask_reader(); });
 }
 
 bool peer_news::listen()
@@ -152,6 +176,7 @@
     message.link_mbps = static_cast<float>(context_.settings.link_mbps);
     message.configuration_position = watch_.configuration_position();
     message.list_position = watch_.list_position();
+    message.list_age_ms = age_ms(watch_.list_known_at(), steady_now());
     return message;
 }
 
@@ -172,7 +197,7 @@
     const auto text = json::serialize(value);
     const auto key = context_.self.value();
     while (own_row_.value != text) {
-        context_.measures.count_store_call();
+        context_.measures.count_store_call(store_purpose::members, "register");
         const auto written = co_await context_.platform.store->write_row(
             member_table, key, text, own_row_.version);
         if (written.end == store_write_end::done)
@@ -185,7 +210,7 @@
 
 asio::awaitable<bool> peer_news::read_members()
 {
-    context_.measures.count_store_call();
+    context_.measures.count_store_call(store_purpose::members, "read");
     const auto read =
         co_await context_.platform.store->read_table(member_table);
     if (!read.error)
@@ -283,6 +308,8 @@
         if (follows || told_following_) {
             auto message = make_message(schema::message_kind::following);
             message.follows = follows;
+            if (!holding_)
+                add_list_changes(message);
             link_.broadcast(neighbours(), message);
         }
         told_following_ = follows;
@@ -311,6 +338,7 @@
         steady_now());
     if (!message.follows)
         return;
+    watch_.take_told(rows_of(message), claim_of(message, steady_now()));
     const bool newer = message.configuration_version > configuration_version();
     const bool list = watch_.list_position() == 0 && message.list_position > 0;
     if (newer || list)
@@ -322,7 +350,9 @@
 asio::awaitable<void> peer_news::run()
 {
     for (;;) {
-        co_await sleep_for_ms(context_.news_interval().count());
+        const auto interval = context_.news_interval();
+        co_await sleep_for_ms(
+            (holding_ ? std::min(interval, beat_interval) : interval).count());
         const auto now = steady_now();
         if (holding_ && now >= beat_at_)
             announce({});
@@ -373,16 +403,23 @@
     message.epoch = order.epoch;
     message.sequence = order.sequence;
     message.work = to_records(context_.loads.all_work(now));
-    message.list_fresh = watch_.list_is_fresh(now);
     for (const auto& news : changed)
         message.servers.push_back(
             std::make_unique<schema::server_news_record>(to_record(news)));
-    for (const auto& row : watch_.take_relayed_rows())
-        message.rows.push_back(to_record(row));
+    add_list_changes(message);
     send_to_all(std::move(message), now);
     return order;
 }
 
+/// Changes of the list that were not told yet go with the message.
+void peer_news::add_list_changes(schema::peer_message_record& message)
+{
+    const auto changes = watch_.take_relayed_rows();
+    message.list_since = changes.since;
+    for (const auto& row : changes.rows)
+        message.rows.push_back(to_record(row));
+}
+
 /// In each other failure domain one daemon gets the message and passes it on:
 /// traffic between domains is paid by volume, and a holder's link is narrow.
 void peer_news::send_to_all(schema::peer_message_record message, time_point now)
@@ -436,6 +473,27 @@
     epoch_ = epoch;
 }
 
+void peer_news::begin_holding(std::uint64_t epoch)
+{
+    set_holding(true, epoch);
+    announce({});
+}
+
+holder_rank peer_news::rank_as_holder() const
+{
+    holder_rank rank;
+    rank.daemons = std::max<std::size_t>(members_.size(), 1);
+    const double own = context_.settings.link_mbps;
+    double best = own;
+    for (const auto& [id, entry] : members_) {
+        best = std::max(best, entry.link_mbps);
+        if (id != context_.self && entry.link_mbps >= own)
+            ++rank.equals;
+    }
+    rank.handicap = best > 0.0 ? 1.0 - own / best : 0.0;
+    return rank;
+}
+
 bool peer_news::hears_holder(time_point now) const
 {
     return holder_.has_value() && now < holder_heard_at_ + holder_silence;
@@ -490,7 +548,7 @@
     holder_epoch_ = message.epoch;
     holder_heard_at_ = now;
     holder_ = peer_address{message.address, message.port};
-    take_relayed(message, now);
+    watch_.take_told(rows_of(message), claim_of(message, now));
     // One name for the sum of all others, whoever the holder is.
     context_.loads.on_peer_work(
         instance_id("all"),
@@ -537,40 +595,33 @@
     send_to_all(std::move(message), steady_now());
 }
 
-/// Follows the list of servers by the holder's word. News that was missed
-/// makes this daemon read the list itself.
-void peer_news::take_relayed(const schema::peer_message_record& message,
-                             time_point now)
+/// Asks the reader of the failure domain for changes that were missed.
+void peer_news::ask_reader()
 {
-    const news_order order{message.epoch, message.sequence};
-    const bool next = order.epoch == heard_order_.epoch &&
-                      order.sequence == heard_order_.sequence + 1;
-    if (order > heard_order_)
-        heard_order_ = order;
-    std::vector<store_row> rows;
-    for (const auto& row : message.rows)
-        rows.push_back(to_row(*row));
-    watch_.take_relayed(rows);
-    if (!next)
-        watch_.ask_for_list();
-    if (message.list_fresh && next)
-        watch_.list_relayed_at(now, message.list_position);
+    const auto reader = watch_.readers().best_reader(steady_now());
+    const auto found = reader ? members_.find(*reader) : members_.end();
+    if (found != members_.end())
+        request_snapshot(found->second.address);
 }
 
 /// Sends what the asking daemon does not know yet.
 void peer_news::send_snapshot(const schema::peer_message_record& request)
 {
     const bool newer = request.configuration_version < configuration_version();
-    const bool list = request.list_position == 0 && context_.servers_known;
-    if (!newer && !list)
+    std::optional<std::vector<store_row>> rows;
+    if (request.list_position < watch_.list_position())
+        rows = watch_.rows_after(request.list_position);
+    if (!newer && !rows)
         return;
     auto message = make_message(schema::message_kind::snapshot);
     const auto& bytes = watch_.configuration_bytes();
     if (newer)
         message.body.assign(bytes.begin(), bytes.end());
-    if (list)
-        for (const auto& row : watch_.list_rows())
+    if (rows) {
+        message.list_since = request.list_position;
+        for (const auto& row : *rows)
             message.rows.push_back(to_record(row));
+    }
     link_.send({request.address, request.port}, std::move(message), false);
 }
 
@@ -581,11 +632,9 @@
             std::string_view(reinterpret_cast<const char*>(message.body.data()),
                              message.body.size()),
             message.sender->instance);
-    std::vector<store_row> rows;
-    for (const auto& row : message.rows)
-        rows.push_back(to_row(*row));
-    if (!rows.empty())
-        watch_.take_list_of_neighbour(rows, message.list_position);
+    if (message.list_since > 0 || !message.rows.empty())
+        watch_.take_list_of_neighbour(rows_of(message),
+                                      claim_of(message, steady_now()));
 }
 
 void peer_news::request_snapshot(const peer_address& from)
--- a/libs/gateway/src/peer_news.hpp
+++ b/libs/gateway/src/peer_news.hpp
@@ -5,6 +5,7 @@
 #include "store_watch.hpp"
 
 #include <barleyfork/core/relay_choice.hpp>
+#include <barleyfork/core/takeover_turn.hpp>
 #include <barleyfork/net/peer_link.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -78,6 +79,13 @@
 
     void set_holding(bool holds, std::uint64_t epoch);
 
+    /// This daemon has just taken the lease: the others hear it at once.
+    void begin_holding(std::uint64_t epoch);
+
+    /// How well this daemon's link suits the lease's holder, who speaks to
+    /// all, among the daemons that are known.
+    holder_rank rank_as_holder() const;
+
     bool is_holding() const noexcept
     {
         return holding_;
@@ -107,8 +115,8 @@
     /// The other daemons of this one's failure domain.
     std::vector<peer_address> neighbours() const;
     std::uint64_t configuration_version() const noexcept;
-    void take_relayed(const schema::peer_message_record& message,
-                      time_point now);
+    void add_list_changes(schema::peer_message_record& message);
+    void ask_reader();
     void send_snapshot(const schema::peer_message_record& request);
     void take_snapshot(const schema::peer_message_record& message);
     void request_snapshot(const peer_address& from);
@@ -145,8 +153,6 @@
     std::uint64_t epoch_ = 0;
     std::uint64_t sequence_ = 0;
     std::uint64_t announced_ = 0;
-    /// The newest of the holders' news that came in.
-    news_order heard_order_;
     time_point beat_at_{};
 };
 
--- a/libs/gateway/src/placement_duty.cpp
+++ b/libs/gateway/src/placement_duty.cpp
@@ -13,8 +13,6 @@
 constexpr int planning_share = 8;
 constexpr std::int64_t holder_tick_ms = 50;
 constexpr std::int64_t candidate_tick_ms = 100;
-/// Over this time the daemons that start together look for a lease.
-constexpr std::int64_t first_spread_ms = 800;
 /// News of what servers hold goes out no more often than this.
 constexpr duration publish_interval{150};
 /// Below this number of daemons each piece of news goes out at once.
@@ -73,9 +71,6 @@
 
 asio::awaitable<void> placement_duty::run()
 {
-    // Daemons that start together don't all try at once.
-    std::uniform_int_distribution<std::int64_t> spread(0, first_spread_ms);
-    co_await sleep_for_ms(spread(context_.random) + handicap_ms());
     while (!stopping_) {
         co_await keep_lease();
         const bool holds = lease_.held(boot_now());
@@ -84,7 +79,7 @@
         else
             controllers_.clear();
         if (holds != news_.is_holding())
-            watch_.set_relaying(holds);
+            watch_.set_holder(holds);
         news_.set_holding(holds, lease_.epoch());
         co_await sleep_for_ms(holds ? holder_tick_ms : candidate_tick_ms);
     }
--- a/libs/gateway/src/placement_duty.hpp
+++ b/libs/gateway/src/placement_duty.hpp
@@ -7,6 +7,7 @@
 
 #include <barleyfork/core/lease.hpp>
 #include <barleyfork/core/placement_controller.hpp>
+#include <barleyfork/core/takeover_turn.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <map>
@@ -38,9 +39,11 @@
     static lease_options
     make_lease_options(const schema::bound_settings_record& bounds);
 
-    std::int64_t handicap_ms() const;
-    void schedule_read(time_point now);
+    holder_rank rank() const;
+    /// A random number from 0 to 1.
+    double draw();
     boost::asio::awaitable<void> keep_lease();
+    boost::asio::awaitable<void> write_if_due(bool held, bool hears_holder);
     void take_over(time_point now, time_point steady);
     void on_released(bool named);
     past_orders recent_orders(time_point now) const;
@@ -77,7 +80,7 @@
     /// What the store's clock said last, and when that was asked.
     std::int64_t store_ms_ = 0;
     time_point store_ms_at_{};
-    time_point next_read_{};
+    takeover_turn turn_;
     time_point next_demand_log_{};
     time_point published_at_{};
     /// A holder that let go without telling may have ordered just before.
--- a/libs/gateway/src/placement_duty_lease.cpp
+++ b/libs/gateway/src/placement_duty_lease.cpp
@@ -23,21 +23,13 @@
 constexpr duration lease_renewal{600};
 /// Slack for the time a message takes.
 constexpr duration lease_slack{300};
-/// The candidates' looks at an unheard holder's lease are spread at least so.
-constexpr std::int64_t shortest_read_spread_ms = 300;
-/// Candidates that a holder which let go did not name look this much later.
-constexpr duration successor_head_start{600};
 /// What an earlier process of this instance sent has arrived after this.
 constexpr duration own_restart_gap{500};
-/// A daemon with this share of a processor and this link is a good holder;
-/// smaller ones hold back by up to the delay.
+/// Until the others are known, a daemon with this share of a processor and
+/// this link takes itself for well placed.
 constexpr double full_share = 0.5;
 constexpr double full_link_mbps = 200.0;
-constexpr double small_daemon_delay_ms = 1500.0;
-/// Candidates' looks are spread by so much for each daemon.
-constexpr std::int64_t read_spread_ms = 20;
-/// How often a candidate reads the row while it hears no holder.
-constexpr duration read_interval{700};
+constexpr double most_unknown_handicap = 0.375;
 
 /// Clocks of daemons are never compared: the row tells ages.
 order_ages ages_of(const past_orders& orders, time_point now)
@@ -69,37 +61,42 @@
     return options;
 }
 
-/// Daemons with little of a processor or a narrow link let others try first.
-std::int64_t placement_duty::handicap_ms() const
+/// Daemons with a narrow link let others try first.
+holder_rank placement_duty::rank() const
 {
+    auto rank = news_.rank_as_holder();
+    if (rank.daemons > 1)
+        return rank;
     const auto& settings = context_.settings;
     const double processor = std::min(settings.cpu_share / full_share, 1.0);
     const double link = std::min(settings.link_mbps / full_link_mbps, 1.0);
-    return static_cast<std::int64_t>(small_daemon_delay_ms *
-                                     (1.0 - std::min(processor, link)));
+    rank.handicap = most_unknown_handicap * (1.0 - std::min(processor, link));
+    return rank;
 }
 
-/// A candidate looks at the lease when it ends, spread so that the one that
-/// takes it is heard before most others ask.
-void placement_duty::schedule_read(time_point now)
+double placement_duty::draw()
 {
-    const auto spread_ms = std::max<std::int64_t>(
-        shortest_read_spread_ms,
-        read_spread_ms * static_cast<std::int64_t>(context_.daemons()));
-    std::uniform_int_distribution<std::int64_t> spread(0, spread_ms);
-    next_read_ = std::max(now + read_interval, lease_.expires_at()) +
-                 duration(spread(context_.random) + handicap_ms());
+    return std::uniform_real_distribution<double>()(context_.random);
 }
 
 asio::awaitable<void> placement_duty::keep_lease()
 {
-    const auto now = boot_now();
-    const bool held = lease_.held(now);
+    const bool held = lease_.held(boot_now());
     const bool hears_holder = news_.hears_holder(steady_now());
-    if (!held && now >= next_read_ && !hears_holder) {
+    if (!held) {
+        turn_.hear(hears_holder, rank(), boot_now(), draw());
+        if (!turn_.due(boot_now()))
+            co_return;
         co_await read_lease();
-        schedule_read(boot_now());
     }
+    co_await write_if_due(held, hears_holder);
+    if (!held)
+        turn_.looked(lease_.expires_at(), rank(), boot_now(), draw());
+}
+
+/// Renews a lease that is held, or takes one that has ended.
+asio::awaitable<void> placement_duty::write_if_due(bool held, bool hears_holder)
+{
     const auto id = context_.self.value() + "-" + std::to_string(++writes_) +
                     "-" + std::to_string(context_.random());
     const auto row = lease_.next_write(
@@ -110,11 +107,13 @@
         take_over(boot_now(), steady_now());
     wrote_ = true;
     co_await write_lease(*row);
-    if (!held && lease_.held(boot_now()))
-        log_event(log_level::info, "lease_taken")
-            .with("lease", lease_key)
-            .with("epoch", static_cast<std::int64_t>(lease_.epoch()))
-            .with("orders_told", previous_.told ? "yes" : "no");
+    if (held || !lease_.held(boot_now()))
+        co_return;
+    log_event(log_level::info, "lease_taken")
+        .with("lease", lease_key)
+        .with("epoch", static_cast<std::int64_t>(lease_.epoch()))
+        .with("orders_told", previous_.told ? "yes" : "no");
+    news_.begin_holding(lease_.epoch());
 }
 
 /// What the lease says of its last holder: one that let go and told its
@@ -149,7 +148,7 @@
 
 asio::awaitable<void> placement_duty::read_lease()
 {
-    context_.measures.count_store_call();
+    context_.measures.count_store_call(store_purpose::lease, "read");
     const auto began = boot_now();
     const auto read =
         co_await context_.platform.store->read_row(lease_table, lease_key);
@@ -194,7 +193,7 @@
 
 asio::awaitable<void> placement_duty::write_lease(lease_row row)
 {
-    context_.measures.count_store_call();
+    context_.measures.count_store_call(store_purpose::lease, "write");
     const auto began = boot_now();
     stored_lease stored{
         row, context_.settings.address, latest_store_ms(began), std::nullopt};
@@ -229,7 +228,7 @@
     log_event(log_level::info, "lease_released")
         .with("lease", lease_key)
         .with("successor", successor.value());
-    context_.measures.count_store_call();
+    context_.measures.count_store_call(store_purpose::lease, "release");
     const auto text = encode_lease(
         {*row,
          std::string(),
@@ -265,12 +264,7 @@
 /// when it should have been heard.
 void placement_duty::on_released(bool named)
 {
-    if (named) {
-        next_read_ = boot_now();
-        return;
-    }
-    schedule_read(boot_now());
-    next_read_ = std::max(next_read_, boot_now() + successor_head_start);
+    turn_.released(named, rank(), boot_now(), draw());
 }
 
 } // namespace barleyfork
--- a/libs/gateway/src/store_watch.cpp
+++ b/libs/gateway/src/store_watch.cpp
@@ -25,17 +25,26 @@
 
 /// How often it is asked whether the list is due.
 constexpr std::int64_t list_tick_ms = 150;
-/// The holder's word on the list stands this long after it came.
-constexpr duration relay_silence{900};
-/// A holder whose own reading is older than this does not vouch for the list.
-constexpr duration list_freshness{800};
+/// Daemons wait so much longer than a reader before they read the list
+/// themselves.
+constexpr duration neighbour_patience{700};
+
+list_intervals make_intervals(const schema::store_settings_record& settings)
+{
+    list_intervals intervals;
+    intervals.holder = duration(settings.holder_interval_ms);
+    intervals.reader = duration(settings.server_interval_ms);
+    intervals.neighbour = intervals.reader + neighbour_patience;
+    intervals.floor = duration(settings.relayed_interval_ms);
+    return intervals;
+}
 
 } // namespace
 
 store_watch::store_watch(gateway_context& context)
     : context_(context),
       readers_({context.settings.link_mbps, context.self}, steady_now()),
-      started_at_(steady_now())
+      started_at_(steady_now()), list_(make_intervals(*context.settings.store))
 {
 }
 
@@ -53,10 +62,13 @@
 {
     const bool read_before = readers_.is_reader();
     const bool reads = readers_.decide(now);
-    if (reads != read_before)
+    if (reads != read_before) {
+        if (!holder_)
+            pass_on_from_here();
         log_event(log_level::info, reads ? "reading_began" : "reading_left")
             .with("configuration_position",
                   static_cast<std::int64_t>(configuration_position_.version));
+    }
     return !reads && (known || now < started_at_ + longest_wait_for_neighbour);
 }
 
@@ -89,9 +101,10 @@
             co_await sleep_for_ms(neighbour_tick_ms);
             continue;
         }
-        context_.measures.count_store_call();
         auto& store = *context_.platform.store;
         const bool whole = !position.known;
+        context_.measures.count_store_call(store_purpose::configuration,
+                                           whole ? "whole" : "changes");
         store_read read;
         if (whole)
             read = co_await store.read_row(table, key);
@@ -143,62 +156,69 @@
 
 asio::awaitable<void> store_watch::follow_servers()
 {
-    const auto table = context_.platform.server_table;
-    auto& position = list_position_;
     for (;;) {
         const auto began = steady_now();
-        const bool due = position.known ? is_list_due(began)
-                                        : !waits_for_neighbour(false, began);
+        const bool due = list_.known() ? is_list_due(began)
+                                       : !waits_for_neighbour(false, began);
         if (!due) {
             end_round();
-            co_await sleep_for_ms(position.known ? list_tick_ms
-                                                 : neighbour_tick_ms);
+            co_await sleep_for_ms(list_.known() ? list_tick_ms
+                                                : neighbour_tick_ms);
             continue;
         }
-        list_wanted_ = false;
-        reading_list_ = true;
-        context_.measures.count_store_call();
-        auto& store = *context_.platform.store;
-        const bool whole = !position.known;
-        store_read read;
-        if (whole)
-            read = co_await store.read_table(table);
-        else
-            read = co_await store.read_changes(
-                table, position.version, duration{0});
-        reading_list_ = false;
-        if (read.error || !position.advance(read)) {
-            if (kind_of(read.error.code) == errc::conflict)
-                position.known = false;
-            else
-                set_reachable(!read.error, read.error);
-            list_wanted_ = true;
-            end_round();
-            co_await sleep_for_ms(failure_pause_ms());
-            continue;
-        }
-        set_reachable(true, {});
-        read_at_ = began;
-        if (whole)
-            take_list(read.rows, read.version, began);
-        else
-            take_changes(read.rows, began);
+        const bool done = co_await read_list(began);
         end_round();
-        co_await sleep_for_ms(list_tick_ms);
+        co_await sleep_for_ms(done ? list_tick_ms : failure_pause_ms());
+    }
+}
+
+/// Reads the list or its changes; false where that failed.
+asio::awaitable<bool> store_watch::read_list(time_point began)
+{
+    const auto table = context_.platform.server_table;
+    const bool whole = !list_.known();
+    const auto position = list_.position();
+    context_.measures.count_store_call(store_purpose::server_list,
+                                       whole ? "whole" : "changes");
+    auto& store = *context_.platform.store;
+    store_read read;
+    if (whole)
+        read = co_await store.read_table(table);
+    else
+        read = co_await store.read_changes(table, position, duration{0});
+    // An answer may come from the store's past.
+    if (read.error || read.version < position) {
+        if (kind_of(read.error.code) == errc::conflict)
+            list_.forget();
+        else
+            set_reachable(!read.error, read.error);
+        list_.want();
+        co_return false;
     }
+    set_reachable(true, {});
+    if (whole)
+        take_list(read.rows, read.version, began);
+    else
+        take_changes(read.rows, log_level::info, began);
+    list_.on_read(read.version, began);
+    co_return true;
+}
+
+list_role store_watch::role() const noexcept
+{
+    if (holder_)
+        return list_role::holder;
+    return readers_.is_reader() ? list_role::reader : list_role::neighbour;
 }
 
-/// Daemons that hear the holder's word read the list themselves only now and
-/// then.
-bool store_watch::is_list_due(time_point now) const
+/// A daemon that lost the store looks for it itself.
+bool store_watch::is_list_due(time_point now)
 {
-    const auto& settings = *context_.settings.store;
-    const bool relayed = now < relayed_at_ + relay_silence &&
-                         !context_.directory.awaits_return(now);
-    const auto interval = relaying_ ? settings.holder_interval_ms
-                          : relayed ? settings.relayed_interval_ms
-                                    : settings.server_interval_ms;
-    return list_wanted_ || now >= read_at_ + duration(interval);
+    const bool reader_heard = readers_.hears_reader(now);
+    const auto step = list_.next(role(), reader_heard, now);
+    if (step == list_step::ask_reader && on_missed_)
+        on_missed_();
+    return step == list_step::read_store || !reachable_;
 }
 
 /// Servers whose return was awaited for long enough are dropped, and calls
@@ -207,114 +227,126 @@
 {
     for (const auto& gone : context_.directory.expire(steady_now())) {
         log_event(log_level::info, "server_gone").with("server", gone.value());
-        list_wanted_ = true;
+        list_.want();
     }
 }
 
-/// A read that is wanted or under way closes a gap in the news: until then
-/// the position stays before the gap.
-void store_watch::list_relayed_at(time_point now,
-                                  std::uint64_t position) noexcept
+void store_watch::set_holder(bool holder)
 {
-    relayed_at_ = now;
-    if (list_position_.known && !list_wanted_ && !reading_list_)
-        list_position_.version = std::max(list_position_.version, position);
+    holder_ = holder;
+    pass_on_from_here();
 }
 
-void store_watch::set_relaying(bool relaying)
+/// What is passed on from now on begins after what is known now.
+void store_watch::pass_on_from_here()
 {
-    relaying_ = relaying;
     to_relay_.clear();
+    relayed_since_ = list_.position();
 }
 
-std::vector<store_row> store_watch::take_relayed_rows()
+store_watch::relayed_rows store_watch::take_relayed_rows()
 {
-    return std::exchange(to_relay_, {});
+    relayed_rows taken{relayed_since_, std::move(to_relay_)};
+    pass_on_from_here();
+    return taken;
 }
 
-bool store_watch::list_is_fresh(time_point now) const noexcept
+void store_watch::take_told(const std::vector<store_row>& rows,
+                            const list_claim& claim)
 {
-    return now < read_at_ + list_freshness;
-}
-
-void store_watch::take_relayed(const std::vector<store_row>& rows)
-{
-    if (context_.servers_known)
-        take_changes(rows, steady_now());
+    if (!context_.servers_known)
+        return;
+    take_changes(rows, log_level::debug, steady_now());
+    if (claim.since > 0)
+        list_.hear(claim);
 }
 
 /// Takes in the whole list as it was at `position`. What it changes is passed
-/// on like single changes: daemons that hear the holder rely on it.
+/// on like single changes: daemons that are told rely on it.
 void store_watch::take_list(const std::vector<store_row>& rows,
                             std::uint64_t position,
                             time_point now)
 {
     std::vector<backend_entry> entries;
     std::set<std::string> listed;
+    const bool passes_on = role() != list_role::neighbour;
     for (const auto& row : rows) {
         listed.insert(row.key);
         auto& applied = rows_[row.key];
-        if (relaying_ && row.version > applied.version)
+        if (passes_on && row.version > applied.row.version)
             to_relay_.push_back(row);
-        applied = row;
-        if (auto entry = decode(row))
+        applied = {row, row.version};
+        if (auto entry = decode(row, log_level::info))
             entries.push_back(std::move(*entry));
     }
-    for (auto& [key, row] : rows_) {
-        if (row.deleted || listed.contains(key))
+    for (auto& [key, applied] : rows_) {
+        if (applied.row.deleted || listed.contains(key))
             continue;
-        row = {key, {}, position, true};
-        if (relaying_)
-            to_relay_.push_back(row);
+        applied = {{key, {}, position, true}, position};
+        if (passes_on)
+            to_relay_.push_back(applied.row);
     }
+    if (!drops_known_since_)
+        drops_known_since_ = position;
     context_.directory.replace(entries, now);
     context_.servers_known = true;
     context_.wake_waiting();
 }
 
 void store_watch::take_list_of_neighbour(const std::vector<store_row>& rows,
-                                         std::uint64_t position)
+                                         const list_claim& claim)
 {
-    if (list_position_.known || position == 0)
+    if (list_.known()) {
+        take_told(rows, claim);
         return;
-    list_position_ = {position, true};
-    take_list(rows, position, steady_now());
+    }
+    if (claim.position == 0 || claim.since > 0)
+        return;
+    take_list(rows, claim.position, steady_now());
+    list_.on_read(claim.position, claim.known_at);
 }
 
-std::vector<store_row> store_watch::list_rows() const
+std::optional<std::vector<store_row>>
+store_watch::rows_after(std::uint64_t position) const
 {
+    if (!drops_known_since_ || (position > 0 && position < *drops_known_since_))
+        return std::nullopt;
     std::vector<store_row> rows;
-    for (const auto& [key, row] : rows_)
-        if (!row.deleted)
-            rows.push_back(row);
+    for (const auto& [key, applied] : rows_)
+        if (applied.news_version > position &&
+            (position > 0 || !applied.row.deleted))
+            rows.push_back(applied.row);
     return rows;
 }
 
 /// Changes are applied in their order: a row may stand in them twice, and
-/// they come both from the store and from the holder.
+/// they come both from the store and from other daemons.
 void store_watch::take_changes(const std::vector<store_row>& rows,
+                               log_level listed_level,
                                time_point now)
 {
     bool changed = false;
+    const bool passes_on = role() != list_role::neighbour;
     for (const auto& row : rows) {
         auto& applied = rows_[row.key];
-        if (row.version <= applied.version)
+        if (row.version <= applied.row.version)
             continue;
-        applied = row;
-        if (const auto entry = decode(row)) {
-            const auto* known = context_.directory.find(entry->id);
-            const bool news =
-                known == nullptr || known->missing_since ||
-                !backend_entry::differ_in_heartbeats_only(known->entry, *entry);
-            changed = changed || news;
-            if (relaying_ && news)
-                to_relay_.push_back(row);
+        applied.row = row;
+        const auto entry = decode(row, listed_level);
+        const auto* known =
+            entry ? context_.directory.find(entry->id) : nullptr;
+        const bool news =
+            known == nullptr || known->missing_since ||
+            !backend_entry::differ_in_heartbeats_only(known->entry, *entry);
+        changed = changed || news;
+        if (news)
+            applied.news_version = row.version;
+        if (news && passes_on)
+            to_relay_.push_back(row);
+        if (entry) {
             context_.directory.update(*entry);
             continue;
         }
-        changed = true;
-        if (relaying_)
-            to_relay_.push_back(row);
         log_event(log_level::info, "server_unlisted")
             .with("server", row.key)
             .with("row_version", static_cast<std::int64_t>(row.version));
@@ -325,7 +357,8 @@
 }
 
 /// The server that a row names; nothing where it names none to use.
-std::optional<backend_entry> store_watch::decode(const store_row& row) const
+std::optional<backend_entry> store_watch::decode(const store_row& row,
+                                                 log_level listed_level) const
 {
     if (row.deleted)
         return std::nullopt;
@@ -338,15 +371,18 @@
             .with("error", error.detail);
         return std::nullopt;
     }
-    log_leaving(entry);
+    log_change(entry, listed_level);
     return entry;
 }
 
-void store_watch::log_leaving(const backend_entry& entry) const
+/// Those that read the store say which servers are new, so that hundreds of
+/// daemons don't say so of hundreds of servers.
+void store_watch::log_change(const backend_entry& entry,
+                             log_level listed_level) const
 {
     const auto* known = context_.directory.find(entry.id);
     if (known == nullptr && context_.servers_known)
-        log_event(log_level::info, "server_listed")
+        log_event(listed_level, "server_listed")
             .with("server", entry.id.value())
             .with("started_ms",
                   static_cast<std::int64_t>(entry.held.started_ms))
--- a/libs/gateway/src/store_watch.hpp
+++ b/libs/gateway/src/store_watch.hpp
@@ -3,6 +3,8 @@
 
 #include "gateway_context.hpp"
 
+#include <barleyfork/base/log.hpp>
+#include <barleyfork/core/list_follower.hpp>
 #include <barleyfork/core/reader_choice.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -30,32 +32,38 @@
     /// peer; older versions are ignored.
     void take_configuration(std::string_view bytes, std::string_view source);
 
-    /// Takes in changes of the list that the placement's holder passed on.
-    void take_relayed(const std::vector<store_row>& rows);
+    /// Takes in changes of the list that another daemon passed on, and what
+    /// it claims of them; a claim since 0 claims nothing.
+    void take_told(const std::vector<store_row>& rows, const list_claim& claim);
 
-    /// The holder's word on the list was whole and fresh at `now`; the holder
-    /// knew all changes up to `position` of the store.
-    void list_relayed_at(time_point now, std::uint64_t position) noexcept;
+    /// This daemon reads the list for all from now on, or no more.
+    void set_holder(bool holder);
 
-    /// Reads the list at the next look: news of it may have been missed.
-    void ask_for_list() noexcept
+    /// Changes that were not passed on yet; `since` is the version of the
+    /// store after which they are complete.
+    struct relayed_rows
     {
-        list_wanted_ = true;
-    }
-
-    /// This daemon passes changes of the list on from now on, or no more.
-    void set_relaying(bool relaying);
-
-    /// Changes that were not passed on yet.
-    std::vector<store_row> take_relayed_rows();
+        std::uint64_t since = 0;
+        std::vector<store_row> rows;
+    };
+    relayed_rows take_relayed_rows();
 
     bool has_rows_to_relay() const noexcept
     {
         return !to_relay_.empty();
     }
 
-    /// True where the list was read from the store just before `now`.
-    bool list_is_fresh(time_point now) const noexcept;
+    /// Changes after a version of the store, all rows after 0; nothing where
+    /// rows that were dropped since then are not known.
+    std::optional<std::vector<store_row>>
+    rows_after(std::uint64_t position) const;
+
+    /// Called where changes were missed that a reader of the failure domain
+    /// may know.
+    void on_missed(std::function<void()> handler)
+    {
+        on_missed_ = std::move(handler);
+    }
 
     /// The newest configuration in the store's form.
     const std::string& configuration_bytes() const noexcept
@@ -89,7 +97,12 @@
     }
     std::uint64_t list_position() const noexcept
     {
-        return list_position_.version;
+        return list_.position();
+    }
+    /// The time as of which the list is known.
+    time_point list_known_at() const noexcept
+    {
+        return list_.known_at();
     }
 
     /// A neighbour knows what is known here, up to `position`.
@@ -97,10 +110,7 @@
 
     /// The whole list as a neighbour has it, which was read at `position`.
     void take_list_of_neighbour(const std::vector<store_row>& rows,
-                                std::uint64_t position);
-
-    /// All rows of the list.
-    std::vector<store_row> list_rows() const;
+                                const list_claim& claim);
 
     /// False while the store does not answer this daemon.
     bool reachable() const noexcept
@@ -124,11 +134,17 @@
     void take_list(const std::vector<store_row>& rows,
                    std::uint64_t position,
                    time_point now);
-    void take_changes(const std::vector<store_row>& rows, time_point now);
-    bool is_list_due(time_point now) const;
+    void take_changes(const std::vector<store_row>& rows,
+                      log_level listed_level,
+                      time_point now);
+    void pass_on_from_here();
+    list_role role() const noexcept;
+    bool is_list_due(time_point now);
+    boost::asio::awaitable<bool> read_list(time_point began);
     void end_round();
-    std::optional<backend_entry> decode(const store_row& row) const;
-    void log_leaving(const backend_entry& entry) const;
+    std::optional<backend_entry> decode(const store_row& row,
+                                        log_level listed_level) const;
+    void log_change(const backend_entry& entry, log_level listed_level) const;
     void set_reachable(bool reachable, const failure& error);
 
     gateway_context& context_;
@@ -137,18 +153,25 @@
     std::function<void()> on_configuration_;
     std::string bytes_;
     table_position configuration_position_;
-    table_position list_position_;
+    list_follower list_;
     bool reachable_ = true;
     /// Calls in a row that failed.
     int failures_ = 0;
-    /// The newest version of each row that was applied; dropped ones too.
-    std::map<std::string, store_row> rows_;
-    bool relaying_ = false;
+    /// A row of the list as it was applied.
+    struct applied_row
+    {
+        /// The newest version of it; a dropped one too.
+        store_row row;
+        /// The version that told more than a heartbeat.
+        std::uint64_t news_version = 0;
+    };
+    std::map<std::string, applied_row> rows_;
+    /// Rows that were dropped after this version of the store are known.
+    std::optional<std::uint64_t> drops_known_since_;
+    bool holder_ = false;
+    std::uint64_t relayed_since_ = 0;
     std::vector<store_row> to_relay_;
-    time_point read_at_{};
-    time_point relayed_at_{};
-    bool list_wanted_ = false;
-    bool reading_list_ = false;
+    std::function<void()> on_missed_;
 };
 
 } // namespace barleyfork
--- a/libs/schema/include/barleyfork/schema/gateway_generated.h
+++ b/libs/schema/include/barleyfork/schema/gateway_generated.h
@@ -129,7 +129,7 @@
   std::string address{};
   uint32_t request_timeout_ms = 1000;
   uint32_t watch_wait_ms = 20000;
-  uint32_t server_interval_ms = 900;
+  uint32_t server_interval_ms = 1200;
   uint32_t holder_interval_ms = 500;
   uint32_t relayed_interval_ms = 30000;
 };
@@ -160,7 +160,7 @@
     return GetField<uint32_t>(VT_WATCH_WAIT_MS, 20000);
   }
   uint32_t server_interval_ms() const {
-    return GetField<uint32_t>(VT_SERVER_INTERVAL_MS, 900);
+    return GetField<uint32_t>(VT_SERVER_INTERVAL_MS, 1200);
   }
   uint32_t holder_interval_ms() const {
     return GetField<uint32_t>(VT_HOLDER_INTERVAL_MS, 500);
@@ -198,7 +198,7 @@
     fbb_.AddElement<uint32_t>(store_settings::VT_WATCH_WAIT_MS, watch_wait_ms, 20000);
   }
   void add_server_interval_ms(uint32_t server_interval_ms) {
-    fbb_.AddElement<uint32_t>(store_settings::VT_SERVER_INTERVAL_MS, server_interval_ms, 900);
+    fbb_.AddElement<uint32_t>(store_settings::VT_SERVER_INTERVAL_MS, server_interval_ms, 1200);
   }
   void add_holder_interval_ms(uint32_t holder_interval_ms) {
     fbb_.AddElement<uint32_t>(store_settings::VT_HOLDER_INTERVAL_MS, holder_interval_ms, 500);
@@ -223,7 +223,7 @@
     flatbuffers::Offset<flatbuffers::String> address = 0,
     uint32_t request_timeout_ms = 1000,
     uint32_t watch_wait_ms = 20000,
-    uint32_t server_interval_ms = 900,
+    uint32_t server_interval_ms = 1200,
     uint32_t holder_interval_ms = 500,
     uint32_t relayed_interval_ms = 30000) {
   store_settingsBuilder builder_(_fbb);
@@ -246,7 +246,7 @@
     const char *address = nullptr,
     uint32_t request_timeout_ms = 1000,
     uint32_t watch_wait_ms = 20000,
-    uint32_t server_interval_ms = 900,
+    uint32_t server_interval_ms = 1200,
     uint32_t holder_interval_ms = 500,
     uint32_t relayed_interval_ms = 30000) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
--- a/libs/schema/include/barleyfork/schema/peer_generated.h
+++ b/libs/schema/include/barleyfork/schema/peer_generated.h
@@ -1077,7 +1077,6 @@
   std::vector<std::unique_ptr<barleyfork::schema::adapter_need_record>> uses{};
   std::vector<std::unique_ptr<barleyfork::schema::server_news_record>> servers{};
   std::vector<std::unique_ptr<barleyfork::schema::listed_row_record>> rows{};
-  bool list_fresh = false;
   std::string failure_domain{};
   bool pass_on = false;
   uint64_t configuration_version = 0;
@@ -1089,6 +1088,8 @@
   std::string successor{};
   std::vector<barleyfork::schema::used_adapter> running{};
   std::vector<barleyfork::schema::outstanding_work> work{};
+  uint64_t list_since = 0;
+  uint32_t list_age_ms = 0;
   peer_message_record() = default;
   peer_message_record(const peer_message_record &o);
   peer_message_record(peer_message_record&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1102,9 +1103,9 @@
 /// for a snapshot says with them what is known already. `epoch` is the
 /// lease epoch of a placement's holder; `body` of a snapshot is the newest
 /// configuration in the store's own form. `rows` are changes of the server
-/// list; `running` are the adapters that the sender's requests use now;
-/// `list_fresh` says that the sender read the list just now. A daemon
-/// that is told to `pass_on` sends the message to the others of its domain. A
+/// list, all those after version `list_since` where that is not 0, and
+/// `list_age_ms` tells how old the sender's knowledge of the list is; `running`
+/// are the adapters that the sender's requests use now. A daemon that is told to `pass_on` sends the message to the others of its domain. A
 /// holder that lets its lease go says so by `released`, and which daemon is to
 /// take it by `successor`.
 struct peer_message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1128,7 +1129,6 @@
     VT_USES = 30,
     VT_SERVERS = 32,
     VT_ROWS = 36,
-    VT_LIST_FRESH = 38,
     VT_FAILURE_DOMAIN = 40,
     VT_PASS_ON = 42,
     VT_CONFIGURATION_VERSION = 44,
@@ -1139,7 +1139,9 @@
     VT_RELEASED = 54,
     VT_SUCCESSOR = 56,
     VT_RUNNING = 58,
-    VT_WORK = 60
+    VT_WORK = 60,
+    VT_LIST_SINCE = 62,
+    VT_LIST_AGE_MS = 64
   };
   barleyfork::schema::message_kind kind() const {
     return static_cast<barleyfork::schema::message_kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -1189,9 +1191,6 @@
   const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::listed_row>> *rows() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::listed_row>> *>(VT_ROWS);
   }
-  bool list_fresh() const {
-    return GetField<uint8_t>(VT_LIST_FRESH, 0) != 0;
-  }
   const flatbuffers::String *failure_domain() const {
     return GetPointer<const flatbuffers::String *>(VT_FAILURE_DOMAIN);
   }
@@ -1225,6 +1224,12 @@
   const flatbuffers::Vector<const barleyfork::schema::outstanding_work *> *work() const {
     return GetPointer<const flatbuffers::Vector<const barleyfork::schema::outstanding_work *> *>(VT_WORK);
   }
+  uint64_t list_since() const {
+    return GetField<uint64_t>(VT_LIST_SINCE, 0);
+  }
+  uint32_t list_age_ms() const {
+    return GetField<uint32_t>(VT_LIST_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -1262,7 +1267,6 @@
            VerifyOffset(verifier, VT_ROWS) &&
            verifier.VerifyVector(rows()) &&
            verifier.VerifyVectorOfTables(rows()) &&
-           VerifyField<uint8_t>(verifier, VT_LIST_FRESH, 1) &&
            VerifyOffset(verifier, VT_FAILURE_DOMAIN) &&
            verifier.VerifyString(failure_domain()) &&
            VerifyField<uint8_t>(verifier, VT_PASS_ON, 1) &&
@@ -1278,6 +1282,8 @@
            verifier.VerifyVector(running()) &&
            VerifyOffset(verifier, VT_WORK) &&
            verifier.VerifyVector(work()) &&
+           VerifyField<uint64_t>(verifier, VT_LIST_SINCE, 8) &&
+           VerifyField<uint32_t>(verifier, VT_LIST_AGE_MS, 4) &&
            verifier.EndTable();
   }
   peer_message_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1337,9 +1343,6 @@
   void add_rows(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::listed_row>>> rows) {
     fbb_.AddOffset(peer_message::VT_ROWS, rows);
   }
-  void add_list_fresh(bool list_fresh) {
-    fbb_.AddElement<uint8_t>(peer_message::VT_LIST_FRESH, static_cast<uint8_t>(list_fresh), 0);
-  }
   void add_failure_domain(flatbuffers::Offset<flatbuffers::String> failure_domain) {
     fbb_.AddOffset(peer_message::VT_FAILURE_DOMAIN, failure_domain);
   }
@@ -1373,6 +1376,12 @@
   void add_work(flatbuffers::Offset<flatbuffers::Vector<const barleyfork::schema::outstanding_work *>> work) {
     fbb_.AddOffset(peer_message::VT_WORK, work);
   }
+  void add_list_since(uint64_t list_since) {
+    fbb_.AddElement<uint64_t>(peer_message::VT_LIST_SINCE, list_since, 0);
+  }
+  void add_list_age_ms(uint32_t list_age_ms) {
+    fbb_.AddElement<uint32_t>(peer_message::VT_LIST_AGE_MS, list_age_ms, 0);
+  }
   explicit peer_messageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1403,7 +1412,6 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::adapter_need>>> uses = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::server_news>>> servers = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::listed_row>>> rows = 0,
-    bool list_fresh = false,
     flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
     bool pass_on = false,
     uint64_t configuration_version = 0,
@@ -1414,13 +1422,17 @@
     bool released = false,
     flatbuffers::Offset<flatbuffers::String> successor = 0,
     flatbuffers::Offset<flatbuffers::Vector<const barleyfork::schema::used_adapter *>> running = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const barleyfork::schema::outstanding_work *>> work = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const barleyfork::schema::outstanding_work *>> work = 0,
+    uint64_t list_since = 0,
+    uint32_t list_age_ms = 0) {
   peer_messageBuilder builder_(_fbb);
+  builder_.add_list_since(list_since);
   builder_.add_list_position(list_position);
   builder_.add_configuration_position(configuration_position);
   builder_.add_configuration_version(configuration_version);
   builder_.add_epoch(epoch);
   builder_.add_sequence(sequence);
+  builder_.add_list_age_ms(list_age_ms);
   builder_.add_work(work);
   builder_.add_running(running);
   builder_.add_successor(successor);
@@ -1442,7 +1454,6 @@
   builder_.add_released(released);
   builder_.add_follows(follows);
   builder_.add_pass_on(pass_on);
-  builder_.add_list_fresh(list_fresh);
   builder_.add_kind(kind);
   return builder_.Finish();
 }
@@ -1470,7 +1481,6 @@
     const std::vector<flatbuffers::Offset<barleyfork::schema::adapter_need>> *uses = nullptr,
     const std::vector<flatbuffers::Offset<barleyfork::schema::server_news>> *servers = nullptr,
     const std::vector<flatbuffers::Offset<barleyfork::schema::listed_row>> *rows = nullptr,
-    bool list_fresh = false,
     const char *failure_domain = nullptr,
     bool pass_on = false,
     uint64_t configuration_version = 0,
@@ -1481,7 +1491,9 @@
     bool released = false,
     const char *successor = nullptr,
     const std::vector<barleyfork::schema::used_adapter> *running = nullptr,
-    const std::vector<barleyfork::schema::outstanding_work> *work = nullptr) {
+    const std::vector<barleyfork::schema::outstanding_work> *work = nullptr,
+    uint64_t list_since = 0,
+    uint32_t list_age_ms = 0) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::member>>(*members) : 0;
   auto quarantine__ = quarantine ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::quarantine_entry>>(*quarantine) : 0;
   auto digest__ = digest ? _fbb.CreateString(digest) : 0;
@@ -1514,7 +1526,6 @@
       uses__,
       servers__,
       rows__,
-      list_fresh,
       failure_domain__,
       pass_on,
       configuration_version,
@@ -1525,7 +1536,9 @@
       released,
       successor__,
       running__,
-      work__);
+      work__,
+      list_since,
+      list_age_ms);
 }
 
 flatbuffers::Offset<peer_message> Createpeer_message(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1813,7 +1826,6 @@
         address(o.address),
         port(o.port),
         epoch(o.epoch),
-        list_fresh(o.list_fresh),
         failure_domain(o.failure_domain),
         pass_on(o.pass_on),
         configuration_version(o.configuration_version),
@@ -1824,7 +1836,9 @@
         released(o.released),
         successor(o.successor),
         running(o.running),
-        work(o.work) {
+        work(o.work),
+        list_since(o.list_since),
+        list_age_ms(o.list_age_ms) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new barleyfork::schema::member_record(*members_) : nullptr); }
   quarantine.reserve(o.quarantine.size());
@@ -1858,7 +1872,6 @@
   std::swap(uses, o.uses);
   std::swap(servers, o.servers);
   std::swap(rows, o.rows);
-  std::swap(list_fresh, o.list_fresh);
   std::swap(failure_domain, o.failure_domain);
   std::swap(pass_on, o.pass_on);
   std::swap(configuration_version, o.configuration_version);
@@ -1870,6 +1883,8 @@
   std::swap(successor, o.successor);
   std::swap(running, o.running);
   std::swap(work, o.work);
+  std::swap(list_since, o.list_since);
+  std::swap(list_age_ms, o.list_age_ms);
   return *this;
 }
 
@@ -1898,7 +1913,6 @@
   { auto _e = uses(); if (_e) { _o->uses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->uses[_i] = std::unique_ptr<barleyfork::schema::adapter_need_record>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = servers(); if (_e) { _o->servers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->servers[_i] = std::unique_ptr<barleyfork::schema::server_news_record>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = rows(); if (_e) { _o->rows.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rows[_i] = std::unique_ptr<barleyfork::schema::listed_row_record>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = list_fresh(); _o->list_fresh = _e; }
   { auto _e = failure_domain(); if (_e) _o->failure_domain = _e->str(); }
   { auto _e = pass_on(); _o->pass_on = _e; }
   { auto _e = configuration_version(); _o->configuration_version = _e; }
@@ -1910,6 +1924,8 @@
   { auto _e = successor(); if (_e) _o->successor = _e->str(); }
   { auto _e = running(); if (_e) { _o->running.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->running[_i] = *_e->Get(_i); } } }
   { auto _e = work(); if (_e) { _o->work.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->work[_i] = *_e->Get(_i); } } }
+  { auto _e = list_since(); _o->list_since = _e; }
+  { auto _e = list_age_ms(); _o->list_age_ms = _e; }
 }
 
 inline flatbuffers::Offset<peer_message> peer_message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1936,7 +1952,6 @@
   auto _uses = _o->uses.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::adapter_need>> (_o->uses.size(), [](size_t i, _VectorArgs *__va) { return Createadapter_need(*__va->__fbb, __va->__o->uses[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _servers = _o->servers.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::server_news>> (_o->servers.size(), [](size_t i, _VectorArgs *__va) { return Createserver_news(*__va->__fbb, __va->__o->servers[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _rows = _o->rows.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::listed_row>> (_o->rows.size(), [](size_t i, _VectorArgs *__va) { return Createlisted_row(*__va->__fbb, __va->__o->rows[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _list_fresh = _o->list_fresh;
   auto _failure_domain = _o->failure_domain.empty() ? 0 : _fbb.CreateString(_o->failure_domain);
   auto _pass_on = _o->pass_on;
   auto _configuration_version = _o->configuration_version;
@@ -1948,6 +1963,8 @@
   auto _successor = _o->successor.empty() ? 0 : _fbb.CreateString(_o->successor);
   auto _running = _o->running.size() ? _fbb.CreateVectorOfStructs(_o->running) : 0;
   auto _work = _o->work.size() ? _fbb.CreateVectorOfStructs(_o->work) : 0;
+  auto _list_since = _o->list_since;
+  auto _list_age_ms = _o->list_age_ms;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       _kind,
@@ -1966,7 +1983,6 @@
       _uses,
       _servers,
       _rows,
-      _list_fresh,
       _failure_domain,
       _pass_on,
       _configuration_version,
@@ -1977,7 +1993,9 @@
       _released,
       _successor,
       _running,
-      _work);
+      _work,
+      _list_since,
+      _list_age_ms);
 }
 
 inline const barleyfork::schema::peer_message *Getpeer_message(const void *buf) {
