Derive how often the server list is read from the bound on leaving servers

A reader read the list each 1.2 s, and a call that hung took another second and a pause. Now the interval is what the bound leaves after one hung call, at most 1.2 s, and a reader speaks as soon as it has read. Test: a_hung_call_leaves_time_for_another, fails with 1.2 and 1.9 s.

--- a/libs/core/include/barleyfork/core/list_follower.hpp
+++ b/libs/core/include/barleyfork/core/list_follower.hpp
@@ -50,6 +50,16 @@
     duration floor{30000};
 };
 
+/// Time between a reader's words to its neighbours.
+constexpr duration reader_word_interval{400};
+/// The longest pause after a first failed call to the store.
+constexpr duration longest_first_pause{450};
+
+/// Shortens intervals where a leaving server must be known within `bound`
+/// although one call to the store hangs for `call_timeout`.
+list_intervals
+within_bound(list_intervals intervals, duration bound, duration call_timeout);
+
 /// Decides how a daemon follows the list of backend servers: by the word of
 /// the placement's holder, by that of a reader in its failure domain, or by
 /// reading the store. Not thread-safe.
--- a/libs/core/src/list_follower.cpp
+++ b/libs/core/src/list_follower.cpp
@@ -4,6 +4,27 @@
 
 namespace barleyfork {
 
+namespace {
+
+/// From a read's end to the last request that did not heed it.
+constexpr duration way_slack{150};
+/// A word comes this much later than it should.
+constexpr duration word_slack{100};
+constexpr duration shortest_interval{200};
+
+} // namespace
+
+list_intervals
+within_bound(list_intervals intervals, duration bound, duration call_timeout)
+{
+    const auto longest = bound - call_timeout - longest_first_pause - way_slack;
+    intervals.reader =
+        std::max(shortest_interval, std::min(intervals.reader, longest));
+    intervals.holder = std::min(intervals.holder, intervals.reader);
+    intervals.neighbour = intervals.reader + reader_word_interval + word_slack;
+    return intervals;
+}
+
 bool list_follower::hear(const list_claim& claim)
 {
     if (!known_ || claim.since > position_) {
--- a/libs/core/tests/list_follower_test.cpp
+++ b/libs/core/tests/list_follower_test.cpp
@@ -118,6 +118,7 @@
     CPPUNIT_TEST(without_any_word_each_reads);
     CPPUNIT_TEST(a_claim_after_a_gap_proves_nothing);
     CPPUNIT_TEST(a_change_of_holder_is_no_gap);
+    CPPUNIT_TEST(a_hung_call_leaves_time_for_another);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -146,6 +147,21 @@
         CPPUNIT_ASSERT(domain.oldest() <= oldest_allowed);
     }
 
+    /// A read hangs for its whole timeout; the next one, after a pause, still
+    /// comes within the bound. Played on further scale-2, where requests
+    /// reached a server 2.76 s after it said that it leaves (bound 2.5 s).
+    void a_hung_call_leaves_time_for_another()
+    {
+        constexpr duration call_timeout{1000};
+        for (const duration bound : {duration{2500}, duration{4000}}) {
+            const auto intervals =
+                within_bound(list_intervals(), bound, call_timeout);
+            CPPUNIT_ASSERT(
+                intervals.reader + call_timeout + longest_first_pause < bound);
+            CPPUNIT_ASSERT(intervals.neighbour + call_timeout < bound);
+        }
+    }
+
     void a_claim_after_a_gap_proves_nothing()
     {
         list_follower daemon{list_intervals()};
--- a/libs/gateway/src/peer_news.cpp
+++ b/libs/gateway/src/peer_news.cpp
@@ -25,8 +25,6 @@
 constexpr std::int64_t holder_member_interval_ms = 3000;
 constexpr std::int64_t member_pause_ms = 2000;
 constexpr std::int64_t retry_pause_ms = 700;
-/// Time between a reader's words to its neighbours: three in a word's life.
-constexpr std::int64_t word_interval_ms = 400;
 /// Neighbours that a starting daemon asks for what they know.
 constexpr std::size_t neighbours_asked = 2;
 
@@ -153,6 +151,10 @@
       started_ms_(static_cast<std::uint64_t>(wall_clock_ms()))
 {
     watch.on_missed([this] { ask_reader(); });
+    watch.on_list_read([this] {
+        if (!holding_ && !hears_holder(steady_now()))
+            speak();
+    });
 }
 
 bool peer_news::listen()
@@ -304,19 +306,24 @@
 asio::awaitable<void> peer_news::speak_to_neighbours()
 {
     for (;;) {
-        const bool follows = watch_.follows();
-        if (follows || told_following_) {
-            auto message = make_message(schema::message_kind::following);
-            message.follows = follows;
-            if (!holding_)
-                add_list_changes(message);
-            link_.broadcast(neighbours(), message);
-        }
-        told_following_ = follows;
-        co_await sleep_for_ms(word_interval_ms);
+        speak();
+        co_await sleep_for_ms(reader_word_interval.count());
     }
 }
 
+void peer_news::speak()
+{
+    const bool follows = watch_.follows();
+    if (follows || told_following_) {
+        auto message = make_message(schema::message_kind::following);
+        message.follows = follows;
+        if (!holding_)
+            add_list_changes(message);
+        link_.broadcast(neighbours(), message);
+    }
+    told_following_ = follows;
+}
+
 void peer_news::pass_configuration_on()
 {
     if (!watch_.follows())
--- a/libs/gateway/src/peer_news.hpp
+++ b/libs/gateway/src/peer_news.hpp
@@ -115,6 +115,7 @@
     /// The other daemons of this one's failure domain.
     std::vector<peer_address> neighbours() const;
     std::uint64_t configuration_version() const noexcept;
+    void speak();
     void add_list_changes(schema::peer_message_record& message);
     void ask_reader();
     void send_snapshot(const schema::peer_message_record& request);
--- a/libs/gateway/src/store_watch.cpp
+++ b/libs/gateway/src/store_watch.cpp
@@ -16,7 +16,7 @@
 /// Pause after a failed call; spread so that daemons don't come together, and
 /// doubled with each further failure up to so many times.
 constexpr std::int64_t shortest_pause_ms = 150;
-constexpr std::int64_t longest_pause_ms = 450;
+constexpr std::int64_t longest_pause_ms = longest_first_pause.count();
 constexpr int most_doublings = 2;
 /// How often a daemon that leaves the reading to a neighbour looks again.
 constexpr std::int64_t neighbour_tick_ms = 100;
@@ -25,18 +25,18 @@
 
 /// How often it is asked whether the list is due.
 constexpr std::int64_t list_tick_ms = 150;
-/// Daemons wait so much longer than a reader before they read the list
-/// themselves.
-constexpr duration neighbour_patience{700};
 
-list_intervals make_intervals(const schema::store_settings_record& settings)
+list_intervals make_intervals(const schema::gateway_settings_record& settings)
 {
+    const auto& store = *settings.store;
     list_intervals intervals;
-    intervals.holder = duration(settings.holder_interval_ms);
-    intervals.reader = duration(settings.server_interval_ms);
-    intervals.neighbour = intervals.reader + neighbour_patience;
-    intervals.floor = duration(settings.relayed_interval_ms);
-    return intervals;
+    intervals.holder = duration(store.holder_interval_ms);
+    intervals.reader = duration(store.server_interval_ms);
+    intervals.floor = duration(store.relayed_interval_ms);
+    return within_bound(
+        intervals,
+        duration(static_cast<std::int64_t>(settings.bounds->drain_ms)),
+        duration(store.request_timeout_ms));
 }
 
 } // namespace
@@ -44,7 +44,7 @@
 store_watch::store_watch(gateway_context& context)
     : context_(context),
       readers_({context.settings.link_mbps, context.self}, steady_now()),
-      started_at_(steady_now()), list_(make_intervals(*context.settings.store))
+      started_at_(steady_now()), list_(make_intervals(context.settings))
 {
 }
 
@@ -201,6 +201,8 @@
     else
         take_changes(read.rows, log_level::info, began);
     list_.on_read(read.version, began);
+    if (on_list_read_)
+        on_list_read_();
     co_return true;
 }
 
--- a/libs/gateway/src/store_watch.hpp
+++ b/libs/gateway/src/store_watch.hpp
@@ -65,6 +65,12 @@
         on_missed_ = std::move(handler);
     }
 
+    /// Called when this daemon has read the list.
+    void on_list_read(std::function<void()> handler)
+    {
+        on_list_read_ = std::move(handler);
+    }
+
     /// The newest configuration in the store's form.
     const std::string& configuration_bytes() const noexcept
     {
@@ -172,6 +178,7 @@
     std::uint64_t relayed_since_ = 0;
     std::vector<store_row> to_relay_;
     std::function<void()> on_missed_;
+    std::function<void()> on_list_read_;
 };
 
 } // namespace barleyfork
