Take no late copy of an answer for another request's

Could happen here, twice: on a connection that was used before an answer that named no request was delivered to the next caller, and a request that was refused and sent again to the same server on the same connection took a second copy of the refusal, which bears its id, for its own: the caller was told "not run" while it ran. Now an answer on a reused connection must name its request, and a second send to a server opens a connection.

--- a/libs/gateway/src/backend_connection.cpp
+++ b/libs/gateway/src/backend_connection.cpp
@@ -53,6 +53,7 @@
     receiver_ = std::move(receiver);
     written_ = false;
     stray_answers_ = 0;
+    ++exchanges_;
     if (state_ == state::fresh) {
         connect();
         return;
--- a/libs/gateway/src/backend_connection.hpp
+++ b/libs/gateway/src/backend_connection.hpp
@@ -82,6 +82,13 @@
         return state_ != state::closed;
     }
 
+    /// True where an earlier exchange used this connection: a late copy of its
+    /// answer may come in place of this one's.
+    bool is_reused() const noexcept
+    {
+        return exchanges_ > 1;
+    }
+
     /// True where the kept connection may be used until `now` at least.
     bool is_usable(time_point now, double share_of_timeout) const noexcept;
 
@@ -126,6 +133,7 @@
     bool head_reported_ = false;
     /// The answer being read belongs to an earlier request.
     bool stray_ = false;
+    std::size_t exchanges_ = 0;
     int stray_answers_ = 0;
     std::optional<parser> parser_;
     std::string unread_;
--- a/libs/gateway/src/backend_pool.cpp
+++ b/libs/gateway/src/backend_pool.cpp
@@ -32,6 +32,12 @@
             return connection;
         connection->cancel();
     }
+    return open(target);
+}
+
+std::shared_ptr<backend_connection>
+backend_pool::open(const boost::asio::ip::tcp::endpoint& target)
+{
     ++opened_;
     return std::make_shared<backend_connection>(
         executor_, timers_, target, [this, target](const auto& connection) {
--- a/libs/gateway/src/backend_pool.hpp
+++ b/libs/gateway/src/backend_pool.hpp
@@ -24,6 +24,10 @@
             bool repeatable,
             time_point now);
 
+    /// A new connection to `target`.
+    std::shared_ptr<backend_connection>
+    open(const boost::asio::ip::tcp::endpoint& target);
+
     /// True where `acquire` would give a kept connection.
     bool has_idle(const boost::asio::ip::tcp::endpoint& target,
                   bool repeatable,
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -313,8 +313,12 @@
     attempt_->tokens_ahead = load.own_waiting_tokens + facts_.prompt_tokens;
     attempt_->ticket = context_.loads.begin(
         chosen.server, facts_.prompt_tokens, route_->priority, now);
+    // A second send bears the first one's id, so that a late copy of the
+    // first answer would pass for its own where it comes on one connection.
     attempt_->connection =
-        context_.pool.acquire(chosen.target, route_->repeatable(), now);
+        tried_.contains(chosen.server)
+            ? context_.pool.open(chosen.target)
+            : context_.pool.acquire(chosen.target, route_->repeatable(), now);
     ++tried_[chosen.server];
     log_event(log_level::info, "request_sent")
         .with("request", facts_.try_id)
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -137,6 +137,7 @@
     void on_deadline();
 
     attempt_end classify(exchange_end end) const;
+    bool belongs_here() const;
     bool is_failure_to_repeat() const;
     bool is_sound_answer() const;
     void record_end(attempt_end end, time_point now);
--- a/libs/gateway/src/gateway_call_answers.cpp
+++ b/libs/gateway/src/gateway_call_answers.cpp
@@ -155,6 +155,14 @@
     return facts.signed_by_server && facts.try_id == facts_.try_id;
 }
 
+/// False for an answer that may be a late copy of an earlier one: it came on
+/// a connection that was used before and does not say whose it is.
+bool gateway_call::belongs_here() const
+{
+    return !attempt_->facts.try_id.empty() ||
+           !attempt_->connection->is_reused();
+}
+
 /// A failing answer of an idempotent request, worth another try.
 bool gateway_call::is_failure_to_repeat() const
 {
@@ -166,6 +174,8 @@
 {
     if (!attempt_->sending)
         return attempt_end::not_sent;
+    if (attempt_->head && !belongs_here())
+        return attempt_end::lost_before_answer;
     if (attempt_->head && attempt_->facts.not_run)
         return attempt_end::refused_by_server;
     if (end == exchange_end::lost)
@@ -272,8 +282,9 @@
         return;
     case next_step::report_unknown:
         // The server's own failing answer says more than one of ours.
-        if (attempt_ && attempt_->head && is_failure_to_repeat() &&
-            attempt_->facts.signed_by_server && attempt_->answer_whole)
+        if (attempt_ && attempt_->head && belongs_here() &&
+            is_failure_to_repeat() && attempt_->facts.signed_by_server &&
+            attempt_->answer_whole)
             deliver_answer();
         else
             refuse(errc::outcome_unknown, std::nullopt);
