Bound a control call whose answer trickles

Could happen here: a call to the store or an engine had a limit for each silence only, so a peer that sent a byte now and then held it for ever. The whole answer has 15 s from when it should have begun; an answer followed by more bytes does not leave its connection for the next call. Test: an_answer_that_trickles_for_ever_is_given_up (the old loop has no such limit and reads on for the 100 s of the test's answer).

--- a/libs/net/include/barleyfork/net/http_client.hpp
+++ b/libs/net/include/barleyfork/net/http_client.hpp
@@ -27,6 +27,8 @@
     /// link takes long; giving it up only to ask again would keep the link
     /// full.
     duration longest_silence{1000};
+    /// For the whole answer, from when it should have begun at the latest.
+    duration longest_answer{15000};
     /// A new connection is given up after this, however long the call may
     /// take: the kernel's own tries come seconds apart.
     duration connect_timeout{1000};
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -47,18 +47,24 @@
                         to_string(endpoint) + " (" + error.message() + ")");
 }
 
-/// Reads an answer for as long as its parts keep coming.
+/// Reads an answer for as long as its parts keep coming, but not for ever: a
+/// peer that sends a byte now and then would hold the call.
 template <typename Parser>
-asio::awaitable<beast::error_code>
-read_answer(beast::tcp_stream& stream, Parser& parser, duration longest_silence)
+asio::awaitable<beast::error_code> read_answer(beast::tcp_stream& stream,
+                                               beast::flat_buffer& buffer,
+                                               Parser& parser,
+                                               const http_call& limits)
 {
-    beast::flat_buffer buffer;
+    const auto until = steady_now() + limits.timeout + limits.longest_answer;
     while (!parser.is_done()) {
         auto [error, size] =
             co_await http::async_read_some(stream, buffer, parser, as_result);
         if (error)
             co_return error;
-        stream.expires_after(longest_silence);
+        const auto left = until - steady_now();
+        if (left <= duration{0} && !parser.is_done())
+            co_return beast::error_code(beast::error::timeout);
+        stream.expires_after(std::min(limits.longest_silence, left));
     }
     co_return beast::error_code();
 }
@@ -104,8 +110,9 @@
     }
     http::response_parser<http::string_body> parser;
     parser.body_limit(largest_reply);
+    beast::flat_buffer buffer;
     const auto read_error =
-        co_await read_answer(stream, parser, request.longest_silence);
+        co_await read_answer(stream, buffer, parser, request);
     if (read_error) {
         reply.error = to_failure(read_error, endpoint);
         co_return reply;
@@ -115,7 +122,9 @@
     reply.etag = std::string(answer[http::field::etag]);
     reply.body = std::move(answer.body());
     auto& pool = idle_[key];
-    if (answer.keep_alive() && pool.size() < idle_connections) {
+    // Bytes beyond the answer belong to no call.
+    const bool clean = answer.keep_alive() && buffer.size() == 0;
+    if (clean && pool.size() < idle_connections) {
         stream.expires_never();
         pool.push_back(stream.release_socket());
     }
--- a/libs/net/tests/http_client_test.cpp
+++ b/libs/net/tests/http_client_test.cpp
@@ -151,6 +151,7 @@
     CPPUNIT_TEST(a_long_call_gives_up_a_hanging_connection_early);
     CPPUNIT_TEST(an_answer_that_keeps_coming_is_read_to_its_end);
     CPPUNIT_TEST(an_answer_that_stops_coming_is_given_up);
+    CPPUNIT_TEST(an_answer_that_trickles_for_ever_is_given_up);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -190,16 +191,27 @@
         CPPUNIT_ASSERT(kind_of(reply.error.code) == errc::timeout);
     }
 
+    /// No silence is long, and the end never comes.
+    void an_answer_that_trickles_for_ever_is_given_up()
+    {
+        constexpr int pieces = 1000;
+        const auto reply = ask_slow(pieces, duration{100}, duration{500});
+        CPPUNIT_ASSERT(kind_of(reply.error.code) == errc::timeout);
+    }
+
 private:
     /// Asks with a timeout of one second.
-    static http_reply ask_slow(int pieces, duration pause)
+    static http_reply ask_slow(int pieces,
+                               duration pause,
+                               duration longest_answer = duration{15000})
     {
         const slow_answerer answerer(pieces, pause);
         duty work("test", 16);
         http_client client;
         std::promise<http_reply> done;
         constexpr duration timeout{1000};
-        work.spawn(call(client, answerer.endpoint(), timeout, done));
+        work.spawn(
+            call(client, answerer.endpoint(), timeout, done, longest_answer));
         work.start();
         auto reply = done.get_future().get();
         work.stop();
@@ -210,11 +222,14 @@
     static boost::asio::awaitable<void> call(http_client& client,
                                              http_endpoint endpoint,
                                              duration timeout,
-                                             std::promise<http_reply>& done)
+                                             std::promise<http_reply>& done,
+                                             duration longest_answer = duration{
+                                                 15000})
     {
         http_call request;
         request.target = "/";
         request.timeout = timeout;
+        request.longest_answer = longest_answer;
         done.set_value(co_await client.call(endpoint, std::move(request)));
     }
 };
