Know the neighbours sooner and stop reading when a better one reads

At a first start no daemon knew its neighbours for 2 s, so 165 of 295 took themselves for the reader, and stayed it until their long poll of the configuration ended at 6.6 s; as readers they read the list at each missed word. Members are read again after 0.6 s, a daemon that knows no neighbours waits 1.5 s for a word, and the choice is made in the list's loop too.

--- a/libs/core/include/barleyfork/core/reader_choice.hpp
+++ b/libs/core/include/barleyfork/core/reader_choice.hpp
@@ -4,6 +4,7 @@
 #include <barleyfork/base/strong_id.hpp>
 #include <barleyfork/base/time.hpp>
 
+#include <algorithm>
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -35,13 +36,16 @@
     static constexpr duration head_start{150};
     /// No daemon lets more neighbours than this go first.
     static constexpr std::size_t most_head_starts = 6;
+    /// A daemon that does not know its neighbours yet waits for a word as if
+    /// so many were better placed.
+    static constexpr std::size_t unknown_head_starts = 10;
 
     reader_choice(reader_rank self, time_point now);
 
     /// How many neighbours are better placed than this daemon.
     void set_better_placed(std::size_t count) noexcept
     {
-        better_placed_ = count;
+        better_placed_ = std::min(count, most_head_starts);
     }
 
     /// A neighbour said whether it follows the store.
@@ -78,8 +82,7 @@
     std::map<instance_id, word> readers_;
     /// Since when no reader is heard.
     time_point silent_since_;
-    /// The most until the neighbours are known.
-    std::size_t better_placed_ = most_head_starts;
+    std::size_t better_placed_ = unknown_head_starts;
     bool reading_ = false;
 };
 
--- a/libs/core/src/reader_choice.cpp
+++ b/libs/core/src/reader_choice.cpp
@@ -33,8 +33,7 @@
 
 duration reader_choice::pause() const noexcept
 {
-    const auto turns = std::min(better_placed_, most_head_starts);
-    return static_cast<std::int64_t>(turns) * head_start;
+    return static_cast<std::int64_t>(better_placed_) * head_start;
 }
 
 std::optional<instance_id> reader_choice::best_reader(time_point now) const
--- a/libs/gateway/src/gateway_context.cpp
+++ b/libs/gateway/src/gateway_context.cpp
@@ -6,7 +6,8 @@
 
 constexpr duration shortest_news{200};
 constexpr duration longest_news{800};
-constexpr duration news_a_daemon{3};
+/// So that the holder hears some 700 messages a second at most.
+constexpr double news_ms_a_daemon = 1.5;
 /// The share of its time that a busy server works.
 constexpr double busy_utilisation = 0.8;
 
@@ -69,7 +70,8 @@
 
 duration gateway_context::news_interval() const noexcept
 {
-    const auto share = static_cast<std::int64_t>(daemons()) * news_a_daemon;
+    const duration share(static_cast<std::int64_t>(
+        news_ms_a_daemon * static_cast<double>(daemons())));
     return std::clamp(share, shortest_news, longest_news);
 }
 
--- a/libs/gateway/src/peer_news.cpp
+++ b/libs/gateway/src/peer_news.cpp
@@ -23,7 +23,7 @@
 /// learns of new ones from themselves too.
 constexpr std::int64_t member_interval_ms = 60000;
 constexpr std::int64_t holder_member_interval_ms = 3000;
-constexpr std::int64_t member_pause_ms = 2000;
+constexpr std::int64_t member_pause_ms = 600;
 constexpr std::int64_t retry_pause_ms = 700;
 /// Neighbours that a starting daemon asks for what they know.
 constexpr std::size_t neighbours_asked = 2;
--- a/libs/gateway/src/store_watch.cpp
+++ b/libs/gateway/src/store_watch.cpp
@@ -57,18 +57,25 @@
     return true;
 }
 
-/// True while a neighbour reads the store and what is `known` here suffices.
-bool store_watch::waits_for_neighbour(bool known, time_point now)
+/// Decides anew whether this daemon reads for its neighbours.
+bool store_watch::decide_reading(time_point now)
 {
     const bool read_before = readers_.is_reader();
     const bool reads = readers_.decide(now);
-    if (reads != read_before) {
-        if (!holder_)
-            pass_on_from_here();
-        log_event(log_level::info, reads ? "reading_began" : "reading_left")
-            .with("configuration_position",
-                  static_cast<std::int64_t>(configuration_position_.version));
-    }
+    if (reads == read_before)
+        return reads;
+    if (!holder_)
+        pass_on_from_here();
+    log_event(log_level::info, reads ? "reading_began" : "reading_left")
+        .with("configuration_position",
+              static_cast<std::int64_t>(configuration_position_.version));
+    return reads;
+}
+
+/// True while a neighbour reads the store and what is `known` here suffices.
+bool store_watch::waits_for_neighbour(bool known, time_point now)
+{
+    const bool reads = decide_reading(now);
     return !reads && (known || now < started_at_ + longest_wait_for_neighbour);
 }
 
@@ -216,6 +223,7 @@
 /// A daemon that lost the store looks for it itself.
 bool store_watch::is_list_due(time_point now)
 {
+    decide_reading(now);
     const bool reader_heard = readers_.hears_reader(now);
     const auto step = list_.next(role(), reader_heard, now);
     if (step == list_step::ask_reader && on_missed_)
--- a/libs/gateway/src/store_watch.hpp
+++ b/libs/gateway/src/store_watch.hpp
@@ -135,6 +135,7 @@
         bool advance(const store_read& read);
     };
 
+    bool decide_reading(time_point now);
     bool waits_for_neighbour(bool known, time_point now);
     std::int64_t failure_pause_ms();
     void take_list(const std::vector<store_row>& rows,
