Let the holder pass the server list on, and claim only what it collects

Cause: since a new holder speaks at once, the duty's loop no longer saw its state change and never told store_watch; so it read the list as rarely as others and claimed that messages without rows told all changes. Also, calls were woken before the position stood for the rows just taken in. Test: the_holder_reads_the_list_at_its_own_interval, failed first.

--- a/libs/gateway/src/placement_duty.cpp
+++ b/libs/gateway/src/placement_duty.cpp
@@ -78,8 +78,7 @@
             work(steady_now());
         else
             controllers_.clear();
-        if (holds != news_.is_holding())
-            watch_.set_holder(holds);
+        watch_.set_holder(holds);
         news_.set_holding(holds, lease_.epoch());
         co_await sleep_for_ms(holds ? holder_tick_ms : candidate_tick_ms);
     }
--- a/libs/gateway/src/placement_duty_lease.cpp
+++ b/libs/gateway/src/placement_duty_lease.cpp
@@ -113,6 +113,7 @@
         .with("lease", lease_key)
         .with("epoch", static_cast<std::int64_t>(lease_.epoch()))
         .with("orders_told", previous_.told ? "yes" : "no");
+    watch_.set_holder(true);
     news_.begin_holding(lease_.epoch());
 }
 
--- a/libs/gateway/src/store_watch.cpp
+++ b/libs/gateway/src/store_watch.cpp
@@ -203,11 +203,11 @@
         co_return false;
     }
     set_reachable(true, {});
-    if (whole)
-        take_list(read.rows, read.version, began);
-    else
-        take_changes(read.rows, log_level::info, began);
+    const bool news = whole ? take_list(read.rows, read.version, began)
+                            : take_changes(read.rows, log_level::info, began);
     list_.on_read(read.version, began);
+    if (news)
+        context_.wake_waiting();
     if (on_list_read_)
         on_list_read_();
     co_return true;
@@ -243,6 +243,8 @@
 
 void store_watch::set_holder(bool holder)
 {
+    if (holder == holder_)
+        return;
     holder_ = holder;
     pass_on_from_here();
 }
@@ -256,6 +258,9 @@
 
 store_watch::relayed_rows store_watch::take_relayed_rows()
 {
+    // One that collects no changes can't claim to tell them all.
+    if (role() == list_role::neighbour)
+        return {};
     relayed_rows taken{relayed_since_, std::move(to_relay_)};
     pass_on_from_here();
     return taken;
@@ -266,14 +271,16 @@
 {
     if (!context_.servers_known)
         return;
-    take_changes(rows, log_level::debug, steady_now());
+    const bool news = take_changes(rows, log_level::debug, steady_now());
     if (claim.since > 0)
         list_.hear(claim);
+    if (news)
+        context_.wake_waiting();
 }
 
 /// Takes in the whole list as it was at `position`. What it changes is passed
 /// on like single changes: daemons that are told rely on it.
-void store_watch::take_list(const std::vector<store_row>& rows,
+bool store_watch::take_list(const std::vector<store_row>& rows,
                             std::uint64_t position,
                             time_point now)
 {
@@ -300,7 +307,7 @@
         drops_known_since_ = position;
     context_.directory.replace(entries, now);
     context_.servers_known = true;
-    context_.wake_waiting();
+    return true;
 }
 
 void store_watch::take_list_of_neighbour(const std::vector<store_row>& rows,
@@ -314,6 +321,7 @@
         return;
     take_list(rows, claim.position, steady_now());
     list_.on_read(claim.position, claim.known_at);
+    context_.wake_waiting();
 }
 
 std::optional<std::vector<store_row>>
@@ -330,8 +338,10 @@
 }
 
 /// Changes are applied in their order: a row may stand in them twice, and
-/// they come both from the store and from other daemons.
-void store_watch::take_changes(const std::vector<store_row>& rows,
+/// they come both from the store and from other daemons. True where there was
+/// news; whoever is woken by it may pass it on, so first the position has to
+/// stand for what was taken in.
+bool store_watch::take_changes(const std::vector<store_row>& rows,
                                log_level listed_level,
                                time_point now)
 {
@@ -362,8 +372,7 @@
             .with("row_version", static_cast<std::int64_t>(row.version));
         context_.directory.remove(server_id(row.key), now);
     }
-    if (changed)
-        context_.wake_waiting();
+    return changed;
 }
 
 /// The server that a row names; nothing where it names none to use.
--- a/libs/gateway/src/store_watch.hpp
+++ b/libs/gateway/src/store_watch.hpp
@@ -138,10 +138,10 @@
     bool decide_reading(time_point now);
     bool waits_for_neighbour(bool known, time_point now);
     std::int64_t failure_pause_ms();
-    void take_list(const std::vector<store_row>& rows,
+    bool take_list(const std::vector<store_row>& rows,
                    std::uint64_t position,
                    time_point now);
-    void take_changes(const std::vector<store_row>& rows,
+    bool take_changes(const std::vector<store_row>& rows,
                       log_level listed_level,
                       time_point now);
     void pass_on_from_here();
