--- a/tools/barleyfork/main.cpp
+++ b/tools/barleyfork/main.cpp
@@ -33,7 +33,7 @@
 
 int main(int argc, char** argv)
 {
-    gflags::SetVersionString("0.4.0");
+    gflags::SetVersionString(BARLEYFORK_VERSION);
     gflags::SetUsageMessage("barleyfork [--address IP:PORT] [--key_file F] "
                             "COMMAND [ARGUMENT]");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
--- a/tools/barleyfork_gateway/main.cpp
+++ b/tools/barleyfork_gateway/main.cpp
@@ -44,7 +44,7 @@
 
 int main(int argc, char** argv)
 {
-    gflags::SetVersionString("0.4.0");
+    gflags::SetVersionString(BARLEYFORK_VERSION);
     gflags::SetUsageMessage("barleyfork_gateway --config FILE");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const auto path = settings_path();
--- a/tools/barleyforkd/main.cpp
+++ b/tools/barleyforkd/main.cpp
@@ -42,7 +42,7 @@
 
 int main(int argc, char** argv)
 {
-    gflags::SetVersionString("0.4.0");
+    gflags::SetVersionString(BARLEYFORK_VERSION);
     gflags::SetUsageMessage("barleyforkd --config FILE");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (FLAGS_config.empty()) {
