Let barleyforkd tell a late copy of an answer from the next answer

Could happen here: an engine that sent an answer once more, 0.4 s later, on a kept connection gave the next caller another caller's answer (scenario late_copy, failed first). Each exchange has an id now; a connection is kept only where the server echoes it, and another id ends the exchange as lost.

--- a/libs/daemon/src/backend_client.cpp
+++ b/libs/daemon/src/backend_client.cpp
@@ -24,6 +24,9 @@
 constexpr std::size_t idle_connections = 32;
 constexpr unsigned status_unavailable = 503;
 constexpr duration report_timeout{1000};
+/// Names one exchange; a server that echoes it may be sent another request on
+/// the same connection.
+constexpr const char* exchange_header = "X-Exchange-Id";
 
 std::int32_t parse_load(std::string_view text)
 {
@@ -43,6 +46,8 @@
     }
 
     std::shared_ptr<exchange> work;
+    /// The connection carried another exchange before.
+    bool reused = false;
     beast::tcp_stream stream;
     bool reusable = false;
 };
@@ -84,6 +89,11 @@
     co_await work->push(std::move(last));
 }
 
+std::string backend_client::next_exchange_id()
+{
+    return std::to_string(started_ms_) + "-" + std::to_string(++exchanges_);
+}
+
 /// Takes a kept connection or opens one; false where none could be had.
 asio::awaitable<bool> backend_client::connect(attempt& current)
 {
@@ -95,6 +105,7 @@
         if (!is_quiet(socket))
             continue;
         current.stream.socket() = std::move(socket);
+        current.reused = true;
         co_return true;
     }
     beast::error_code error;
@@ -123,6 +134,8 @@
     message.set(http::field::host, to_string(request.endpoint));
     for (const auto& [name, value] : request.headers)
         message.set(name, value);
+    const auto exchange_id = next_exchange_id();
+    message.set(exchange_header, exchange_id);
     message.body() = request.body;
     message.prepare_payload();
     current.stream.expires_after(request.first_byte_timeout);
@@ -138,6 +151,16 @@
         current.stream, buffer, parser, as_result);
     if (head_error)
         co_return attempt_end::lost_before_answer;
+    // A server may send a late copy of an earlier answer.
+    const auto echoed = parser.get()[exchange_header];
+    const bool echoes = echoed == exchange_id;
+    if (!echoes && (current.reused || !echoed.empty())) {
+        log_event(log_level::warn, "stray_answer_dropped")
+            .with("request", exchange_id)
+            .with("belongs_to", std::string(echoed))
+            .with("server", to_string(request.endpoint));
+        co_return attempt_end::lost_before_answer;
+    }
     if (parser.get().result_int() == status_unavailable &&
         parser.get()["x-not-run"] == "true")
         co_return attempt_end::refused_by_server;
@@ -166,7 +189,8 @@
         if (!co_await work.push(std::move(data)))
             co_return attempt_end::lost_in_answer;
     }
-    current.reusable = parser.get().keep_alive();
+    current.reusable =
+        parser.get().keep_alive() && echoes && buffer.size() == 0;
     co_return attempt_end::answered;
 }
 
--- a/libs/daemon/src/backend_client.hpp
+++ b/libs/daemon/src/backend_client.hpp
@@ -44,7 +44,11 @@
     boost::asio::awaitable<bool> crashed(const http_endpoint& endpoint,
                                          std::uint64_t boot);
 
+    std::string next_exchange_id();
+
     daemon_context& context_;
+    std::int64_t started_ms_ = wall_clock_ms();
+    std::uint64_t exchanges_ = 0;
     http_client control_client_;
     std::map<std::string, std::vector<boost::asio::ip::tcp::socket>> idle_;
     /// The process that each engine last reported.
--- a/libs/scenario/src/runner.cpp
+++ b/libs/scenario/src/runner.cpp
@@ -328,6 +328,10 @@
         const auto& other = callers_.at(line.text("same_as", ""))->wait();
         require(answer.body == other.body, line, seen + " " + other.body);
     }
+    if (line.has("other_than")) {
+        const auto& other = callers_.at(line.text("other_than", ""))->wait();
+        require(answer.body != other.body, line, seen + " " + other.body);
+    }
     if (line.has("tokens"))
         for (std::int64_t i = 0; i < line.number("tokens", 0); ++i) {
             const auto token = "\"w" + std::to_string(i) + " \"";
--- a/libs/standins/src/engine_standin.cpp
+++ b/libs/standins/src/engine_standin.cpp
@@ -18,6 +18,13 @@
 
 constexpr std::int64_t default_tokens = 16;
 
+/// An engine says on each answer whose it is.
+void echo_exchange(const http_incoming& in, http_outgoing& answer)
+{
+    answer.headers.emplace_back("X-Exchange-Id",
+                                std::string(in.header("x-exchange-id")));
+}
+
 struct held_model
 {
     std::uint32_t version = 0;
@@ -102,6 +109,7 @@
         take("silent", silent);
         take("break_streams_after", break_after);
         take("delay_ms", delay_ms);
+        take("second_copy_ms", second_copy_ms);
         take("leaving", leaving);
         take("between_tokens_ms", options.between_tokens_ms);
         take("first_token_ms", options.first_token_ms);
@@ -215,12 +223,14 @@
         if (!is_resident(model, version) || leaving > 1) {
             auto refusal = answer_json("model is not resident", 503);
             refusal.headers.emplace_back("x-not-run", "true");
+            echo_exchange(in, refusal);
             co_await out.send(std::move(refusal));
             co_return;
         }
         if (!co_await take_adapter(in)) {
             auto refusal = answer_json("the adapter does not fit", 503);
             refusal.headers.emplace_back("x-not-run", "true");
+            echo_exchange(in, refusal);
             co_await out.send(std::move(refusal));
             co_return;
         }
@@ -284,13 +294,19 @@
         co_await sleep_for_ms(options.first_token_ms);
         http_outgoing head;
         head.headers.emplace_back("x-engine-load", std::to_string(outstanding));
+        echo_exchange(in, head);
         if (!stream) {
             co_await sleep_for_ms(options.between_tokens_ms * total);
             json::object whole;
             whole["digest"] = digest;
             whole["tokens"] = total;
             head.body = json::serialize(whole);
+            const auto copy = head;
             co_await out.send(std::move(head));
+            if (second_copy_ms == 0)
+                co_return;
+            co_await sleep_for_ms(second_copy_ms);
+            co_await out.send(copy);
             co_return;
         }
         head.content_type = "text/event-stream";
@@ -360,6 +376,8 @@
     std::int64_t silent = 0;
     std::int64_t break_after = 0;
     std::int64_t delay_ms = 0;
+    /// A whole answer is sent once more after this; 0 for once.
+    std::int64_t second_copy_ms = 0;
     std::int64_t leaving = 0;
 };
 
--- a/libs/standins/src/service_standin.cpp
+++ b/libs/standins/src/service_standin.cpp
@@ -30,6 +30,8 @@
             co_await out.send(std::move(answer));
             co_return;
         }
+        answer.headers.emplace_back("X-Exchange-Id",
+                                    in.header("x-exchange-id"));
         if (refuse > 0) {
             --refuse;
             answer.status = 503;
