Ask others for a configuration that the store does not tell

The reader of a failure domain hung in its long call to the store for 20 s, on a connection that had gone silent, and told its neighbour all the while that it follows. Now a reader, or the holder, that hears of a newer version for half a second asks whoever told it (version_catchup). Tests: a_reader_whose_call_hangs_asks_another_daemon (failed first), version_catchup_test.

--- a/libs/gateway/src/peer_news.cpp
+++ b/libs/gateway/src/peer_news.cpp
@@ -516,6 +516,7 @@
     known.link_mbps = message.link_mbps;
     known.heard_at = steady_now();
     known.started_ms = message.sender->incarnation;
+    catch_up(message);
     switch (message.kind) {
     case schema::message_kind::placement:
         if (message.pass_on)
@@ -611,6 +612,17 @@
         request_snapshot(found->second.address);
 }
 
+/// Neighbours have their reader; a reader whose call to the store hangs, and
+/// the holder, whose word the readers hear, ask whoever knows more.
+void peer_news::catch_up(const schema::peer_message_record& message)
+{
+    const bool behind = catchup_.hear(
+        message.configuration_version, configuration_version(), steady_now());
+    const bool asks = holding_ || watch_.readers().is_reader();
+    if (behind && asks)
+        request_snapshot({message.address, message.port});
+}
+
 /// Sends what the asking daemon does not know yet.
 void peer_news::send_snapshot(const schema::peer_message_record& request)
 {
--- a/libs/gateway/src/peer_news.hpp
+++ b/libs/gateway/src/peer_news.hpp
@@ -6,6 +6,7 @@
 
 #include <barleyfork/core/relay_choice.hpp>
 #include <barleyfork/core/takeover_turn.hpp>
+#include <barleyfork/core/version_catchup.hpp>
 #include <barleyfork/net/peer_link.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -118,6 +119,7 @@
     void speak();
     void add_list_changes(schema::peer_message_record& message);
     void ask_reader();
+    void catch_up(const schema::peer_message_record& message);
     void send_snapshot(const schema::peer_message_record& request);
     void take_snapshot(const schema::peer_message_record& message);
     void request_snapshot(const peer_address& from);
@@ -155,6 +157,7 @@
     std::uint64_t sequence_ = 0;
     std::uint64_t announced_ = 0;
     time_point beat_at_{};
+    version_catchup catchup_;
 };
 
 } // namespace barleyfork
