--- a/libs/core/include/barleyfork/core/holder_change.hpp
+++ b/libs/core/include/barleyfork/core/holder_change.hpp
@@ -40,6 +40,11 @@
     duration load_window{5000};
 };
 
+/// Those of the orders that still bind others.
+past_orders binding_orders(const past_orders& orders,
+                           order_bounds bounds,
+                           time_point now);
+
 /// What a holder that lets go may tell of its own and earlier orders; nothing
 /// while orders of an earlier holder bind that it was not told of.
 std::optional<past_orders> orders_to_leave(const previous_holder& previous,
--- a/libs/core/src/holder_change.cpp
+++ b/libs/core/src/holder_change.cpp
@@ -5,22 +5,27 @@
 
 namespace barleyfork {
 
-past_orders orders_of_others(const previous_holder& previous,
-                             order_bounds bounds,
-                             time_point now)
+past_orders
+binding_orders(const past_orders& orders, order_bounds bounds, time_point now)
 {
     past_orders binding;
-    if (!previous.told)
-        return binding;
-    for (const auto& [server, at] : previous.told->last_order)
+    for (const auto& [server, at] : orders.last_order)
         if (now < at + bounds.holder_gap)
             binding.last_order.emplace(server, at);
-    for (const auto at : previous.told->store_loads)
+    for (const auto at : orders.store_loads)
         if (now < at + bounds.load_window)
             binding.store_loads.push_back(at);
     return binding;
 }
 
+past_orders orders_of_others(const previous_holder& previous,
+                             order_bounds bounds,
+                             time_point now)
+{
+    return previous.told ? binding_orders(*previous.told, bounds, now)
+                         : past_orders();
+}
+
 std::optional<past_orders> orders_to_leave(const previous_holder& previous,
                                            past_orders own,
                                            order_bounds bounds,
--- a/libs/core/src/placement_controller.cpp
+++ b/libs/core/src/placement_controller.cpp
@@ -91,14 +91,10 @@
 
 past_orders placement_controller::recent_orders(time_point now) const
 {
-    past_orders recent;
-    for (const auto& [server, at] : ordered_at_)
-        if (now < at + options_.holder_gap)
-            recent.last_order.emplace(server, at);
-    for (const auto at : store_loads_)
-        if (now < at + options_.load_window)
-            recent.store_loads.push_back(at);
-    return recent;
+    return binding_orders(
+        {ordered_at_, {store_loads_.begin(), store_loads_.end()}},
+        {options_.holder_gap, options_.load_window},
+        now);
 }
 
 /// A process that is not known yet: its sequence is asked for.
--- /dev/null
+++ b/libs/gateway/src/peer_records.cpp
@@ -0,0 +1,125 @@
+#include "peer_records.hpp"
+
+#include <algorithm>
+
+namespace barleyfork {
+
+namespace {
+
+constexpr std::uint64_t hundred = 100;
+
+std::uint16_t to_short(std::uint64_t number)
+{
+    constexpr std::uint64_t largest = 65535;
+    return static_cast<std::uint16_t>(std::min(number, largest));
+}
+
+store_row to_row(const schema::listed_row_record& record)
+{
+    store_row row;
+    row.key = record.key;
+    row.value.assign(record.value.begin(), record.value.end());
+    row.version = record.version;
+    row.deleted = record.deleted;
+    return row;
+}
+
+} // namespace
+
+std::unique_ptr<schema::server_news_record>
+to_record(const server_holding& news)
+{
+    auto made = std::make_unique<schema::server_news_record>();
+    auto& record = *made;
+    record.server = news.server.value();
+    record.started_ms = news.held.started_ms;
+    for (const auto& held : news.held.models) {
+        auto model = std::make_unique<schema::resident_news_record>();
+        model->model = held.model.value();
+        model->ready = held.ready;
+        model->adapters = held.adapters;
+        record.models.push_back(std::move(model));
+    }
+    return made;
+}
+
+held_state to_held(const schema::server_news_record& record)
+{
+    held_state held;
+    held.started_ms = record.started_ms;
+    for (const auto& model : record.models)
+        held.models.push_back(
+            {model_id(model->model), model->ready, model->adapters});
+    return held;
+}
+
+std::unique_ptr<schema::adapter_need_record>
+to_record(const std::pair<model_id, std::string>& adapter)
+{
+    auto record = std::make_unique<schema::adapter_need_record>();
+    record->model = adapter.first.value();
+    record->adapter = adapter.second;
+    return record;
+}
+
+std::uint32_t age_ms(time_point known_at, time_point now)
+{
+    constexpr std::int64_t oldest_ms = 3600000;
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>((now - known_at).count(), 0, oldest_ms));
+}
+
+list_claim claim_of(const schema::peer_message_record& message, time_point now)
+{
+    return {message.list_since,
+            message.list_position,
+            now - duration(message.list_age_ms)};
+}
+
+std::vector<schema::outstanding_work>
+to_records(std::span<const peer_work> work)
+{
+    std::vector<schema::outstanding_work> records;
+    for (const auto& entry : work) {
+        const auto& tokens = entry.tokens.by_class;
+        records.emplace_back(entry.server,
+                             to_short(entry.requests),
+                             to_short(tokens[0] / hundred),
+                             to_short(tokens[1] / hundred),
+                             to_short(tokens[2] / hundred));
+    }
+    return records;
+}
+
+std::vector<peer_work>
+to_work(std::span<const schema::outstanding_work> records)
+{
+    std::vector<peer_work> work;
+    for (const auto& record : records)
+        work.push_back({record.server_hash(),
+                        record.requests(),
+                        {{record.hundred_tokens_0() * hundred,
+                          record.hundred_tokens_1() * hundred,
+                          record.hundred_tokens_2() * hundred}}});
+    return work;
+}
+
+std::unique_ptr<schema::listed_row_record> to_record(const store_row& row)
+{
+    auto record = std::make_unique<schema::listed_row_record>();
+    record->key = row.key;
+    record->value.assign(row.value.begin(), row.value.end());
+    record->version = row.version;
+    record->deleted = row.deleted;
+    return record;
+}
+
+std::vector<store_row> rows_of(const schema::peer_message_record& message)
+{
+    std::vector<store_row> rows;
+    for (const auto& row : message.rows)
+        rows.push_back(to_row(*row));
+    return rows;
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/gateway/src/peer_records.hpp
@@ -0,0 +1,42 @@
+#ifndef BARLEYFORK_GATEWAY_SRC_PEER_RECORDS_HPP
+#define BARLEYFORK_GATEWAY_SRC_PEER_RECORDS_HPP
+
+#include "peer_news.hpp"
+
+#include <barleyfork/core/list_follower.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace barleyfork {
+
+/// What daemons tell each other, as records of the schema and back.
+std::unique_ptr<schema::server_news_record>
+to_record(const server_holding& news);
+held_state to_held(const schema::server_news_record& record);
+
+std::unique_ptr<schema::adapter_need_record>
+to_record(const std::pair<model_id, std::string>& adapter);
+
+/// Work on servers; tokens are told in hundreds.
+std::vector<schema::outstanding_work>
+to_records(std::span<const peer_work> work);
+std::vector<peer_work>
+to_work(std::span<const schema::outstanding_work> records);
+
+std::unique_ptr<schema::listed_row_record> to_record(const store_row& row);
+std::vector<store_row> rows_of(const schema::peer_message_record& message);
+
+/// How old knowledge of `known_at` is, in milliseconds; an hour at most.
+std::uint32_t age_ms(time_point known_at, time_point now);
+
+/// What a message that came at `now` claims of the server list.
+list_claim claim_of(const schema::peer_message_record& message, time_point now);
+
+} // namespace barleyfork
+
+#endif
