Look at the servers no more often than a holder can

Its log lines come in bursts two seconds apart after 55 servers were added and 78 crashed: every word of 295 daemons that names a missing adapter, and every answer to an adapter's order, made it look at all servers. With more than 16 daemons such looks are 50 ms apart, as the regular ones are. Test: work_pace_test (the decision stood in a class with sockets).

--- a/libs/gateway/src/placement_duty.cpp
+++ b/libs/gateway/src/placement_duty.cpp
@@ -15,8 +15,6 @@
 constexpr std::int64_t candidate_tick_ms = 100;
 /// News of what servers hold goes out no more often than this.
 constexpr duration publish_interval{150};
-/// Below this number of daemons each piece of news goes out at once.
-constexpr std::size_t few_daemons = 16;
 placement_options
 make_placement(const schema::gateway_settings_record& settings,
                duration holder_gap)
@@ -121,7 +119,8 @@
         for (const auto& use : message.uses)
             controller.used_adapter(model_id(use->model), use->adapter, now);
     }
-    if (!message.needs.empty() && may_order(boot_now()))
+    if (!message.needs.empty() && may_order(boot_now()) &&
+        pace_.take(context_.daemons(), now))
         work(now);
 }
 
@@ -229,7 +228,8 @@
     const auto now = steady_now();
     found->second.on_answer(action.server, action.command, reply.answer, now);
     // The place that an adapter left is given away at once.
-    if (!action.command.adapter.empty() && may_order(boot_now()))
+    if (!action.command.adapter.empty() && may_order(boot_now()) &&
+        pace_.take(context_.daemons(), now))
         work(now);
 }
 
@@ -255,7 +255,7 @@
 /// Tells every daemon, this one included, what has changed.
 void placement_duty::publish(time_point now)
 {
-    const bool crowded = context_.daemons() > few_daemons;
+    const bool crowded = context_.daemons() > work_pace::few_daemons;
     if (crowded && now < published_at_ + publish_interval)
         return;
     std::vector<server_holding> changed;
--- a/libs/gateway/src/placement_duty.hpp
+++ b/libs/gateway/src/placement_duty.hpp
@@ -8,6 +8,7 @@
 #include <barleyfork/core/lease.hpp>
 #include <barleyfork/core/placement_controller.hpp>
 #include <barleyfork/core/takeover_turn.hpp>
+#include <barleyfork/core/work_pace.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <map>
@@ -81,6 +82,7 @@
     std::int64_t store_ms_ = 0;
     time_point store_ms_at_{};
     takeover_turn turn_;
+    work_pace pace_;
     time_point next_demand_log_{};
     time_point published_at_{};
     /// A holder that let go without telling may have ordered just before.
