--- a/libs/core/include/barleyfork/core/holder_change.hpp
+++ b/libs/core/include/barleyfork/core/holder_change.hpp
@@ -41,9 +41,8 @@
 };
 
 /// Those of the orders that still bind others.
-past_orders binding_orders(const past_orders& orders,
-                           order_bounds bounds,
-                           time_point now);
+past_orders
+binding_orders(const past_orders& orders, order_bounds bounds, time_point now);
 
 /// What a holder that lets go may tell of its own and earlier orders; nothing
 /// while orders of an earlier holder bind that it was not told of.
