--- a/libs/base/include/barleyfork/base/text.hpp
+++ b/libs/base/include/barleyfork/base/text.hpp
@@ -1,6 +1,8 @@
 #ifndef BARLEYFORK_BASE_TEXT_HPP
 #define BARLEYFORK_BASE_TEXT_HPP
 
+#include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace barleyfork {
@@ -8,6 +10,9 @@
 /// Compares two ASCII texts without regard to case.
 bool equal_ignoring_case(std::string_view a, std::string_view b) noexcept;
 
+/// A number in lower-case hexadecimal, without a prefix.
+std::string to_hexadecimal(std::uint64_t number);
+
 } // namespace barleyfork
 
 #endif
--- a/libs/gateway/src/backend_connection.cpp
+++ b/libs/gateway/src/backend_connection.cpp
@@ -34,6 +34,13 @@
 
 } // namespace
 
+std::string_view exchange_end_name(exchange_end end) noexcept
+{
+    constexpr std::array<std::string_view, 4> names{
+        "whole", "not_sent", "lost", "malformed"};
+    return names.at(static_cast<std::size_t>(end));
+}
+
 backend_connection::backend_connection(asio::any_io_executor executor,
                                        timer_queue& timers,
                                        tcp::endpoint target,
@@ -183,7 +190,7 @@
     const auto used = parser_->put(asio::buffer(unread_), error);
     unread_.erase(0, used);
     if (error && error != http::error::need_more) {
-        finish(exchange_end::lost);
+        finish(exchange_end::malformed);
         return false;
     }
     if (!parser_->is_header_done())
@@ -221,7 +228,7 @@
     doubtful_ = true;
     if (++stray_answers_ <= most_stray_answers)
         return true;
-    finish(exchange_end::lost);
+    finish(exchange_end::malformed);
     return false;
 }
 
--- a/libs/gateway/src/backend_connection.hpp
+++ b/libs/gateway/src/backend_connection.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -25,10 +26,15 @@
     whole,
     /// No byte of the request was handed to the connection.
     not_sent,
-    /// The connection broke, or what came is no answer.
+    /// The connection broke.
     lost,
+    /// What came is no answer.
+    malformed,
 };
 
+/// The name of an end in the log.
+std::string_view exchange_end_name(exchange_end end) noexcept;
+
 /// Takes in the answer to one request.
 class answer_receiver
 {
--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -24,6 +24,13 @@
 /// How long a closing connection waits for the caller's own end.
 constexpr duration linger{1000};
 
+std::string address_of(const asio::ip::tcp::socket& socket)
+{
+    boost::system::error_code error;
+    const auto from = socket.remote_endpoint(error);
+    return error ? std::string() : from.address().to_string();
+}
+
 caller_request to_request(http::request<http::string_body>&& message)
 {
     caller_request request;
@@ -44,7 +51,8 @@
 } // namespace
 
 caller_session::caller_session(gateway_context& context, tcp::socket socket)
-    : context_(context), socket_(std::move(socket))
+    : context_(context), socket_(std::move(socket)),
+      address_(address_of(socket_))
 {
 }
 
@@ -135,8 +143,10 @@
         refuse(400);
         return;
     }
+    auto request = to_request(std::move(message));
+    request.caller_address = address_;
     call_ = std::make_shared<gateway_call>(
-        context_, shared_from_this(), to_request(std::move(message)));
+        context_, shared_from_this(), std::move(request));
     const auto call = call_;
     call->begin();
 }
--- a/libs/gateway/src/caller_session.hpp
+++ b/libs/gateway/src/caller_session.hpp
@@ -70,6 +70,7 @@
 
     gateway_context& context_;
     tcp::socket socket_;
+    std::string address_;
     std::optional<parser> parser_;
     std::string unread_;
     std::array<char, 4096> buffer_{};
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -3,6 +3,7 @@
 #include "own_answer.hpp"
 
 #include <barleyfork/base/log.hpp>
+#include <barleyfork/base/text.hpp>
 
 #include <algorithm>
 
@@ -47,7 +48,7 @@
                            std::shared_ptr<caller_port> caller,
                            caller_request request)
     : context_(context), caller_(std::move(caller)),
-      request_(std::move(request))
+      request_(std::move(request)), fingerprint_(request_.fingerprint())
 {
     number_ = ++context_.calls_begun;
     context_.calls[number_] = [this] {
@@ -323,6 +324,7 @@
     log_event(log_level::info, "request_sent")
         .with("request", facts_.try_id)
         .with("server", chosen.server.value())
+        .with("fingerprint", fingerprint_text())
         .with("model", facts_.model.value())
         .with("adapter", facts_.adapter)
         .with("send", sends_ + 1)
@@ -526,6 +528,11 @@
         caller->abort();
 }
 
+std::string gateway_call::fingerprint_text() const
+{
+    return to_hexadecimal(fingerprint_);
+}
+
 void gateway_call::log_end(errc kind, unsigned status) const
 {
     log_event(kind == errc::ok ? log_level::info : log_level::warn,
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -140,7 +140,7 @@
     bool belongs_here() const;
     bool is_failure_to_repeat() const;
     bool is_sound_answer() const;
-    void record_end(attempt_end end, time_point now);
+    void record_end(attempt_end end, exchange_end exchange, time_point now);
     void after_attempt(attempt_end end, time_point now);
     void on_refused_by_server(time_point now);
     void forward_events(std::vector<std::string> events);
@@ -156,12 +156,14 @@
     void give_up_attempt(load_end end, time_point now);
     void finish(errc kind);
     void log_end(errc kind, unsigned status) const;
+    std::string fingerprint_text() const;
 
     gateway_context& context_;
     /// This call's place among those that run.
     std::uint64_t number_ = 0;
     std::shared_ptr<caller_port> caller_;
     caller_request request_;
+    std::uint64_t fingerprint_ = 0;
     call_facts facts_;
     std::shared_ptr<const gateway_configuration> configuration_;
     const gateway_route* route_ = nullptr;
--- a/libs/gateway/src/gateway_call_answers.cpp
+++ b/libs/gateway/src/gateway_call_answers.cpp
@@ -178,7 +178,7 @@
         return attempt_end::lost_before_answer;
     if (attempt_->head && attempt_->facts.not_run)
         return attempt_end::refused_by_server;
-    if (end == exchange_end::lost)
+    if (end != exchange_end::whole)
         return delivering_ ? attempt_end::lost_in_answer
                            : attempt_end::lost_before_answer;
     if (attempt_->streams)
@@ -204,13 +204,15 @@
     context_.timers.cancel(patience_timer_);
     attempt_->answer_whole = end == exchange_end::whole;
     const auto ended = classify(end);
-    record_end(ended, now);
+    record_end(ended, end, now);
     if (ended == attempt_end::refused_by_server)
         on_refused_by_server(now);
     after_attempt(ended, now);
 }
 
-void gateway_call::record_end(attempt_end end, time_point now)
+void gateway_call::record_end(attempt_end end,
+                              exchange_end exchange,
+                              time_point now)
 {
     const bool good = end == attempt_end::answered;
     const auto record = good ? load_end::good
@@ -223,6 +225,8 @@
             .with("request", facts_.try_id)
             .with("server", attempt_->server.value())
             .with("end", static_cast<std::int64_t>(end))
+            .with("exchange", exchange_end_name(exchange))
+            .with("fingerprint", fingerprint_text())
             .with("status", attempt_->head ? attempt_->head->status : 0)
             .with("after_ms",
                   attempt_->sending ? (now - attempt_->sent_at).count() : 0);
--- a/libs/gateway/src/http_text.cpp
+++ b/libs/gateway/src/http_text.cpp
@@ -1,5 +1,6 @@
 #include "http_text.hpp"
 
+#include <barleyfork/base/digest.hpp>
 #include <barleyfork/base/text.hpp>
 
 #include <algorithm>
@@ -73,6 +74,16 @@
     return std::string_view(target).substr(0, target.find('?'));
 }
 
+std::uint64_t caller_request::fingerprint() const
+{
+    auto print = hash64(caller_address);
+    for (const std::string_view part : {std::string_view(method),
+                                        std::string_view(target),
+                                        std::string_view(body)})
+        print = hash64(part, print);
+    return print;
+}
+
 header_list end_to_end_headers(const header_list& headers,
                                const call_codec& codec)
 {
@@ -153,13 +164,7 @@
 
 void append_chunk(std::string& out, std::string_view bytes)
 {
-    constexpr int hexadecimal = 16;
-    std::array<char, 16> size{};
-    const auto end =
-        std::to_chars(
-            size.data(), size.data() + size.size(), bytes.size(), hexadecimal)
-            .ptr;
-    out.append(size.data(), end);
+    out += to_hexadecimal(bytes.size());
     out += "\r\n";
     out += bytes;
     out += "\r\n";
--- a/libs/gateway/src/http_text.hpp
+++ b/libs/gateway/src/http_text.hpp
@@ -4,6 +4,7 @@
 #include <barleyfork/base/time.hpp>
 #include <barleyfork/gateway/call_codec.hpp>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -18,8 +19,14 @@
     std::string target;
     header_list headers;
     std::string body;
+    /// Where the caller's connection comes from, without the port.
+    std::string caller_address;
 
     std::string_view path() const;
+
+    /// The same for each repeat of a request by its caller, at any daemon,
+    /// whatever id the repeat bears.
+    std::uint64_t fingerprint() const;
 };
 
 /// An answer's status line and headers.
