Refuse a request that ends servers at every gateway, and after a restart

Cause: nothing known of a request outlived its call in the gateway. Ruled out: repeats within a call (a fifth of the sends on an idempotent route), sends to ended servers (sends and ends are as many).

Now a broken connection is told from an ended process by a probe, all that was on the process is blamed, a whole answer clears, three ends refuse (503, time left). Blames go to all daemons at once, the holder's word carries a digest, the store keeps refusals over the end of all daemons. The old rule that newcomers beside a known request are not blamed hid the true cause; a test of the core shows it.

--- /dev/null
+++ b/libs/core/include/barleyfork/core/crash_detector.hpp
@@ -0,0 +1,72 @@
+#ifndef BARLEYFORK_CORE_CRASH_DETECTOR_HPP
+#define BARLEYFORK_CORE_CRASH_DETECTOR_HPP
+
+#include <barleyfork/base/strong_id.hpp>
+#include <barleyfork/base/time.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace barleyfork {
+
+/// A process of a backend server.
+struct server_process
+{
+    server_id server;
+    /// When it started, in Unix milliseconds.
+    std::uint64_t started_ms = 0;
+};
+
+/// A process that ended, with the requests that were on it.
+struct ended_process
+{
+    /// Tells this end from every other, on all daemons alike.
+    std::uint64_t crash = 0;
+    std::vector<std::uint64_t> in_flight;
+};
+
+/// Tells servers whose process ended from those that only broke a connection.
+///
+/// A connection that breaks proves nothing: servers close and cut connections
+/// while they live. Where nobody listens any more right after, the process
+/// ended, and with it all that broke there. Not thread-safe.
+class crash_detector
+{
+public:
+    /// Time in which the connections of an ended process all break.
+    static constexpr duration settling{20};
+    /// A server is probed no more often.
+    static constexpr duration probe_pause{500};
+    /// Requests remembered of one server at most.
+    static constexpr std::size_t most_requests = 1024;
+
+    /// A connection broke under a request. Returns when the server is to be
+    /// probed for it, unless a probe is due already.
+    std::optional<time_point> on_broken(const server_process& process,
+                                        std::uint64_t fingerprint,
+                                        time_point now);
+
+    /// What a probe found: whether something listens, or an older connection
+    /// still stands. Returns the process where it ended.
+    std::optional<ended_process> on_probe(const server_id& server, bool lives);
+
+private:
+    struct suspicion
+    {
+        std::uint64_t started_ms = 0;
+        std::set<std::uint64_t> requests;
+        bool probe_due = false;
+        std::optional<time_point> probed_at;
+    };
+
+    void forget_old(time_point now);
+
+    std::map<server_id, suspicion> servers_;
+};
+
+} // namespace barleyfork
+
+#endif
--- a/libs/core/include/barleyfork/core/crash_quarantine.hpp
+++ b/libs/core/include/barleyfork/core/crash_quarantine.hpp
@@ -5,9 +5,12 @@
 #include <barleyfork/base/time.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <span>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace barleyfork {
@@ -22,21 +25,42 @@
     friend auto operator<=>(const crash_blame&, const crash_blame&) = default;
 };
 
+/// A blame as one daemon tells it to another.
+struct told_blame
+{
+    crash_blame blame;
+    /// Time since the last crash that is blamed on the request.
+    duration age{0};
+};
+
+/// When a request is refused for the crashes it is blamed for.
+struct quarantine_limits
+{
+    /// How long a request is suspected without a new crash, and how long it is
+    /// refused at first; each further crash doubles that.
+    duration memory{0};
+    /// Blamed crashes after which it is refused everywhere.
+    std::size_t refusal_threshold = 2;
+    /// A request that was answered whole is not blamed or refused for so long.
+    duration trust{60000};
+};
+
 /// Finds requests that crash each backend server that runs them.
 ///
-/// A request is blamed for a crash only if it was alone on the server, or if
-/// it was there at an earlier crash too: the others of one crash stay free.
-/// After `refusal_threshold` blamed crashes its fingerprint is refused. A
-/// fingerprint under suspicion runs alone: `must_run_alone` says so.
-/// Not thread-safe.
+/// All that was on a server when its process ended is blamed, since any of it
+/// may be the cause. What is innocent is answered whole by another server,
+/// which clears it; only what is there at one crash after the other, without a
+/// whole answer between, reaches `refusal_threshold` and is refused. Once that
+/// time is over it may run again: an answer clears it, a crash refuses it for
+/// twice as long. Bounded in entries. Not thread-safe.
 class crash_quarantine
 {
 public:
-    /// Blamed crashes after which a fingerprint is refused everywhere.
-    static constexpr std::size_t refusal_threshold = 2;
+    /// Fingerprints that are remembered at most, blamed ones and trusted ones
+    /// each.
+    static constexpr std::size_t most_entries = 8192;
 
-    /// `memory` is how long a fingerprint is remembered without news.
-    explicit crash_quarantine(duration memory);
+    explicit crash_quarantine(quarantine_limits limits);
 
     /// A server crashed with these requests in flight on it from this daemon;
     /// the same crash may be told several times. Returns who is newly blamed.
@@ -45,17 +69,27 @@
                                       time_point now);
 
     /// The request ended with a whole answer: it is innocent.
-    void on_answer(std::uint64_t fingerprint);
+    void on_answer(std::uint64_t fingerprint, time_point now);
 
-    /// Takes in what a peer or this daemon blames on a request.
-    void merge(const crash_blame& blame, time_point now);
+    /// Takes in what a peer or this daemon blames on a request, as of `at`.
+    /// True where the request is refused by it and was not before.
+    bool merge(const crash_blame& blame, time_point at);
 
     /// True where the request is to be refused.
     bool refused(std::uint64_t fingerprint, time_point now) const;
 
+    /// How long it is still refused if no further crash is blamed on it.
+    duration refused_for(std::uint64_t fingerprint, time_point now) const;
+
     /// Crashes counted against it.
     std::size_t crashes(std::uint64_t fingerprint) const;
 
+    /// What is blamed on the requests that are refused.
+    std::vector<told_blame> refusals(time_point now) const;
+
+    /// The same on daemons that refuse the same requests.
+    std::uint64_t digest(time_point now) const;
+
     /// Forgets what is older than the memory.
     void expire(time_point now);
 
@@ -66,8 +100,16 @@
         time_point changed_at{};
     };
 
-    duration memory_;
+    bool is_trusted(std::uint64_t fingerprint, time_point now) const;
+    time_point refused_until(const entry& known) const;
+    bool is_condemned(const entry& known, time_point now) const;
+    void make_room(time_point now);
+
+    quarantine_limits limits_;
     std::map<std::uint64_t, entry> entries_;
+    /// Until when each request is trusted, and the same in that order.
+    std::unordered_map<std::uint64_t, time_point> trusted_;
+    std::deque<std::pair<time_point, std::uint64_t>> trust_order_;
 };
 
 } // namespace barleyfork
--- /dev/null
+++ b/libs/core/tests/crash_quarantine_test.cpp
@@ -0,0 +1,236 @@
+#include <barleyfork/core/crash_detector.hpp>
+#include <barleyfork/core/crash_quarantine.hpp>
+#include <barleyfork/testing/property.hpp>
+
+#include <array>
+#include <vector>
+
+namespace barleyfork::testing {
+
+namespace {
+
+constexpr std::size_t threshold = 3;
+constexpr duration memory{600000};
+constexpr std::uint64_t cause = 1;
+
+time_point at(std::int64_t ms)
+{
+    return time_point(duration(ms));
+}
+
+quarantine_limits limits()
+{
+    return {.memory = memory, .refusal_threshold = threshold};
+}
+
+std::uint64_t draw(std::uint64_t below)
+{
+    return *rc::gen::inRange<std::uint64_t>(0, below);
+}
+
+/// Engines of 64 requests each; one request ends each engine that runs it and
+/// comes again, the others are sent again elsewhere until they are answered.
+class crashing_fleet
+{
+public:
+    static constexpr std::uint64_t requests_on_engine = 64;
+
+    crashing_fleet() : quarantine_(limits()) {}
+
+    /// The cause is on an engine with 63 others, some of them left from the
+    /// crash before: those that were not answered yet.
+    void crash(time_point now, std::uint64_t unanswered)
+    {
+        std::vector<std::uint64_t> on_engine{cause};
+        for (std::uint64_t i = 0; i < unanswered && i < last_.size(); ++i)
+            on_engine.push_back(last_[i]);
+        for (std::uint64_t i = unanswered; i < last_.size(); ++i)
+            quarantine_.on_answer(last_[i], now);
+        while (on_engine.size() < requests_on_engine)
+            on_engine.push_back(++next_);
+        quarantine_.on_crash(on_engine, ++crashes_, now);
+        last_.assign(on_engine.begin() + 1, on_engine.end());
+    }
+
+    /// All that is left is answered elsewhere.
+    void answer_all(time_point now)
+    {
+        for (const auto request : last_)
+            quarantine_.on_answer(request, now);
+    }
+
+    std::uint64_t refused_wrongly(time_point now) const
+    {
+        std::uint64_t count = 0;
+        for (auto request = cause + 1; request <= next_; ++request)
+            count += quarantine_.refused(request, now) ? 1 : 0;
+        return count;
+    }
+
+    crash_quarantine quarantine_;
+
+private:
+    std::uint64_t next_ = cause;
+    std::uint64_t crashes_ = 0;
+    std::vector<std::uint64_t> last_;
+};
+
+} // namespace
+
+class crash_quarantine_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(crash_quarantine_test);
+    CPPUNIT_TEST(sixty_three_beside_the_cause_are_served);
+    CPPUNIT_TEST(a_request_known_from_one_crash_does_not_hide_the_cause);
+    CPPUNIT_TEST(what_is_answered_everywhere_is_not_blamed_for_a_rack);
+    CPPUNIT_TEST(a_wrong_refusal_ends);
+    CPPUNIT_TEST(a_refusal_that_was_right_doubles);
+    CPPUNIT_TEST(told_refusals_stand_as_long);
+    CPPUNIT_TEST(memory_is_bounded);
+    CPPUNIT_TEST(a_broken_connection_alone_is_no_crash);
+    CPPUNIT_TEST(all_that_broke_with_a_process_is_told_once);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// The cause is refused at the third crash; of those beside it only what
+    /// met all three without an answer between can be.
+    void sixty_three_beside_the_cause_are_served()
+    {
+        check_property("sixty_three", 200, [] {
+            crashing_fleet fleet;
+            std::array<std::uint64_t, threshold> left{};
+            for (std::size_t i = 0; i < threshold; ++i) {
+                left.at(i) = draw(crashing_fleet::requests_on_engine);
+                fleet.crash(at(static_cast<std::int64_t>(i) * 300), left.at(i));
+            }
+            const auto now = at(1000);
+            RC_ASSERT(fleet.quarantine_.refused(cause, now));
+            // The first `left[2]` of crash 2 that were among the first
+            // `left[1]` of crash 1.
+            RC_ASSERT(fleet.refused_wrongly(now) <= std::min(left[1], left[2]));
+            fleet.answer_all(now);
+            RC_ASSERT(fleet.refused_wrongly(now) == 0U);
+            RC_ASSERT(fleet.quarantine_.refused(cause, now));
+        });
+    }
+
+    void a_request_known_from_one_crash_does_not_hide_the_cause()
+    {
+        crash_quarantine quarantine(limits());
+        const std::vector<std::uint64_t> first{7};
+        quarantine.on_crash(first, 100, at(0));
+        for (std::int64_t crash = 1; crash <= 3; ++crash) {
+            const std::vector<std::uint64_t> both{7, cause};
+            quarantine.on_crash(
+                both, 100 + static_cast<std::uint64_t>(crash), at(crash));
+            quarantine.on_answer(7, at(crash));
+        }
+        CPPUNIT_ASSERT(quarantine.refused(cause, at(4)));
+        CPPUNIT_ASSERT(!quarantine.refused(7, at(4)));
+    }
+
+    /// Many servers end at one moment while each runs the same page's read.
+    void what_is_answered_everywhere_is_not_blamed_for_a_rack()
+    {
+        crash_quarantine quarantine(limits());
+        quarantine.on_answer(5, at(0));
+        const std::vector<std::uint64_t> popular{5};
+        for (std::uint64_t server = 1; server <= 9; ++server)
+            quarantine.on_crash(popular, server, at(100));
+        CPPUNIT_ASSERT(!quarantine.refused(5, at(100)));
+    }
+
+    void a_wrong_refusal_ends()
+    {
+        crash_quarantine quarantine(limits());
+        const std::vector<std::uint64_t> only{5};
+        for (std::uint64_t server = 1; server <= threshold; ++server)
+            quarantine.on_crash(only, server, at(0));
+        CPPUNIT_ASSERT(quarantine.refused(5, at(0)));
+        CPPUNIT_ASSERT(quarantine.refused_for(5, at(1000)) ==
+                       memory - duration(1000));
+        CPPUNIT_ASSERT(!quarantine.refused(5, at(0) + memory));
+        quarantine.on_answer(5, at(0) + memory);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, quarantine.crashes(5));
+    }
+
+    void a_refusal_that_was_right_doubles()
+    {
+        crash_quarantine quarantine(limits());
+        const std::vector<std::uint64_t> only{cause};
+        for (std::uint64_t server = 1; server <= threshold; ++server)
+            quarantine.on_crash(only, server, at(0));
+        const auto again = at(0) + memory;
+        quarantine.expire(again);
+        quarantine.on_crash(only, threshold + 1, again);
+        CPPUNIT_ASSERT(
+            quarantine.refused(cause, again + 2 * memory - duration(1)));
+        CPPUNIT_ASSERT(!quarantine.refused(cause, again + 2 * memory));
+    }
+
+    void told_refusals_stand_as_long()
+    {
+        crash_quarantine knows(limits());
+        const std::vector<std::uint64_t> only{cause};
+        for (std::uint64_t server = 1; server <= threshold; ++server)
+            knows.on_crash(only, server, at(0));
+        crash_quarantine learns(limits());
+        const auto now = at(5000);
+        CPPUNIT_ASSERT(knows.digest(now) != learns.digest(now));
+        bool newly = false;
+        for (const auto& told : knows.refusals(now))
+            newly |= learns.merge(told.blame, now - told.age);
+        CPPUNIT_ASSERT(newly);
+        CPPUNIT_ASSERT_EQUAL(knows.digest(now), learns.digest(now));
+        CPPUNIT_ASSERT(knows.refused_for(cause, now) ==
+                       learns.refused_for(cause, now));
+    }
+
+    void memory_is_bounded()
+    {
+        crash_quarantine quarantine(limits());
+        const std::vector<std::uint64_t> only{cause};
+        for (std::uint64_t server = 1; server <= threshold; ++server)
+            quarantine.on_crash(only, server, at(0));
+        for (std::uint64_t i = 0; i < 2 * crash_quarantine::most_entries; ++i) {
+            const std::vector<std::uint64_t> other{1000 + i};
+            quarantine.on_crash(
+                other, 1000 + i, at(static_cast<std::int64_t>(i)));
+            quarantine.on_answer(500000 + i, at(static_cast<std::int64_t>(i)));
+        }
+        CPPUNIT_ASSERT(quarantine.refused(cause, at(20000)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, quarantine.crashes(1000));
+    }
+
+    void a_broken_connection_alone_is_no_crash()
+    {
+        crash_detector detector;
+        const server_process process{server_id("s"), 5};
+        const auto due = detector.on_broken(process, 1, at(0));
+        CPPUNIT_ASSERT(due == at(0) + crash_detector::settling);
+        CPPUNIT_ASSERT(!detector.on_probe(process.server, true));
+        // It is not probed for each one that breaks.
+        const auto later = detector.on_broken(process, 2, at(30));
+        CPPUNIT_ASSERT(later == *due + crash_detector::probe_pause);
+    }
+
+    void all_that_broke_with_a_process_is_told_once()
+    {
+        crash_detector detector;
+        const server_process process{server_id("s"), 5};
+        CPPUNIT_ASSERT(detector.on_broken(process, 1, at(0)));
+        CPPUNIT_ASSERT(!detector.on_broken(process, 2, at(5)));
+        const auto ended = detector.on_probe(process.server, false);
+        CPPUNIT_ASSERT(ended);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, ended->in_flight.size());
+        CPPUNIT_ASSERT(!detector.on_probe(process.server, false));
+        crash_detector elsewhere;
+        elsewhere.on_broken(process, 9, at(700));
+        CPPUNIT_ASSERT_EQUAL(ended->crash,
+                             elsewhere.on_probe(process.server, false)->crash);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(crash_quarantine_test);
+
+} // namespace barleyfork::testing
--- a/libs/core/tests/policy_parts_test.cpp
+++ b/libs/core/tests/policy_parts_test.cpp
@@ -93,12 +93,12 @@
 
     void neighbours_of_a_crash_stay_free()
     {
-        crash_quarantine quarantine(duration(1000));
+        crash_quarantine quarantine({.memory = duration(1000)});
         const std::array<std::uint64_t, 3> first{1, 2, 3};
         quarantine.on_crash(first, 100, at(0));
         // 2 and 3 answer elsewhere; 1 meets newcomers at the next crash.
-        quarantine.on_answer(2);
-        quarantine.on_answer(3);
+        quarantine.on_answer(2, at(0));
+        quarantine.on_answer(3, at(0));
         const std::array<std::uint64_t, 3> second{1, 4, 5};
         quarantine.on_crash(second, 101, at(1));
         CPPUNIT_ASSERT(quarantine.refused(1, at(2)));
@@ -109,7 +109,7 @@
 
     void one_crash_counts_once()
     {
-        crash_quarantine quarantine(duration(1000));
+        crash_quarantine quarantine({.memory = duration(1000)});
         const std::array<std::uint64_t, 1> only{1};
         quarantine.on_crash(only, 100, at(0));
         quarantine.on_crash(only, 100, at(1));
--- a/libs/daemon/src/caller_front.cpp
+++ b/libs/daemon/src/caller_front.cpp
@@ -73,7 +73,7 @@
                                       ? "power_of_two"
                                       : context.settings.routing->strategy)),
       budget_(context.settings.routing->retry_percent),
-      quarantine_(quarantine_memory),
+      quarantine_({.memory = quarantine_memory}),
       loads_(context.settings.routing->server_slots),
       queue_(context.settings.routing->queue_limit),
       random_(hash64(context.run_id))
--- a/libs/daemon/src/model_request.cpp
+++ b/libs/daemon/src/model_request.cpp
@@ -404,7 +404,7 @@
 asio::awaitable<void> model_request::conclude(next_step step)
 {
     if (step == next_step::finish) {
-        front_.quarantine_.on_answer(request_.fingerprint);
+        front_.quarantine_.on_answer(request_.fingerprint, steady_now());
         co_await finish();
         co_return;
     }
--- /dev/null
+++ b/libs/gateway/src/crash_watch.cpp
@@ -0,0 +1,63 @@
+#include "crash_watch.hpp"
+
+#include <memory>
+#include <utility>
+
+namespace barleyfork {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// An address without a listener refuses within a round trip.
+constexpr duration probe_timeout{1000};
+
+} // namespace
+
+crash_watch::crash_watch(asio::any_io_executor executor,
+                         timer_queue& timers,
+                         const backend_pool& pool)
+    : executor_(std::move(executor)), timers_(timers), pool_(pool)
+{
+}
+
+void crash_watch::on_broken(const server_process& process,
+                            const tcp::endpoint& target,
+                            std::uint64_t fingerprint)
+{
+    const auto due = detector_.on_broken(process, fingerprint, steady_now());
+    if (due)
+        timers_.add(*due, [this, server = process.server, target] {
+            probe(server, target);
+        });
+}
+
+void crash_watch::probe(const server_id& server, const tcp::endpoint& target)
+{
+    // An idle connection breaks with its process too.
+    if (pool_.has_idle(target, true, steady_now())) {
+        conclude(server, true);
+        return;
+    }
+    auto connection = std::make_shared<tcp::socket>(executor_);
+    const auto timeout =
+        timers_.add(steady_now() + probe_timeout, [connection] {
+            boost::system::error_code ignored;
+            connection->close(ignored);
+        });
+    connection->async_connect(
+        target, [this, server, connection, timeout](const auto& error) {
+            auto timer = timeout;
+            timers_.cancel(timer);
+            conclude(server, error != asio::error::connection_refused);
+        });
+}
+
+void crash_watch::conclude(const server_id& server, bool lives)
+{
+    const auto ended = detector_.on_probe(server, lives);
+    if (ended && on_ended_)
+        on_ended_(server, *ended);
+}
+
+} // namespace barleyfork
--- /dev/null
+++ b/libs/gateway/src/crash_watch.hpp
@@ -0,0 +1,53 @@
+#ifndef BARLEYFORK_GATEWAY_SRC_CRASH_WATCH_HPP
+#define BARLEYFORK_GATEWAY_SRC_CRASH_WATCH_HPP
+
+#include "backend_pool.hpp"
+#include "timer_queue.hpp"
+
+#include <barleyfork/core/crash_detector.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+
+namespace barleyfork {
+
+/// Probes servers whose connections broke under requests, and tells whose
+/// process ended. Belongs to one duty.
+class crash_watch
+{
+public:
+    using tcp = boost::asio::ip::tcp;
+    using ended_handler =
+        std::function<void(const server_id&, const ended_process&)>;
+
+    crash_watch(boost::asio::any_io_executor executor,
+                timer_queue& timers,
+                const backend_pool& pool);
+    crash_watch(const crash_watch&) = delete;
+    crash_watch& operator=(const crash_watch&) = delete;
+
+    /// Called with each process that ended.
+    void on_ended(ended_handler handler)
+    {
+        on_ended_ = std::move(handler);
+    }
+
+    /// A connection to `target` broke under a request.
+    void on_broken(const server_process& process,
+                   const tcp::endpoint& target,
+                   std::uint64_t fingerprint);
+
+private:
+    void probe(const server_id& server, const tcp::endpoint& target);
+    void conclude(const server_id& server, bool lives);
+
+    boost::asio::any_io_executor executor_;
+    timer_queue& timers_;
+    const backend_pool& pool_;
+    crash_detector detector_;
+    ended_handler on_ended_;
+};
+
+} // namespace barleyfork
+
+#endif
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -139,6 +139,9 @@
     context.on_need = [this] {
         news.send_demand();
     };
+    context.crashes.on_ended([this](const auto& server, const auto& ended) {
+        news.on_server_ended(server, ended);
+    });
     watch.on_configuration([this] { news.pass_configuration_on(); });
     auto& duty = context.serving;
     duty.spawn(accept_loop());
@@ -197,6 +200,7 @@
         co_await sleep_for_ms(sweep_interval_ms);
         const auto now = steady_now();
         context.pool.sweep(now);
+        context.quarantine.expire(now);
         std::erase_if(sessions, [](const auto& entry) {
             const auto session = entry.lock();
             return !session || session->is_closed();
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -223,7 +223,9 @@
     const auto& picked = found[*index];
     choice chosen;
     chosen.server = picked.server;
-    chosen.target = endpoint_of(context_.directory.find(picked.server)->entry);
+    const auto& entry = context_.directory.find(picked.server)->entry;
+    chosen.started_ms = entry.held.started_ms;
+    chosen.target = endpoint_of(entry);
     chosen.expected_ms = expected_ms(picked);
     chosen.candidates = found.size();
     return chosen;
@@ -269,6 +271,8 @@
     if (over_)
         return;
     const auto now = steady_now();
+    if (refuse_quarantined(now))
+        return;
     lack why = lack::no_server;
     const auto chosen = choose(now, why);
     if (!chosen) {
@@ -289,6 +293,23 @@
     start_attempt(*chosen, now);
 }
 
+/// A request that ends each server that runs it reaches no further one.
+bool gateway_call::refuse_quarantined(time_point now)
+{
+    if (!context_.quarantine.refused(fingerprint_, now))
+        return false;
+    const auto left = context_.quarantine.refused_for(fingerprint_, now);
+    log_event(log_level::warn, "request_quarantined")
+        .with("request", facts_.try_id)
+        .with("fingerprint", fingerprint_text())
+        .with("crashes",
+              static_cast<std::int64_t>(
+                  context_.quarantine.crashes(fingerprint_)))
+        .with("for_ms", left.count());
+    refuse(errc::quarantined, left);
+    return true;
+}
+
 header_list gateway_call::forward_headers(const server_id& server,
                                           time_point now) const
 {
@@ -306,6 +327,8 @@
 {
     attempt_.emplace();
     attempt_->server = chosen.server;
+    attempt_->started_ms = chosen.started_ms;
+    attempt_->target = chosen.target;
     if (!facts_.adapter.empty())
         attempt_->uses_adapter.emplace(
             context_.adapters,
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -71,6 +71,9 @@
     struct attempt
     {
         server_id server;
+        /// The server's process, and where it listens.
+        std::uint64_t started_ms = 0;
+        boost::asio::ip::tcp::endpoint target;
         std::optional<adapter_mark> uses_adapter;
         std::shared_ptr<backend_connection> connection;
         load_ticket ticket{};
@@ -92,6 +95,7 @@
     struct choice
     {
         server_id server;
+        std::uint64_t started_ms = 0;
         boost::asio::ip::tcp::endpoint target;
         double expected_ms = 0.0;
         std::size_t candidates = 0;
@@ -143,6 +147,7 @@
     void record_end(attempt_end end, exchange_end exchange, time_point now);
     void after_attempt(attempt_end end, time_point now);
     void on_refused_by_server(time_point now);
+    bool refuse_quarantined(time_point now);
     void forward_events(std::vector<std::string> events);
     bool is_repeated_event(const std::string& event);
     void begin_stream();
--- a/libs/gateway/src/gateway_call_answers.cpp
+++ b/libs/gateway/src/gateway_call_answers.cpp
@@ -205,6 +205,12 @@
     attempt_->answer_whole = end == exchange_end::whole;
     const auto ended = classify(end);
     record_end(ended, end, now);
+    if (end == exchange_end::lost && attempt_->sending)
+        context_.crashes.on_broken({attempt_->server, attempt_->started_ms},
+                                   attempt_->target,
+                                   fingerprint_);
+    if (ended == attempt_end::answered && is_sound_answer())
+        context_.quarantine.on_answer(fingerprint_, now);
     if (ended == attempt_end::refused_by_server)
         on_refused_by_server(now);
     after_attempt(ended, now);
--- a/libs/gateway/src/gateway_context.cpp
+++ b/libs/gateway/src/gateway_context.cpp
@@ -11,6 +11,10 @@
 /// The share of its time that a busy server works.
 constexpr double busy_utilisation = 0.8;
 
+/// A request that ended three servers is refused for ten minutes at first.
+constexpr quarantine_limits refusal_limits{.memory = duration{600000},
+                                           .refusal_threshold = 3};
+
 /// Calls what the map holds; each call may remove entries.
 template <class Key>
 void call_each(const std::map<Key, std::function<void()>>& handlers)
@@ -29,7 +33,8 @@
                                  platform_port port)
     : settings(std::move(given)), platform(std::move(port)),
       self(settings.instance), timers(serving.executor()),
-      pool(serving.executor(), timers)
+      pool(serving.executor(), timers),
+      crashes(serving.executor(), timers, pool), quarantine(refusal_limits)
 {
     for (const auto& place : settings.places)
         regions_.emplace(place->failure_domain, place->region);
--- a/libs/gateway/src/gateway_context.hpp
+++ b/libs/gateway/src/gateway_context.hpp
@@ -2,12 +2,14 @@
 #define BARLEYFORK_GATEWAY_SRC_GATEWAY_CONTEXT_HPP
 
 #include "backend_pool.hpp"
+#include "crash_watch.hpp"
 #include "gateway_metrics.hpp"
 #include "timer_queue.hpp"
 
 #include <barleyfork/core/adapter_use.hpp>
 #include <barleyfork/core/backend_directory.hpp>
 #include <barleyfork/core/backend_loads.hpp>
+#include <barleyfork/core/crash_quarantine.hpp>
 #include <barleyfork/core/drain_plan.hpp>
 #include <barleyfork/core/gateway_configuration.hpp>
 #include <barleyfork/core/pace_estimator.hpp>
@@ -85,6 +87,9 @@
     instance_id self;
     timer_queue timers;
     backend_pool pool;
+    crash_watch crashes;
+    /// Requests that end the servers that run them.
+    crash_quarantine quarantine;
     gateway_metrics measures;
     /// Null until the first configuration came.
     std::shared_ptr<const gateway_configuration> configuration;
--- a/libs/gateway/src/own_answer.cpp
+++ b/libs/gateway/src/own_answer.cpp
@@ -18,8 +18,6 @@
         return 502;
     case errc::timeout:
         return 504;
-    case errc::quarantined:
-        return 422;
     case errc::too_large:
         return 413;
     case errc::invalid_input:
--- a/libs/gateway/src/peer_news.cpp
+++ b/libs/gateway/src/peer_news.cpp
@@ -123,6 +123,7 @@
     message.epoch = order.epoch;
     message.sequence = order.sequence;
     message.work = to_records(context_.loads.all_work(now));
+    message.quarantine_digest = context_.quarantine.digest(now);
     for (const auto& news : changed)
         message.servers.push_back(to_record(news));
     add_list_changes(message);
@@ -235,6 +236,9 @@
     case schema::message_kind::following:
         on_reader_word(message, known);
         return;
+    case schema::message_kind::crashes:
+        on_crashes(message);
+        return;
     default:
         log_event(log_level::warn, "peer_message_ignored")
             .with("sender", sender.value());
@@ -254,6 +258,7 @@
     holder_heard_at_ = now;
     holder_ = peer_address{message.address, message.port};
     watch_.take_told(rows_of(message), claim_of(message, now));
+    compare_refusals(message, now);
     // One name for the sum of all others, whoever the holder is.
     context_.loads.on_peer_work(
         instance_id("all"),
--- a/libs/gateway/src/peer_news.hpp
+++ b/libs/gateway/src/peer_news.hpp
@@ -4,6 +4,7 @@
 #include "gateway_context.hpp"
 #include "store_watch.hpp"
 
+#include <barleyfork/core/difference_watch.hpp>
 #include <barleyfork/core/relay_choice.hpp>
 #include <barleyfork/core/takeover_turn.hpp>
 #include <barleyfork/core/version_catchup.hpp>
@@ -78,6 +79,10 @@
     /// all.
     news_order announce(std::span<const server_holding> changed);
 
+    /// A server's process ended under these requests: all daemons hear which
+    /// are blamed, and the store keeps which are refused.
+    void on_server_ended(const server_id& server, const ended_process& ended);
+
     void set_holding(bool holds, std::uint64_t epoch);
 
     /// This daemon has just taken the lease: the others hear it at once.
@@ -127,6 +132,19 @@
     void ask_neighbours();
     void on_reader_word(const schema::peer_message_record& message,
                         const member& speaker);
+    schema::peer_message_record
+    make_crash_message(std::span<const told_blame> told, time_point now);
+    void begin_refusal(std::uint64_t fingerprint,
+                       std::string_view source,
+                       bool keep);
+    void take_blames(std::span<const told_blame> told,
+                     std::string_view source,
+                     bool keep);
+    void on_crashes(const schema::peer_message_record& message);
+    void compare_refusals(const schema::peer_message_record& message,
+                          time_point now);
+    boost::asio::awaitable<void> keep_refusal(std::uint64_t fingerprint);
+    boost::asio::awaitable<void> read_refusals();
     boost::asio::awaitable<bool> read_members();
     void take_members(const store_read& read);
     void take_member(const store_row& row);
@@ -158,6 +176,7 @@
     std::uint64_t announced_ = 0;
     time_point beat_at_{};
     version_catchup catchup_;
+    difference_watch refusal_difference_;
 };
 
 } // namespace barleyfork
--- a/libs/gateway/src/peer_news_neighbours.cpp
+++ b/libs/gateway/src/peer_news_neighbours.cpp
@@ -67,6 +67,10 @@
     if (co_await read_members())
         ask_neighbours();
     const bool listed_before = own_row_.version > 0;
+    // One that is new here learns from the holder; where all end at once,
+    // some of those that were listed come back.
+    if (listed_before)
+        context_.serving.spawn(read_refusals());
     co_await register_self();
     // Those that start for the first time together are listed by now.
     co_await sleep_for_ms(listed_before ? member_interval_ms : member_pause_ms);
--- /dev/null
+++ b/libs/gateway/src/peer_news_quarantine.cpp
@@ -0,0 +1,213 @@
+/// The part of the news that tells which requests ended servers, and keeps in
+/// the store which are refused for it.
+
+#include "peer_news.hpp"
+
+#include "peer_records.hpp"
+
+#include <barleyfork/base/log.hpp>
+#include <barleyfork/base/text.hpp>
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace barleyfork {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr const char* quarantine_table = "barleyfork_quarantine";
+constexpr std::int64_t retry_pause_ms = 700;
+/// A row that others write at the same moment is read and written again.
+constexpr int most_writes = 20;
+
+std::string to_row_text(std::uint64_t fingerprint,
+                        const std::vector<told_blame>& blames)
+{
+    json::array crashes;
+    std::int64_t last_ms = 0;
+    for (const auto& told : blames) {
+        if (told.blame.fingerprint != fingerprint)
+            continue;
+        crashes.push_back(told.blame.crash);
+        last_ms = wall_clock_ms() - told.age.count();
+    }
+    return json::serialize(json::object{{"fingerprint", fingerprint},
+                                        {"crashes", std::move(crashes)},
+                                        {"last_ms", last_ms}});
+}
+
+/// What a row of the store blames on a request; empty where it is not ours.
+std::vector<told_blame> read_row_text(const std::string& text)
+{
+    std::vector<told_blame> blames;
+    boost::system::error_code error;
+    const auto value = json::parse(text, error);
+    if (error || !value.is_object())
+        return blames;
+    const auto& object = value.as_object();
+    const auto* fingerprint = object.if_contains("fingerprint");
+    const auto* crashes = object.if_contains("crashes");
+    const auto* last_ms = object.if_contains("last_ms");
+    if (fingerprint == nullptr || !fingerprint->is_number() ||
+        crashes == nullptr || !crashes->is_array() || last_ms == nullptr ||
+        !last_ms->is_int64())
+        return blames;
+    const duration age(
+        std::max<std::int64_t>(wall_clock_ms() - last_ms->as_int64(), 0));
+    for (const auto& crash : crashes->as_array())
+        if (crash.is_number())
+            blames.push_back({{fingerprint->to_number<std::uint64_t>(),
+                               crash.to_number<std::uint64_t>()},
+                              age});
+    return blames;
+}
+
+} // namespace
+
+void peer_news::on_server_ended(const server_id& server,
+                                const ended_process& ended)
+{
+    const auto now = steady_now();
+    auto& quarantine = context_.quarantine;
+    log_event(log_level::warn, "server_ended")
+        .with("server", server.value())
+        .with("requests", static_cast<std::int64_t>(ended.in_flight.size()));
+    std::vector<told_blame> told;
+    std::vector<std::uint64_t> refused;
+    for (const auto& blame :
+         quarantine.on_crash(ended.in_flight, ended.crash, now)) {
+        told.push_back({blame, duration{0}});
+        log_event(log_level::info, "request_blamed_for_crash")
+            .with("server", server.value())
+            .with("fingerprint", to_hexadecimal(blame.fingerprint))
+            .with("crashes",
+                  static_cast<std::int64_t>(
+                      quarantine.crashes(blame.fingerprint)));
+        if (quarantine.refused(blame.fingerprint, now))
+            refused.push_back(blame.fingerprint);
+    }
+    if (!told.empty())
+        send_to_all(make_crash_message(told, now), now);
+    for (const auto fingerprint : refused)
+        begin_refusal(fingerprint, "own", true);
+}
+
+schema::peer_message_record
+peer_news::make_crash_message(std::span<const told_blame> told, time_point now)
+{
+    auto message = make_message(schema::message_kind::crashes);
+    message.quarantine_digest = context_.quarantine.digest(now);
+    for (const auto& blame : told)
+        message.quarantine.push_back(to_record(blame));
+    return message;
+}
+
+/// A request is refused from now on.
+void peer_news::begin_refusal(std::uint64_t fingerprint,
+                              std::string_view source,
+                              bool keep)
+{
+    log_event(log_level::warn, "refusal_in_force")
+        .with("fingerprint", to_hexadecimal(fingerprint))
+        .with("source", source)
+        .with(
+            "crashes",
+            static_cast<std::int64_t>(context_.quarantine.crashes(fingerprint)))
+        .with(
+            "for_ms",
+            context_.quarantine.refused_for(fingerprint, steady_now()).count());
+    if (keep)
+        context_.serving.spawn(keep_refusal(fingerprint));
+}
+
+void peer_news::take_blames(std::span<const told_blame> told,
+                            std::string_view source,
+                            bool keep)
+{
+    const auto now = steady_now();
+    for (const auto& entry : told)
+        if (context_.quarantine.merge(entry.blame, now - entry.age) &&
+            context_.quarantine.refused(entry.blame.fingerprint, now))
+            begin_refusal(entry.blame.fingerprint, source, keep);
+}
+
+void peer_news::on_crashes(const schema::peer_message_record& message)
+{
+    if (message.pass_on)
+        pass_on(message);
+    // Two daemons may each tell of a crash that is not the last one alone.
+    take_blames(blames_of(message), "peer", holding_);
+    const auto now = steady_now();
+    const auto& quarantine = context_.quarantine;
+    if (message.asks_refusals &&
+        message.quarantine_digest != quarantine.digest(now))
+        link_.send({message.address, message.port},
+                   make_crash_message(quarantine.refusals(now), now),
+                   false);
+}
+
+/// A daemon that was away, or that the holder has not heard, refuses other
+/// requests than the holder does: both tell the other.
+void peer_news::compare_refusals(const schema::peer_message_record& message,
+                                 time_point now)
+{
+    const auto own = context_.quarantine.digest(now);
+    if (!refusal_difference_.hear(message.quarantine_digest, own, now))
+        return;
+    auto answer = make_crash_message(context_.quarantine.refusals(now), now);
+    answer.asks_refusals = true;
+    link_.send({message.address, message.port}, std::move(answer), false);
+}
+
+/// What must outlive all daemons lies in the store.
+asio::awaitable<void> peer_news::keep_refusal(std::uint64_t fingerprint)
+{
+    const auto key = to_hexadecimal(fingerprint);
+    std::uint64_t expected = 0;
+    for (int i = 0; i < most_writes; ++i) {
+        const auto text = to_row_text(
+            fingerprint, context_.quarantine.refusals(steady_now()));
+        context_.measures.count_store_call(store_purpose::members,
+                                           "keep_refusal");
+        const auto written = co_await context_.platform.store->write_row(
+            quarantine_table, key, text, expected);
+        if (written.end == store_write_end::done)
+            co_return;
+        if (written.end != store_write_end::conflict) {
+            co_await sleep_for_ms(retry_pause_ms);
+            continue;
+        }
+        const auto read =
+            co_await context_.platform.store->read_row(quarantine_table, key);
+        if (read.error || read.rows.empty())
+            continue;
+        expected = read.rows.front().version;
+        // Another daemon tells of the same crashes.
+        if (read_row_text(read.rows.front().value).size() >=
+            context_.quarantine.crashes(fingerprint))
+            co_return;
+    }
+    log_event(log_level::warn, "refusal_not_kept").with("fingerprint", key);
+}
+
+asio::awaitable<void> peer_news::read_refusals()
+{
+    for (;;) {
+        context_.measures.count_store_call(store_purpose::members,
+                                           "read_refusals");
+        const auto read =
+            co_await context_.platform.store->read_table(quarantine_table);
+        if (!read.error) {
+            for (const auto& row : read.rows)
+                if (!row.deleted)
+                    take_blames(read_row_text(row.value), "store", false);
+            co_return;
+        }
+        co_await sleep_for_ms(retry_pause_ms);
+    }
+}
+
+} // namespace barleyfork
--- a/libs/gateway/src/peer_records.cpp
+++ b/libs/gateway/src/peer_records.cpp
@@ -62,6 +62,27 @@
     return record;
 }
 
+std::unique_ptr<schema::quarantine_entry_record>
+to_record(const told_blame& told)
+{
+    constexpr std::int64_t oldest_ms = UINT32_MAX;
+    auto record = std::make_unique<schema::quarantine_entry_record>();
+    record->fingerprint = told.blame.fingerprint;
+    record->crash = told.blame.crash;
+    record->age_ms = static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(told.age.count(), 0, oldest_ms));
+    return record;
+}
+
+std::vector<told_blame> blames_of(const schema::peer_message_record& message)
+{
+    std::vector<told_blame> told;
+    for (const auto& entry : message.quarantine)
+        told.push_back(
+            {{entry->fingerprint, entry->crash}, duration(entry->age_ms)});
+    return told;
+}
+
 std::uint32_t age_ms(time_point known_at, time_point now)
 {
     constexpr std::int64_t oldest_ms = 3600000;
--- a/libs/gateway/src/peer_records.hpp
+++ b/libs/gateway/src/peer_records.hpp
@@ -3,6 +3,7 @@
 
 #include "peer_news.hpp"
 
+#include <barleyfork/core/crash_quarantine.hpp>
 #include <barleyfork/core/list_follower.hpp>
 
 #include <cstdint>
@@ -31,6 +32,11 @@
 std::unique_ptr<schema::listed_row_record> to_record(const store_row& row);
 std::vector<store_row> rows_of(const schema::peer_message_record& message);
 
+/// What is blamed on requests.
+std::unique_ptr<schema::quarantine_entry_record>
+to_record(const told_blame& told);
+std::vector<told_blame> blames_of(const schema::peer_message_record& message);
+
 /// How old knowledge of `known_at` is, in milliseconds; an hour at most.
 std::uint32_t age_ms(time_point known_at, time_point now);
 
--- a/libs/logs/src/request_story.cpp
+++ b/libs/logs/src/request_story.cpp
@@ -87,6 +87,14 @@
     return "its caller left before it was sent";
 }
 
+std::string describe_quarantine(const log_line* refused)
+{
+    if (refused == nullptr)
+        return "servers ended under it";
+    return std::string(refused->field("crashes")) +
+           " servers ended under it or its repeats";
+}
+
 std::string describe_end(std::span<const log_line> lines)
 {
     const auto* ended = last_of(lines, "request_ended");
@@ -106,6 +114,9 @@
                std::string(sent == nullptr ? "" : sent->field("server"));
     if (outcome == "draining")
         return head + "the daemon was shutting down";
+    if (outcome == "quarantined")
+        return head + describe_quarantine(
+                          last_of(lines, "request_quarantined"));
     if (outcome == "store_unavailable")
         return head + "the daemon had no configuration or server list yet";
     if (outcome == "not_found")
--- a/libs/schema/include/barleyfork/schema/peer_generated.h
+++ b/libs/schema/include/barleyfork/schema/peer_generated.h
@@ -107,11 +107,12 @@
   snapshot_request = 8,
   snapshot = 9,
   following = 10,
+  crashes = 11,
   MIN = probe,
-  MAX = following
+  MAX = crashes
 };
 
-inline const message_kind (&EnumValuesmessage_kind())[11] {
+inline const message_kind (&EnumValuesmessage_kind())[12] {
   static const message_kind values[] = {
     message_kind::probe,
     message_kind::acknowledgement,
@@ -123,13 +124,14 @@
     message_kind::placement,
     message_kind::snapshot_request,
     message_kind::snapshot,
-    message_kind::following
+    message_kind::following,
+    message_kind::crashes
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage_kind() {
-  static const char * const names[12] = {
+  static const char * const names[13] = {
     "probe",
     "acknowledgement",
     "push",
@@ -141,13 +143,14 @@
     "snapshot_request",
     "snapshot",
     "following",
+    "crashes",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage_kind(message_kind e) {
-  if (flatbuffers::IsOutRange(e, message_kind::probe, message_kind::following)) return "";
+  if (flatbuffers::IsOutRange(e, message_kind::probe, message_kind::crashes)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage_kind()[index];
 }
@@ -368,17 +371,20 @@
   typedef quarantine_entry TableType;
   uint64_t fingerprint = 0;
   uint64_t crash = 0;
+  uint32_t age_ms = 0;
 };
 
 /// A request fingerprint that is blamed for the end of one engine process;
-/// `crash` tells such ends apart.
+/// `crash` tells such ends apart; `age_ms` is the time since the last crash
+/// that is blamed on the request.
 struct quarantine_entry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef quarantine_entry_record NativeTableType;
   typedef quarantine_entryBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_FINGERPRINT = 4,
-    VT_CRASH = 6
+    VT_CRASH = 6,
+    VT_AGE_MS = 8
   };
   uint64_t fingerprint() const {
     return GetField<uint64_t>(VT_FINGERPRINT, 0);
@@ -386,10 +392,14 @@
   uint64_t crash() const {
     return GetField<uint64_t>(VT_CRASH, 0);
   }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_FINGERPRINT, 8) &&
            VerifyField<uint64_t>(verifier, VT_CRASH, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            verifier.EndTable();
   }
   quarantine_entry_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -407,6 +417,9 @@
   void add_crash(uint64_t crash) {
     fbb_.AddElement<uint64_t>(quarantine_entry::VT_CRASH, crash, 0);
   }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(quarantine_entry::VT_AGE_MS, age_ms, 0);
+  }
   explicit quarantine_entryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -421,10 +434,12 @@
 inline flatbuffers::Offset<quarantine_entry> Createquarantine_entry(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t fingerprint = 0,
-    uint64_t crash = 0) {
+    uint64_t crash = 0,
+    uint32_t age_ms = 0) {
   quarantine_entryBuilder builder_(_fbb);
   builder_.add_crash(crash);
   builder_.add_fingerprint(fingerprint);
+  builder_.add_age_ms(age_ms);
   return builder_.Finish();
 }
 
@@ -1090,6 +1105,8 @@
   std::vector<barleyfork::schema::outstanding_work> work{};
   uint64_t list_since = 0;
   uint32_t list_age_ms = 0;
+  uint64_t quarantine_digest = 0;
+  bool asks_refusals = false;
   peer_message_record() = default;
   peer_message_record(const peer_message_record &o);
   peer_message_record(peer_message_record&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1107,7 +1124,9 @@
 /// `list_age_ms` tells how old the sender's knowledge of the list is; `running`
 /// are the adapters that the sender's requests use now. A daemon that is told to `pass_on` sends the message to the others of its domain. A
 /// holder that lets its lease go says so by `released`, and which daemon is to
-/// take it by `successor`.
+/// take it by `successor`. `crashes` tells what is blamed on requests;
+/// `quarantine_digest` is the same on daemons that refuse the same requests, and
+/// a daemon that `asks_refusals` wants to hear which the receiver refuses.
 struct peer_message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef peer_message_record NativeTableType;
   typedef peer_messageBuilder Builder;
@@ -1141,7 +1160,9 @@
     VT_RUNNING = 58,
     VT_WORK = 60,
     VT_LIST_SINCE = 62,
-    VT_LIST_AGE_MS = 64
+    VT_LIST_AGE_MS = 64,
+    VT_QUARANTINE_DIGEST = 66,
+    VT_ASKS_REFUSALS = 68
   };
   barleyfork::schema::message_kind kind() const {
     return static_cast<barleyfork::schema::message_kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -1230,6 +1251,12 @@
   uint32_t list_age_ms() const {
     return GetField<uint32_t>(VT_LIST_AGE_MS, 0);
   }
+  uint64_t quarantine_digest() const {
+    return GetField<uint64_t>(VT_QUARANTINE_DIGEST, 0);
+  }
+  bool asks_refusals() const {
+    return GetField<uint8_t>(VT_ASKS_REFUSALS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -1284,6 +1311,8 @@
            verifier.VerifyVector(work()) &&
            VerifyField<uint64_t>(verifier, VT_LIST_SINCE, 8) &&
            VerifyField<uint32_t>(verifier, VT_LIST_AGE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_QUARANTINE_DIGEST, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ASKS_REFUSALS, 1) &&
            verifier.EndTable();
   }
   peer_message_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1382,6 +1411,12 @@
   void add_list_age_ms(uint32_t list_age_ms) {
     fbb_.AddElement<uint32_t>(peer_message::VT_LIST_AGE_MS, list_age_ms, 0);
   }
+  void add_quarantine_digest(uint64_t quarantine_digest) {
+    fbb_.AddElement<uint64_t>(peer_message::VT_QUARANTINE_DIGEST, quarantine_digest, 0);
+  }
+  void add_asks_refusals(bool asks_refusals) {
+    fbb_.AddElement<uint8_t>(peer_message::VT_ASKS_REFUSALS, static_cast<uint8_t>(asks_refusals), 0);
+  }
   explicit peer_messageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1424,8 +1459,11 @@
     flatbuffers::Offset<flatbuffers::Vector<const barleyfork::schema::used_adapter *>> running = 0,
     flatbuffers::Offset<flatbuffers::Vector<const barleyfork::schema::outstanding_work *>> work = 0,
     uint64_t list_since = 0,
-    uint32_t list_age_ms = 0) {
+    uint32_t list_age_ms = 0,
+    uint64_t quarantine_digest = 0,
+    bool asks_refusals = false) {
   peer_messageBuilder builder_(_fbb);
+  builder_.add_quarantine_digest(quarantine_digest);
   builder_.add_list_since(list_since);
   builder_.add_list_position(list_position);
   builder_.add_configuration_position(configuration_position);
@@ -1451,6 +1489,7 @@
   builder_.add_configuration(configuration);
   builder_.add_sender(sender);
   builder_.add_port(port);
+  builder_.add_asks_refusals(asks_refusals);
   builder_.add_released(released);
   builder_.add_follows(follows);
   builder_.add_pass_on(pass_on);
@@ -1493,7 +1532,9 @@
     const std::vector<barleyfork::schema::used_adapter> *running = nullptr,
     const std::vector<barleyfork::schema::outstanding_work> *work = nullptr,
     uint64_t list_since = 0,
-    uint32_t list_age_ms = 0) {
+    uint32_t list_age_ms = 0,
+    uint64_t quarantine_digest = 0,
+    bool asks_refusals = false) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::member>>(*members) : 0;
   auto quarantine__ = quarantine ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::quarantine_entry>>(*quarantine) : 0;
   auto digest__ = digest ? _fbb.CreateString(digest) : 0;
@@ -1538,7 +1579,9 @@
       running__,
       work__,
       list_since,
-      list_age_ms);
+      list_age_ms,
+      quarantine_digest,
+      asks_refusals);
 }
 
 flatbuffers::Offset<peer_message> Createpeer_message(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1586,6 +1629,7 @@
   (void)_resolver;
   { auto _e = fingerprint(); _o->fingerprint = _e; }
   { auto _e = crash(); _o->crash = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
 }
 
 inline flatbuffers::Offset<quarantine_entry> quarantine_entry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const quarantine_entry_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1598,10 +1642,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const quarantine_entry_record* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _fingerprint = _o->fingerprint;
   auto _crash = _o->crash;
+  auto _age_ms = _o->age_ms;
   return barleyfork::schema::Createquarantine_entry(
       _fbb,
       _fingerprint,
-      _crash);
+      _crash,
+      _age_ms);
 }
 
 inline configuration_digest_record *configuration_digest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1838,7 +1884,9 @@
         running(o.running),
         work(o.work),
         list_since(o.list_since),
-        list_age_ms(o.list_age_ms) {
+        list_age_ms(o.list_age_ms),
+        quarantine_digest(o.quarantine_digest),
+        asks_refusals(o.asks_refusals) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new barleyfork::schema::member_record(*members_) : nullptr); }
   quarantine.reserve(o.quarantine.size());
@@ -1885,6 +1933,8 @@
   std::swap(work, o.work);
   std::swap(list_since, o.list_since);
   std::swap(list_age_ms, o.list_age_ms);
+  std::swap(quarantine_digest, o.quarantine_digest);
+  std::swap(asks_refusals, o.asks_refusals);
   return *this;
 }
 
@@ -1926,6 +1976,8 @@
   { auto _e = work(); if (_e) { _o->work.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->work[_i] = *_e->Get(_i); } } }
   { auto _e = list_since(); _o->list_since = _e; }
   { auto _e = list_age_ms(); _o->list_age_ms = _e; }
+  { auto _e = quarantine_digest(); _o->quarantine_digest = _e; }
+  { auto _e = asks_refusals(); _o->asks_refusals = _e; }
 }
 
 inline flatbuffers::Offset<peer_message> peer_message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1965,6 +2017,8 @@
   auto _work = _o->work.size() ? _fbb.CreateVectorOfStructs(_o->work) : 0;
   auto _list_since = _o->list_since;
   auto _list_age_ms = _o->list_age_ms;
+  auto _quarantine_digest = _o->quarantine_digest;
+  auto _asks_refusals = _o->asks_refusals;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       _kind,
@@ -1995,7 +2049,9 @@
       _running,
       _work,
       _list_since,
-      _list_age_ms);
+      _list_age_ms,
+      _quarantine_digest,
+      _asks_refusals);
 }
 
 inline const barleyfork::schema::peer_message *Getpeer_message(const void *buf) {
