Leave servers alone that say they leave or want nothing

What a server says of itself on an answer is a fact of the directory now, bound to its process: it leaves, it wants nothing until then. All that choose obey it, orders and looks of the placement too; where all want nothing callers hear the soonest time at once. A refusal counts against a server like a failure, and a repeat goes elsewhere at once.

--- a/libs/core/include/barleyfork/core/backend_directory.hpp
+++ b/libs/core/include/barleyfork/core/backend_directory.hpp
@@ -91,6 +91,10 @@
     /// Another process answered at its address: it is not used until the list
     /// tells of it anew.
     bool misdirected = false;
+    /// This process said in an answer that it leaves, whatever the list says.
+    bool said_leaving = false;
+    /// This process turned a request away and wants nothing until then.
+    time_point wants_nothing_until{};
 
     /// What the server holds, by the newer of list and holder.
     const held_state& held(time_point now) const;
@@ -98,7 +102,13 @@
     /// True where new requests may be sent to it.
     bool usable() const noexcept
     {
-        return !entry.draining && !misdirected;
+        return !entry.draining && !misdirected && !said_leaving;
+    }
+
+    /// True while it wants nothing from this daemon.
+    bool wants_nothing(time_point now) const noexcept
+    {
+        return now < wants_nothing_until;
     }
 };
 
@@ -171,6 +181,15 @@
     /// Another process answered at the server's address.
     void misdirected(const server_id& id);
 
+    /// The process that started at `started_ms` said that it leaves; true
+    /// where that was not known.
+    bool leaves(const server_id& id, std::uint64_t started_ms);
+
+    /// The process turned a request away and wants nothing until `until`.
+    void turned_away(const server_id& id,
+                     std::uint64_t started_ms,
+                     time_point until);
+
     const backend_state* find(const server_id& id) const;
 
     /// All known servers in the order of their ids.
--- a/libs/core/include/barleyfork/core/backend_loads.hpp
+++ b/libs/core/include/barleyfork/core/backend_loads.hpp
@@ -23,9 +23,9 @@
 {
     /// A whole answer, or one that its caller gave up.
     good,
-    /// The server refused: it has no room or does not hold the model.
+    /// The server does not hold the model.
     refused,
-    /// A failing answer, a broken connection or silence.
+    /// A failing answer, no room, a broken connection or silence.
     failed,
 };
 
--- a/libs/core/src/backend_directory.cpp
+++ b/libs/core/src/backend_directory.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace barleyfork {
 
@@ -72,8 +73,11 @@
         state.entry.address != entry.address || state.entry.port != entry.port;
     state.entry = entry;
     state.missing_since.reset();
-    if (new_process || moved)
+    if (new_process || moved) {
         state.misdirected = false;
+        state.said_leaving = false;
+        state.wants_nothing_until = time_point{};
+    }
 }
 
 void backend_directory::remove(const server_id& id, time_point now)
@@ -166,6 +170,27 @@
         found->second.misdirected = true;
 }
 
+bool backend_directory::leaves(const server_id& id, std::uint64_t started_ms)
+{
+    const auto found = servers_.find(id);
+    if (found == servers_.end() ||
+        found->second.entry.held.started_ms != started_ms)
+        return false;
+    return !std::exchange(found->second.said_leaving, true);
+}
+
+void backend_directory::turned_away(const server_id& id,
+                                    std::uint64_t started_ms,
+                                    time_point until)
+{
+    const auto found = servers_.find(id);
+    if (found == servers_.end() ||
+        found->second.entry.held.started_ms != started_ms)
+        return;
+    auto& known = found->second.wants_nothing_until;
+    known = std::max(known, until);
+}
+
 const backend_state* backend_directory::find(const server_id& id) const
 {
     const auto found = servers_.find(id);
--- a/libs/gateway/include/barleyfork/gateway/call_codec.hpp
+++ b/libs/gateway/include/barleyfork/gateway/call_codec.hpp
@@ -54,6 +54,10 @@
     bool not_run = false;
     /// Another process than the expected one answered.
     bool wrong_server = false;
+    /// The server is about to leave: it wants no new requests.
+    bool leaving = false;
+    /// How long a server that turned the request away wants nothing.
+    std::optional<duration> wants_nothing_for;
     /// The server vouches that answer and body are its own.
     bool signed_by_server = false;
     struct server_load
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -165,6 +165,7 @@
 {
     std::vector<server_candidate> found;
     const bool engine = for_engine();
+    bool turned_away = false;
     why = lack::no_server;
     for (const auto& [id, state] : context_.directory.servers()) {
         if (state.entry.service != service_ || !state.usable())
@@ -181,6 +182,10 @@
             if (holds != holding::all)
                 continue;
         }
+        if (state.wants_nothing(now)) {
+            turned_away = true;
+            continue;
+        }
         server_candidate candidate;
         candidate.server = id;
         candidate.load = context_.loads.view(id, route_->priority, now);
@@ -191,9 +196,23 @@
             endpoint_of(state.entry), route_->repeatable(), now);
         found.push_back(std::move(candidate));
     }
+    if (turned_away && found.empty())
+        why = lack::turned_away;
     return found;
 }
 
+/// When the first server of the service that turned requests away wants some
+/// again.
+time_point gateway_call::soonest_server() const
+{
+    auto soonest = time_point::max();
+    for (const auto& [id, state] : context_.directory.servers())
+        if (state.entry.service == service_ && state.usable() &&
+            state.wants_nothing_until != time_point{})
+            soonest = std::min(soonest, state.wants_nothing_until);
+    return soonest;
+}
+
 double gateway_call::expected_ms(const server_candidate& candidate) const
 {
     if (for_engine())
@@ -262,7 +281,8 @@
 
 const char* gateway_call::lack_name(lack why) noexcept
 {
-    constexpr const char* names[] = {"no_server", "no_adapter", "no_room"};
+    constexpr const char* names[] = {
+        "no_server", "no_adapter", "no_room", "turned_away"};
     return names[static_cast<std::size_t>(why)];
 }
 
@@ -424,10 +444,17 @@
         if (context_.on_need)
             context_.on_need();
     }
+    auto patience = (leaves_at() - now) / wait_share;
+    if (why == lack::turned_away) {
+        const auto soonest = soonest_server();
+        if (soonest > now + patience) {
+            refuse(errc::no_replica, soonest - now + return_time());
+            return;
+        }
+    }
     if (waiting_since_)
         return;
     waiting_since_ = now;
-    auto patience = (leaves_at() - now) / wait_share;
     if (why == lack::no_room)
         patience = std::min(patience, route_->latency_target);
     else if (route_->latency_target.count() > 0)
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -108,6 +108,8 @@
         no_adapter,
         /// The servers' queues are too long.
         no_room,
+        /// All servers that could take it want nothing for a while.
+        turned_away,
     };
 
     /// What is best for a request, by the best server it could go to.
@@ -147,6 +149,9 @@
     void record_end(attempt_end end, exchange_end exchange, time_point now);
     void after_attempt(attempt_end end, time_point now);
     void on_refused_by_server(time_point now);
+    void take_server_word(time_point now);
+    void send_elsewhere(time_point now);
+    time_point soonest_server() const;
     bool refuse_quarantined(time_point now);
     void forward_events(std::vector<std::string> events);
     bool is_repeated_event(const std::string& event);
--- a/libs/gateway/src/gateway_call_answers.cpp
+++ b/libs/gateway/src/gateway_call_answers.cpp
@@ -18,6 +18,8 @@
 /// Weight of one more answer in a plain service's smoothed time.
 constexpr double time_weight = 0.1;
 
+constexpr unsigned status_misdirected = 421;
+
 bool is_success(unsigned status)
 {
     return status >= 200 && status < 300;
@@ -26,7 +28,8 @@
 /// Statuses that promise a caller that its request was not run.
 bool promises_not_run(unsigned status)
 {
-    return status == 408 || status == 421 || status == 429 || status == 503;
+    return status == 408 || status == status_misdirected || status == 429 ||
+           status == 503;
 }
 
 /// The id of an event of a stream; empty where it has none.
@@ -78,6 +81,7 @@
             attempt_->server, facts.load->running, facts.load->waiting, now);
     attempt_->head = head;
     attempt_->facts = std::move(facts);
+    take_server_word(now);
     attempt_->streams = route_->kind == call_kind::stream &&
                         is_success(head.status) && is_sound_answer();
     context_.timers.cancel(patience_timer_);
@@ -86,6 +90,30 @@
     return true;
 }
 
+/// What the server says of itself on an answer that is known to be its own.
+void gateway_call::take_server_word(time_point now)
+{
+    if (!belongs_here())
+        return;
+    const auto& facts = attempt_->facts;
+    const auto& server = attempt_->server;
+    if (facts.leaving &&
+        context_.directory.leaves(server, attempt_->started_ms))
+        log_event(log_level::info, "server_says_it_leaves")
+            .with("request", facts_.try_id)
+            .with("server", server.value());
+    if (!facts.wants_nothing_for)
+        return;
+    const auto until = now + *facts.wants_nothing_for;
+    context_.directory.turned_away(server, attempt_->started_ms, until);
+    log_event(log_level::info, "server_turned_away")
+        .with("request", facts_.try_id)
+        .with("server", server.value())
+        .with("for_ms", facts.wants_nothing_for->count());
+    context_.timers.add(until,
+                        [&context = context_] { context.wake_waiting(); });
+}
+
 void gateway_call::on_body(std::string_view bytes)
 {
     if (!attempt_->streams) {
@@ -221,10 +249,12 @@
                               time_point now)
 {
     const bool good = end == attempt_end::answered;
-    const auto record = good ? load_end::good
-                        : end == attempt_end::refused_by_server
-                            ? load_end::refused
-                            : load_end::failed;
+    // A server that turns requests away without running them looks idle.
+    const bool not_held = end == attempt_end::refused_by_server &&
+                          attempt_->head->status == status_misdirected;
+    const auto record = good       ? load_end::good
+                        : not_held ? load_end::refused
+                                   : load_end::failed;
     context_.loads.end(attempt_->server, attempt_->ticket, record, now);
     if (!good) {
         log_event(log_level::warn, "send_failed")
@@ -254,7 +284,7 @@
     const auto& server = attempt_->server;
     if (attempt_->facts.wrong_server)
         context_.directory.misdirected(server);
-    else if (for_engine() && attempt_->head->status == 421)
+    else if (for_engine() && attempt_->head->status == status_misdirected)
         context_.directory.not_held(server, facts_.model, facts_.adapter, now);
 }
 
@@ -277,14 +307,12 @@
         return;
     case next_step::retry:
     case next_step::resume: {
-        const bool pause = end == attempt_end::refused_by_server;
+        const bool refused = end == attempt_end::refused_by_server;
         attempt_.reset();
-        if (!pause) {
+        if (refused)
+            send_elsewhere(now);
+        else
             dispatch();
-            return;
-        }
-        const auto self = shared_from_this();
-        context_.timers.add(now + refusal_pause, [self] { self->dispatch(); });
         return;
     }
     case next_step::refuse_not_run:
@@ -305,6 +333,19 @@
     }
 }
 
+/// After a refusal: at once to another server; the same one gets a pause.
+void gateway_call::send_elsewhere(time_point now)
+{
+    lack why = lack::no_server;
+    const auto next = choose(now, why);
+    if (next && !tried_.contains(next->server)) {
+        dispatch();
+        return;
+    }
+    const auto self = shared_from_this();
+    context_.timers.add(now + refusal_pause, [self] { self->dispatch(); });
+}
+
 void gateway_call::finish_stream()
 {
     if (!delivering_)
--- a/libs/gateway/src/placement_duty.cpp
+++ b/libs/gateway/src/placement_duty.cpp
@@ -189,10 +189,11 @@
     const auto* state = context_.directory.find(action.server);
     if (state == nullptr)
         return;
+    const bool wanted = !state->wants_nothing(steady_now());
     engine_address to{action.server, state->entry.address, state->entry.port};
     if (action.kind == placement_action::what::order)
         context_.serving.spawn(send_order(service, action, std::move(to)));
-    else
+    else if (wanted)
         context_.serving.spawn(
             read_report(service, action.server, std::move(to)));
 }
@@ -204,7 +205,9 @@
     order_reply reply;
     reply.answer = engine_answer::not_sent;
     const auto began = steady_now();
-    if (may_order(boot_now())) {
+    const auto* state = context_.directory.find(action.server);
+    const bool wanted = state != nullptr && !state->wants_nothing(began);
+    if (wanted && may_order(boot_now())) {
         context_.measures.count_order();
         const order_sender sender{context_.self.value(), lease_.epoch()};
         reply = co_await context_.platform.engines->send_order(
--- a/libs/logs/src/request_story.cpp
+++ b/libs/logs/src/request_story.cpp
@@ -71,6 +71,8 @@
     if (reason == "no_adapter")
         return "no server had adapter " + std::string(wait->field("adapter")) +
                " of model " + model + " in time";
+    if (reason == "turned_away")
+        return "all servers wanted nothing for a while";
     if (reason == "no_room")
         return "the queues of all servers with model " + model +
                " were too long";
@@ -115,8 +117,8 @@
     if (outcome == "draining")
         return head + "the daemon was shutting down";
     if (outcome == "quarantined")
-        return head + describe_quarantine(
-                          last_of(lines, "request_quarantined"));
+        return head +
+               describe_quarantine(last_of(lines, "request_quarantined"));
     if (outcome == "store_unavailable")
         return head + "the daemon had no configuration or server list yet";
     if (outcome == "not_found")
