Bound all that a server sends, and pass interim answers over

Cause: the gateway kept what it could not take apart, and whole bodies, without limit, and knew no interim answers. Now heads, chunk lines and trailers have one limit (shared with barleyforkd and the client of store and engines), held answers share a quarter of the instance's memory, a slow caller holds its server back, interim answers are passed over. The search for an event's end starts where the last one stopped.

--- a/libs/core/include/barleyfork/core/event_splitter.hpp
+++ b/libs/core/include/barleyfork/core/event_splitter.hpp
@@ -22,6 +22,13 @@
     void drop_partial()
     {
         partial_.clear();
+        searched_ = 0;
+    }
+
+    /// Bytes of an event that has not come to its end.
+    std::size_t partial_bytes() const noexcept
+    {
+        return partial_.size();
     }
 
     /// True within an event that has not come to its end.
@@ -44,6 +51,8 @@
 
 private:
     std::string partial_;
+    /// Bytes of it that hold no end of an event.
+    std::size_t searched_ = 0;
     std::uint64_t events_ = 0;
     bool done_ = false;
 };
--- a/libs/core/src/event_splitter.cpp
+++ b/libs/core/src/event_splitter.cpp
@@ -1,5 +1,7 @@
 #include <barleyfork/core/event_splitter.hpp>
 
+#include <algorithm>
+
 namespace barleyfork {
 
 namespace {
@@ -15,7 +17,7 @@
     std::vector<std::string> whole;
     std::size_t start = 0;
     for (;;) {
-        const auto end = partial_.find(separator, start);
+        const auto end = partial_.find(separator, std::max(start, searched_));
         if (end == std::string::npos)
             break;
         whole.push_back(partial_.substr(start, end + separator.size() - start));
@@ -26,6 +28,8 @@
             ++events_;
     }
     partial_.erase(0, start);
+    // The end may begin with the last byte.
+    searched_ = partial_.empty() ? 0 : partial_.size() - 1;
     return whole;
 }
 
--- a/libs/core/tests/gateway_parts_test.cpp
+++ b/libs/core/tests/gateway_parts_test.cpp
@@ -5,6 +5,7 @@
 #include <barleyfork/core/backend_loads.hpp>
 #include <barleyfork/core/gateway_configuration.hpp>
 #include <barleyfork/core/lease.hpp>
+#include <barleyfork/core/memory_budget.hpp>
 #include <barleyfork/core/pace_estimator.hpp>
 #include <barleyfork/core/server_choice.hpp>
 #include <barleyfork/core/shared_retry_budget.hpp>
@@ -70,6 +71,9 @@
     CPPUNIT_TEST(callers_leave_after_the_longest_of_three);
     CPPUNIT_TEST(the_pace_is_learned);
     CPPUNIT_TEST(a_late_renewal_is_as_old_as_its_sending);
+    CPPUNIT_TEST(what_a_process_said_ends_with_it);
+    CPPUNIT_TEST(an_older_process_says_nothing_of_the_next);
+    CPPUNIT_TEST(memory_is_shared_up_to_its_limits);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -427,6 +431,54 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, row->epoch);
     }
 
+    void what_a_process_said_ends_with_it()
+    {
+        backend_directory directory;
+        auto entry = make_entry("s", "m");
+        directory.update(entry);
+        CPPUNIT_ASSERT(directory.leaves(entry.id, 1));
+        CPPUNIT_ASSERT(!directory.leaves(entry.id, 1));
+        directory.turned_away(entry.id, 1, start + duration{3000});
+        directory.turned_away(entry.id, 1, start + duration{1000});
+        // Its row still says that it is ready.
+        directory.update(entry);
+        const auto* state = directory.find(entry.id);
+        CPPUNIT_ASSERT(!state->usable());
+        CPPUNIT_ASSERT(state->wants_nothing(start + duration{2999}));
+        entry.held.started_ms = 2;
+        directory.update(entry);
+        CPPUNIT_ASSERT(state->usable());
+        CPPUNIT_ASSERT(!state->wants_nothing(start));
+    }
+
+    void an_older_process_says_nothing_of_the_next()
+    {
+        backend_directory directory;
+        const auto entry = make_entry("s", "m");
+        directory.update(entry);
+        CPPUNIT_ASSERT(!directory.leaves(entry.id, 0));
+        directory.turned_away(entry.id, 0, start + duration{3000});
+        CPPUNIT_ASSERT(directory.find(entry.id)->usable());
+        CPPUNIT_ASSERT(!directory.find(entry.id)->wants_nothing(start));
+    }
+
+    void memory_is_shared_up_to_its_limits()
+    {
+        memory_budget budget(100, 60);
+        memory_budget::share one(budget);
+        CPPUNIT_ASSERT(!one.resize(61));
+        CPPUNIT_ASSERT(one.resize(60));
+        {
+            memory_budget::share other(budget);
+            CPPUNIT_ASSERT(!other.resize(41));
+            CPPUNIT_ASSERT(other.resize(40));
+            CPPUNIT_ASSERT(one.resize(10));
+            CPPUNIT_ASSERT(other.resize(60));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{70}, budget.held());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{10}, budget.held());
+    }
+
 private:
     static holding
     holds(const backend_state& state, const char* model, time_point now)
--- a/libs/daemon/src/backend_client.cpp
+++ b/libs/daemon/src/backend_client.cpp
@@ -1,6 +1,7 @@
 #include "backend_client.hpp"
 
 #include <barleyfork/base/log.hpp>
+#include <barleyfork/net/answer_limits.hpp>
 #include <barleyfork/net/sockets.hpp>
 
 #include <boost/asio/as_tuple.hpp>
@@ -9,6 +10,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
+#include <optional>
 
 namespace barleyfork {
 
@@ -144,13 +146,19 @@
     if (write_error)
         co_return attempt_end::lost_before_answer;
 
-    beast::flat_buffer buffer;
-    http::response_parser<http::buffer_body> parser;
-    parser.body_limit(boost::none);
-    auto [head_error, head_size] = co_await http::async_read_header(
-        current.stream, buffer, parser, as_result);
-    if (head_error)
-        co_return attempt_end::lost_before_answer;
+    beast::flat_buffer buffer(most_unparsed_bytes);
+    std::optional<http::response_parser<http::buffer_body>> final_answer;
+    int answers = 0;
+    do {
+        final_answer.emplace();
+        final_answer->header_limit(most_head_bytes);
+        final_answer->body_limit(boost::none);
+        auto [head_error, head_size] = co_await http::async_read_header(
+            current.stream, buffer, *final_answer, as_result);
+        if (head_error || ++answers > most_interim_answers + 1)
+            co_return attempt_end::lost_before_answer;
+    } while (is_interim(final_answer->get().result_int()));
+    auto& parser = *final_answer;
     // A server may send a late copy of an earlier answer.
     const auto echoed = parser.get()[exchange_header];
     const bool echoes = echoed == exchange_id;
--- a/libs/gateway/src/backend_connection.cpp
+++ b/libs/gateway/src/backend_connection.cpp
@@ -1,5 +1,6 @@
 #include "backend_connection.hpp"
 
+#include <barleyfork/net/answer_limits.hpp>
 #include <barleyfork/net/socket_options.hpp>
 
 #include <boost/asio/write.hpp>
@@ -20,7 +21,6 @@
 constexpr duration assumed_idle_timeout{3000};
 /// More answers that nobody asked for end the exchange.
 constexpr int most_stray_answers = 3;
-constexpr std::uint32_t most_head_bytes = 64 * 1024;
 
 answer_head to_head(const http::response<http::string_body>& message)
 {
@@ -60,6 +60,8 @@
     receiver_ = std::move(receiver);
     written_ = false;
     stray_answers_ = 0;
+    interim_answers_ = 0;
+    paused_ = false;
     ++exchanges_;
     if (state_ == state::fresh) {
         connect();
@@ -116,13 +118,26 @@
 
 void backend_connection::read()
 {
+    if (reading_ || paused_)
+        return;
+    reading_ = true;
     const auto self = shared_from_this();
     socket_.async_read_some(asio::buffer(buffer_),
                             [self](const auto& error, std::size_t size) {
+                                self->reading_ = false;
                                 self->on_read(error, size);
                             });
 }
 
+void backend_connection::resume()
+{
+    if (!paused_)
+        return;
+    paused_ = false;
+    if (state_ != state::closed)
+        read();
+}
+
 void backend_connection::on_read(const boost::system::error_code& error,
                                  std::size_t size)
 {
@@ -179,6 +194,8 @@
 {
     while (state_ == state::busy && parse_some()) {
     }
+    if (state_ == state::busy && unread_.size() > most_unparsed_bytes)
+        finish(exchange_end::malformed);
 }
 
 /// One step through the unread bytes; false where more are needed.
@@ -195,6 +212,8 @@
     }
     if (!parser_->is_header_done())
         return false;
+    if (!head_reported_ && is_interim(parser_->get().result_int()))
+        return skip_interim();
     if (!head_reported_ && !report_head())
         return false;
     auto& body = parser_->get().body();
@@ -213,6 +232,17 @@
     return used > 0 && error != http::error::need_more;
 }
 
+/// The final answer is still to come.
+bool backend_connection::skip_interim()
+{
+    if (++interim_answers_ > most_interim_answers) {
+        finish(exchange_end::malformed);
+        return false;
+    }
+    start_parser();
+    return true;
+}
+
 bool backend_connection::report_head()
 {
     head_reported_ = true;
--- a/libs/gateway/src/backend_connection.hpp
+++ b/libs/gateway/src/backend_connection.hpp
@@ -83,6 +83,15 @@
     /// called any more.
     void cancel();
 
+    /// Reads nothing more for now: what the server sends on waits there.
+    void pause() noexcept
+    {
+        paused_ = true;
+    }
+
+    /// Reads on.
+    void resume();
+
     bool is_open() const noexcept
     {
         return state_ != state::closed;
@@ -118,6 +127,7 @@
     void on_read(const boost::system::error_code& error, std::size_t size);
     void parse();
     bool parse_some();
+    bool skip_interim();
     bool report_head();
     void on_whole();
     void finish(exchange_end end);
@@ -141,6 +151,9 @@
     bool stray_ = false;
     std::size_t exchanges_ = 0;
     int stray_answers_ = 0;
+    int interim_answers_ = 0;
+    bool paused_ = false;
+    bool reading_ = false;
     std::optional<parser> parser_;
     std::string unread_;
     std::array<char, 8192> buffer_{};
--- a/libs/gateway/src/caller_port.hpp
+++ b/libs/gateway/src/caller_port.hpp
@@ -23,6 +23,9 @@
     /// Ends a streamed answer as whole.
     virtual void end_stream() = 0;
 
+    /// Bytes of the answer that the caller has not taken yet.
+    virtual std::size_t unsent() const = 0;
+
     /// Cuts the connection: what was sent is not whole.
     virtual void abort() = 0;
 };
--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -1,6 +1,8 @@
 #include "caller_session.hpp"
 
 #include "own_answer.hpp"
+
+#include <barleyfork/base/log.hpp>
 #include <barleyfork/net/socket_options.hpp>
 
 #include <barleyfork/net/http_checks.hpp>
@@ -19,8 +21,8 @@
 
 /// Bytes of further requests that are read while one runs.
 constexpr std::size_t most_read_ahead = 64 * 1024;
-/// An answer that its caller does not read is given up beyond this.
-constexpr std::size_t most_unsent = 4 * 1024 * 1024;
+/// A caller that has so much of its answers to take yet gets no further one.
+constexpr std::size_t most_unsent = 256 * 1024;
 /// How long a closing connection waits for the caller's own end.
 constexpr duration linger{1000};
 
@@ -52,7 +54,7 @@
 
 caller_session::caller_session(gateway_context& context, tcp::socket socket)
     : context_(context), socket_(std::move(socket)),
-      address_(address_of(socket_))
+      address_(address_of(socket_)), unsent_memory_(context.answers)
 {
 }
 
@@ -110,7 +112,9 @@
 
 void caller_session::parse()
 {
-    while (!call_ && !closing_ && !closed_ && !unread_.empty()) {
+    while (!call_ && !closing_ && !closed_ && !unread_.empty() &&
+           unsent() < most_unsent)
+    {
         if (!request_begun_) {
             request_begun_ = true;
             const auto limits = context_.configuration
@@ -196,7 +200,8 @@
     pending_ += text;
     if (context_.drain.draining())
         keep_alive_ = false;
-    answer_done();
+    if (keep_unsent())
+        answer_done();
 }
 
 void caller_session::begin_stream(const answer_head& head)
@@ -225,11 +230,25 @@
         append_chunk(pending_, bytes);
     else
         pending_ += bytes;
-    if (pending_.size() > most_unsent) {
-        on_caller_gone();
-        return;
-    }
-    flush();
+    if (keep_unsent())
+        flush();
+}
+
+std::size_t caller_session::unsent() const
+{
+    return pending_.size() + writing_.size();
+}
+
+/// Counts what waits for the caller; cuts it off where that is too much.
+bool caller_session::keep_unsent()
+{
+    if (unsent_memory_.resize(unsent()))
+        return true;
+    log_event(log_level::warn, "caller_reads_too_slowly")
+        .with("caller", address_)
+        .with("unsent", static_cast<std::int64_t>(unsent()));
+    on_caller_gone();
+    return false;
 }
 
 void caller_session::end_stream()
@@ -281,16 +300,20 @@
 void caller_session::on_written(const boost::system::error_code& error)
 {
     writing_.clear();
+    unsent_memory_.resize(pending_.size());
     if (closed_)
         return;
     if (error) {
         on_caller_gone();
         return;
     }
-    if (!pending_.empty()) {
-        flush();
+    flush();
+    if (call_)
+        call_->on_caller_reads();
+    else
+        parse();
+    if (!writing_.empty())
         return;
-    }
     if (closing_) {
         boost::system::error_code ignored;
         socket_.shutdown(tcp::socket::shutdown_send, ignored);
--- a/libs/gateway/src/caller_session.hpp
+++ b/libs/gateway/src/caller_session.hpp
@@ -46,6 +46,7 @@
     void begin_stream(const answer_head& head) override;
     void send_part(std::string_view bytes) override;
     void end_stream() override;
+    std::size_t unsent() const override;
     void abort() override;
 
 private:
@@ -62,6 +63,7 @@
     void answer_done();
     void append_connection_header(std::string& out) const;
     void flush();
+    bool keep_unsent();
     void on_written(const boost::system::error_code& error);
     void begin_close();
     void close();
@@ -77,6 +79,7 @@
     std::shared_ptr<gateway_call> call_;
     std::string pending_;
     std::string writing_;
+    memory_budget::share unsent_memory_;
     timer_queue::timer_id timer_ = 0;
     bool reading_ = false;
     bool keep_alive_ = true;
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -35,6 +35,8 @@
 /// What an output token costs beside a prompt token.
 constexpr double output_weight = 2.5;
 constexpr double ms_per_second = 1000.0;
+/// A server is read on once its caller has no more than this to take.
+constexpr std::size_t caller_low_water = 64 * 1024;
 
 asio::ip::tcp::endpoint endpoint_of(const backend_entry& entry)
 {
@@ -345,7 +347,7 @@
 
 void gateway_call::start_attempt(const choice& chosen, time_point now)
 {
-    attempt_.emplace();
+    attempt_.emplace(context_.answers);
     attempt_->server = chosen.server;
     attempt_->started_ms = chosen.started_ms;
     attempt_->target = chosen.target;
@@ -522,6 +524,12 @@
     finish(errc::connection_lost);
 }
 
+void gateway_call::on_caller_reads()
+{
+    if (attempt_ && caller_ && caller_->unsent() < caller_low_water)
+        attempt_->connection->resume();
+}
+
 void gateway_call::give_up_attempt(load_end end, time_point now)
 {
     context_.timers.cancel(patience_timer_);
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -37,6 +37,9 @@
     /// The caller closed its connection: work for it stops.
     void on_caller_gone();
 
+    /// The caller has taken some of the answer.
+    void on_caller_reads();
+
     void on_sending() override;
     bool on_head(const answer_head& head) override;
     void on_body(std::string_view bytes) override;
@@ -70,6 +73,8 @@
     /// One send of the request to a server.
     struct attempt
     {
+        explicit attempt(memory_budget& answers) : memory(answers) {}
+
         server_id server;
         /// The server's process, and where it listens.
         std::uint64_t started_ms = 0;
@@ -90,6 +95,7 @@
         bool answer_whole = false;
         std::string body;
         event_splitter splitter;
+        memory_budget::share memory;
     };
 
     struct choice
@@ -153,6 +159,7 @@
     void send_elsewhere(time_point now);
     time_point soonest_server() const;
     bool refuse_quarantined(time_point now);
+    bool keep_body(std::size_t size);
     void forward_events(std::vector<std::string> events);
     bool is_repeated_event(const std::string& event);
     void begin_stream();
--- a/libs/gateway/src/gateway_call_answers.cpp
+++ b/libs/gateway/src/gateway_call_answers.cpp
@@ -15,6 +15,8 @@
 
 /// A server that refused is not asked again sooner than this.
 constexpr duration refusal_pause{30};
+/// A server is read no further while its caller has more than this to take.
+constexpr std::size_t caller_high_water = 256 * 1024;
 /// Weight of one more answer in a plain service's smoothed time.
 constexpr double time_weight = 0.1;
 
@@ -117,10 +119,33 @@
 void gateway_call::on_body(std::string_view bytes)
 {
     if (!attempt_->streams) {
-        attempt_->body += bytes;
+        if (keep_body(attempt_->body.size() + bytes.size()))
+            attempt_->body += bytes;
         return;
     }
+    if (!keep_body(attempt_->splitter.partial_bytes() + bytes.size()))
+        return;
     forward_events(attempt_->splitter.feed(bytes));
+    if (!over_ && attempt_ && caller_ && caller_->unsent() > caller_high_water)
+        attempt_->connection->pause();
+}
+
+/// Counts what is held of an answer; one that grows beyond the limits is
+/// broken off, as one that never ends would be.
+bool gateway_call::keep_body(std::size_t size)
+{
+    if (attempt_->memory.resize(size))
+        return true;
+    log_event(log_level::warn, "answer_too_large")
+        .with("request", facts_.try_id)
+        .with("server", attempt_->server.value())
+        .with("bytes", static_cast<std::int64_t>(size))
+        .with("held_by_all",
+              static_cast<std::int64_t>(context_.answers.held()));
+    const auto connection = attempt_->connection;
+    connection->cancel();
+    on_end(exchange_end::malformed);
+    return false;
 }
 
 void gateway_call::forward_events(std::vector<std::string> events)
--- a/libs/gateway/src/gateway_context.cpp
+++ b/libs/gateway/src/gateway_context.cpp
@@ -11,6 +11,17 @@
 /// The share of its time that a busy server works.
 constexpr double busy_utilisation = 0.8;
 
+/// Of the instance's memory, what all answers may hold, and what one may.
+constexpr double answers_share = 0.25;
+constexpr double one_answer_share = 1.0 / 16.0;
+
+std::size_t share_of_memory(const schema::gateway_settings_record& settings,
+                            double share)
+{
+    constexpr double bytes_in_mb = 1024.0 * 1024.0;
+    return static_cast<std::size_t>(settings.memory_mb * bytes_in_mb * share);
+}
+
 /// A request that ended three servers is refused for ten minutes at first.
 constexpr quarantine_limits refusal_limits{.memory = duration{600000},
                                            .refusal_threshold = 3};
@@ -34,6 +45,8 @@
     : settings(std::move(given)), platform(std::move(port)),
       self(settings.instance), timers(serving.executor()),
       pool(serving.executor(), timers),
+      answers(share_of_memory(settings, answers_share),
+              share_of_memory(settings, one_answer_share)),
       crashes(serving.executor(), timers, pool), quarantine(refusal_limits)
 {
     for (const auto& place : settings.places)
--- a/libs/gateway/src/gateway_context.hpp
+++ b/libs/gateway/src/gateway_context.hpp
@@ -12,6 +12,7 @@
 #include <barleyfork/core/crash_quarantine.hpp>
 #include <barleyfork/core/drain_plan.hpp>
 #include <barleyfork/core/gateway_configuration.hpp>
+#include <barleyfork/core/memory_budget.hpp>
 #include <barleyfork/core/pace_estimator.hpp>
 #include <barleyfork/core/server_choice.hpp>
 #include <barleyfork/core/shared_retry_budget.hpp>
@@ -87,6 +88,8 @@
     instance_id self;
     timer_queue timers;
     backend_pool pool;
+    /// Answers that are held until they are whole, or until callers read.
+    memory_budget answers;
     crash_watch crashes;
     /// Requests that end the servers that run them.
     crash_quarantine quarantine;
--- a/libs/net/include/barleyfork/net/http_client.hpp
+++ b/libs/net/include/barleyfork/net/http_client.hpp
@@ -32,6 +32,8 @@
     /// A new connection is given up after this, however long the call may
     /// take: the kernel's own tries come seconds apart.
     duration connect_timeout{1000};
+    /// A larger body is no answer, in bytes.
+    std::size_t largest_answer = 16 * 1024 * 1024;
 };
 
 /// The answer to a small request.
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -1,5 +1,6 @@
 #include <barleyfork/net/http_client.hpp>
 
+#include <barleyfork/net/answer_limits.hpp>
 #include <barleyfork/net/socket_options.hpp>
 #include <barleyfork/net/sockets.hpp>
 
@@ -9,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <optional>
 
 namespace barleyfork {
 
@@ -19,7 +21,6 @@
 
 namespace {
 
-constexpr std::size_t largest_reply = 64 * 1024 * 1024;
 constexpr std::size_t idle_connections = 4;
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 
@@ -108,16 +109,23 @@
         reply.error = to_failure(write_error, endpoint);
         co_return reply;
     }
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(largest_reply);
-    beast::flat_buffer buffer;
-    const auto read_error =
-        co_await read_answer(stream, buffer, parser, request);
-    if (read_error) {
-        reply.error = to_failure(read_error, endpoint);
-        co_return reply;
-    }
-    auto answer = parser.release();
+    std::optional<http::response_parser<http::string_body>> parser;
+    beast::flat_buffer buffer(most_unparsed_bytes);
+    int answers = 0;
+    do {
+        parser.emplace();
+        parser->header_limit(most_head_bytes);
+        parser->body_limit(request.largest_answer);
+        auto read_error =
+            co_await read_answer(stream, buffer, *parser, request);
+        if (!read_error && ++answers > most_interim_answers + 1)
+            read_error = http::error::unexpected_body;
+        if (read_error) {
+            reply.error = to_failure(read_error, endpoint);
+            co_return reply;
+        }
+    } while (is_interim(parser->get().result_int()));
+    auto answer = parser->release();
     reply.status = answer.result_int();
     reply.etag = std::string(answer[http::field::etag]);
     reply.body = std::move(answer.body());
--- a/libs/schema/include/barleyfork/schema/gateway_generated.h
+++ b/libs/schema/include/barleyfork/schema/gateway_generated.h
@@ -507,6 +507,7 @@
   std::vector<std::unique_ptr<barleyfork::schema::domain_place_record>> places{};
   double cpu_share = 1.0;
   double link_mbps = 1000.0;
+  double memory_mb = 256.0;
   uint32_t max_descriptors = 1024;
   std::unique_ptr<barleyfork::schema::store_settings_record> store{};
   std::unique_ptr<barleyfork::schema::bound_settings_record> bounds{};
@@ -537,11 +538,12 @@
     VT_PLACES = 24,
     VT_CPU_SHARE = 26,
     VT_LINK_MBPS = 28,
-    VT_MAX_DESCRIPTORS = 30,
-    VT_STORE = 32,
-    VT_BOUNDS = 34,
-    VT_PLACEMENT = 36,
-    VT_LOG = 38
+    VT_MEMORY_MB = 30,
+    VT_MAX_DESCRIPTORS = 32,
+    VT_STORE = 34,
+    VT_BOUNDS = 36,
+    VT_PLACEMENT = 38,
+    VT_LOG = 40
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -582,6 +584,9 @@
   double link_mbps() const {
     return GetField<double>(VT_LINK_MBPS, 1000.0);
   }
+  double memory_mb() const {
+    return GetField<double>(VT_MEMORY_MB, 256.0);
+  }
   uint32_t max_descriptors() const {
     return GetField<uint32_t>(VT_MAX_DESCRIPTORS, 1024);
   }
@@ -623,6 +628,7 @@
            verifier.VerifyVectorOfTables(places()) &&
            VerifyField<double>(verifier, VT_CPU_SHARE, 8) &&
            VerifyField<double>(verifier, VT_LINK_MBPS, 8) &&
+           VerifyField<double>(verifier, VT_MEMORY_MB, 8) &&
            VerifyField<uint32_t>(verifier, VT_MAX_DESCRIPTORS, 4) &&
            VerifyOffsetRequired(verifier, VT_STORE) &&
            verifier.VerifyTable(store()) &&
@@ -682,6 +688,9 @@
   void add_link_mbps(double link_mbps) {
     fbb_.AddElement<double>(gateway_settings::VT_LINK_MBPS, link_mbps, 1000.0);
   }
+  void add_memory_mb(double memory_mb) {
+    fbb_.AddElement<double>(gateway_settings::VT_MEMORY_MB, memory_mb, 256.0);
+  }
   void add_max_descriptors(uint32_t max_descriptors) {
     fbb_.AddElement<uint32_t>(gateway_settings::VT_MAX_DESCRIPTORS, max_descriptors, 1024);
   }
@@ -731,12 +740,14 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::domain_place>>> places = 0,
     double cpu_share = 1.0,
     double link_mbps = 1000.0,
+    double memory_mb = 256.0,
     uint32_t max_descriptors = 1024,
     flatbuffers::Offset<barleyfork::schema::store_settings> store = 0,
     flatbuffers::Offset<barleyfork::schema::bound_settings> bounds = 0,
     flatbuffers::Offset<barleyfork::schema::placement_settings> placement = 0,
     flatbuffers::Offset<barleyfork::schema::log_settings> log = 0) {
   gateway_settingsBuilder builder_(_fbb);
+  builder_.add_memory_mb(memory_mb);
   builder_.add_link_mbps(link_mbps);
   builder_.add_cpu_share(cpu_share);
   builder_.add_log(log);
@@ -778,6 +789,7 @@
     const std::vector<flatbuffers::Offset<barleyfork::schema::domain_place>> *places = nullptr,
     double cpu_share = 1.0,
     double link_mbps = 1000.0,
+    double memory_mb = 256.0,
     uint32_t max_descriptors = 1024,
     flatbuffers::Offset<barleyfork::schema::store_settings> store = 0,
     flatbuffers::Offset<barleyfork::schema::bound_settings> bounds = 0,
@@ -807,6 +819,7 @@
       places__,
       cpu_share,
       link_mbps,
+      memory_mb,
       max_descriptors,
       store,
       bounds,
@@ -981,6 +994,7 @@
         seeds(o.seeds),
         cpu_share(o.cpu_share),
         link_mbps(o.link_mbps),
+        memory_mb(o.memory_mb),
         max_descriptors(o.max_descriptors),
         store((o.store) ? new barleyfork::schema::store_settings_record(*o.store) : nullptr),
         bounds((o.bounds) ? new barleyfork::schema::bound_settings_record(*o.bounds) : nullptr),
@@ -1004,6 +1018,7 @@
   std::swap(places, o.places);
   std::swap(cpu_share, o.cpu_share);
   std::swap(link_mbps, o.link_mbps);
+  std::swap(memory_mb, o.memory_mb);
   std::swap(max_descriptors, o.max_descriptors);
   std::swap(store, o.store);
   std::swap(bounds, o.bounds);
@@ -1034,6 +1049,7 @@
   { auto _e = places(); if (_e) { _o->places.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->places[_i] = std::unique_ptr<barleyfork::schema::domain_place_record>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = cpu_share(); _o->cpu_share = _e; }
   { auto _e = link_mbps(); _o->link_mbps = _e; }
+  { auto _e = memory_mb(); _o->memory_mb = _e; }
   { auto _e = max_descriptors(); _o->max_descriptors = _e; }
   { auto _e = store(); if (_e) _o->store = std::unique_ptr<barleyfork::schema::store_settings_record>(_e->UnPack(_resolver)); }
   { auto _e = bounds(); if (_e) _o->bounds = std::unique_ptr<barleyfork::schema::bound_settings_record>(_e->UnPack(_resolver)); }
@@ -1062,6 +1078,7 @@
   auto _places = _o->places.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::domain_place>> (_o->places.size(), [](size_t i, _VectorArgs *__va) { return Createdomain_place(*__va->__fbb, __va->__o->places[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _cpu_share = _o->cpu_share;
   auto _link_mbps = _o->link_mbps;
+  auto _memory_mb = _o->memory_mb;
   auto _max_descriptors = _o->max_descriptors;
   auto _store = _o->store ? Createstore_settings(_fbb, _o->store.get(), _rehasher) : 0;
   auto _bounds = _o->bounds ? Createbound_settings(_fbb, _o->bounds.get(), _rehasher) : 0;
@@ -1082,6 +1099,7 @@
       _places,
       _cpu_share,
       _link_mbps,
+      _memory_mb,
       _max_descriptors,
       _store,
       _bounds,
--- a/libs/testing/src/test_main.cpp
+++ b/libs/testing/src/test_main.cpp
@@ -47,7 +47,8 @@
 
 } // namespace barleyfork::testing
 
-int main()
+/// Runs all tests, or the one whose whole name is given.
+int main(int argc, char** argv)
 {
     CppUnit::TestResult events;
     CppUnit::TestResultCollector results;
@@ -56,7 +57,7 @@
     events.addListener(&progress);
     CppUnit::TestRunner runner;
     runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
-    runner.run(events);
+    runner.run(events, argc > 1 ? argv[1] : "");
     CppUnit::CompilerOutputter(&results, std::cerr).write();
     const auto failed = results.testFailuresTotal();
     std::cout << results.runTests() - failed << " passed, " << failed
