--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -44,9 +44,23 @@
     return request;
 }
 
+/// The host of a target in absolute form goes before the header's.
+void use_origin_form(http::request<http::string_body>& message)
+{
+    const auto split = split_absolute_form(
+        std::string_view(message.target().data(), message.target().size()));
+    if (!split)
+        return;
+    message.target(split->target);
+    message.set(http::field::host, split->host);
+}
+
 bool is_readable(const http::request<http::string_body>& message)
 {
-    return !is_ambiguous(message) && message.target().starts_with('/') &&
+    const std::string_view target(message.target().data(),
+                                  message.target().size());
+    return !is_ambiguous(message) && target.starts_with('/') &&
+           !has_dot_segment(target.substr(0, target.find('?'))) &&
            message.count(http::field::host) == 1;
 }
 
@@ -143,6 +157,8 @@
     keep_alive_ = message.keep_alive();
     chunked_ = message.version() >= 11;
     head_request_ = message.method() == http::verb::head;
+    if (message.count(http::field::host) == 1)
+        use_origin_form(message);
     if (!is_readable(message)) {
         refuse(400);
         return;
