Tell blames to the holder once an interval instead of to all at once

Found by reading: each daemon with a request on an ended server told all others at once; with 295 daemons and a quarter of 256 servers gone that is 87,000 messages or more. Blames now go with the news: to the holder once an interval, less what was answered meanwhile, 512 at most, the gravest first, and on with its word; to all only where no holder is heard.

--- a/libs/core/include/barleyfork/core/crash_quarantine.hpp
+++ b/libs/core/include/barleyfork/core/crash_quarantine.hpp
@@ -72,7 +72,7 @@
     void on_answer(std::uint64_t fingerprint, time_point now);
 
     /// Takes in what a peer or this daemon blames on a request, as of `at`.
-    /// True where the request is refused by it and was not before.
+    /// False where that was known.
     bool merge(const crash_blame& blame, time_point at);
 
     /// True where the request is to be refused.
--- a/libs/core/src/crash_quarantine.cpp
+++ b/libs/core/src/crash_quarantine.cpp
@@ -66,7 +66,7 @@
     if (!entry.crashes.insert(blame.crash).second)
         return false;
     entry.changed_at = std::max(entry.changed_at, at);
-    return entry.crashes.size() == limits_.refusal_threshold;
+    return true;
 }
 
 /// Suspicions give way before refusals, old ones first.
--- a/libs/core/tests/crash_quarantine_test.cpp
+++ b/libs/core/tests/crash_quarantine_test.cpp
@@ -177,10 +177,9 @@
         crash_quarantine learns(limits());
         const auto now = at(5000);
         CPPUNIT_ASSERT(knows.digest(now) != learns.digest(now));
-        bool newly = false;
         for (const auto& told : knows.refusals(now))
-            newly |= learns.merge(told.blame, now - told.age);
-        CPPUNIT_ASSERT(newly);
+            CPPUNIT_ASSERT(learns.merge(told.blame, now - told.age));
+        CPPUNIT_ASSERT(learns.refused(cause, now));
         CPPUNIT_ASSERT_EQUAL(knows.digest(now), learns.digest(now));
         CPPUNIT_ASSERT(knows.refused_for(cause, now) ==
                        learns.refused_for(cause, now));
--- a/libs/gateway/src/peer_news.cpp
+++ b/libs/gateway/src/peer_news.cpp
@@ -124,6 +124,8 @@
     message.sequence = order.sequence;
     message.work = to_records(context_.loads.all_work(now));
     message.quarantine_digest = context_.quarantine.digest(now);
+    for (const auto& told : take_untold_blames())
+        message.quarantine.push_back(to_record(told));
     for (const auto& news : changed)
         message.servers.push_back(to_record(news));
     add_list_changes(message);
@@ -258,6 +260,7 @@
     holder_heard_at_ = now;
     holder_ = peer_address{message.address, message.port};
     watch_.take_told(rows_of(message), claim_of(message, now));
+    take_blames(blames_of(message), "peer", false);
     compare_refusals(message, now);
     // One name for the sum of all others, whoever the holder is.
     context_.loads.on_peer_work(
--- a/libs/gateway/src/peer_news.hpp
+++ b/libs/gateway/src/peer_news.hpp
@@ -134,6 +134,9 @@
                         const member& speaker);
     schema::peer_message_record
     make_crash_message(std::span<const told_blame> told, time_point now);
+    void tell_blames_soon();
+    void tell_blames();
+    std::vector<told_blame> take_untold_blames();
     void begin_refusal(std::uint64_t fingerprint,
                        std::string_view source,
                        bool keep);
@@ -177,6 +180,9 @@
     time_point beat_at_{};
     version_catchup catchup_;
     difference_watch refusal_difference_;
+    /// What others have not heard from this daemon yet.
+    std::vector<crash_blame> untold_blames_;
+    bool telling_blames_ = false;
 };
 
 } // namespace barleyfork
--- a/libs/gateway/src/peer_news_quarantine.cpp
+++ b/libs/gateway/src/peer_news_quarantine.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <utility>
 
 namespace barleyfork {
 
@@ -20,6 +21,8 @@
 
 constexpr const char* quarantine_table = "barleyfork_quarantine";
 constexpr std::int64_t retry_pause_ms = 700;
+/// Blames in one message; the gravest go first.
+constexpr std::size_t most_told_blames = 512;
 /// A row that others write at the same moment is read and written again.
 constexpr int most_writes = 20;
 
@@ -75,11 +78,10 @@
     log_event(log_level::warn, "server_ended")
         .with("server", server.value())
         .with("requests", static_cast<std::int64_t>(ended.in_flight.size()));
-    std::vector<told_blame> told;
     std::vector<std::uint64_t> refused;
     for (const auto& blame :
          quarantine.on_crash(ended.in_flight, ended.crash, now)) {
-        told.push_back({blame, duration{0}});
+        untold_blames_.push_back(blame);
         log_event(log_level::info, "request_blamed_for_crash")
             .with("server", server.value())
             .with("fingerprint", to_hexadecimal(blame.fingerprint))
@@ -89,10 +91,59 @@
         if (quarantine.refused(blame.fingerprint, now))
             refused.push_back(blame.fingerprint);
     }
-    if (!told.empty())
-        send_to_all(make_crash_message(told, now), now);
     for (const auto fingerprint : refused)
         begin_refusal(fingerprint, "own", true);
+    tell_blames_soon();
+}
+
+/// All that is blamed within one interval of the news is told at once; what
+/// was answered elsewhere meanwhile is not told.
+void peer_news::tell_blames_soon()
+{
+    if (telling_blames_ || untold_blames_.empty())
+        return;
+    telling_blames_ = true;
+    context_.timers.add(steady_now() + context_.news_interval(), [this] {
+        telling_blames_ = false;
+        tell_blames();
+    });
+}
+
+void peer_news::tell_blames()
+{
+    const auto now = steady_now();
+    if (holding_) {
+        announce({});
+        return;
+    }
+    const auto told = take_untold_blames();
+    if (told.empty())
+        return;
+    auto message = make_crash_message(told, now);
+    if (holder_ && hears_holder(now))
+        link_.send(*holder_, std::move(message), false);
+    else
+        send_to_all(std::move(message), now);
+}
+
+/// The gravest of what was not told yet.
+std::vector<told_blame> peer_news::take_untold_blames()
+{
+    const auto& quarantine = context_.quarantine;
+    auto blames = std::exchange(untold_blames_, {});
+    std::erase_if(blames, [&quarantine](const auto& blame) {
+        return quarantine.crashes(blame.fingerprint) == 0;
+    });
+    std::stable_sort(
+        blames.begin(), blames.end(), [&](const auto& one, const auto& other) {
+            return quarantine.crashes(one.fingerprint) >
+                   quarantine.crashes(other.fingerprint);
+        });
+    blames.resize(std::min(blames.size(), most_told_blames));
+    std::vector<told_blame> told;
+    for (const auto& blame : blames)
+        told.push_back({blame, duration{0}});
+    return told;
 }
 
 schema::peer_message_record
@@ -128,17 +179,27 @@
                             bool keep)
 {
     const auto now = steady_now();
-    for (const auto& entry : told)
-        if (context_.quarantine.merge(entry.blame, now - entry.age) &&
-            context_.quarantine.refused(entry.blame.fingerprint, now))
-            begin_refusal(entry.blame.fingerprint, source, keep);
+    auto& quarantine = context_.quarantine;
+    for (const auto& entry : told) {
+        const auto fingerprint = entry.blame.fingerprint;
+        const bool before = quarantine.refused(fingerprint, now);
+        if (!quarantine.merge(entry.blame, now - entry.age))
+            continue;
+        if (holding_)
+            untold_blames_.push_back(entry.blame);
+        if (!before && quarantine.refused(fingerprint, now))
+            begin_refusal(fingerprint, source, keep);
+    }
+    if (holding_)
+        tell_blames_soon();
 }
 
 void peer_news::on_crashes(const schema::peer_message_record& message)
 {
     if (message.pass_on)
         pass_on(message);
-    // Two daemons may each tell of a crash that is not the last one alone.
+    // Two daemons may each tell of a crash that is not the last one alone: the
+    // holder, who hears all, keeps what follows from both.
     take_blames(blames_of(message), "peer", holding_);
     const auto now = steady_now();
     const auto& quarantine = context_.quarantine;
