Tell an innocent request apart from the one that ends servers

Cause: three ends condemned whoever met them. Where several met the very same ends, none is refused until a further end or an answer tells them apart, five ends at the most.

Refusals are noted and kept as they come into force, whoever is cleared.

--- a/libs/core/include/barleyfork/core/crash_quarantine.hpp
+++ b/libs/core/include/barleyfork/core/crash_quarantine.hpp
@@ -43,6 +43,9 @@
     std::size_t refusal_threshold = 2;
     /// A request that was answered whole is not blamed or refused for so long.
     duration trust{60000};
+    /// News of others that met the same crash arrives within this; nobody is
+    /// refused before.
+    duration settling{0};
 };
 
 /// Finds requests that crash each backend server that runs them.
@@ -50,9 +53,10 @@
 /// All that was on a server when its process ended is blamed, since any of it
 /// may be the cause. What is innocent is answered whole by another server,
 /// which clears it; only what is there at one crash after the other, without a
-/// whole answer between, reaches `refusal_threshold` and is refused. Once that
-/// time is over it may run again: an answer clears it, a crash refuses it for
-/// twice as long. Bounded in entries. Not thread-safe.
+/// whole answer between, reaches `refusal_threshold` and is refused. Where
+/// several met the very same crashes, up to two further ones tell them apart.
+/// Once that time is over it may run again: an answer clears it, a crash
+/// refuses it for twice as long. Bounded in entries. Not thread-safe.
 class crash_quarantine
 {
 public:
@@ -98,10 +102,13 @@
     {
         std::set<std::uint64_t> crashes;
         time_point changed_at{};
+        /// When the crashes came to the threshold.
+        time_point reached_at{};
     };
 
     bool is_trusted(std::uint64_t fingerprint, time_point now) const;
     time_point refused_until(const entry& known) const;
+    bool has_double(const entry& known) const;
     bool is_condemned(const entry& known, time_point now) const;
     void make_room(time_point now);
 
--- a/libs/core/src/crash_quarantine.cpp
+++ b/libs/core/src/crash_quarantine.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::size_t most_doublings = 6;
+/// Crashes past the threshold that tell requests apart.
+constexpr std::size_t most_doubtful = 2;
 
 std::uint64_t scrambled(std::uint64_t fingerprint)
 {
@@ -66,6 +68,8 @@
     if (!entry.crashes.insert(blame.crash).second)
         return false;
     entry.changed_at = std::max(entry.changed_at, at);
+    if (entry.crashes.size() == limits_.refusal_threshold)
+        entry.reached_at = at;
     return true;
 }
 
@@ -107,10 +111,27 @@
     return known.changed_at + limits_.memory * factor;
 }
 
+/// True where another request met all the crashes that this one met.
+bool crash_quarantine::has_double(const entry& known) const
+{
+    return std::any_of(
+        entries_.begin(), entries_.end(), [&known](const auto& item) {
+            const auto& other = item.second;
+            return &other != &known && std::includes(other.crashes.begin(),
+                                                     other.crashes.end(),
+                                                     known.crashes.begin(),
+                                                     known.crashes.end());
+        });
+}
+
 bool crash_quarantine::is_condemned(const entry& known, time_point now) const
 {
-    return known.crashes.size() >= limits_.refusal_threshold &&
-           now < refused_until(known);
+    const auto crashes = known.crashes.size();
+    if (crashes < limits_.refusal_threshold || now >= refused_until(known) ||
+        now < known.reached_at + limits_.settling)
+        return false;
+    return crashes >= limits_.refusal_threshold + most_doubtful ||
+           !has_double(known);
 }
 
 bool crash_quarantine::refused(std::uint64_t fingerprint, time_point now) const
--- a/libs/daemon/src/control.cpp
+++ b/libs/daemon/src/control.cpp
@@ -325,7 +325,7 @@
                                     : schema::member_state::alive;
     }
     link_->send({member->place.address, member->place.port},
-                std::move(message),
+                message,
                 fresh_connection);
 }
 
--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -20,9 +20,9 @@
 namespace {
 
 /// Bytes of further requests that are read while one runs.
-constexpr std::size_t most_read_ahead = 64 * 1024;
+constexpr std::size_t most_read_ahead = std::size_t{64} * 1024;
 /// A caller that has so much of its answers to take yet gets no further one.
-constexpr std::size_t most_unsent = 256 * 1024;
+constexpr std::size_t most_unsent = std::size_t{256} * 1024;
 /// How long a closing connection waits for the caller's own end.
 constexpr duration linger{1000};
 
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -36,7 +36,7 @@
 constexpr double output_weight = 2.5;
 constexpr double ms_per_second = 1000.0;
 /// A server is read on once its caller has no more than this to take.
-constexpr std::size_t caller_low_water = 64 * 1024;
+constexpr std::size_t caller_low_water = std::size_t{64} * 1024;
 
 asio::ip::tcp::endpoint endpoint_of(const backend_entry& entry)
 {
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -160,7 +160,7 @@
     time_point soonest_server() const;
     bool refuse_quarantined(time_point now);
     bool keep_body(std::size_t size);
-    void forward_events(std::vector<std::string> events);
+    void forward_events(const std::vector<std::string>& events);
     bool is_repeated_event(const std::string& event);
     void begin_stream();
     void record_first_event();
--- a/libs/gateway/src/gateway_call_answers.cpp
+++ b/libs/gateway/src/gateway_call_answers.cpp
@@ -16,7 +16,7 @@
 /// A server that refused is not asked again sooner than this.
 constexpr duration refusal_pause{30};
 /// A server is read no further while its caller has more than this to take.
-constexpr std::size_t caller_high_water = 256 * 1024;
+constexpr std::size_t caller_high_water = std::size_t{256} * 1024;
 /// Weight of one more answer in a plain service's smoothed time.
 constexpr double time_weight = 0.1;
 
@@ -148,10 +148,10 @@
     return false;
 }
 
-void gateway_call::forward_events(std::vector<std::string> events)
+void gateway_call::forward_events(const std::vector<std::string>& events)
 {
     std::string out;
-    for (auto& event : events) {
+    for (const auto& event : events) {
         if (is_repeated_event(event))
             continue;
         out += event;
--- a/libs/gateway/src/gateway_context.cpp
+++ b/libs/gateway/src/gateway_context.cpp
@@ -1,5 +1,7 @@
 #include "gateway_context.hpp"
 
+#include <vector>
+
 namespace barleyfork {
 
 namespace {
@@ -24,18 +26,25 @@
 
 /// A request that ended three servers is refused for ten minutes at first.
 constexpr quarantine_limits refusal_limits{.memory = duration{600000},
-                                           .refusal_threshold = 3};
+                                           .refusal_threshold = 3,
+                                           .settling = duration{500}};
 
 /// Calls what the map holds; each call may remove entries.
 template <class Key>
 void call_each(const std::map<Key, std::function<void()>>& handlers)
 {
-    if (handlers.empty())
-        return;
-    const auto copy = handlers;
-    for (const auto& [key, handler] : copy)
-        if (handlers.contains(key))
-            handler();
+    std::vector<Key> keys;
+    keys.reserve(handlers.size());
+    for (const auto& [key, handler] : handlers)
+        keys.push_back(key);
+    for (const auto& key : keys) {
+        const auto found = handlers.find(key);
+        if (found == handlers.end())
+            continue;
+        // The call may remove its own entry.
+        const auto handler = found->second;
+        handler();
+    }
 }
 
 } // namespace
--- a/libs/gateway/src/http_text.cpp
+++ b/libs/gateway/src/http_text.cpp
@@ -108,8 +108,8 @@
     out += request.method + ' ' + request.target + " HTTP/1.1\r\n";
     for (const auto& [name, value] : end_to_end_headers(request.headers, codec))
     {
-        const bool replaced =
-            std::any_of(added.begin(), added.end(), [&name](const auto& own) {
+        const bool replaced = std::any_of(
+            added.begin(), added.end(), [&name = name](const auto& own) {
                 return equal_ignoring_case(own.first, name);
             });
         if (!replaced && !codec.is_reserved(name))
--- a/libs/gateway/src/lease_row_codec.cpp
+++ b/libs/gateway/src/lease_row_codec.cpp
@@ -87,7 +87,8 @@
     boost::system::error_code error;
     const auto value = json::parse(text, error);
     if (error || !value.is_object()) {
-        log_event(log_level::error, "lease_row_unreadable");
+        log_event(log_level::error, "lease_row_unreadable")
+            .with("bytes", static_cast<std::int64_t>(text.size()));
         return stored;
     }
     const auto& object = value.as_object();
--- a/libs/gateway/src/peer_news.cpp
+++ b/libs/gateway/src/peer_news.cpp
@@ -26,7 +26,9 @@
       link_(context.serving,
             context.settings.address,
             context.settings.peer_secret,
-            [this](schema::peer_message_record message) { receive(message); }),
+            [this](const schema::peer_message_record& message) {
+                receive(message);
+            }),
       started_ms_(static_cast<std::uint64_t>(wall_clock_ms()))
 {
     watch.on_missed([this] { ask_reader(); });
@@ -74,6 +76,7 @@
         co_await sleep_for_ms(
             (holding_ ? std::min(interval, beat_interval) : interval).count());
         const auto now = steady_now();
+        note_refusals(now);
         if (holding_ && now >= beat_at_)
             announce({});
         if (!holding_)
@@ -111,7 +114,7 @@
     for (const auto& use : context_.adapters.list())
         message.running.emplace_back(use.server, use.adapter);
     wishes = placement_wishes();
-    link_.send(*holder_, std::move(message), false);
+    link_.send(*holder_, message, false);
 }
 
 news_order peer_news::announce(std::span<const server_holding> changed)
@@ -260,7 +263,7 @@
     holder_heard_at_ = now;
     holder_ = peer_address{message.address, message.port};
     watch_.take_told(rows_of(message), claim_of(message, now));
-    take_blames(blames_of(message), "peer", false);
+    take_blames(blames_of(message));
     compare_refusals(message, now);
     // One name for the sum of all others, whoever the holder is.
     context_.loads.on_peer_work(
--- a/libs/gateway/src/peer_news.hpp
+++ b/libs/gateway/src/peer_news.hpp
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 
@@ -137,12 +138,8 @@
     void tell_blames_soon();
     void tell_blames();
     std::vector<told_blame> take_untold_blames();
-    void begin_refusal(std::uint64_t fingerprint,
-                       std::string_view source,
-                       bool keep);
-    void take_blames(std::span<const told_blame> told,
-                     std::string_view source,
-                     bool keep);
+    void note_refusals(time_point now);
+    void take_blames(std::span<const told_blame> told);
     void on_crashes(const schema::peer_message_record& message);
     void compare_refusals(const schema::peer_message_record& message,
                           time_point now);
@@ -183,6 +180,10 @@
     /// What others have not heard from this daemon yet.
     std::vector<crash_blame> untold_blames_;
     bool telling_blames_ = false;
+    /// Requests whose refusal was logged, and written to the store by this
+    /// daemon.
+    std::set<std::uint64_t> noted_refusals_;
+    std::set<std::uint64_t> kept_refusals_;
 };
 
 } // namespace barleyfork
--- a/libs/gateway/src/peer_news_neighbours.cpp
+++ b/libs/gateway/src/peer_news_neighbours.cpp
@@ -252,7 +252,7 @@
         for (const auto& row : *rows)
             message.rows.push_back(to_record(row));
     }
-    link_.send({request.address, request.port}, std::move(message), false);
+    link_.send({request.address, request.port}, message, false);
 }
 
 void peer_news::take_snapshot(const schema::peer_message_record& message)
--- a/libs/gateway/src/peer_news_quarantine.cpp
+++ b/libs/gateway/src/peer_news_quarantine.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <set>
 #include <utility>
 
 namespace barleyfork {
@@ -78,7 +79,6 @@
     log_event(log_level::warn, "server_ended")
         .with("server", server.value())
         .with("requests", static_cast<std::int64_t>(ended.in_flight.size()));
-    std::vector<std::uint64_t> refused;
     for (const auto& blame :
          quarantine.on_crash(ended.in_flight, ended.crash, now)) {
         untold_blames_.push_back(blame);
@@ -88,11 +88,8 @@
             .with("crashes",
                   static_cast<std::int64_t>(
                       quarantine.crashes(blame.fingerprint)));
-        if (quarantine.refused(blame.fingerprint, now))
-            refused.push_back(blame.fingerprint);
     }
-    for (const auto fingerprint : refused)
-        begin_refusal(fingerprint, "own", true);
+    note_refusals(now);
     tell_blames_soon();
 }
 
@@ -121,7 +118,7 @@
         return;
     auto message = make_crash_message(told, now);
     if (holder_ && hears_holder(now))
-        link_.send(*holder_, std::move(message), false);
+        link_.send(*holder_, message, false);
     else
         send_to_all(std::move(message), now);
 }
@@ -141,6 +138,7 @@
         });
     blames.resize(std::min(blames.size(), most_told_blames));
     std::vector<told_blame> told;
+    told.reserve(blames.size());
     for (const auto& blame : blames)
         told.push_back({blame, duration{0}});
     return told;
@@ -156,40 +154,43 @@
     return message;
 }
 
-/// A request is refused from now on.
-void peer_news::begin_refusal(std::uint64_t fingerprint,
-                              std::string_view source,
-                              bool keep)
+/// Tells of each request that is refused from now on, and has it kept by the
+/// holder, or by all where none is heard. A request may come to be refused
+/// without news of its own, since another that looked like it was answered.
+void peer_news::note_refusals(time_point now)
 {
-    log_event(log_level::warn, "refusal_in_force")
-        .with("fingerprint", to_hexadecimal(fingerprint))
-        .with("source", source)
-        .with(
-            "crashes",
-            static_cast<std::int64_t>(context_.quarantine.crashes(fingerprint)))
-        .with(
-            "for_ms",
-            context_.quarantine.refused_for(fingerprint, steady_now()).count());
-    if (keep)
-        context_.serving.spawn(keep_refusal(fingerprint));
+    std::set<std::uint64_t> refused;
+    for (const auto& told : context_.quarantine.refusals(now))
+        refused.insert(told.blame.fingerprint);
+    const bool keeps = holding_ || !hears_holder(now);
+    for (const auto fingerprint : refused) {
+        if (noted_refusals_.insert(fingerprint).second)
+            log_event(log_level::warn, "refusal_in_force")
+                .with("fingerprint", to_hexadecimal(fingerprint))
+                .with("crashes",
+                      static_cast<std::int64_t>(
+                          context_.quarantine.crashes(fingerprint)))
+                .with(
+                    "for_ms",
+                    context_.quarantine.refused_for(fingerprint, now).count());
+        if (keeps && kept_refusals_.insert(fingerprint).second)
+            context_.serving.spawn(keep_refusal(fingerprint));
+    }
+    const auto is_over = [&refused](auto fingerprint) {
+        return !refused.contains(fingerprint);
+    };
+    std::erase_if(noted_refusals_, is_over);
+    std::erase_if(kept_refusals_, is_over);
 }
 
-void peer_news::take_blames(std::span<const told_blame> told,
-                            std::string_view source,
-                            bool keep)
+void peer_news::take_blames(std::span<const told_blame> told)
 {
     const auto now = steady_now();
-    auto& quarantine = context_.quarantine;
-    for (const auto& entry : told) {
-        const auto fingerprint = entry.blame.fingerprint;
-        const bool before = quarantine.refused(fingerprint, now);
-        if (!quarantine.merge(entry.blame, now - entry.age))
-            continue;
-        if (holding_)
+    for (const auto& entry : told)
+        if (context_.quarantine.merge(entry.blame, now - entry.age) && holding_)
             untold_blames_.push_back(entry.blame);
-        if (!before && quarantine.refused(fingerprint, now))
-            begin_refusal(fingerprint, source, keep);
-    }
+    if (!told.empty())
+        note_refusals(now);
     if (holding_)
         tell_blames_soon();
 }
@@ -198,9 +199,7 @@
 {
     if (message.pass_on)
         pass_on(message);
-    // Two daemons may each tell of a crash that is not the last one alone: the
-    // holder, who hears all, keeps what follows from both.
-    take_blames(blames_of(message), "peer", holding_);
+    take_blames(blames_of(message));
     const auto now = steady_now();
     const auto& quarantine = context_.quarantine;
     if (message.asks_refusals &&
@@ -220,7 +219,7 @@
         return;
     auto answer = make_crash_message(context_.quarantine.refusals(now), now);
     answer.asks_refusals = true;
-    link_.send({message.address, message.port}, std::move(answer), false);
+    link_.send({message.address, message.port}, answer, false);
 }
 
 /// What must outlive all daemons lies in the store.
@@ -264,7 +263,7 @@
         if (!read.error) {
             for (const auto& row : read.rows)
                 if (!row.deleted)
-                    take_blames(read_row_text(row.value), "store", false);
+                    take_blames(read_row_text(row.value));
             co_return;
         }
         co_await sleep_for_ms(retry_pause_ms);
--- a/libs/gateway/src/timer_queue.cpp
+++ b/libs/gateway/src/timer_queue.cpp
@@ -4,8 +4,8 @@
 
 namespace barleyfork {
 
-timer_queue::timer_queue(boost::asio::any_io_executor executor)
-    : timer_(std::move(executor))
+timer_queue::timer_queue(const boost::asio::any_io_executor& executor)
+    : timer_(executor)
 {
 }
 
--- a/libs/gateway/src/timer_queue.hpp
+++ b/libs/gateway/src/timer_queue.hpp
@@ -19,7 +19,7 @@
     /// Names a deadline; 0 names none.
     using timer_id = std::uint64_t;
 
-    explicit timer_queue(boost::asio::any_io_executor executor);
+    explicit timer_queue(const boost::asio::any_io_executor& executor);
     timer_queue(const timer_queue&) = delete;
     timer_queue& operator=(const timer_queue&) = delete;
 
--- a/libs/net/include/barleyfork/net/peer_link.hpp
+++ b/libs/net/include/barleyfork/net/peer_link.hpp
@@ -44,8 +44,8 @@
 
     /// Sends a message; from any thread. `fresh_connection` gives up the kept
     /// connection first: it may have gone silent.
-    void send(peer_address to,
-              schema::peer_message_record message,
+    void send(const peer_address& to,
+              const schema::peer_message_record& message,
               bool fresh_connection);
 
     /// Sends one message to many; it is encoded once. On the owner's thread.
--- a/libs/net/src/exchange.cpp
+++ b/libs/net/src/exchange.cpp
@@ -18,9 +18,8 @@
 asio::awaitable<bool> exchange::push(exchange_event event)
 {
     while (!cancelled_) {
-        // `push` moves only where there is room, so a failed try may repeat.
         if (ring_.write_available() != 0) {
-            ring_.push(std::move(event));
+            ring_.push(event);
             consumer_wake_->notify();
             co_return true;
         }
--- a/libs/net/src/peer_link.cpp
+++ b/libs/net/src/peer_link.cpp
@@ -44,8 +44,8 @@
     return acceptor_.local_endpoint().port();
 }
 
-void peer_link::send(peer_address to,
-                     schema::peer_message_record message,
+void peer_link::send(const peer_address& to,
+                     const schema::peer_message_record& message,
                      bool fresh_connection)
 {
     auto frame = encode_frame(message, secret_);
