Let a holder that is behind hear of it from daemons that ask for nothing

Traced by logs: the daemon whose call hung was the lease's holder, and the only other daemon, which had the newer version, had no demand and so told it nothing; whether it was asked hung on one draw while the store counted as lost.

The formatter's two lines in control.cpp.

--- a/libs/daemon/src/control.cpp
+++ b/libs/daemon/src/control.cpp
@@ -324,9 +324,8 @@
                                     ? schema::member_state::leaving
                                     : schema::member_state::alive;
     }
-    link_->send({member->place.address, member->place.port},
-                message,
-                fresh_connection);
+    link_->send(
+        {member->place.address, member->place.port}, message, fresh_connection);
 }
 
 /// Sends what this daemon's callers ask for to the holders of the leases.
--- a/libs/gateway/src/peer_news.cpp
+++ b/libs/gateway/src/peer_news.cpp
@@ -91,7 +91,8 @@
     auto& wishes = context_.wishes;
     const auto outstanding = context_.loads.own_work();
     const bool empty = wishes.work.empty() && wishes.needs.empty() &&
-                       outstanding.empty() && !told_outstanding_;
+                       outstanding.empty() && !told_outstanding_ &&
+                       !holder_is_behind_;
     if (holding_ || empty)
         return;
     told_outstanding_ = !outstanding.empty();
@@ -265,6 +266,7 @@
     watch_.take_told(rows_of(message), claim_of(message, now));
     take_blames(blames_of(message));
     compare_refusals(message, now);
+    holder_is_behind_ = message.configuration_version < configuration_version();
     // One name for the sum of all others, whoever the holder is.
     context_.loads.on_peer_work(
         instance_id("all"),
--- a/libs/gateway/src/peer_news.hpp
+++ b/libs/gateway/src/peer_news.hpp
@@ -169,6 +169,9 @@
     time_point holder_heard_at_{};
     std::uint64_t holder_epoch_ = 0;
     bool holding_ = false;
+    /// The holder told an older configuration than the one in force here: it
+    /// is to hear of this one, even from daemons that ask for nothing.
+    bool holder_is_behind_ = false;
     /// The holder still counts work of this daemon.
     bool told_outstanding_ = false;
     std::uint64_t epoch_ = 0;
