Tell one end of a server by one name, and wait for the cause beside a rival

Eleven logs: (1) a server starts again at its address before daemons hear its new name, so one end was told under two names; (2) only those with the very same ends counted as rivals, and one that was a single end ahead of the news of the cause, or at five ends beside a cause with six, was refused.

Now a process ends once, what breaks at its address later is kept until the successor is listed and told by its name, and a rival is one that met as many ends and all but two of the same.

--- a/libs/core/include/barleyfork/core/crash_detector.hpp
+++ b/libs/core/include/barleyfork/core/crash_detector.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace barleyfork {
@@ -18,6 +19,16 @@
     server_id server;
     /// When it started, in Unix milliseconds.
     std::uint64_t started_ms = 0;
+    /// Where it listens; its successor may listen there too.
+    std::string address;
+    std::uint16_t port = 0;
+};
+
+/// A request whose connection broke before its answer came.
+struct broken_request
+{
+    std::uint64_t fingerprint = 0;
+    time_point sent_at{};
 };
 
 /// A process that ended, with the requests that were on it.
@@ -32,7 +43,10 @@
 ///
 /// A connection that breaks proves nothing: servers close and cut connections
 /// while they live. Where nobody listens any more right after, the process
-/// ended, and with it all that broke there. Not thread-safe.
+/// ended, and with it all that broke there. A process ends once: until its
+/// successor at the same address is listed, what is sent there reaches a
+/// process without a known name, whose end is blamed on nobody. Not
+/// thread-safe.
 class crash_detector
 {
 public:
@@ -40,28 +54,44 @@
     static constexpr duration settling{20};
     /// A server is probed no more often.
     static constexpr duration probe_pause{500};
+    /// The successor of a process that ended is listed within this.
+    static constexpr duration ended_memory{60000};
     /// Requests remembered of one server at most.
     static constexpr std::size_t most_requests = 1024;
 
     /// A connection broke under a request. Returns when the server is to be
     /// probed for it, unless a probe is due already.
     std::optional<time_point> on_broken(const server_process& process,
-                                        std::uint64_t fingerprint,
+                                        const broken_request& broken,
                                         time_point now);
 
     /// What a probe found: whether something listens, or an older connection
     /// still stands. Returns the process where it ended.
-    std::optional<ended_process> on_probe(const server_id& server, bool lives);
+    std::optional<ended_process>
+    on_probe(const server_id& server, bool lives, time_point now);
+
+    /// A process was listed. Returns it where it is known to have ended since
+    /// it took the address of an ended one.
+    std::optional<ended_process> on_listed(const server_process& process);
 
 private:
     struct suspicion
     {
         std::uint64_t started_ms = 0;
+        std::string address;
+        std::uint16_t port = 0;
         std::set<std::uint64_t> requests;
+        /// What broke at its successor, probed for and known to have ended.
+        std::set<std::uint64_t> later_requests;
+        std::set<std::uint64_t> nameless_requests;
         bool probe_due = false;
         std::optional<time_point> probed_at;
+        /// When the process was found to have ended.
+        std::optional<time_point> ended_at;
     };
 
+    static void restart(suspicion& known, const server_process& process);
+    static void note(suspicion& known, const broken_request& broken);
     void forget_old(time_point now);
 
     std::map<server_id, suspicion> servers_;
--- a/libs/core/include/barleyfork/core/crash_quarantine.hpp
+++ b/libs/core/include/barleyfork/core/crash_quarantine.hpp
@@ -54,7 +54,9 @@
 /// may be the cause. What is innocent is answered whole by another server,
 /// which clears it; only what is there at one crash after the other, without a
 /// whole answer between, reaches `refusal_threshold` and is refused. Where
-/// several met the very same crashes, up to two further ones tell them apart.
+/// another that met as many may be the cause of all but a few of its crashes,
+/// up to two further ones tell them apart; then only one that met more is held
+/// to be the cause.
 /// Once that time is over it may run again: an answer clears it, a crash
 /// refuses it for twice as long. Bounded in entries. Not thread-safe.
 class crash_quarantine
@@ -104,11 +106,13 @@
         time_point changed_at{};
         /// When the crashes came to the threshold.
         time_point reached_at{};
+        /// When they came to the most that are waited for.
+        time_point bounded_at{};
     };
 
     bool is_trusted(std::uint64_t fingerprint, time_point now) const;
     time_point refused_until(const entry& known) const;
-    bool has_double(const entry& known) const;
+    bool has_rival(const entry& known, std::size_t at_least) const;
     bool is_condemned(const entry& known, time_point now) const;
     void make_room(time_point now);
 
--- a/libs/core/src/crash_detector.cpp
+++ b/libs/core/src/crash_detector.cpp
@@ -3,19 +3,30 @@
 #include <barleyfork/base/digest.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace barleyfork {
 
+namespace {
+
+ended_process to_ended(const server_id& server,
+                       std::uint64_t started_ms,
+                       const std::set<std::uint64_t>& requests)
+{
+    return {hash64(server.value(), started_ms),
+            {requests.begin(), requests.end()}};
+}
+
+} // namespace
+
 std::optional<time_point> crash_detector::on_broken(
-    const server_process& process, std::uint64_t fingerprint, time_point now)
+    const server_process& process, const broken_request& broken, time_point now)
 {
     forget_old(now);
     auto& known = servers_[process.server];
     if (known.started_ms != process.started_ms)
-        known.requests.clear();
-    known.started_ms = process.started_ms;
-    if (known.requests.size() < most_requests)
-        known.requests.insert(fingerprint);
+        restart(known, process);
+    note(known, broken);
     if (known.probe_due)
         return std::nullopt;
     known.probe_due = true;
@@ -26,27 +37,66 @@
     return known.probed_at;
 }
 
-std::optional<ended_process> crash_detector::on_probe(const server_id& server,
-                                                      bool lives)
+/// What is known of an earlier process is no news of this one.
+void crash_detector::restart(suspicion& known, const server_process& process)
+{
+    known.started_ms = process.started_ms;
+    known.address = process.address;
+    known.port = process.port;
+    known.requests.clear();
+    known.later_requests.clear();
+    known.nameless_requests.clear();
+    known.ended_at.reset();
+}
+
+void crash_detector::note(suspicion& known, const broken_request& broken)
+{
+    const bool later = known.ended_at && broken.sent_at >= *known.ended_at;
+    auto& requests = later ? known.later_requests : known.requests;
+    if (requests.size() < most_requests)
+        requests.insert(broken.fingerprint);
+}
+
+std::optional<ended_process>
+crash_detector::on_probe(const server_id& server, bool lives, time_point now)
 {
     const auto found = servers_.find(server);
     if (found == servers_.end() || !found->second.probe_due)
         return std::nullopt;
     auto& known = found->second;
     known.probe_due = false;
-    const std::vector<std::uint64_t> requests(known.requests.begin(),
-                                              known.requests.end());
-    known.requests.clear();
-    if (lives)
+    if (!lives)
+        known.nameless_requests.merge(known.later_requests);
+    known.later_requests.clear();
+    const auto requests = std::exchange(known.requests, {});
+    if (!known.ended_at && !lives)
+        known.ended_at = now;
+    // What listens where a process ended is its successor.
+    if (!known.ended_at || requests.empty())
+        return std::nullopt;
+    return to_ended(server, known.started_ms, requests);
+}
+
+std::optional<ended_process>
+crash_detector::on_listed(const server_process& process)
+{
+    std::set<std::uint64_t> requests;
+    for (auto& [server, known] : servers_)
+        if (known.port == process.port && known.address == process.address &&
+            (server != process.server ||
+             known.started_ms != process.started_ms))
+            requests.merge(std::exchange(known.nameless_requests, {}));
+    if (requests.empty())
         return std::nullopt;
-    return ended_process{hash64(server.value(), known.started_ms), requests};
+    return to_ended(process.server, process.started_ms, requests);
 }
 
 void crash_detector::forget_old(time_point now)
 {
     std::erase_if(servers_, [now](const auto& item) {
-        return !item.second.probe_due &&
-               now >= *item.second.probed_at + probe_pause;
+        const auto& known = item.second;
+        const auto memory = known.ended_at ? ended_memory : probe_pause;
+        return !known.probe_due && now >= *known.probed_at + memory;
     });
 }
 
--- a/libs/core/src/crash_quarantine.cpp
+++ b/libs/core/src/crash_quarantine.cpp
@@ -70,6 +70,8 @@
     entry.changed_at = std::max(entry.changed_at, at);
     if (entry.crashes.size() == limits_.refusal_threshold)
         entry.reached_at = at;
+    if (entry.crashes.size() == limits_.refusal_threshold + most_doubtful)
+        entry.bounded_at = at;
     return true;
 }
 
@@ -111,17 +113,21 @@
     return known.changed_at + limits_.memory * factor;
 }
 
-/// True where another request met all the crashes that this one met.
-bool crash_quarantine::has_double(const entry& known) const
+/// True where another request met `at_least` crashes, and this one fewer than
+/// `refusal_threshold` without the other: the other may be the cause.
+bool crash_quarantine::has_rival(const entry& known, std::size_t at_least) const
 {
-    return std::any_of(
-        entries_.begin(), entries_.end(), [&known](const auto& item) {
-            const auto& other = item.second;
-            return &other != &known && std::includes(other.crashes.begin(),
-                                                     other.crashes.end(),
-                                                     known.crashes.begin(),
-                                                     known.crashes.end());
-        });
+    const auto alone = [&known](const entry& other) {
+        return static_cast<std::size_t>(std::count_if(
+            known.crashes.begin(), known.crashes.end(), [&other](auto crash) {
+                return !other.crashes.contains(crash);
+            }));
+    };
+    return std::any_of(entries_.begin(), entries_.end(), [&](const auto& item) {
+        const auto& other = item.second;
+        return &other != &known && other.crashes.size() >= at_least &&
+               alone(other) < limits_.refusal_threshold;
+    });
 }
 
 bool crash_quarantine::is_condemned(const entry& known, time_point now) const
@@ -130,8 +136,15 @@
     if (crashes < limits_.refusal_threshold || now >= refused_until(known) ||
         now < known.reached_at + limits_.settling)
         return false;
-    return crashes >= limits_.refusal_threshold + most_doubtful ||
-           !has_double(known);
+    if (!has_rival(known, crashes - 1))
+        return true;
+    // Another may have met the last crash too, or its next one already.
+    if (now >= known.changed_at + limits_.settling &&
+        !has_rival(known, crashes))
+        return true;
+    return crashes >= limits_.refusal_threshold + most_doubtful &&
+           now >= known.bounded_at + limits_.settling &&
+           !has_rival(known, crashes + 1);
 }
 
 bool crash_quarantine::refused(std::uint64_t fingerprint, time_point now) const
--- a/libs/gateway/src/crash_watch.cpp
+++ b/libs/gateway/src/crash_watch.cpp
@@ -23,9 +23,9 @@
 
 void crash_watch::on_broken(const server_process& process,
                             const tcp::endpoint& target,
-                            std::uint64_t fingerprint)
+                            const broken_request& broken)
 {
-    const auto due = detector_.on_broken(process, fingerprint, steady_now());
+    const auto due = detector_.on_broken(process, broken, steady_now());
     if (due)
         timers_.add(*due, [this, server = process.server, target] {
             probe(server, target);
@@ -53,9 +53,16 @@
         });
 }
 
+void crash_watch::on_listed(const server_process& process)
+{
+    const auto ended = detector_.on_listed(process);
+    if (ended && on_ended_)
+        on_ended_(process.server, *ended);
+}
+
 void crash_watch::conclude(const server_id& server, bool lives)
 {
-    const auto ended = detector_.on_probe(server, lives);
+    const auto ended = detector_.on_probe(server, lives, steady_now());
     if (ended && on_ended_)
         on_ended_(server, *ended);
 }
--- a/libs/gateway/src/crash_watch.hpp
+++ b/libs/gateway/src/crash_watch.hpp
@@ -35,7 +35,10 @@
     /// A connection to `target` broke under a request.
     void on_broken(const server_process& process,
                    const tcp::endpoint& target,
-                   std::uint64_t fingerprint);
+                   const broken_request& broken);
+
+    /// The store lists a process.
+    void on_listed(const server_process& process);
 
 private:
     void probe(const server_id& server, const tcp::endpoint& target);
--- a/libs/gateway/src/gateway_call_answers.cpp
+++ b/libs/gateway/src/gateway_call_answers.cpp
@@ -259,9 +259,12 @@
     const auto ended = classify(end);
     record_end(ended, end, now);
     if (end == exchange_end::lost && attempt_->sending)
-        context_.crashes.on_broken({attempt_->server, attempt_->started_ms},
+        context_.crashes.on_broken({attempt_->server,
+                                    attempt_->started_ms,
+                                    attempt_->target.address().to_string(),
+                                    attempt_->target.port()},
                                    attempt_->target,
-                                   fingerprint_);
+                                   {fingerprint_, attempt_->sent_at});
     if (ended == attempt_end::answered && is_sound_answer())
         context_.quarantine.on_answer(fingerprint_, now);
     if (ended == attempt_end::refused_by_server)
