Let a daemon that takes the lease read the list of daemons at once

The cause was not the time between leases, as suspected: a daemon that read the list just before it took the lease read it again only after a minute, so the holder kept the old address of a daemon that had restarted, told it nothing, and neither heard the other.

The interval is now chosen by who holds at the time, not by who held at the last reading.

--- a/libs/gateway/src/peer_news_neighbours.cpp
+++ b/libs/gateway/src/peer_news_neighbours.cpp
@@ -21,7 +21,8 @@
 /// How often the list of daemons is read; the holder, which tells them all,
 /// learns of new ones from themselves too.
 constexpr std::int64_t member_interval_ms = 60000;
-constexpr std::int64_t holder_member_interval_ms = 3000;
+constexpr std::int64_t holder_interval_ms = 3000;
+/// After a reading that failed too.
 constexpr std::int64_t member_pause_ms = 600;
 constexpr std::int64_t retry_pause_ms = 700;
 /// Neighbours that a starting daemon asks for what they know.
@@ -72,14 +73,18 @@
     if (listed_before)
         context_.serving.spawn(read_refusals());
     co_await register_self();
-    // Those that start for the first time together are listed by now.
-    co_await sleep_for_ms(listed_before ? member_interval_ms : member_pause_ms);
+    // Those that start for the first time together are listed after a pause.
+    auto due_at =
+        steady_now() + duration(listed_before ? member_interval_ms : 0);
     for (;;) {
-        const bool done = co_await read_members();
-        const bool sparse = done && !holding_;
-        co_await sleep_for_ms(!done    ? retry_pause_ms
-                              : sparse ? member_interval_ms
-                                       : holder_member_interval_ms);
+        co_await sleep_for_ms(member_pause_ms);
+        // A holder must know all of them, one that just began too.
+        const duration sooner(holding_ ? member_interval_ms - holder_interval_ms
+                                       : 0);
+        if (steady_now() < due_at - sooner)
+            continue;
+        if (co_await read_members())
+            due_at = steady_now() + duration(member_interval_ms);
     }
 }
 
