--- a/libs/core/include/barleyfork/core/crash_detector.hpp
+++ b/libs/core/include/barleyfork/core/crash_detector.hpp
@@ -3,6 +3,7 @@
 
 #include <barleyfork/base/strong_id.hpp>
 #include <barleyfork/base/time.hpp>
+#include <barleyfork/core/server_process.hpp>
 
 #include <cstdint>
 #include <map>
@@ -13,17 +14,6 @@
 
 namespace barleyfork {
 
-/// A process of a backend server.
-struct server_process
-{
-    server_id server;
-    /// When it started, in Unix milliseconds.
-    std::uint64_t started_ms = 0;
-    /// Where it listens; its successor may listen there too.
-    std::string address;
-    std::uint16_t port = 0;
-};
-
 /// A request whose connection broke before its answer came.
 struct broken_request
 {
@@ -61,7 +51,7 @@
 
     /// A connection broke under a request. Returns when the server is to be
     /// probed for it, unless a probe is due already.
-    std::optional<time_point> on_broken(const server_process& process,
+    std::optional<time_point> on_broken(const listening_process& at,
                                         const broken_request& broken,
                                         time_point now);
 
@@ -72,7 +62,7 @@
 
     /// A process was listed. Returns it where it is known to have ended since
     /// it took the address of an ended one.
-    std::optional<ended_process> on_listed(const server_process& process);
+    std::optional<ended_process> on_listed(const listening_process& at);
 
 private:
     struct suspicion
@@ -90,7 +80,7 @@
         std::optional<time_point> ended_at;
     };
 
-    static void restart(suspicion& known, const server_process& process);
+    static void restart(suspicion& known, const listening_process& at);
     static void note(suspicion& known, const broken_request& broken);
     void forget_old(time_point now);
 
--- a/libs/core/include/barleyfork/core/memory_budget.hpp
+++ b/libs/core/include/barleyfork/core/memory_budget.hpp
@@ -22,6 +22,15 @@
         return held_;
     }
 
+    /// What a buffer of `capacity` bytes is to have room for so that `size`
+    /// fit: twice as much, so that it is rarely moved, within the limits.
+    std::size_t grown(std::size_t capacity, std::size_t size) const noexcept
+    {
+        if (size <= capacity)
+            return capacity;
+        return std::max(size, std::min(2 * capacity, most_one_));
+    }
+
     /// What one holder uses; gives it back at its end.
     class share
     {
--- /dev/null
+++ b/libs/core/include/barleyfork/core/server_process.hpp
@@ -0,0 +1,29 @@
+#ifndef BARLEYFORK_CORE_SERVER_PROCESS_HPP
+#define BARLEYFORK_CORE_SERVER_PROCESS_HPP
+
+#include <barleyfork/base/strong_id.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace barleyfork {
+
+/// A process of a backend server.
+struct server_process
+{
+    server_id server;
+    /// When it started, in Unix milliseconds.
+    std::uint64_t started_ms = 0;
+};
+
+/// A process and where it listens; its successor may listen there too.
+struct listening_process
+{
+    server_process process;
+    std::string address;
+    std::uint16_t port = 0;
+};
+
+} // namespace barleyfork
+
+#endif
--- a/libs/core/src/crash_detector.cpp
+++ b/libs/core/src/crash_detector.cpp
@@ -20,12 +20,12 @@
 } // namespace
 
 std::optional<time_point> crash_detector::on_broken(
-    const server_process& process, const broken_request& broken, time_point now)
+    const listening_process& at, const broken_request& broken, time_point now)
 {
     forget_old(now);
-    auto& known = servers_[process.server];
-    if (known.started_ms != process.started_ms)
-        restart(known, process);
+    auto& known = servers_[at.process.server];
+    if (known.started_ms != at.process.started_ms)
+        restart(known, at);
     note(known, broken);
     if (known.probe_due)
         return std::nullopt;
@@ -38,11 +38,11 @@
 }
 
 /// What is known of an earlier process is no news of this one.
-void crash_detector::restart(suspicion& known, const server_process& process)
+void crash_detector::restart(suspicion& known, const listening_process& at)
 {
-    known.started_ms = process.started_ms;
-    known.address = process.address;
-    known.port = process.port;
+    known.started_ms = at.process.started_ms;
+    known.address = at.address;
+    known.port = at.port;
     known.requests.clear();
     known.later_requests.clear();
     known.nameless_requests.clear();
@@ -78,17 +78,17 @@
 }
 
 std::optional<ended_process>
-crash_detector::on_listed(const server_process& process)
+crash_detector::on_listed(const listening_process& at)
 {
     std::set<std::uint64_t> requests;
     for (auto& [server, known] : servers_)
-        if (known.port == process.port && known.address == process.address &&
-            (server != process.server ||
-             known.started_ms != process.started_ms))
+        if (known.port == at.port && known.address == at.address &&
+            (server != at.process.server ||
+             known.started_ms != at.process.started_ms))
             requests.merge(std::exchange(known.nameless_requests, {}));
     if (requests.empty())
         return std::nullopt;
-    return to_ended(process.server, process.started_ms, requests);
+    return to_ended(at.process.server, at.process.started_ms, requests);
 }
 
 void crash_detector::forget_old(time_point now)
--- a/libs/core/tests/gateway_parts_test.cpp
+++ b/libs/core/tests/gateway_parts_test.cpp
@@ -477,6 +477,10 @@
             CPPUNIT_ASSERT_EQUAL(std::size_t{70}, budget.held());
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{10}, budget.held());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{16}, budget.grown(16, 16));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{32}, budget.grown(16, 17));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{60}, budget.grown(40, 41));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{61}, budget.grown(60, 61));
     }
 
 private:
--- a/libs/gateway/src/crash_watch.cpp
+++ b/libs/gateway/src/crash_watch.cpp
@@ -21,13 +21,13 @@
 {
 }
 
-void crash_watch::on_broken(const server_process& process,
+void crash_watch::on_broken(const listening_process& at,
                             const tcp::endpoint& target,
                             const broken_request& broken)
 {
-    const auto due = detector_.on_broken(process, broken, steady_now());
+    const auto due = detector_.on_broken(at, broken, steady_now());
     if (due)
-        timers_.add(*due, [this, server = process.server, target] {
+        timers_.add(*due, [this, server = at.process.server, target] {
             probe(server, target);
         });
 }
@@ -53,11 +53,11 @@
         });
 }
 
-void crash_watch::on_listed(const server_process& process)
+void crash_watch::on_listed(const listening_process& at)
 {
-    const auto ended = detector_.on_listed(process);
+    const auto ended = detector_.on_listed(at);
     if (ended && on_ended_)
-        on_ended_(process.server, *ended);
+        on_ended_(at.process.server, *ended);
 }
 
 void crash_watch::conclude(const server_id& server, bool lives)
--- a/libs/gateway/src/crash_watch.hpp
+++ b/libs/gateway/src/crash_watch.hpp
@@ -33,12 +33,12 @@
     }
 
     /// A connection to `target` broke under a request.
-    void on_broken(const server_process& process,
+    void on_broken(const listening_process& at,
                    const tcp::endpoint& target,
                    const broken_request& broken);
 
     /// The store lists a process.
-    void on_listed(const server_process& process);
+    void on_listed(const listening_process& at);
 
 private:
     void probe(const server_id& server, const tcp::endpoint& target);
--- a/libs/gateway/src/gateway_call_answers.cpp
+++ b/libs/gateway/src/gateway_call_answers.cpp
@@ -100,10 +100,12 @@
     const auto& facts = attempt_->facts;
     const auto& server = attempt_->server;
     if (facts.leaving &&
-        context_.directory.leaves(server, attempt_->started_ms))
+        context_.directory.leaves(server, attempt_->started_ms)) {
+        context_.untold_leaving.push_back({server, attempt_->started_ms});
         log_event(log_level::info, "server_says_it_leaves")
             .with("request", facts_.try_id)
             .with("server", server.value());
+    }
     if (!facts.wants_nothing_for)
         return;
     const auto until = now + *facts.wants_nothing_for;
@@ -119,8 +121,13 @@
 void gateway_call::on_body(std::string_view bytes)
 {
     if (!attempt_->streams) {
-        if (keep_body(attempt_->body.size() + bytes.size()))
-            attempt_->body += bytes;
+        auto& body = attempt_->body;
+        const auto room =
+            context_.answers.grown(body.capacity(), body.size() + bytes.size());
+        if (!keep_body(room))
+            return;
+        body.reserve(room);
+        body += bytes;
         return;
     }
     if (!keep_body(attempt_->splitter.partial_bytes() + bytes.size()))
@@ -259,8 +266,7 @@
     const auto ended = classify(end);
     record_end(ended, end, now);
     if (end == exchange_end::lost && attempt_->sending)
-        context_.crashes.on_broken({attempt_->server,
-                                    attempt_->started_ms,
+        context_.crashes.on_broken({{attempt_->server, attempt_->started_ms},
                                     attempt_->target.address().to_string(),
                                     attempt_->target.port()},
                                    attempt_->target,
--- a/libs/gateway/src/gateway_context.hpp
+++ b/libs/gateway/src/gateway_context.hpp
@@ -15,6 +15,7 @@
 #include <barleyfork/core/memory_budget.hpp>
 #include <barleyfork/core/pace_estimator.hpp>
 #include <barleyfork/core/server_choice.hpp>
+#include <barleyfork/core/server_process.hpp>
 #include <barleyfork/core/shared_retry_budget.hpp>
 #include <barleyfork/gateway/platform_port.hpp>
 #include <barleyfork/net/duty.hpp>
@@ -104,6 +105,9 @@
     /// What one request takes a plain service, in ms, smoothed.
     std::map<service_id, double> service_times;
     placement_wishes wishes;
+    /// Processes that said in an answer to this daemon that they leave, or to
+    /// another one while this one holds placement; not told on yet.
+    std::vector<server_process> untold_leaving;
     /// Adapters that this daemon's requests use on the servers.
     running_uses adapters;
     /// Called when an adapter is wanted at once.
--- a/libs/gateway/src/peer_news.cpp
+++ b/libs/gateway/src/peer_news.cpp
@@ -6,6 +6,7 @@
 #include <barleyfork/core/holder_change.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace barleyfork {
@@ -18,6 +19,8 @@
 /// while its word on the list of servers stands.
 constexpr duration beat_interval{200};
 constexpr duration holder_silence{1800};
+/// Leaving servers in one message.
+constexpr std::size_t most_told_leaving = 256;
 
 } // namespace
 
@@ -92,7 +95,7 @@
     const auto outstanding = context_.loads.own_work();
     const bool empty = wishes.work.empty() && wishes.needs.empty() &&
                        outstanding.empty() && !told_outstanding_ &&
-                       !holder_is_behind_;
+                       !holder_is_behind_ && context_.untold_leaving.empty();
     if (holding_ || empty)
         return;
     told_outstanding_ = !outstanding.empty();
@@ -115,6 +118,7 @@
     for (const auto& use : context_.adapters.list())
         message.running.emplace_back(use.server, use.adapter);
     wishes = placement_wishes();
+    add_leaving(message);
     link_.send(*holder_, message, false);
 }
 
@@ -133,6 +137,7 @@
     for (const auto& news : changed)
         message.servers.push_back(to_record(news));
     add_list_changes(message);
+    add_leaving(message);
     send_to_all(std::move(message), now);
     return order;
 }
@@ -146,6 +151,34 @@
         message.rows.push_back(to_record(row));
 }
 
+/// Servers that said that they leave; what is too much goes next time.
+void peer_news::add_leaving(schema::peer_message_record& message)
+{
+    auto& untold = context_.untold_leaving;
+    const auto count = std::min(untold.size(), most_told_leaving);
+    const auto last =
+        std::next(untold.begin(), static_cast<std::ptrdiff_t>(count));
+    for (auto next = untold.begin(); next != last; ++next)
+        message.leaving.push_back(to_record(*next));
+    untold.erase(untold.begin(), last);
+}
+
+/// A process that is not listed here any more, or not yet, is passed over.
+void peer_news::take_leaving(const schema::peer_message_record& message)
+{
+    for (const auto& record : message.leaving) {
+        const server_process process{server_id(record->server),
+                                     record->started_ms};
+        if (!context_.directory.leaves(process.server, process.started_ms))
+            continue;
+        if (holding_)
+            context_.untold_leaving.push_back(process);
+        log_event(log_level::info, "server_said_to_leave")
+            .with("server", process.server.value())
+            .with("sender", message.sender->instance);
+    }
+}
+
 /// In each other failure domain one daemon gets the message and passes it on:
 /// traffic between domains is paid by volume, and a holder's link is narrow.
 void peer_news::send_to_all(schema::peer_message_record message, time_point now)
@@ -221,6 +254,7 @@
     known.heard_at = steady_now();
     known.started_ms = message.sender->incarnation;
     catch_up(message);
+    take_leaving(message);
     switch (message.kind) {
     case schema::message_kind::placement:
         if (message.pass_on)
--- a/libs/gateway/src/peer_news.hpp
+++ b/libs/gateway/src/peer_news.hpp
@@ -124,6 +124,8 @@
     std::uint64_t configuration_version() const noexcept;
     void speak();
     void add_list_changes(schema::peer_message_record& message);
+    void add_leaving(schema::peer_message_record& message);
+    void take_leaving(const schema::peer_message_record& message);
     void ask_reader();
     void catch_up(const schema::peer_message_record& message);
     void send_snapshot(const schema::peer_message_record& request);
--- a/libs/gateway/src/peer_records.cpp
+++ b/libs/gateway/src/peer_records.cpp
@@ -74,6 +74,15 @@
     return record;
 }
 
+std::unique_ptr<schema::leaving_server_record>
+to_record(const server_process& process)
+{
+    auto record = std::make_unique<schema::leaving_server_record>();
+    record->server = process.server.value();
+    record->started_ms = process.started_ms;
+    return record;
+}
+
 std::vector<told_blame> blames_of(const schema::peer_message_record& message)
 {
     std::vector<told_blame> told;
--- a/libs/gateway/src/store_watch.cpp
+++ b/libs/gateway/src/store_watch.cpp
@@ -365,8 +365,7 @@
             to_relay_.push_back(row);
         if (entry) {
             context_.directory.update(*entry);
-            context_.crashes.on_listed({entry->id,
-                                        entry->held.started_ms,
+            context_.crashes.on_listed({{entry->id, entry->held.started_ms},
                                         entry->address,
                                         entry->port});
             continue;
--- a/libs/schema/include/barleyfork/schema/peer_generated.h
+++ b/libs/schema/include/barleyfork/schema/peer_generated.h
@@ -24,6 +24,10 @@
 struct quarantine_entryBuilder;
 struct quarantine_entry_record;
 
+struct leaving_server;
+struct leaving_serverBuilder;
+struct leaving_server_record;
+
 struct configuration_digest;
 struct configuration_digestBuilder;
 struct configuration_digest_record;
@@ -450,6 +454,88 @@
 
 flatbuffers::Offset<quarantine_entry> Createquarantine_entry(flatbuffers::FlatBufferBuilder &_fbb, const quarantine_entry_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct leaving_server_record : public flatbuffers::NativeTable {
+  typedef leaving_server TableType;
+  std::string server{};
+  uint64_t started_ms = 0;
+};
+
+/// A process of a backend server that said that it leaves.
+struct leaving_server FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef leaving_server_record NativeTableType;
+  typedef leaving_serverBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_STARTED_MS = 6
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  uint64_t started_ms() const {
+    return GetField<uint64_t>(VT_STARTED_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<uint64_t>(verifier, VT_STARTED_MS, 8) &&
+           verifier.EndTable();
+  }
+  leaving_server_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(leaving_server_record *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<leaving_server> Pack(flatbuffers::FlatBufferBuilder &_fbb, const leaving_server_record* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct leaving_serverBuilder {
+  typedef leaving_server Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(leaving_server::VT_SERVER, server);
+  }
+  void add_started_ms(uint64_t started_ms) {
+    fbb_.AddElement<uint64_t>(leaving_server::VT_STARTED_MS, started_ms, 0);
+  }
+  explicit leaving_serverBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<leaving_server> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<leaving_server>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<leaving_server> Createleaving_server(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    uint64_t started_ms = 0) {
+  leaving_serverBuilder builder_(_fbb);
+  builder_.add_started_ms(started_ms);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+struct leaving_server::Traits {
+  using type = leaving_server;
+  static auto constexpr Create = Createleaving_server;
+};
+
+inline flatbuffers::Offset<leaving_server> Createleaving_serverDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    uint64_t started_ms = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return barleyfork::schema::Createleaving_server(
+      _fbb,
+      server__,
+      started_ms);
+}
+
+flatbuffers::Offset<leaving_server> Createleaving_server(flatbuffers::FlatBufferBuilder &_fbb, const leaving_server_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct configuration_digest_record : public flatbuffers::NativeTable {
   typedef configuration_digest TableType;
   uint64_t revision = 0;
@@ -1107,6 +1193,7 @@
   uint32_t list_age_ms = 0;
   uint64_t quarantine_digest = 0;
   bool asks_refusals = false;
+  std::vector<std::unique_ptr<barleyfork::schema::leaving_server_record>> leaving{};
   peer_message_record() = default;
   peer_message_record(const peer_message_record &o);
   peer_message_record(peer_message_record&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1162,7 +1249,8 @@
     VT_LIST_SINCE = 62,
     VT_LIST_AGE_MS = 64,
     VT_QUARANTINE_DIGEST = 66,
-    VT_ASKS_REFUSALS = 68
+    VT_ASKS_REFUSALS = 68,
+    VT_LEAVING = 70
   };
   barleyfork::schema::message_kind kind() const {
     return static_cast<barleyfork::schema::message_kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -1257,6 +1345,9 @@
   bool asks_refusals() const {
     return GetField<uint8_t>(VT_ASKS_REFUSALS, 0) != 0;
   }
+  const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::leaving_server>> *leaving() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::leaving_server>> *>(VT_LEAVING);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -1313,6 +1404,9 @@
            VerifyField<uint32_t>(verifier, VT_LIST_AGE_MS, 4) &&
            VerifyField<uint64_t>(verifier, VT_QUARANTINE_DIGEST, 8) &&
            VerifyField<uint8_t>(verifier, VT_ASKS_REFUSALS, 1) &&
+           VerifyOffset(verifier, VT_LEAVING) &&
+           verifier.VerifyVector(leaving()) &&
+           verifier.VerifyVectorOfTables(leaving()) &&
            verifier.EndTable();
   }
   peer_message_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1417,6 +1511,9 @@
   void add_asks_refusals(bool asks_refusals) {
     fbb_.AddElement<uint8_t>(peer_message::VT_ASKS_REFUSALS, static_cast<uint8_t>(asks_refusals), 0);
   }
+  void add_leaving(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::leaving_server>>> leaving) {
+    fbb_.AddOffset(peer_message::VT_LEAVING, leaving);
+  }
   explicit peer_messageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1461,7 +1558,8 @@
     uint64_t list_since = 0,
     uint32_t list_age_ms = 0,
     uint64_t quarantine_digest = 0,
-    bool asks_refusals = false) {
+    bool asks_refusals = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::leaving_server>>> leaving = 0) {
   peer_messageBuilder builder_(_fbb);
   builder_.add_quarantine_digest(quarantine_digest);
   builder_.add_list_since(list_since);
@@ -1470,6 +1568,7 @@
   builder_.add_configuration_version(configuration_version);
   builder_.add_epoch(epoch);
   builder_.add_sequence(sequence);
+  builder_.add_leaving(leaving);
   builder_.add_list_age_ms(list_age_ms);
   builder_.add_work(work);
   builder_.add_running(running);
@@ -1534,7 +1633,8 @@
     uint64_t list_since = 0,
     uint32_t list_age_ms = 0,
     uint64_t quarantine_digest = 0,
-    bool asks_refusals = false) {
+    bool asks_refusals = false,
+    const std::vector<flatbuffers::Offset<barleyfork::schema::leaving_server>> *leaving = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::member>>(*members) : 0;
   auto quarantine__ = quarantine ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::quarantine_entry>>(*quarantine) : 0;
   auto digest__ = digest ? _fbb.CreateString(digest) : 0;
@@ -1549,6 +1649,7 @@
   auto successor__ = successor ? _fbb.CreateString(successor) : 0;
   auto running__ = running ? _fbb.CreateVectorOfStructs<barleyfork::schema::used_adapter>(*running) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<barleyfork::schema::outstanding_work>(*work) : 0;
+  auto leaving__ = leaving ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::leaving_server>>(*leaving) : 0;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       kind,
@@ -1581,7 +1682,8 @@
       list_since,
       list_age_ms,
       quarantine_digest,
-      asks_refusals);
+      asks_refusals,
+      leaving__);
 }
 
 flatbuffers::Offset<peer_message> Createpeer_message(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1650,6 +1752,35 @@
       _age_ms);
 }
 
+inline leaving_server_record *leaving_server::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<leaving_server_record>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void leaving_server::UnPackTo(leaving_server_record *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = server(); if (_e) _o->server = _e->str(); }
+  { auto _e = started_ms(); _o->started_ms = _e; }
+}
+
+inline flatbuffers::Offset<leaving_server> leaving_server::Pack(flatbuffers::FlatBufferBuilder &_fbb, const leaving_server_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createleaving_server(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<leaving_server> Createleaving_server(flatbuffers::FlatBufferBuilder &_fbb, const leaving_server_record *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const leaving_server_record* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _server = _o->server.empty() ? 0 : _fbb.CreateString(_o->server);
+  auto _started_ms = _o->started_ms;
+  return barleyfork::schema::Createleaving_server(
+      _fbb,
+      _server,
+      _started_ms);
+}
+
 inline configuration_digest_record *configuration_digest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<configuration_digest_record>();
   UnPackTo(_o.get(), _resolver);
@@ -1901,6 +2032,8 @@
   for (const auto &servers_ : o.servers) { servers.emplace_back((servers_) ? new barleyfork::schema::server_news_record(*servers_) : nullptr); }
   rows.reserve(o.rows.size());
   for (const auto &rows_ : o.rows) { rows.emplace_back((rows_) ? new barleyfork::schema::listed_row_record(*rows_) : nullptr); }
+  leaving.reserve(o.leaving.size());
+  for (const auto &leaving_ : o.leaving) { leaving.emplace_back((leaving_) ? new barleyfork::schema::leaving_server_record(*leaving_) : nullptr); }
 }
 
 inline peer_message_record &peer_message_record::operator=(peer_message_record o) FLATBUFFERS_NOEXCEPT {
@@ -1935,6 +2068,7 @@
   std::swap(list_age_ms, o.list_age_ms);
   std::swap(quarantine_digest, o.quarantine_digest);
   std::swap(asks_refusals, o.asks_refusals);
+  std::swap(leaving, o.leaving);
   return *this;
 }
 
@@ -1978,6 +2112,7 @@
   { auto _e = list_age_ms(); _o->list_age_ms = _e; }
   { auto _e = quarantine_digest(); _o->quarantine_digest = _e; }
   { auto _e = asks_refusals(); _o->asks_refusals = _e; }
+  { auto _e = leaving(); if (_e) { _o->leaving.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->leaving[_i] = std::unique_ptr<barleyfork::schema::leaving_server_record>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<peer_message> peer_message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2019,6 +2154,7 @@
   auto _list_age_ms = _o->list_age_ms;
   auto _quarantine_digest = _o->quarantine_digest;
   auto _asks_refusals = _o->asks_refusals;
+  auto _leaving = _o->leaving.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::leaving_server>> (_o->leaving.size(), [](size_t i, _VectorArgs *__va) { return Createleaving_server(*__va->__fbb, __va->__o->leaving[i].get(), __va->__rehasher); }, &_va ) : 0;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       _kind,
@@ -2051,7 +2187,8 @@
       _list_since,
       _list_age_ms,
       _quarantine_digest,
-      _asks_refusals);
+      _asks_refusals,
+      _leaving);
 }
 
 inline const barleyfork::schema::peer_message *Getpeer_message(const void *buf) {
