--- a/libs/core/include/barleyfork/core/crash_detector.hpp
+++ b/libs/core/include/barleyfork/core/crash_detector.hpp
@@ -33,10 +33,9 @@
 ///
 /// A connection that breaks proves nothing: servers close and cut connections
 /// while they live. Where nobody listens any more right after, the process
-/// ended, and with it all that broke there. A process ends once: until its
-/// successor at the same address is listed, what is sent there reaches a
-/// process without a known name, whose end is blamed on nobody. Not
-/// thread-safe.
+/// ended, and with it all that broke there. A process ends once: what is sent
+/// to its address later reaches a successor, whose end is told when that is
+/// listed. Not thread-safe.
 class crash_detector
 {
 public:
