--- a/libs/gateway/src/peer_news_quarantine.cpp
+++ b/libs/gateway/src/peer_news_quarantine.cpp
@@ -4,19 +4,18 @@
 #include "peer_news.hpp"
 
 #include "peer_records.hpp"
+#include "quarantine_row_codec.hpp"
 
 #include <barleyfork/base/log.hpp>
 #include <barleyfork/base/text.hpp>
 
 #include <algorithm>
-#include <boost/json.hpp>
 #include <set>
 #include <utility>
 
 namespace barleyfork {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 
 namespace {
 
@@ -27,48 +26,6 @@
 /// A row that others write at the same moment is read and written again.
 constexpr int most_writes = 20;
 
-std::string to_row_text(std::uint64_t fingerprint,
-                        const std::vector<told_blame>& blames)
-{
-    json::array crashes;
-    std::int64_t last_ms = 0;
-    for (const auto& told : blames) {
-        if (told.blame.fingerprint != fingerprint)
-            continue;
-        crashes.push_back(told.blame.crash);
-        last_ms = wall_clock_ms() - told.age.count();
-    }
-    return json::serialize(json::object{{"fingerprint", fingerprint},
-                                        {"crashes", std::move(crashes)},
-                                        {"last_ms", last_ms}});
-}
-
-/// What a row of the store blames on a request; empty where it is not ours.
-std::vector<told_blame> read_row_text(const std::string& text)
-{
-    std::vector<told_blame> blames;
-    boost::system::error_code error;
-    const auto value = json::parse(text, error);
-    if (error || !value.is_object())
-        return blames;
-    const auto& object = value.as_object();
-    const auto* fingerprint = object.if_contains("fingerprint");
-    const auto* crashes = object.if_contains("crashes");
-    const auto* last_ms = object.if_contains("last_ms");
-    if (fingerprint == nullptr || !fingerprint->is_number() ||
-        crashes == nullptr || !crashes->is_array() || last_ms == nullptr ||
-        !last_ms->is_int64())
-        return blames;
-    const duration age(
-        std::max<std::int64_t>(wall_clock_ms() - last_ms->as_int64(), 0));
-    for (const auto& crash : crashes->as_array())
-        if (crash.is_number())
-            blames.push_back({{fingerprint->to_number<std::uint64_t>(),
-                               crash.to_number<std::uint64_t>()},
-                              age});
-    return blames;
-}
-
 } // namespace
 
 void peer_news::on_server_ended(const server_id& server,
@@ -228,8 +185,10 @@
     const auto key = to_hexadecimal(fingerprint);
     std::uint64_t expected = 0;
     for (int i = 0; i < most_writes; ++i) {
-        const auto text = to_row_text(
-            fingerprint, context_.quarantine.refusals(steady_now()));
+        const auto text =
+            encode_refusal(fingerprint,
+                           context_.quarantine.refusals(steady_now()),
+                           wall_clock_ms());
         context_.measures.count_store_call(store_purpose::members,
                                            "keep_refusal");
         const auto written = co_await context_.platform.store->write_row(
@@ -246,7 +205,7 @@
             continue;
         expected = read.rows.front().version;
         // Another daemon tells of the same crashes.
-        if (read_row_text(read.rows.front().value).size() >=
+        if (decode_refusal(read.rows.front().value, wall_clock_ms()).size() >=
             context_.quarantine.crashes(fingerprint))
             co_return;
     }
@@ -263,7 +222,7 @@
         if (!read.error) {
             for (const auto& row : read.rows)
                 if (!row.deleted)
-                    take_blames(read_row_text(row.value));
+                    take_blames(decode_refusal(row.value, wall_clock_ms()));
             co_return;
         }
         co_await sleep_for_ms(retry_pause_ms);
--- /dev/null
+++ b/libs/gateway/tests/quarantine_row_test.cpp
@@ -0,0 +1,58 @@
+/// What is blamed on a refused request as it lies in the store, and rows that
+/// are none of ours.
+
+#include "quarantine_row_codec.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <limits>
+
+namespace barleyfork {
+
+class quarantine_row_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(quarantine_row_test);
+    CPPUNIT_TEST(what_was_written_is_read);
+    CPPUNIT_TEST(a_row_that_is_none_of_ours_blames_nobody);
+    CPPUNIT_TEST(a_row_of_the_future_is_of_now);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void what_was_written_is_read()
+    {
+        constexpr auto large = std::numeric_limits<std::uint64_t>::max();
+        const std::vector<told_blame> blames{{{7, 1}, duration{2000}},
+                                             {{8, 5}, duration{1}},
+                                             {{7, large}, duration{2000}}};
+        const auto read = decode_refusal(encode_refusal(7, blames, 9000), 9500);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, read.size());
+        CPPUNIT_ASSERT((read[0].blame == crash_blame{7, 1}));
+        CPPUNIT_ASSERT((read[1].blame == crash_blame{7, large}));
+        CPPUNIT_ASSERT(read[0].age == duration{2500});
+    }
+
+    void a_row_that_is_none_of_ours_blames_nobody()
+    {
+        for (const char* row :
+             {"",
+              "[]",
+              "{}",
+              R"({"fingerprint":-1,"crashes":[1],"last_ms":1})",
+              R"({"fingerprint":1.5,"crashes":[1],"last_ms":1})",
+              R"({"fingerprint":1,"crashes":[-1,1.5,"x",null],"last_ms":1})",
+              R"({"fingerprint":1,"crashes":[1],"last_ms":-1})",
+              R"({"fingerprint":1,"crashes":{},"last_ms":1})"})
+            CPPUNIT_ASSERT(decode_refusal(row, 9000).empty());
+    }
+
+    /// Clocks of daemons differ.
+    void a_row_of_the_future_is_of_now()
+    {
+        const auto read = decode_refusal(
+            R"({"fingerprint":1,"crashes":[1],"last_ms":10000})", 9000);
+        CPPUNIT_ASSERT(read.at(0).age == duration{0});
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(quarantine_row_test);
+
+} // namespace barleyfork
