--- a/libs/daemon/src/backend_client.cpp
+++ b/libs/daemon/src/backend_client.cpp
@@ -22,7 +22,7 @@
 namespace {
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t read_size = 16 * 1024;
+constexpr std::size_t read_size = std::size_t{16} * 1024;
 constexpr std::size_t idle_connections = 32;
 constexpr unsigned status_unavailable = 503;
 constexpr duration report_timeout{1000};
--- a/libs/daemon/src/catalog_difference.cpp
+++ b/libs/daemon/src/catalog_difference.cpp
@@ -1,6 +1,8 @@
 #include "catalog_difference.hpp"
 
+#include <initializer_list>
 #include <map>
+#include <string_view>
 
 namespace barleyfork {
 
@@ -41,6 +43,18 @@
     return texts;
 }
 
+/// One line of the difference, its words apart.
+std::string joined(std::initializer_list<std::string_view> words)
+{
+    std::string line;
+    for (const auto word : words) {
+        if (!line.empty())
+            line += ' ';
+        line += word;
+    }
+    return line;
+}
+
 } // namespace
 
 std::vector<std::string> difference(const catalog* current, const catalog& next)
@@ -51,13 +65,13 @@
     for (const auto& [name, text] : after) {
         const auto found = before.find(name);
         if (found == before.end())
-            lines.push_back("+ " + name + " " + text);
+            lines.push_back(joined({"+", name, text}));
         else if (found->second != text)
-            lines.push_back("~ " + name + " " + found->second + " -> " + text);
+            lines.push_back(joined({"~", name, found->second, "->", text}));
     }
     for (const auto& [name, text] : before)
         if (!after.contains(name))
-            lines.push_back("- " + name);
+            lines.push_back(joined({"-", name}));
     return lines;
 }
 
--- a/libs/daemon/src/daemon.cpp
+++ b/libs/daemon/src/daemon.cpp
@@ -228,11 +228,11 @@
 bool daemon::drain()
 {
     auto& context = state_->context;
-    log_event(log_level::info, "drain_started");
+    const duration bound(context.settings.caller->drain_timeout_ms);
+    log_event(log_level::info, "drain_started").with("bound_ms", bound.count());
     context.draining = true;
     context.caller.try_post(
         [this] { state_->caller_server->stop_accepting(); });
-    const duration bound(context.settings.caller->drain_timeout_ms);
     const bool whole = state_->wait_for_requests(bound);
     auto left = std::make_shared<completion>();
     context.control.spawn(
--- a/libs/daemon/src/table_duty.cpp
+++ b/libs/daemon/src/table_duty.cpp
@@ -28,21 +28,26 @@
 
 asio::awaitable<table_read> table_duty::read(std::string key)
 {
-    return on_store<table_read>([this, key] { return table_.read(key); });
+    return on_store<table_read>(
+        [this, key = std::move(key)] { return table_.read(key); });
 }
 
 asio::awaitable<table_scan> table_duty::scan(std::string prefix,
                                              std::uint64_t since)
 {
-    return on_store<table_scan>(
-        [this, prefix, since] { return table_.scan(prefix, since); });
+    return on_store<table_scan>([this, prefix = std::move(prefix), since] {
+        return table_.scan(prefix, since);
+    });
 }
 
 asio::awaitable<table_write> table_duty::write(std::string key,
                                                std::uint64_t expected_version,
                                                std::string value)
 {
-    return on_store<table_write>([this, key, expected_version, value] {
+    return on_store<table_write>([this,
+                                  key = std::move(key),
+                                  expected_version,
+                                  value = std::move(value)] {
         return table_.write_and_verify(key, expected_version, value);
     });
 }
--- a/libs/daemon/src/tracer.cpp
+++ b/libs/daemon/src/tracer.cpp
@@ -67,7 +67,7 @@
     return {std::string(trace), new_span_id(), std::string(parent)};
 }
 
-tracer::tracer(std::string file) : duty_("trace", ring_capacity)
+tracer::tracer(const std::string& file) : duty_("trace", ring_capacity)
 {
     if (!file.empty())
         file_.open(file, std::ios::app);
--- a/libs/daemon/src/tracer.hpp
+++ b/libs/daemon/src/tracer.hpp
@@ -50,7 +50,7 @@
 class tracer
 {
 public:
-    explicit tracer(std::string file);
+    explicit tracer(const std::string& file);
 
     void start()
     {
--- a/libs/scenario/src/runner.cpp
+++ b/libs/scenario/src/runner.cpp
@@ -334,12 +334,16 @@
     }
     if (line.has("tokens"))
         for (std::int64_t i = 0; i < line.number("tokens", 0); ++i) {
-            const auto token = "\"w" + std::to_string(i) + " \"";
+            auto token = "\"w" + std::to_string(i);
+            token += " \"";
             const auto first = answer.body.find(token);
             const bool once =
                 first != std::string::npos &&
                 answer.body.find(token, first + 1) == std::string::npos;
-            require(once, line, "token " + token + " in " + seen);
+            require(once,
+                    line,
+                    std::string("token ").append(token).append(" in ").append(
+                        seen));
         }
     if (line.has("retry_after"))
         require(answer.headers.contains("Retry-After"), line, seen);
--- a/libs/standins/include/barleyfork/standins/link_standin.hpp
+++ b/libs/standins/include/barleyfork/standins/link_standin.hpp
@@ -19,7 +19,9 @@
 class link_standin
 {
 public:
-    link_standin(duty& owner, std::string target_address, std::uint16_t port);
+    link_standin(duty& owner,
+                 const std::string& target_address,
+                 std::uint16_t port);
     ~link_standin();
 
     /// Listens on loopback; the port taken. Before the owner starts, or on
--- a/libs/standins/src/link_standin.cpp
+++ b/libs/standins/src/link_standin.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t buffer_bytes = 16 * 1024;
+constexpr std::size_t buffer_bytes = std::size_t{16} * 1024;
 
 /// Two sockets and whether the network has lost track of them.
 struct forwarded
@@ -34,7 +34,9 @@
 
 struct link_standin::state : std::enable_shared_from_this<state>
 {
-    state(duty& owner_duty, std::string address, std::uint16_t target_port)
+    state(duty& owner_duty,
+          const std::string& address,
+          std::uint16_t target_port)
         : owner(owner_duty),
           target(asio::ip::make_address(address), target_port),
           acceptor(owner_duty.executor(),
@@ -113,9 +115,9 @@
 };
 
 link_standin::link_standin(duty& owner,
-                           std::string target_address,
+                           const std::string& target_address,
                            std::uint16_t port)
-    : state_(std::make_shared<state>(owner, std::move(target_address), port))
+    : state_(std::make_shared<state>(owner, target_address, port))
 {
 }
 
--- a/tools/benchmark/main.cpp
+++ b/tools/benchmark/main.cpp
@@ -31,7 +31,6 @@
 
 using namespace barleyfork;
 using scenario::caller;
-using scenario::caller_answer;
 using scenario::caller_call;
 
 constexpr double microseconds_per_ms = 1000.0;
