--- a/libs/core/include/barleyfork/core/backend_directory.hpp
+++ b/libs/core/include/barleyfork/core/backend_directory.hpp
@@ -202,6 +202,8 @@
     bool awaits_return(time_point now) const noexcept;
 
 private:
+    backend_state* find_process(const server_id& id, std::uint64_t started_ms);
+
     std::map<server_id, backend_state> servers_;
     duration list_lag_{2500};
     bool store_reachable_ = true;
--- a/libs/core/include/barleyfork/core/version_catchup.hpp
+++ b/libs/core/include/barleyfork/core/version_catchup.hpp
@@ -2,9 +2,9 @@
 #define BARLEYFORK_CORE_VERSION_CATCHUP_HPP
 
 #include <barleyfork/base/time.hpp>
+#include <barleyfork/core/lasting_state.hpp>
 
 #include <cstdint>
-#include <optional>
 
 namespace barleyfork {
 
@@ -25,8 +25,8 @@
     bool hear(std::uint64_t told, std::uint64_t known, time_point now);
 
 private:
-    /// Since when a version newer than the known one is told.
-    std::optional<time_point> behind_since_;
+    /// A version newer than the known one is told.
+    lasting_state behind_{patience};
     std::uint64_t known_ = 0;
 };
 
--- a/libs/core/src/backend_directory.cpp
+++ b/libs/core/src/backend_directory.cpp
@@ -170,25 +170,30 @@
         found->second.misdirected = true;
 }
 
-bool backend_directory::leaves(const server_id& id, std::uint64_t started_ms)
+/// Null where the list names another process, or none.
+backend_state* backend_directory::find_process(const server_id& id,
+                                               std::uint64_t started_ms)
 {
     const auto found = servers_.find(id);
-    if (found == servers_.end() ||
-        found->second.entry.held.started_ms != started_ms)
-        return false;
-    return !std::exchange(found->second.said_leaving, true);
+    const bool listed = found != servers_.end() &&
+                        found->second.entry.held.started_ms == started_ms;
+    return listed ? &found->second : nullptr;
+}
+
+bool backend_directory::leaves(const server_id& id, std::uint64_t started_ms)
+{
+    auto* state = find_process(id, started_ms);
+    return state != nullptr && !std::exchange(state->said_leaving, true);
 }
 
 void backend_directory::turned_away(const server_id& id,
                                     std::uint64_t started_ms,
                                     time_point until)
 {
-    const auto found = servers_.find(id);
-    if (found == servers_.end() ||
-        found->second.entry.held.started_ms != started_ms)
-        return;
-    auto& known = found->second.wants_nothing_until;
-    known = std::max(known, until);
+    auto* state = find_process(id, started_ms);
+    if (state != nullptr)
+        state->wants_nothing_until =
+            std::max(state->wants_nothing_until, until);
 }
 
 const backend_state* backend_directory::find(const server_id& id) const
--- a/libs/core/src/version_catchup.cpp
+++ b/libs/core/src/version_catchup.cpp
@@ -8,18 +8,9 @@
 {
     if (known != known_) {
         known_ = known;
-        behind_since_.reset();
+        behind_.ends();
     }
-    if (told <= known)
-        return false;
-    if (!behind_since_) {
-        behind_since_ = now;
-        return false;
-    }
-    if (now < *behind_since_ + patience)
-        return false;
-    behind_since_ = now;
-    return true;
+    return told > known && behind_.holds(now);
 }
 
 } // namespace barleyfork
--- a/libs/core/tests/crash_quarantine_test.cpp
+++ b/libs/core/tests/crash_quarantine_test.cpp
@@ -23,6 +23,13 @@
     return {.memory = memory, .refusal_threshold = threshold};
 }
 
+quarantine_limits settled_limits()
+{
+    auto settled = limits();
+    settled.settling = duration{500};
+    return settled;
+}
+
 std::uint64_t draw(std::uint64_t below)
 {
     return *rc::gen::inRange<std::uint64_t>(0, below);
@@ -175,9 +182,7 @@
     /// the cause met that end too.
     void nobody_is_refused_before_the_news_of_others_came()
     {
-        auto settled = limits();
-        settled.settling = duration{500};
-        crash_quarantine quarantine(settled);
+        crash_quarantine quarantine(settled_limits());
         const std::vector<std::uint64_t> both{7, cause};
         quarantine.on_crash(both, 1, at(0));
         quarantine.on_crash(both, 2, at(300));
@@ -199,9 +204,7 @@
     /// cause met one too.
     void one_that_is_a_moment_ahead_of_the_cause_is_served()
     {
-        auto settled = limits();
-        settled.settling = duration{500};
-        crash_quarantine quarantine(settled);
+        crash_quarantine quarantine(settled_limits());
         const std::vector<std::uint64_t> both{7, cause};
         for (std::uint64_t server = 1; server <= threshold; ++server)
             quarantine.on_crash(both, server, at(0));
@@ -379,9 +382,7 @@
     /// A daemon hears late that the cause met a further end.
     void one_that_met_five_ends_beside_the_cause_is_served()
     {
-        auto settled = limits();
-        settled.settling = duration{500};
-        crash_quarantine quarantine(settled);
+        crash_quarantine quarantine(settled_limits());
         const std::vector<std::uint64_t> both{7, cause};
         for (std::uint64_t server = 1; server <= threshold + 2; ++server)
             quarantine.on_crash(both, server, at(1000));
--- a/libs/gateway/src/crash_watch.cpp
+++ b/libs/gateway/src/crash_watch.cpp
@@ -21,13 +21,15 @@
 {
 }
 
-void crash_watch::on_broken(const listening_process& at,
+void crash_watch::on_broken(const server_process& process,
                             const tcp::endpoint& target,
                             const broken_request& broken)
 {
+    const listening_process at{
+        process, target.address().to_string(), target.port()};
     const auto due = detector_.on_broken(at, broken, steady_now());
     if (due)
-        timers_.add(*due, [this, server = at.process.server, target] {
+        timers_.add(*due, [this, server = process.server, target] {
             probe(server, target);
         });
 }
--- a/libs/gateway/src/crash_watch.hpp
+++ b/libs/gateway/src/crash_watch.hpp
@@ -33,7 +33,7 @@
     }
 
     /// A connection to `target` broke under a request.
-    void on_broken(const listening_process& at,
+    void on_broken(const server_process& process,
                    const tcp::endpoint& target,
                    const broken_request& broken);
 
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -297,11 +297,15 @@
         return;
     lack why = lack::no_server;
     const auto chosen = choose(now, why);
-    if (!chosen) {
+    if (chosen)
+        send_or_wait(*chosen, now);
+    else
         wait(why, now);
-        return;
-    }
-    switch (judge(*chosen, now)) {
+}
+
+void gateway_call::send_or_wait(const choice& chosen, time_point now)
+{
+    switch (judge(chosen, now)) {
     case outlook::hopeless:
         refuse(errc::overloaded, return_time());
         return;
@@ -312,7 +316,7 @@
         break;
     }
     stop_waiting();
-    start_attempt(*chosen, now);
+    start_attempt(chosen, now);
 }
 
 /// A request that ends each server that runs it reaches no further one.
@@ -347,10 +351,7 @@
 
 void gateway_call::start_attempt(const choice& chosen, time_point now)
 {
-    attempt_.emplace(context_.answers);
-    attempt_->server = chosen.server;
-    attempt_->started_ms = chosen.started_ms;
-    attempt_->target = chosen.target;
+    attempt_.emplace(chosen, context_.answers);
     if (!facts_.adapter.empty())
         attempt_->uses_adapter.emplace(
             context_.adapters,
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -70,15 +70,24 @@
         adapter_use use_;
     };
 
-    /// One send of the request to a server.
-    struct attempt
+    /// The process that is best for a request, and where it listens.
+    struct choice
     {
-        explicit attempt(memory_budget& answers) : memory(answers) {}
-
         server_id server;
-        /// The server's process, and where it listens.
         std::uint64_t started_ms = 0;
         boost::asio::ip::tcp::endpoint target;
+        double expected_ms = 0.0;
+        std::size_t candidates = 0;
+    };
+
+    /// One send of the request to a server.
+    struct attempt : choice
+    {
+        attempt(choice chosen, memory_budget& answers)
+            : choice(std::move(chosen)), memory(answers)
+        {
+        }
+
         std::optional<adapter_mark> uses_adapter;
         std::shared_ptr<backend_connection> connection;
         load_ticket ticket{};
@@ -98,15 +107,6 @@
         memory_budget::share memory;
     };
 
-    struct choice
-    {
-        server_id server;
-        std::uint64_t started_ms = 0;
-        boost::asio::ip::tcp::endpoint target;
-        double expected_ms = 0.0;
-        std::size_t candidates = 0;
-    };
-
     /// Why no server was chosen.
     enum class lack : std::uint8_t
     {
@@ -157,6 +157,7 @@
     void on_refused_by_server(time_point now);
     void take_server_word(time_point now);
     void send_elsewhere(time_point now);
+    void send_or_wait(const choice& chosen, time_point now);
     time_point soonest_server() const;
     bool refuse_quarantined(time_point now);
     bool keep_body(std::size_t size);
--- a/libs/gateway/src/gateway_call_answers.cpp
+++ b/libs/gateway/src/gateway_call_answers.cpp
@@ -266,9 +266,7 @@
     const auto ended = classify(end);
     record_end(ended, end, now);
     if (end == exchange_end::lost && attempt_->sending)
-        context_.crashes.on_broken({{attempt_->server, attempt_->started_ms},
-                                    attempt_->target.address().to_string(),
-                                    attempt_->target.port()},
+        context_.crashes.on_broken({attempt_->server, attempt_->started_ms},
                                    attempt_->target,
                                    {fingerprint_, attempt_->sent_at});
     if (ended == attempt_end::answered && is_sound_answer())
@@ -373,7 +371,8 @@
     lack why = lack::no_server;
     const auto next = choose(now, why);
     if (next && !tried_.contains(next->server)) {
-        dispatch();
+        if (!refuse_quarantined(now))
+            send_or_wait(*next, now);
         return;
     }
     const auto self = shared_from_this();
--- a/libs/gateway/src/peer_news.hpp
+++ b/libs/gateway/src/peer_news.hpp
@@ -4,7 +4,7 @@
 #include "gateway_context.hpp"
 #include "store_watch.hpp"
 
-#include <barleyfork/core/difference_watch.hpp>
+#include <barleyfork/core/lasting_state.hpp>
 #include <barleyfork/core/relay_choice.hpp>
 #include <barleyfork/core/takeover_turn.hpp>
 #include <barleyfork/core/version_catchup.hpp>
@@ -181,7 +181,10 @@
     std::uint64_t announced_ = 0;
     time_point beat_at_{};
     version_catchup catchup_;
-    difference_watch refusal_difference_;
+    /// News of refusals arrives within this.
+    static constexpr duration refusal_patience{1000};
+    /// The holder refuses other requests than this daemon.
+    lasting_state refusals_differ_{refusal_patience};
     /// What others have not heard from this daemon yet.
     std::vector<crash_blame> untold_blames_;
     bool telling_blames_ = false;
--- a/libs/gateway/src/peer_news_neighbours.cpp
+++ b/libs/gateway/src/peer_news_neighbours.cpp
@@ -74,17 +74,17 @@
         context_.serving.spawn(read_refusals());
     co_await register_self();
     // Those that start for the first time together are listed after a pause.
-    auto due_at =
-        steady_now() + duration(listed_before ? member_interval_ms : 0);
+    auto read_at =
+        steady_now() - duration(listed_before ? 0 : member_interval_ms);
     for (;;) {
         co_await sleep_for_ms(member_pause_ms);
         // A holder must know all of them, one that just began too.
-        const duration sooner(holding_ ? member_interval_ms - holder_interval_ms
-                                       : 0);
-        if (steady_now() < due_at - sooner)
+        const duration interval(holding_ ? holder_interval_ms
+                                         : member_interval_ms);
+        if (steady_now() < read_at + interval)
             continue;
         if (co_await read_members())
-            due_at = steady_now() + duration(member_interval_ms);
+            read_at = steady_now();
     }
 }
 
--- a/libs/gateway/src/peer_news_quarantine.cpp
+++ b/libs/gateway/src/peer_news_quarantine.cpp
@@ -171,8 +171,11 @@
 void peer_news::compare_refusals(const schema::peer_message_record& message,
                                  time_point now)
 {
-    const auto own = context_.quarantine.digest(now);
-    if (!refusal_difference_.hear(message.quarantine_digest, own, now))
+    if (message.quarantine_digest == context_.quarantine.digest(now)) {
+        refusals_differ_.ends();
+        return;
+    }
+    if (!refusals_differ_.holds(now))
         return;
     auto answer = make_crash_message(context_.quarantine.refusals(now), now);
     answer.asks_refusals = true;
--- a/libs/gateway/src/peer_records.hpp
+++ b/libs/gateway/src/peer_records.hpp
@@ -33,10 +33,10 @@
 std::unique_ptr<schema::listed_row_record> to_record(const store_row& row);
 std::vector<store_row> rows_of(const schema::peer_message_record& message);
 
-/// What is blamed on requests.
 std::unique_ptr<schema::leaving_server_record>
 to_record(const server_process& process);
 
+/// What is blamed on requests.
 std::unique_ptr<schema::quarantine_entry_record>
 to_record(const told_blame& told);
 std::vector<told_blame> blames_of(const schema::peer_message_record& message);
