Keep requests that may end servers apart, and count an end once its news came

Cause, in three parts. (1) Innocent requests and the cause went together from one living server to the next, so that some met each end that the cause met; waiting for further ends tells nobody apart who goes on together. (2) A lead of two ends refused at once, though two servers can end before the news of the first one's requests came. (3) The end of a successor that was listed before its probe came was told under the name of the process after it (log of a run eighty side by side: three of the cause's ends were missing).

Change: from its second end on a request runs once at a time and on no server where another such runs, the least suspected first; an end counts 0.8 s later, those that none leads are refused two seconds after the third; such ends are told at once; a process remembers its first successor.

--- a/libs/core/include/barleyfork/core/crash_detector.hpp
+++ b/libs/core/include/barleyfork/core/crash_detector.hpp
@@ -55,8 +55,9 @@
                                         time_point now);
 
     /// What a probe found: whether something listens, or an older connection
-    /// still stands. Returns the process where it ended.
-    std::optional<ended_process>
+    /// still stands. Returns the process where it ended, and its successor
+    /// where requests were sent to that one by the old name and it ended too.
+    std::vector<ended_process>
     on_probe(const server_id& server, bool lives, time_point now);
 
     /// A process was listed. Returns it where it is known to have ended since
@@ -73,6 +74,8 @@
         /// What broke at its successor, probed for and known to have ended.
         std::set<std::uint64_t> later_requests;
         std::set<std::uint64_t> nameless_requests;
+        /// The first process listed at its address after it.
+        std::optional<server_process> successor;
         bool probe_due = false;
         std::optional<time_point> probed_at;
         /// When the process was found to have ended.
@@ -81,6 +84,7 @@
 
     static void restart(suspicion& known, const listening_process& at);
     static void note(suspicion& known, const broken_request& broken);
+    static bool succeeds(const listening_process& at, const suspicion& known);
     void forget_old(time_point now);
 
     std::map<server_id, suspicion> servers_;
--- a/libs/core/include/barleyfork/core/crash_quarantine.hpp
+++ b/libs/core/include/barleyfork/core/crash_quarantine.hpp
@@ -7,7 +7,6 @@
 #include <cstdint>
 #include <deque>
 #include <map>
-#include <set>
 #include <span>
 #include <unordered_map>
 #include <utility>
@@ -43,9 +42,12 @@
     std::size_t refusal_threshold = 2;
     /// A request that was answered whole is not blamed or refused for so long.
     duration trust{60000};
-    /// News of others that met the same crash arrives within this; nobody is
-    /// refused before.
+    /// News of others that met the same crash arrives within this; a crash
+    /// counts towards a refusal from then on.
     duration settling{0};
+    /// Further crashes are waited for at least so long where several requests
+    /// met the same ones.
+    duration doubt{0};
 };
 
 /// Finds requests that crash each backend server that runs them.
@@ -81,6 +83,11 @@
     /// False where that was known.
     bool merge(const crash_blame& blame, time_point at);
 
+    /// True where one more crash brings the request to the threshold, or it is
+    /// past it and not refused: where it runs next, no other such request
+    /// should run.
+    bool suspected(std::uint64_t fingerprint, time_point now) const;
+
     /// True where the request is to be refused.
     bool refused(std::uint64_t fingerprint, time_point now) const;
 
@@ -102,17 +109,17 @@
 private:
     struct entry
     {
-        std::set<std::uint64_t> crashes;
+        /// When each crash was blamed on it.
+        std::map<std::uint64_t, time_point> crashes;
         time_point changed_at{};
-        /// When the crashes came to the threshold.
-        time_point reached_at{};
-        /// When they came to the most that are waited for.
-        time_point bounded_at{};
     };
 
     bool is_trusted(std::uint64_t fingerprint, time_point now) const;
     time_point refused_until(const entry& known) const;
-    bool has_rival(const entry& known, std::size_t at_least) const;
+    bool is_settled(time_point blamed_at, time_point now) const;
+    std::size_t settled_crashes(const entry& known, time_point now) const;
+    bool
+    has_rival(const entry& known, std::size_t at_least, time_point now) const;
     bool is_condemned(const entry& known, time_point now) const;
     void make_room(time_point now);
 
--- a/libs/core/src/crash_detector.cpp
+++ b/libs/core/src/crash_detector.cpp
@@ -9,11 +9,10 @@
 
 namespace {
 
-ended_process to_ended(const server_id& server,
-                       std::uint64_t started_ms,
+ended_process to_ended(const server_process& process,
                        const std::set<std::uint64_t>& requests)
 {
-    return {hash64(server.value(), started_ms),
+    return {hash64(process.server.value(), process.started_ms),
             {requests.begin(), requests.end()}};
 }
 
@@ -46,6 +45,7 @@
     known.requests.clear();
     known.later_requests.clear();
     known.nameless_requests.clear();
+    known.successor.reset();
     known.ended_at.reset();
 }
 
@@ -57,12 +57,12 @@
         requests.insert(broken.fingerprint);
 }
 
-std::optional<ended_process>
+std::vector<ended_process>
 crash_detector::on_probe(const server_id& server, bool lives, time_point now)
 {
     const auto found = servers_.find(server);
     if (found == servers_.end() || !found->second.probe_due)
-        return std::nullopt;
+        return {};
     auto& known = found->second;
     known.probe_due = false;
     if (!lives)
@@ -71,24 +71,38 @@
     const auto requests = std::exchange(known.requests, {});
     if (!known.ended_at && !lives)
         known.ended_at = now;
+    std::vector<ended_process> ended;
     // What listens where a process ended is its successor.
-    if (!known.ended_at || requests.empty())
-        return std::nullopt;
-    return to_ended(server, known.started_ms, requests);
+    if (known.ended_at && !requests.empty())
+        ended.push_back(to_ended({server, known.started_ms}, requests));
+    if (known.successor && !known.nameless_requests.empty())
+        ended.push_back(to_ended(*known.successor,
+                                 std::exchange(known.nameless_requests, {})));
+    return ended;
+}
+
+/// True where the process took the address after the known one.
+bool crash_detector::succeeds(const listening_process& at,
+                              const suspicion& known)
+{
+    return known.ended_at && known.port == at.port &&
+           known.address == at.address &&
+           at.process.started_ms > known.started_ms;
 }
 
 std::optional<ended_process>
 crash_detector::on_listed(const listening_process& at)
 {
     std::set<std::uint64_t> requests;
-    for (auto& [server, known] : servers_)
-        if (known.port == at.port && known.address == at.address &&
-            (server != at.process.server ||
-             known.started_ms != at.process.started_ms))
-            requests.merge(std::exchange(known.nameless_requests, {}));
+    for (auto& [server, known] : servers_) {
+        if (known.successor || !succeeds(at, known))
+            continue;
+        known.successor = at.process;
+        requests.merge(std::exchange(known.nameless_requests, {}));
+    }
     if (requests.empty())
         return std::nullopt;
-    return to_ended(at.process.server, at.process.started_ms, requests);
+    return to_ended(at.process, requests);
 }
 
 void crash_detector::forget_old(time_point now)
--- a/libs/core/src/crash_quarantine.cpp
+++ b/libs/core/src/crash_quarantine.cpp
@@ -3,6 +3,7 @@
 #include <barleyfork/base/digest.hpp>
 
 #include <algorithm>
+#include <set>
 #include <string_view>
 
 namespace barleyfork {
@@ -65,13 +66,9 @@
     if (!entries_.contains(blame.fingerprint))
         make_room(at);
     auto& entry = entries_[blame.fingerprint];
-    if (!entry.crashes.insert(blame.crash).second)
+    if (!entry.crashes.emplace(blame.crash, at).second)
         return false;
     entry.changed_at = std::max(entry.changed_at, at);
-    if (entry.crashes.size() == limits_.refusal_threshold)
-        entry.reached_at = at;
-    if (entry.crashes.size() == limits_.refusal_threshold + most_doubtful)
-        entry.bounded_at = at;
     return true;
 }
 
@@ -113,14 +110,31 @@
     return known.changed_at + limits_.memory * factor;
 }
 
+bool crash_quarantine::is_settled(time_point blamed_at, time_point now) const
+{
+    return now >= blamed_at + limits_.settling;
+}
+
+std::size_t crash_quarantine::settled_crashes(const entry& known,
+                                              time_point now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        known.crashes.begin(), known.crashes.end(), [&](const auto& crash) {
+            return is_settled(crash.second, now);
+        }));
+}
+
 /// True where another request met `at_least` crashes, and this one fewer than
 /// `refusal_threshold` without the other: the other may be the cause.
-bool crash_quarantine::has_rival(const entry& known, std::size_t at_least) const
+bool crash_quarantine::has_rival(const entry& known,
+                                 std::size_t at_least,
+                                 time_point now) const
 {
-    const auto alone = [&known](const entry& other) {
+    const auto alone = [&](const entry& other) {
         return static_cast<std::size_t>(std::count_if(
-            known.crashes.begin(), known.crashes.end(), [&other](auto crash) {
-                return !other.crashes.contains(crash);
+            known.crashes.begin(), known.crashes.end(), [&](const auto& crash) {
+                return is_settled(crash.second, now) &&
+                       !other.crashes.contains(crash.first);
             }));
     };
     return std::any_of(entries_.begin(), entries_.end(), [&](const auto& item) {
@@ -132,19 +146,24 @@
 
 bool crash_quarantine::is_condemned(const entry& known, time_point now) const
 {
-    const auto crashes = known.crashes.size();
-    if (crashes < limits_.refusal_threshold || now >= refused_until(known) ||
-        now < known.reached_at + limits_.settling)
+    const auto settled = settled_crashes(known, now);
+    if (settled < limits_.refusal_threshold || now >= refused_until(known))
         return false;
-    if (!has_rival(known, crashes - 1))
-        return true;
-    // Another may have met the last crash too, or its next one already.
-    if (now >= known.changed_at + limits_.settling &&
-        !has_rival(known, crashes))
+    if (!has_rival(known, settled, now))
         return true;
-    return crashes >= limits_.refusal_threshold + most_doubtful &&
-           now >= known.bounded_at + limits_.settling &&
-           !has_rival(known, crashes + 1);
+    return settled >= limits_.refusal_threshold + most_doubtful &&
+           settled_crashes(known, now - limits_.doubt) >=
+               limits_.refusal_threshold &&
+           !has_rival(known, known.crashes.size() + 1, now);
+}
+
+bool crash_quarantine::suspected(std::uint64_t fingerprint,
+                                 time_point now) const
+{
+    const auto found = entries_.find(fingerprint);
+    return found != entries_.end() &&
+           found->second.crashes.size() + 1 >= limits_.refusal_threshold &&
+           now < refused_until(found->second) && !is_trusted(fingerprint, now);
 }
 
 bool crash_quarantine::refused(std::uint64_t fingerprint, time_point now) const
@@ -175,7 +194,7 @@
     for (const auto& [fingerprint, known] : entries_) {
         if (!is_condemned(known, now))
             continue;
-        for (const auto crash : known.crashes)
+        for (const auto& [crash, blamed_at] : known.crashes)
             told.push_back({{fingerprint, crash}, now - known.changed_at});
     }
     return told;
--- a/libs/gateway/src/crash_watch.cpp
+++ b/libs/gateway/src/crash_watch.cpp
@@ -64,9 +64,9 @@
 
 void crash_watch::conclude(const server_id& server, bool lives)
 {
-    const auto ended = detector_.on_probe(server, lives, steady_now());
-    if (ended && on_ended_)
-        on_ended_(server, *ended);
+    for (const auto& ended : detector_.on_probe(server, lives, steady_now()))
+        if (on_ended_)
+            on_ended_(server, ended);
 }
 
 } // namespace barleyfork
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -167,8 +167,14 @@
 {
     std::vector<server_candidate> found;
     const bool engine = for_engine();
+    const bool suspected = is_suspected(now);
+    bool kept_apart = false;
     bool turned_away = false;
     why = lack::no_server;
+    if (suspected && context_.suspects.runs(fingerprint_)) {
+        why = lack::kept_apart;
+        return found;
+    }
     for (const auto& [id, state] : context_.directory.servers()) {
         if (state.entry.service != service_ || !state.usable())
             continue;
@@ -188,6 +194,10 @@
             turned_away = true;
             continue;
         }
+        if (suspected && context_.suspects.runs_on(id)) {
+            kept_apart = true;
+            continue;
+        }
         server_candidate candidate;
         candidate.server = id;
         candidate.load = context_.loads.view(id, route_->priority, now);
@@ -198,7 +208,9 @@
             endpoint_of(state.entry), route_->repeatable(), now);
         found.push_back(std::move(candidate));
     }
-    if (turned_away && found.empty())
+    if (kept_apart && found.empty())
+        why = lack::kept_apart;
+    else if (turned_away && found.empty())
         why = lack::turned_away;
     return found;
 }
@@ -284,7 +296,7 @@
 const char* gateway_call::lack_name(lack why) noexcept
 {
     constexpr const char* names[] = {
-        "no_server", "no_adapter", "no_room", "turned_away"};
+        "no_server", "no_adapter", "no_room", "turned_away", "kept_apart"};
     return names[static_cast<std::size_t>(why)];
 }
 
@@ -336,6 +348,11 @@
     return true;
 }
 
+bool gateway_call::is_suspected(time_point now) const
+{
+    return context_.quarantine.suspected(fingerprint_, now);
+}
+
 header_list gateway_call::forward_headers(const server_id& server,
                                           time_point now) const
 {
@@ -356,6 +373,9 @@
         attempt_->uses_adapter.emplace(
             context_.adapters,
             make_adapter_use(chosen.server, facts_.model, facts_.adapter));
+    attempt_->suspected = is_suspected(now);
+    if (attempt_->suspected)
+        context_.suspects.begin(fingerprint_, chosen.server);
     const auto load = context_.loads.view(chosen.server, route_->priority, now);
     attempt_->tokens_ahead = load.own_waiting_tokens + facts_.prompt_tokens;
     attempt_->ticket = context_.loads.begin(
@@ -469,7 +489,10 @@
         .with("reason", lack_name(why))
         .with("patience_ms", patience.count());
     const auto self = shared_from_this();
-    waiting_key_ = {route_->priority, ++context_.waits};
+    waiting_key_ = {
+        route_->priority,
+        is_suspected(now) ? context_.quarantine.crashes(fingerprint_) : 0,
+        ++context_.waits};
     context_.waiting[waiting_key_] = [self] {
         self->dispatch();
     };
@@ -537,10 +560,21 @@
     if (!attempt_)
         return;
     attempt_->connection->cancel();
-    context_.loads.end(attempt_->server, attempt_->ticket, end, now);
+    release_server(end, now);
     attempt_.reset();
 }
 
+/// The attempt takes no place on its server any more.
+void gateway_call::release_server(load_end end, time_point now)
+{
+    context_.loads.end(attempt_->server, attempt_->ticket, end, now);
+    if (!attempt_->suspected)
+        return;
+    attempt_->suspected = false;
+    context_.suspects.end(fingerprint_);
+    context_.wake_waiting_soon();
+}
+
 /// When to come back: spread, so that those refused together don't return
 /// together.
 duration gateway_call::return_time()
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -89,6 +89,8 @@
         }
 
         std::optional<adapter_mark> uses_adapter;
+        /// The request may end servers: it runs apart from others that may.
+        bool suspected = false;
         std::shared_ptr<backend_connection> connection;
         load_ticket ticket{};
         bool sending = false;
@@ -116,6 +118,9 @@
         no_room,
         /// All servers that could take it want nothing for a while.
         turned_away,
+        /// Another request that may end servers runs where it could go, or
+        /// this one runs already.
+        kept_apart,
     };
 
     /// What is best for a request, by the best server it could go to.
@@ -160,6 +165,7 @@
     void send_or_wait(const choice& chosen, time_point now);
     time_point soonest_server() const;
     bool refuse_quarantined(time_point now);
+    bool is_suspected(time_point now) const;
     bool keep_body(std::size_t size);
     void forward_events(const std::vector<std::string>& events);
     bool is_repeated_event(const std::string& event);
@@ -172,6 +178,7 @@
     void refuse(errc kind, std::optional<duration> retry_after);
     duration return_time();
     void give_up_attempt(load_end end, time_point now);
+    void release_server(load_end end, time_point now);
     void finish(errc kind);
     void log_end(errc kind, unsigned status) const;
     std::string fingerprint_text() const;
--- a/libs/gateway/src/gateway_call_answers.cpp
+++ b/libs/gateway/src/gateway_call_answers.cpp
@@ -287,7 +287,7 @@
     const auto record = good       ? load_end::good
                         : not_held ? load_end::refused
                                    : load_end::failed;
-    context_.loads.end(attempt_->server, attempt_->ticket, record, now);
+    release_server(record, now);
     if (!good) {
         log_event(log_level::warn, "send_failed")
             .with("request", facts_.try_id)
--- a/libs/gateway/src/gateway_context.cpp
+++ b/libs/gateway/src/gateway_context.cpp
@@ -27,7 +27,8 @@
 /// A request that ended three servers is refused for ten minutes at first.
 constexpr quarantine_limits refusal_limits{.memory = duration{600000},
                                            .refusal_threshold = 3,
-                                           .settling = duration{500}};
+                                           .settling = duration{800},
+                                           .doubt = duration{2000}};
 
 /// Calls what the map holds; each call may remove entries.
 template <class Key>
@@ -113,6 +114,12 @@
     call_each(waiting);
 }
 
+void gateway_context::wake_waiting_soon()
+{
+    if (!waiting.empty())
+        timers.add(steady_now(), [this] { wake_waiting(); });
+}
+
 void gateway_context::end_calls()
 {
     call_each(calls);
--- a/libs/gateway/src/gateway_context.hpp
+++ b/libs/gateway/src/gateway_context.hpp
@@ -17,11 +17,13 @@
 #include <barleyfork/core/server_choice.hpp>
 #include <barleyfork/core/server_process.hpp>
 #include <barleyfork/core/shared_retry_budget.hpp>
+#include <barleyfork/core/suspect_runs.hpp>
 #include <barleyfork/gateway/platform_port.hpp>
 #include <barleyfork/net/duty.hpp>
 #include <barleyfork/schema/gateway_generated.h>
 
 #include <algorithm>
+#include <compare>
 #include <functional>
 #include <map>
 #include <memory>
@@ -42,8 +44,18 @@
     std::set<std::pair<model_id, std::string>> uses;
 };
 
-/// The place of a waiting call: its priority, then its number.
-using waiting_place = std::pair<std::uint32_t, std::uint64_t>;
+/// The place of a waiting call: the most urgent first, of these the least
+/// suspected of ending servers, of these the oldest.
+struct waiting_place
+{
+    std::uint32_t priority = 0;
+    /// Crashes blamed on its request where that is suspected.
+    std::size_t crashes = 0;
+    std::uint64_t number = 0;
+
+    friend auto operator<=>(const waiting_place&,
+                            const waiting_place&) = default;
+};
 
 /// What all parts of a gateway share. Everything runs on one duty, since a
 /// request's caller side and server side would only hand each event over.
@@ -79,6 +91,9 @@
     /// Calls that wait look again at what can serve them.
     void wake_waiting();
 
+    /// The same once what runs now is done.
+    void wake_waiting_soon();
+
     /// The daemon ends: calls whose answers have not begun are answered.
     void end_calls();
 
@@ -94,6 +109,8 @@
     crash_watch crashes;
     /// Requests that end the servers that run them.
     crash_quarantine quarantine;
+    /// Where those of them run that are not refused yet.
+    suspect_runs suspects;
     gateway_metrics measures;
     /// Null until the first configuration came.
     std::shared_ptr<const gateway_configuration> configuration;
@@ -112,7 +129,7 @@
     running_uses adapters;
     /// Called when an adapter is wanted at once.
     std::function<void()> on_need;
-    /// Calls that wait for a server, the most urgent and oldest first.
+    /// Calls that wait for a server.
     std::map<waiting_place, std::function<void()>> waiting;
     /// Waits since the start; numbers them.
     std::uint64_t waits = 0;
--- a/libs/gateway/src/peer_news.hpp
+++ b/libs/gateway/src/peer_news.hpp
@@ -187,7 +187,8 @@
     lasting_state refusals_differ_{refusal_patience};
     /// What others have not heard from this daemon yet.
     std::vector<crash_blame> untold_blames_;
-    bool telling_blames_ = false;
+    /// When what is blamed is told next.
+    std::optional<time_point> telling_blames_at_;
     /// Requests whose refusal was logged, and written to the store by this
     /// daemon.
     std::set<std::uint64_t> noted_refusals_;
--- a/libs/gateway/src/peer_news_quarantine.cpp
+++ b/libs/gateway/src/peer_news_quarantine.cpp
@@ -21,6 +21,8 @@
 
 constexpr const char* quarantine_table = "barleyfork_quarantine";
 constexpr std::int64_t retry_pause_ms = 700;
+/// Suspected requests are kept apart by all daemons from their word on.
+constexpr duration grave_pause{20};
 /// Blames in one message; the gravest go first.
 constexpr std::size_t most_told_blames = 512;
 /// A row that others write at the same moment is read and written again.
@@ -50,15 +52,26 @@
     tell_blames_soon();
 }
 
-/// All that is blamed within one interval of the news is told at once; what
-/// was answered elsewhere meanwhile is not told.
+/// All that is blamed within one interval of the news is told at once, sooner
+/// where a request is suspected by now; what was answered meanwhile is not
+/// told.
 void peer_news::tell_blames_soon()
 {
-    if (telling_blames_ || untold_blames_.empty())
+    if (untold_blames_.empty())
         return;
-    telling_blames_ = true;
-    context_.timers.add(steady_now() + context_.news_interval(), [this] {
-        telling_blames_ = false;
+    const auto now = steady_now();
+    const bool grave = std::any_of(
+        untold_blames_.begin(), untold_blames_.end(), [&](const auto& blame) {
+            return context_.quarantine.suspected(blame.fingerprint, now);
+        });
+    const auto due = now + (grave ? grave_pause : context_.news_interval());
+    if (telling_blames_at_ && *telling_blames_at_ <= due)
+        return;
+    telling_blames_at_ = due;
+    context_.timers.add(due, [this, due] {
+        if (telling_blames_at_ != due)
+            return;
+        telling_blames_at_.reset();
         tell_blames();
     });
 }
--- a/libs/testing/src/test_main.cpp
+++ b/libs/testing/src/test_main.cpp
@@ -1,5 +1,6 @@
 /// Runs every registered CppUnit test and prints a closing line that counts.
 
+#include <barleyfork/base/log.hpp>
 #include <barleyfork/testing/property.hpp>
 
 #include <cppunit/BriefTestProgressListener.h>
@@ -47,9 +48,12 @@
 
 } // namespace barleyfork::testing
 
-/// Runs all tests, or the one whose whole name is given.
+/// Runs all tests, or the one whose whole name is given. BARLEYFORK_TEST_LOG
+/// names a file for the events of what is tested.
 int main(int argc, char** argv)
 {
+    if (const char* file = std::getenv("BARLEYFORK_TEST_LOG"))
+        barleyfork::start_log("info", file, "test");
     CppUnit::TestResult events;
     CppUnit::TestResultCollector results;
     CppUnit::BriefTestProgressListener progress;
