Name the time of a server that could serve the request

Callers saw: where all servers that hold a model want nothing for a while, the refusal named the time of the first server of the service that wants some again, also of one that does not hold the model: they came back for nothing.

Cause: soonest_server looked at the service alone, choosing at what each server holds too. Ruled out: the wait, which uses the same list as the choice.

Change: both ask held_by. Test a_server_without_the_model_names_no_time_for_it failed first (Retry-After 20.221 where 60 is true) and passes now, three times; the 16 tests of servers in trouble pass.

--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -166,7 +166,6 @@
                                                        lack& why) const
 {
     std::vector<server_candidate> found;
-    const bool engine = for_engine();
     const bool suspected = is_suspected(now);
     bool kept_apart = false;
     bool turned_away = false;
@@ -182,14 +181,11 @@
         const int sends = tried == tried_.end() ? 0 : tried->second;
         if (sends >= most_sends_to_one)
             continue;
-        if (engine) {
-            const auto holds = backend_directory::holds(
-                state, facts_.model, facts_.adapter, now);
-            if (holds == holding::model_only)
-                why = lack::no_adapter;
-            if (holds != holding::all)
-                continue;
-        }
+        const auto holds = held_by(state, now);
+        if (holds == holding::model_only)
+            why = lack::no_adapter;
+        if (holds != holding::all)
+            continue;
         if (state.wants_nothing(now)) {
             turned_away = true;
             continue;
@@ -215,14 +211,22 @@
     return found;
 }
 
-/// When the first server of the service that turned requests away wants some
-/// again.
-time_point gateway_call::soonest_server() const
+/// What the server holds of what the request needs; a plain service has all.
+holding gateway_call::held_by(const backend_state& state, time_point now) const
+{
+    return for_engine() ? backend_directory::holds(
+                              state, facts_.model, facts_.adapter, now)
+                        : holding::all;
+}
+
+/// When the first server that turned requests away, and that could serve this
+/// one, wants some again.
+time_point gateway_call::soonest_server(time_point now) const
 {
     auto soonest = time_point::max();
     for (const auto& [id, state] : context_.directory.servers())
         if (state.entry.service == service_ && state.usable() &&
-            state.wants_nothing_until != time_point{})
+            state.wants_nothing(now) && held_by(state, now) == holding::all)
             soonest = std::min(soonest, state.wants_nothing_until);
     return soonest;
 }
@@ -469,7 +473,7 @@
     }
     auto patience = (leaves_at() - now) / wait_share;
     if (why == lack::turned_away) {
-        const auto soonest = soonest_server();
+        const auto soonest = soonest_server(now);
         if (soonest > now + patience) {
             refuse(errc::no_replica, soonest - now + return_time());
             return;
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -163,7 +163,8 @@
     void take_server_word(time_point now);
     void send_elsewhere(time_point now);
     void send_or_wait(const choice& chosen, time_point now);
-    time_point soonest_server() const;
+    time_point soonest_server(time_point now) const;
+    holding held_by(const backend_state& state, time_point now) const;
     bool refuse_quarantined(time_point now);
     bool is_suspected(time_point now) const;
     bool keep_body(std::size_t size);
