Look once more whether a server wants the request when its connection opens

Callers and servers saw: a server that turned a request away with a time got more than two further requests of the same daemon later than half a second after (BUDGET).

Cause: a server is chosen before its connection is made. An opening packet that is dropped comes again after a second, and the request was sent then, whatever the server had said meanwhile. The same holds for a request that comes to be refused for ending servers meanwhile.

Change: before the first byte the call looks again; what is not wanted any more goes elsewhere or is refused as not run (`send_withdrawn`).

--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -415,6 +415,10 @@
 void gateway_call::on_sending()
 {
     const auto now = steady_now();
+    if (!is_still_wanted(now)) {
+        withdraw_attempt(now);
+        return;
+    }
     attempt_->sending = true;
     attempt_->sent_at = now;
     auto& budget = context_.budget(service_);
@@ -428,6 +432,26 @@
     ++sends_;
 }
 
+/// A connection can take long to be made; meanwhile the server may have turned
+/// another request away, or this one may be refused for ending servers.
+bool gateway_call::is_still_wanted(time_point now) const
+{
+    const auto* state = context_.directory.find(attempt_->server);
+    const bool turned_away = state != nullptr && state->wants_nothing(now);
+    return !turned_away && !context_.quarantine.refused(fingerprint_, now);
+}
+
+/// Not a byte was sent: the request goes elsewhere or is refused.
+void gateway_call::withdraw_attempt(time_point now)
+{
+    log_event(log_level::info, "send_withdrawn")
+        .with("request", facts_.try_id)
+        .with("server", attempt_->server.value())
+        .with("fingerprint", fingerprint_text());
+    give_up_attempt(load_end::good, now);
+    after_attempt(attempt_end::not_sent, now);
+}
+
 /// An idempotent request does not wait for a server that is much slower than
 /// expected while another one could answer.
 void gateway_call::set_patience(const choice& chosen, time_point now)
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -178,6 +178,8 @@
 
     void refuse(errc kind, std::optional<duration> retry_after);
     duration return_time();
+    bool is_still_wanted(time_point now) const;
+    void withdraw_attempt(time_point now);
     void give_up_attempt(load_end end, time_point now);
     void release_server(load_end end, time_point now);
     void finish(errc kind);
