Show refusals that a restored store loses (fails)

Callers' requests that end servers reach them again once the store came back from a copy and all daemons ended.

--- a/libs/gateway/src/peer_updates_quarantine.cpp
+++ b/libs/gateway/src/peer_updates_quarantine.cpp
@@ -219,8 +219,13 @@
                                            "keep_refusal");
         const auto written = co_await context_.platform.store->write_row(
             quarantine_table, key, text, expected);
-        if (written.end == store_write_outcome::done)
+        if (written.end == store_write_outcome::done) {
+            log_event(log_level::info, "refusal_stored")
+                .with("fingerprint", key)
+                .with("row_version",
+                      static_cast<std::int64_t>(written.version));
             co_return;
+        }
         if (written.end != store_write_outcome::conflict) {
             co_await sleep_for_ms(retry_delay_ms);
             continue;
@@ -249,6 +254,9 @@
             for (const auto& row : read.rows)
                 if (!row.deleted)
                     merge_blames(decode_refusal(row.value, wall_clock_ms()));
+            log_event(log_level::info, "refusals_read")
+                .with("rows", static_cast<std::int64_t>(read.rows.size()))
+                .with("store_version", static_cast<std::int64_t>(read.version));
             co_return;
         }
         co_await sleep_for_ms(retry_delay_ms);
