Order the store's versions by its era

A store that comes back from a copy gives versions out again.

Cause: positions of two histories were compared as if they were one. Versions are now ordered by the era that the store names, then by number; daemons tell each other the era.

--- a/libs/core/include/barleyfork/core/backend_directory.hpp
+++ b/libs/core/include/barleyfork/core/backend_directory.hpp
@@ -164,6 +164,11 @@
     /// Records whether the store is reachable.
     void set_store_reachable(bool reachable, time_point now);
 
+    /// Records that the store was restored from a backup, which lacks the
+    /// entries of servers that registered since. Like after an outage, these
+    /// are retained for `outage_grace_period`.
+    void on_store_restored(time_point now);
+
     /// Removes the servers that were not listed again in time after an outage,
     /// and returns them.
     std::vector<server_id> expire(time_point now);
--- a/libs/core/include/barleyfork/core/lease.hpp
+++ b/libs/core/include/barleyfork/core/lease.hpp
@@ -3,6 +3,7 @@
 
 #include <barleyfork/base/strong_id.hpp>
 #include <barleyfork/base/time.hpp>
+#include <barleyfork/core/store_version.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -47,7 +48,7 @@
     /// Processes the row as read, with its version (0 where the row is
     /// absent). `age` is the minimum age of the row, where that is known.
     void observe(const lease_row& row,
-                 std::uint64_t version,
+                 store_version version,
                  time_point now,
                  duration age = duration{0});
 
@@ -58,7 +59,7 @@
     next_write(bool candidate, std::string write_id, time_point now);
 
     /// Records that the write of `row` took effect as `version`.
-    void written(const lease_row& row, std::uint64_t version, time_point now);
+    void written(const lease_row& row, store_version version, time_point now);
 
     /// Releases the lease: returns the row to write, or nothing where this
     /// daemon does not hold the lease.
@@ -81,7 +82,7 @@
     }
 
     /// Returns the row's last known version, for the conditional write.
-    std::uint64_t version() const noexcept
+    store_version version() const noexcept
     {
         return version_;
     }
@@ -105,7 +106,7 @@
     instance_id self_;
     lease_options options_;
     lease_row row_;
-    std::uint64_t version_ = 0;
+    store_version version_;
     bool observed_ = false;
     time_point seen_at_{};
     /// When this daemon stops acting as holder by its own clock: the end of
--- a/libs/core/include/barleyfork/core/list_follower.hpp
+++ b/libs/core/include/barleyfork/core/list_follower.hpp
@@ -2,6 +2,7 @@
 #define BARLEYFORK_CORE_LIST_FOLLOWER_HPP
 
 #include <barleyfork/base/time.hpp>
+#include <barleyfork/core/store_version.hpp>
 
 #include <cstdint>
 
@@ -12,8 +13,8 @@
 /// as of `known_at`.
 struct list_claim
 {
-    std::uint64_t since = 0;
-    std::uint64_t position = 0;
+    store_version since;
+    store_version position;
     time_point known_at{};
 };
 
@@ -73,13 +74,13 @@
     explicit list_follower(list_intervals intervals) : intervals_(intervals) {}
 
     /// Applies a claim. Returns false where changes between the position known
-    /// here and the claim's start were missed; then the daemon only schedules
-    /// a refresh.
+    /// here and the claim's start were missed, or where the claim is of a later
+    /// era of the store; then the daemon only schedules a refresh.
     bool on_peer_state(const list_claim& claim);
 
     /// Records a read of the list at `position` by a call that began at
     /// `began`.
-    void on_read(std::uint64_t position, time_point began);
+    void on_read(store_version position, time_point began);
 
     /// Schedules a refresh, since the list may have changed.
     void request_refresh() noexcept
@@ -98,9 +99,9 @@
     /// failure domain can be asked.
     list_step next(list_role role, bool reader_reachable, time_point now);
 
-    /// Returns the version of the store up to which all changes are known; 0
-    /// before the first.
-    std::uint64_t position() const noexcept
+    /// Returns the version of the store up to which all changes are known;
+    /// unknown before the first read.
+    store_version position() const noexcept
     {
         return position_;
     }
@@ -118,7 +119,7 @@
 
 private:
     list_intervals intervals_;
-    std::uint64_t position_ = 0;
+    store_version position_;
     bool is_known_ = false;
     bool refresh_needed_ = false;
     time_point known_at_{};
--- a/libs/core/src/backend_directory.cpp
+++ b/libs/core/src/backend_directory.cpp
@@ -109,6 +109,12 @@
     store_reachable_ = reachable;
 }
 
+void backend_directory::on_store_restored(time_point now)
+{
+    had_outage_ = true;
+    store_returned_at_ = now;
+}
+
 std::vector<server_id> backend_directory::expire(time_point now)
 {
     std::vector<server_id> expired;
--- a/libs/core/src/lease.cpp
+++ b/libs/core/src/lease.cpp
@@ -11,7 +11,7 @@
 }
 
 void lease::observe(const lease_row& row,
-                    std::uint64_t version,
+                    store_version version,
                     time_point now,
                     duration age)
 {
@@ -51,7 +51,7 @@
     return begin_write({self_, row_.epoch + 1, std::move(write_id)}, now);
 }
 
-void lease::written(const lease_row& row, std::uint64_t version, time_point now)
+void lease::written(const lease_row& row, store_version version, time_point now)
 {
     observe(row, version, now);
 }
--- a/libs/core/src/list_follower.cpp
+++ b/libs/core/src/list_follower.cpp
@@ -30,7 +30,9 @@
 
 bool list_follower::on_peer_state(const list_claim& claim)
 {
-    if (!is_known_ || claim.since > position_) {
+    // A restored store may have lost rows that are known only here.
+    const bool is_later_era = claim.position.era() > position_.era();
+    if (!is_known_ || claim.since > position_ || is_later_era) {
         refresh_needed_ = true;
         return false;
     }
@@ -42,7 +44,7 @@
     return true;
 }
 
-void list_follower::on_read(std::uint64_t position, time_point began)
+void list_follower::on_read(store_version position, time_point began)
 {
     is_known_ = true;
     refresh_needed_ = false;
--- a/libs/core/tests/lease_property_test.cpp
+++ b/libs/core/tests/lease_property_test.cpp
@@ -92,7 +92,7 @@
     void renew(std::size_t index, bool is_delivered, bool is_answered)
     {
         auto& holder = holders_[index];
-        const auto expected = holder.version();
+        const auto expected = holder.version().number();
         const auto row =
             holder.next_write(true, "w" + std::to_string(++write_count_), now_);
         if (!row)
--- a/libs/core/tests/list_follower_test.cpp
+++ b/libs/core/tests/list_follower_test.cpp
@@ -44,7 +44,7 @@
                           reader().position(),
                           reader().known_at()},
                          1);
-                reader_position_ = reader().position();
+                reader_position_ = reader().position().number();
             }
             for (std::size_t i = 1; i < daemons_.size(); ++i)
                 step(daemons_[i], list_role::neighbour, reader_announces, now);
@@ -123,6 +123,8 @@
     CPPUNIT_TEST(each_daemon_reads_without_announcements);
     CPPUNIT_TEST(a_claim_after_a_gap_is_not_applied);
     CPPUNIT_TEST(a_change_of_holder_is_no_gap);
+    CPPUNIT_TEST(a_claim_after_a_restore_is_not_applied);
+    CPPUNIT_TEST(an_era_rises_once_for_each_restore);
     CPPUNIT_TEST(a_hung_call_leaves_time_for_the_next);
     CPPUNIT_TEST_SUITE_END();
 
@@ -168,17 +170,46 @@
         }
     }
 
+    /// The versions of the new era are lower than the known one.
+    void a_claim_after_a_restore_is_not_applied()
+    {
+        list_follower daemon{list_intervals()};
+        daemon.on_read({10, 1}, start);
+        CPPUNIT_ASSERT(!daemon.on_peer_state({{8, 1}, {9, 2}, start + tick}));
+        CPPUNIT_ASSERT(daemon.position() == store_version(10, 1));
+        CPPUNIT_ASSERT(daemon.next(list_role::neighbour, true, start + tick) ==
+                       list_step::ask_reader);
+        daemon.on_read({9, 2}, start + tick);
+        CPPUNIT_ASSERT(daemon.position() == store_version(9, 2));
+        CPPUNIT_ASSERT(daemon.on_peer_state({{9, 2}, {12, 2}, start + tick}));
+        CPPUNIT_ASSERT(daemon.on_peer_state({{9, 1}, {40, 1}, start + tick}));
+        CPPUNIT_ASSERT(daemon.position() == store_version(12, 2));
+    }
+
+    void an_era_rises_once_for_each_restore()
+    {
+        store_era era;
+        CPPUNIT_ASSERT(!era.observe(0));
+        CPPUNIT_ASSERT(!era.observe(7));
+        CPPUNIT_ASSERT(!era.was_restored());
+        CPPUNIT_ASSERT(era.observe(8));
+        CPPUNIT_ASSERT(!era.observe(8));
+        CPPUNIT_ASSERT(!era.observe(7));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, era.current());
+        CPPUNIT_ASSERT(era.was_restored());
+    }
+
     void a_claim_after_a_gap_is_not_applied()
     {
         list_follower daemon{list_intervals()};
         daemon.on_read(10, start);
         CPPUNIT_ASSERT(!daemon.on_peer_state({12, 15, start + tick}));
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, daemon.position());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, daemon.position().number());
         CPPUNIT_ASSERT(daemon.known_at() == start);
         CPPUNIT_ASSERT(daemon.next(list_role::neighbour, true, start + tick) ==
                        list_step::ask_reader);
         CPPUNIT_ASSERT(daemon.on_peer_state({10, 15, start + tick}));
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{15}, daemon.position());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{15}, daemon.position().number());
     }
 
     /// Another holder's first announcement starts at the position where that
--- a/libs/daemon/src/placement_worker.cpp
+++ b/libs/daemon/src/placement_worker.cpp
@@ -194,7 +194,7 @@
 asio::awaitable<void> placement_worker::write_lease(std::size_t index,
                                                     lease_row row)
 {
-    const auto version = cells_[index]->cell_lease.version();
+    const auto version = cells_[index]->cell_lease.version().number();
     const auto write =
         co_await table_.write(lease_key(index), version, encode(row));
     auto& entry = *cells_[index];
@@ -429,7 +429,7 @@
     for (std::size_t i = 0; i < cells_.size(); ++i) {
         auto& entry = *cells_[i];
         entry.controller.reset();
-        const auto version = entry.cell_lease.version();
+        const auto version = entry.cell_lease.version().number();
         const auto row =
             entry.cell_lease.release(context_.next_id(), steady_now());
         if (row)
--- a/libs/gateway/include/barleyfork/gateway/row_store.hpp
+++ b/libs/gateway/include/barleyfork/gateway/row_store.hpp
@@ -3,6 +3,7 @@
 
 #include <barleyfork/base/error.hpp>
 #include <barleyfork/base/time.hpp>
+#include <barleyfork/core/store_version.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
@@ -16,8 +17,8 @@
 {
     std::string key;
     std::string value;
-    /// Increases with every change; 0 if the row does not exist.
-    std::uint64_t version = 0;
+    /// Increases with every change; unknown if the row does not exist.
+    store_version version;
     bool deleted = false;
 };
 
@@ -28,8 +29,9 @@
     /// store no longer has the requested changes.
     failure error;
     std::vector<store_row> rows;
-    /// The newest version of the entire store at the time of the read.
-    std::uint64_t version = 0;
+    /// The newest version of the entire store at the time of the read. A failed
+    /// read has at most an era.
+    store_version version;
     /// The store's own steady clock at the read, in milliseconds.
     std::int64_t store_ms = 0;
 };
@@ -49,7 +51,8 @@
 struct store_write
 {
     store_write_outcome end = store_write_outcome::unknown;
-    std::uint64_t version = 0;
+    /// The row's new version; only an era if nothing was written.
+    store_version version;
     /// The store's own steady clock at the write, in milliseconds.
     std::int64_t store_ms = 0;
 };
@@ -71,14 +74,14 @@
     /// Reads the rows that changed after `version`; waits up to `wait` for the
     /// first change.
     virtual boost::asio::awaitable<store_read>
-    read_changes(std::string table, std::uint64_t version, duration wait) = 0;
+    read_changes(std::string table, store_version version, duration wait) = 0;
 
     /// Writes a row if its version is still `expected`.
     virtual boost::asio::awaitable<store_write>
     write_row(std::string table,
               std::string key,
               std::string value,
-              std::uint64_t expected) = 0;
+              store_version expected) = 0;
 };
 
 } // namespace barleyfork
--- a/libs/gateway/src/gateway_context.cpp
+++ b/libs/gateway/src/gateway_context.cpp
@@ -1,5 +1,9 @@
 #include "gateway_context.hpp"
 
+#include "restorable_store.hpp"
+
+#include <barleyfork/base/log.hpp>
+
 #include <vector>
 
 namespace barleyfork {
@@ -63,6 +67,22 @@
 {
     for (const auto& place : settings.places)
         regions_.emplace(place->failure_domain, place->region);
+    platform.store = std::make_unique<restorable_store>(
+        std::move(platform.store), [this](std::uint64_t era) {
+            observe_store_era(era);
+            return store_era_.current();
+        });
+}
+
+void gateway_context::observe_store_era(std::uint64_t era)
+{
+    if (!store_era_.observe(era))
+        return;
+    log_event(log_level::warn, "store_restored")
+        .with("era", static_cast<std::int64_t>(era));
+    directory.on_store_restored(steady_now());
+    if (on_store_restored)
+        on_store_restored();
 }
 
 distance gateway_context::distance_to(const failure_domain_id& domain) const
--- a/libs/gateway/src/gateway_context.hpp
+++ b/libs/gateway/src/gateway_context.hpp
@@ -17,6 +17,7 @@
 #include <barleyfork/core/server_choice.hpp>
 #include <barleyfork/core/server_process.hpp>
 #include <barleyfork/core/shared_retry_budget.hpp>
+#include <barleyfork/core/store_version.hpp>
 #include <barleyfork/core/suspect_runs.hpp>
 #include <barleyfork/gateway/platform_port.hpp>
 #include <barleyfork/net/io_worker.hpp>
@@ -82,6 +83,16 @@
         return std::max<std::size_t>(daemons_, 1);
     }
 
+    /// Records the era of a response of the store or of another daemon's
+    /// message. If the store was restored, servers whose entries the backup
+    /// lacks are retained for a while, and `on_store_restored` is called.
+    void observe_store_era(std::uint64_t era);
+
+    const class store_era& store_era() const noexcept
+    {
+        return store_era_;
+    }
+
     /// Returns the time between two updates of a daemon to the holder of the
     /// placement lease. The interval grows with the number of daemons, as the
     /// holder receives updates from all of them.
@@ -137,6 +148,8 @@
     active_adapter_uses adapters;
     /// Called when a request needs an adapter that is not resident.
     std::function<void()> on_adapter_needed;
+    /// Called after the store was restored from a backup.
+    std::function<void()> on_store_restored;
     /// Handlers that let the calls waiting for a server try again.
     std::map<waiting_key, std::function<void()>> waiting_calls;
     /// The number of waits since the start; the source of their numbers.
@@ -153,6 +166,7 @@
     std::map<failure_domain_id, region_id> regions_;
     std::map<service_id, shared_retry_budget> budgets_;
     std::size_t daemons_ = 0;
+    class store_era store_era_;
 };
 
 } // namespace barleyfork
--- a/libs/gateway/src/peer_records.cpp
+++ b/libs/gateway/src/peer_records.cpp
@@ -19,7 +19,7 @@
     store_row row;
     row.key = record.key;
     row.value.assign(record.value.begin(), record.value.end());
-    row.version = record.version;
+    row.version = {record.version, record.era};
     row.deleted = record.deleted;
     return row;
 }
@@ -103,11 +103,22 @@
 list_claim extract_list_claim(const schema::peer_message_record& message,
                               time_point now)
 {
-    return {message.list_since,
-            message.list_position,
+    return {{message.list_since, message.list_since_era},
+            extract_list_position(message),
             now - duration(message.list_age_ms)};
 }
 
+store_version
+extract_configuration_position(const schema::peer_message_record& message)
+{
+    return {message.configuration_position, message.configuration_era};
+}
+
+store_version extract_list_position(const schema::peer_message_record& message)
+{
+    return {message.list_position, message.list_era};
+}
+
 std::vector<schema::outstanding_work>
 to_records(std::span<const peer_work> work)
 {
@@ -141,7 +152,8 @@
     auto record = std::make_unique<schema::listed_row_record>();
     record->key = row.key;
     record->value.assign(row.value.begin(), row.value.end());
-    record->version = row.version;
+    record->version = row.version.number();
+    record->era = row.version.era();
     record->deleted = row.deleted;
     return record;
 }
--- a/libs/gateway/src/peer_records.hpp
+++ b/libs/gateway/src/peer_records.hpp
@@ -45,6 +45,11 @@
 /// Returns the time since `known_at` in milliseconds, at most one hour.
 std::uint32_t age_ms(time_point known_at, time_point now);
 
+/// Returns the store versions up to which the sender knows all changes.
+store_version
+extract_configuration_position(const schema::peer_message_record& message);
+store_version extract_list_position(const schema::peer_message_record& message);
+
 /// Returns the claim on the server list in a message received at `now`.
 list_claim extract_list_claim(const schema::peer_message_record& message,
                               time_point now);
--- a/libs/gateway/src/peer_updates.cpp
+++ b/libs/gateway/src/peer_updates.cpp
@@ -61,8 +61,13 @@
     message.failure_domain = context_.settings.failure_domain;
     message.configuration_version = configuration_version();
     message.link_mbps = static_cast<float>(context_.settings.link_mbps);
-    message.configuration_position = watch_.configuration_position();
-    message.list_position = watch_.list_position();
+    message.store_era = context_.store_era().current();
+    const auto configuration = watch_.configuration_position();
+    message.configuration_position = configuration.number();
+    message.configuration_era = configuration.era();
+    const auto list = watch_.list_position();
+    message.list_position = list.number();
+    message.list_era = list.era();
     message.list_age_ms = age_ms(watch_.list_known_at(), steady_now());
     return message;
 }
@@ -151,7 +156,8 @@
 void peer_updates::add_list_changes(schema::peer_message_record& message)
 {
     const auto changes = watch_.take_relayed_rows();
-    message.list_since = changes.since;
+    message.list_since = changes.since.number();
+    message.list_since_era = changes.since.era();
     for (const auto& row : changes.rows)
         message.rows.push_back(to_record(row));
 }
@@ -264,6 +270,7 @@
     known.link_mbps = message.link_mbps;
     known.last_seen_at = steady_now();
     known.started_ms = message.sender->incarnation;
+    context_.observe_store_era(message.store_era);
     request_newer_configuration(message);
     apply_leaving(message);
     switch (message.kind) {
--- a/libs/gateway/src/peer_updates_neighbours.cpp
+++ b/libs/gateway/src/peer_updates_neighbours.cpp
@@ -218,11 +218,13 @@
     watch_.apply_relayed_rows(extract_rows(message),
                               extract_list_claim(message, steady_now()));
     const bool newer = message.configuration_version > configuration_version();
-    const bool list = watch_.list_position() == 0 && message.list_position > 0;
+    const bool list =
+        !watch_.list_position().is_known() && message.list_position > 0;
     if (newer || list)
         request_snapshot(sender.address);
     if (message.configuration_version == configuration_version())
-        watch_.confirm_configuration_position(message.configuration_position);
+        watch_.confirm_configuration_position(
+            extract_configuration_position(message));
 }
 
 /// Requests missed changes from the reader of the failure domain.
@@ -253,8 +255,11 @@
 {
     const bool newer = request.configuration_version < configuration_version();
     std::optional<std::vector<store_row>> rows;
-    if (request.list_position < watch_.list_position())
-        rows = watch_.rows_after(request.list_position);
+    auto since = extract_list_position(request);
+    if (since.era() < watch_.list_position().era())
+        since = store_version();
+    if (since < watch_.list_position())
+        rows = watch_.rows_after(since);
     if (!newer && !rows)
         return;
     auto message = make_message(schema::message_kind::snapshot);
@@ -262,7 +267,8 @@
     if (newer)
         message.body.assign(bytes.begin(), bytes.end());
     if (rows) {
-        message.list_since = request.list_position;
+        message.list_since = since.number();
+        message.list_since_era = since.era();
         for (const auto& row : *rows)
             message.rows.push_back(to_record(row));
     }
--- a/libs/gateway/src/peer_updates_quarantine.cpp
+++ b/libs/gateway/src/peer_updates_quarantine.cpp
@@ -209,7 +209,7 @@
 asio::awaitable<void> peer_updates::store_refusal(std::uint64_t fingerprint)
 {
     const auto key = to_hexadecimal(fingerprint);
-    std::uint64_t expected = 0;
+    store_version expected;
     for (int i = 0; i < max_write_attempts; ++i) {
         const auto text =
             encode_refusal(fingerprint,
@@ -223,7 +223,7 @@
             log_event(log_level::info, "refusal_stored")
                 .with("fingerprint", key)
                 .with("row_version",
-                      static_cast<std::int64_t>(written.version));
+                      static_cast<std::int64_t>(written.version.number()));
             co_return;
         }
         if (written.end != store_write_outcome::conflict) {
@@ -256,7 +256,8 @@
                     merge_blames(decode_refusal(row.value, wall_clock_ms()));
             log_event(log_level::info, "refusals_read")
                 .with("rows", static_cast<std::int64_t>(read.rows.size()))
-                .with("store_version", static_cast<std::int64_t>(read.version));
+                .with("store_version",
+                      static_cast<std::int64_t>(read.version.number()));
             co_return;
         }
         co_await sleep_for_ms(retry_delay_ms);
--- a/libs/gateway/src/placement_worker_lease.cpp
+++ b/libs/gateway/src/placement_worker_lease.cpp
@@ -207,8 +207,10 @@
             : std::max<std::int64_t>(read.store_ms - stored.sent_ms, 0));
     previous_orders_ = std::move(stored.orders);
     previous_orders_written_at_ = steady_now() - age;
-    lease_.observe(
-        stored.row, row == nullptr ? 0 : row->version, boot_now(), age);
+    lease_.observe(stored.row,
+                   row == nullptr ? store_version() : row->version,
+                   boot_now(),
+                   age);
 }
 
 asio::awaitable<void> placement_worker::write_lease(lease_row row)
--- /dev/null
+++ b/libs/gateway/src/restorable_store.hpp
@@ -0,0 +1,42 @@
+#ifndef BARLEYFORK_GATEWAY_SRC_RESTORABLE_STORE_HPP
+#define BARLEYFORK_GATEWAY_SRC_RESTORABLE_STORE_HPP
+
+#include <barleyfork/gateway/row_store.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace barleyfork {
+
+/// Reports the era of each response of another store, and refuses writes that
+/// expect a row version of an earlier era: after a restore the same number may
+/// belong to another row state.
+class restorable_store : public row_store
+{
+public:
+    /// Called with the era of each response. Returns the newest known era.
+    using era_handler = std::function<std::uint64_t(std::uint64_t)>;
+
+    restorable_store(std::unique_ptr<row_store> store, era_handler on_era);
+
+    boost::asio::awaitable<store_read> read_table(std::string table) override;
+    boost::asio::awaitable<store_read> read_row(std::string table,
+                                                std::string key) override;
+    boost::asio::awaitable<store_read> read_changes(std::string table,
+                                                    store_version version,
+                                                    duration wait) override;
+    boost::asio::awaitable<store_write>
+    write_row(std::string table,
+              std::string key,
+              std::string value,
+              store_version expected) override;
+
+private:
+    std::unique_ptr<row_store> store_;
+    era_handler on_era_;
+    std::uint64_t era_ = 0;
+};
+
+} // namespace barleyfork
+
+#endif
--- a/libs/gateway/src/store_watch.cpp
+++ b/libs/gateway/src/store_watch.cpp
@@ -71,7 +71,8 @@
         restart_relay();
     log_event(log_level::info, is_reader ? "reading_began" : "reading_left")
         .with("configuration_position",
-              static_cast<std::int64_t>(configuration_position_.version));
+              static_cast<std::int64_t>(
+                  configuration_position_.version.number()));
     return is_reader;
 }
 
@@ -92,7 +93,7 @@
     return spread(context_.random) << doublings;
 }
 
-void store_watch::confirm_configuration_position(std::uint64_t position)
+void store_watch::confirm_configuration_position(store_version position)
 {
     if (position <= configuration_position_.version)
         return;
@@ -121,6 +122,14 @@
             read = co_await store.read_row(table, key);
         else
             read = co_await store.read_changes(table, position.version, wait);
+        // Changes after a version of an earlier era are not complete.
+        const bool is_of_other_era =
+            !is_full_read && !read.error &&
+            read.version.era() != position.version.era();
+        if (is_of_other_era) {
+            position.known = false;
+            continue;
+        }
         if (read.error || !position.advance(read)) {
             if (kind_of(read.error.code) == errc::conflict)
                 position.known = false;
@@ -207,6 +216,11 @@
         co_return false;
     }
     set_reachable(true, {});
+    // Changes after a version of an earlier era are not complete.
+    if (!is_full_read && read.version.era() != position.era()) {
+        list_.forget();
+        co_return co_await read_list(began);
+    }
     const bool has_changes =
         is_full_read ? apply_list(read.rows, read.version, began)
                      : apply_changes(read.rows, log_level::info, began);
@@ -281,7 +295,7 @@
         return;
     const bool has_changes =
         apply_changes(rows, log_level::debug, steady_now());
-    if (claim.since > 0)
+    if (claim.since.is_known())
         list_.on_peer_state(claim);
     if (has_changes)
         context_.wake_waiting_calls();
@@ -290,7 +304,7 @@
 /// Applies the complete list as of `position`. Its changes are relayed like
 /// single changes, because the receiving daemons rely on them being complete.
 bool store_watch::apply_list(const std::vector<store_row>& rows,
-                             std::uint64_t position,
+                             store_version position,
                              time_point now)
 {
     std::vector<backend_entry> entries;
@@ -299,20 +313,35 @@
     for (const auto& row : rows) {
         listed.insert(row.key);
         auto& applied = rows_[row.key];
-        if (relays_changes && row.version > applied.row.version)
-            to_relay_.push_back(row);
-        applied = {row, row.version};
-        if (auto entry = decode(row, log_level::info))
+        auto entry = decode(row, log_level::info);
+        if (entry && is_outdated(applied, row, *entry)) {
+            // What is known stays in force and has the row's new version.
+            applied.row.version = row.version;
+            entry = decode(applied.row, log_level::debug);
+        }
+        else {
+            if (relays_changes && row.version > applied.row.version &&
+                is_substantive(entry))
+                to_relay_.push_back(row);
+            applied.row = row;
+            applied.content_version = row.version;
+            if (entry)
+                applied.progress = progress_of(*entry);
+        }
+        if (entry)
             entries.push_back(std::move(*entry));
     }
     for (auto& [key, applied] : rows_) {
         if (applied.row.deleted || listed.contains(key))
             continue;
-        applied = {{key, {}, position, true}, position};
+        applied.row = {key, {}, position, true};
+        applied.content_version = position;
         if (relays_changes)
             to_relay_.push_back(applied.row);
     }
-    if (!removals_known_since_)
+    const bool is_new_era =
+        removals_known_since_ && removals_known_since_->era() != position.era();
+    if (!removals_known_since_ || is_new_era)
         removals_known_since_ = position;
     context_.directory.replace(entries, now);
     context_.has_server_list = true;
@@ -322,11 +351,13 @@
 void store_watch::apply_neighbour_list(const std::vector<store_row>& rows,
                                        const list_claim& claim)
 {
-    if (list_.known()) {
+    const bool is_of_known_era = claim.position.era() == list_.position().era();
+    if (list_.known() && is_of_known_era) {
         apply_relayed_rows(rows, claim);
         return;
     }
-    if (claim.position == 0 || claim.since > 0)
+    if (!claim.position.is_known() || claim.since.is_known() ||
+        claim.position < list_.position())
         return;
     apply_list(rows, claim.position, steady_now());
     list_.on_read(claim.position, claim.known_at);
@@ -334,15 +365,15 @@
 }
 
 std::optional<std::vector<store_row>>
-store_watch::rows_after(std::uint64_t position) const
+store_watch::rows_after(store_version position) const
 {
     if (!removals_known_since_ ||
-        (position > 0 && position < *removals_known_since_))
+        (position.is_known() && position < *removals_known_since_))
         return std::nullopt;
     std::vector<store_row> rows;
     for (const auto& [key, applied] : rows_)
         if (applied.content_version > position &&
-            (position > 0 || !applied.row.deleted))
+            (position.is_known() || !applied.row.deleted))
             rows.push_back(applied.row);
     return rows;
 }
@@ -361,19 +392,20 @@
         auto& applied = rows_[row.key];
         if (row.version <= applied.row.version)
             continue;
-        applied.row = row;
         const auto entry = decode(row, listed_level);
-        const auto* known =
-            entry ? context_.directory.find(entry->id) : nullptr;
-        const bool is_substantive =
-            known == nullptr || known->missing_since ||
-            !backend_entry::differ_in_heartbeats_only(known->entry, *entry);
-        changed = changed || is_substantive;
-        if (is_substantive)
+        if (entry && is_outdated(applied, row, *entry)) {
+            applied.row.version = row.version;
+            continue;
+        }
+        applied.row = row;
+        const bool is_change = is_substantive(entry);
+        changed = changed || is_change;
+        if (is_change)
             applied.content_version = row.version;
-        if (is_substantive && relays_changes)
+        if (is_change && relays_changes)
             to_relay_.push_back(row);
         if (entry) {
+            applied.progress = progress_of(*entry);
             context_.directory.update(*entry);
             context_.crashes.on_process_listed(
                 {{entry->id, entry->held.started_ms},
@@ -383,12 +415,43 @@
         }
         log_event(log_level::info, "server_unlisted")
             .with("server", row.key)
-            .with("row_version", static_cast<std::int64_t>(row.version));
+            .with("row_version",
+                  static_cast<std::int64_t>(row.version.number()));
         context_.directory.remove(server_id(row.key), now);
     }
     return changed;
 }
 
+store_watch::server_progress
+store_watch::progress_of(const backend_entry& entry) noexcept
+{
+    return {entry.held.started_ms, entry.heartbeats};
+}
+
+/// Returns whether a row is older than what was known before the store was
+/// restored: a backup may list a server as it was before it left.
+bool store_watch::is_outdated(const applied_row& applied,
+                              const store_row& row,
+                              const backend_entry& entry)
+{
+    if (!applied.row.version.is_known() ||
+        row.version.era() <= applied.row.version.era())
+        return false;
+    const auto progress = progress_of(entry);
+    return progress < applied.progress ||
+           (progress == applied.progress && applied.row.deleted);
+}
+
+/// Returns whether a row changes more than heartbeats; it has no entry if its
+/// server was removed.
+bool store_watch::is_substantive(
+    const std::optional<backend_entry>& entry) const
+{
+    const auto* known = entry ? context_.directory.find(entry->id) : nullptr;
+    return known == nullptr || known->missing_since ||
+           !backend_entry::differ_in_heartbeats_only(known->entry, *entry);
+}
+
 /// Decodes the server of a row. Returns nothing for a deleted or unreadable
 /// row.
 std::optional<backend_entry> store_watch::decode(const store_row& row,
--- a/libs/gateway/src/store_watch.hpp
+++ b/libs/gateway/src/store_watch.hpp
@@ -46,7 +46,7 @@
     /// `since` of the store.
     struct relayed_rows
     {
-        std::uint64_t since = 0;
+        store_version since;
         std::vector<store_row> rows;
     };
     relayed_rows take_relayed_rows();
@@ -56,10 +56,11 @@
         return !to_relay_.empty();
     }
 
-    /// Returns the changes after a version of the store, or all rows after
-    /// version 0. Returns nothing if rows removed since then are unknown.
+    /// Returns the changes after a version of the store, or all rows if the
+    /// version is unknown. Returns nothing if rows removed since then are
+    /// unknown.
     std::optional<std::vector<store_row>>
-    rows_after(std::uint64_t position) const;
+    rows_after(store_version position) const;
 
     /// Sets the handler for missed changes that a reader of the failure domain
     /// may know.
@@ -100,12 +101,12 @@
     }
 
     /// Return the versions of the store up to which all changes of the
-    /// configuration and of the list are known here; 0 if none are.
-    std::uint64_t configuration_position() const noexcept
+    /// configuration and of the list are known here; unknown if none are.
+    store_version configuration_position() const noexcept
     {
         return configuration_position_.version;
     }
-    std::uint64_t list_position() const noexcept
+    store_version list_position() const noexcept
     {
         return list_.position();
     }
@@ -117,7 +118,7 @@
 
     /// Records a neighbour's confirmation that the configuration known here is
     /// the newest one up to `position`.
-    void confirm_configuration_position(std::uint64_t position);
+    void confirm_configuration_position(store_version position);
 
     /// Applies a list from a neighbour: the complete list as read at the
     /// claim's position, or changes if the list is known here already.
@@ -134,7 +135,7 @@
     /// The version up to which one table has been read.
     struct table_position
     {
-        std::uint64_t version = 0;
+        store_version version;
         bool known = false;
 
         /// Advances to the version of a response. Returns false if the response
@@ -146,7 +147,7 @@
     bool waits_for_neighbour(bool known, time_point now);
     std::int64_t draw_retry_delay_ms();
     bool apply_list(const std::vector<store_row>& rows,
-                    std::uint64_t position,
+                    store_version position,
                     time_point now);
     bool apply_changes(const std::vector<store_row>& rows,
                        log_level listed_level,
@@ -171,19 +172,36 @@
     bool reachable_ = true;
     /// Number of successive failed calls.
     int failures_ = 0;
+    /// How far a server has come: the start of its process, and the heartbeats
+    /// of that process.
+    struct server_progress
+    {
+        std::uint64_t started_ms = 0;
+        std::uint64_t heartbeats = 0;
+
+        friend auto operator<=>(const server_progress&,
+                                const server_progress&) = default;
+    };
     /// A row of the list as applied.
     struct applied_row
     {
         /// The newest known version of the row, which may be its deletion.
         store_row row;
         /// The last version that changed more than a heartbeat.
-        std::uint64_t content_version = 0;
+        store_version content_version;
+        /// The last known state of the server, also after it was removed.
+        server_progress progress;
     };
+    static server_progress progress_of(const backend_entry& entry) noexcept;
+    static bool is_outdated(const applied_row& applied,
+                            const store_row& row,
+                            const backend_entry& entry);
+    bool is_substantive(const std::optional<backend_entry>& entry) const;
     std::map<std::string, applied_row> rows_;
     /// Version of the store after which all removals of rows are known.
-    std::optional<std::uint64_t> removals_known_since_;
+    std::optional<store_version> removals_known_since_;
     bool holder_ = false;
-    std::uint64_t relayed_since_ = 0;
+    store_version relayed_since_;
     std::vector<store_row> to_relay_;
     std::function<void()> on_changes_missed_;
     std::function<void()> on_list_read_;
--- a/libs/net/include/barleyfork/net/http_client.hpp
+++ b/libs/net/include/barleyfork/net/http_client.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <map>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -46,7 +47,12 @@
     bool not_sent = false;
     unsigned status = 0;
     std::string etag;
+    std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
+
+    /// Returns the first value of a header, or an empty string if it is absent.
+    /// The case of `name` is ignored.
+    std::string_view header(std::string_view name) const;
 };
 
 /// Sends small HTTP/1.1 requests and keeps idle connections per endpoint.
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -1,5 +1,6 @@
 #include <barleyfork/net/http_client.hpp>
 
+#include <barleyfork/base/text.hpp>
 #include <barleyfork/net/answer_limits.hpp>
 #include <barleyfork/net/socket_options.hpp>
 #include <barleyfork/net/sockets.hpp>
@@ -72,6 +73,15 @@
 
 } // namespace
 
+std::string_view http_reply::header(std::string_view name) const
+{
+    const auto found =
+        std::find_if(headers.begin(), headers.end(), [name](const auto& field) {
+            return equal_ignoring_case(field.first, name);
+        });
+    return found == headers.end() ? std::string_view() : found->second;
+}
+
 asio::awaitable<http_reply> http_client::call(const http_endpoint& endpoint,
                                               http_call request)
 {
@@ -128,6 +138,8 @@
     auto answer = parser->release();
     reply.status = answer.result_int();
     reply.etag = std::string(answer[http::field::etag]);
+    for (const auto& field : answer)
+        reply.headers.emplace_back(field.name_string(), field.value());
     reply.body = std::move(answer.body());
     auto& pool = idle_[key];
     // Bytes after the response belong to no call.
--- a/libs/schema/include/barleyfork/schema/peer_generated.h
+++ b/libs/schema/include/barleyfork/schema/peer_generated.h
@@ -1057,6 +1057,7 @@
   std::vector<uint8_t> value{};
   uint64_t version = 0;
   bool deleted = false;
+  uint64_t era = 0;
 };
 
 /// A changed row of the list of backend servers, as stored in the store.
@@ -1068,7 +1069,8 @@
     VT_KEY = 4,
     VT_VALUE = 6,
     VT_VERSION = 8,
-    VT_DELETED = 10
+    VT_DELETED = 10,
+    VT_ERA = 12
   };
   const flatbuffers::String *key() const {
     return GetPointer<const flatbuffers::String *>(VT_KEY);
@@ -1082,6 +1084,9 @@
   bool deleted() const {
     return GetField<uint8_t>(VT_DELETED, 0) != 0;
   }
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_KEY) &&
@@ -1090,6 +1095,7 @@
            verifier.VerifyVector(value()) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyField<uint8_t>(verifier, VT_DELETED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            verifier.EndTable();
   }
   listed_row_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1113,6 +1119,9 @@
   void add_deleted(bool deleted) {
     fbb_.AddElement<uint8_t>(listed_row::VT_DELETED, static_cast<uint8_t>(deleted), 0);
   }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(listed_row::VT_ERA, era, 0);
+  }
   explicit listed_rowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1130,8 +1139,10 @@
     flatbuffers::Offset<flatbuffers::String> key = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0,
     uint64_t version = 0,
-    bool deleted = false) {
+    bool deleted = false,
+    uint64_t era = 0) {
   listed_rowBuilder builder_(_fbb);
+  builder_.add_era(era);
   builder_.add_version(version);
   builder_.add_value(value);
   builder_.add_key(key);
@@ -1149,7 +1160,8 @@
     const char *key = nullptr,
     const std::vector<uint8_t> *value = nullptr,
     uint64_t version = 0,
-    bool deleted = false) {
+    bool deleted = false,
+    uint64_t era = 0) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
   return barleyfork::schema::Createlisted_row(
@@ -1157,7 +1169,8 @@
       key__,
       value__,
       version,
-      deleted);
+      deleted,
+      era);
 }
 
 flatbuffers::Offset<listed_row> Createlisted_row(flatbuffers::FlatBufferBuilder &_fbb, const listed_row_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1196,6 +1209,10 @@
   uint64_t quarantine_digest = 0;
   bool asks_refusals = false;
   std::vector<std::unique_ptr<barleyfork::schema::leaving_server_record>> leaving{};
+  uint64_t store_era = 0;
+  uint64_t configuration_era = 0;
+  uint64_t list_era = 0;
+  uint64_t list_since_era = 0;
   peer_message_record() = default;
   peer_message_record(const peer_message_record &o);
   peer_message_record(peer_message_record&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1222,6 +1239,9 @@
 /// attributed to requests. `quarantine_digest` is equal on daemons that reject
 /// the same requests; a daemon that sets `asks_refusals` asks the receiver for
 /// the requests that it rejects.
+///
+/// `store_era` is the newest era of the store that the sender knows; the other
+/// eras belong to the versions of the same names.
 struct peer_message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef peer_message_record NativeTableType;
   typedef peer_messageBuilder Builder;
@@ -1258,7 +1278,11 @@
     VT_LIST_AGE_MS = 64,
     VT_QUARANTINE_DIGEST = 66,
     VT_ASKS_REFUSALS = 68,
-    VT_LEAVING = 70
+    VT_LEAVING = 70,
+    VT_STORE_ERA = 72,
+    VT_CONFIGURATION_ERA = 74,
+    VT_LIST_ERA = 76,
+    VT_LIST_SINCE_ERA = 78
   };
   barleyfork::schema::message_kind kind() const {
     return static_cast<barleyfork::schema::message_kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -1356,6 +1380,18 @@
   const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::leaving_server>> *leaving() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::leaving_server>> *>(VT_LEAVING);
   }
+  uint64_t store_era() const {
+    return GetField<uint64_t>(VT_STORE_ERA, 0);
+  }
+  uint64_t configuration_era() const {
+    return GetField<uint64_t>(VT_CONFIGURATION_ERA, 0);
+  }
+  uint64_t list_era() const {
+    return GetField<uint64_t>(VT_LIST_ERA, 0);
+  }
+  uint64_t list_since_era() const {
+    return GetField<uint64_t>(VT_LIST_SINCE_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -1415,6 +1451,10 @@
            VerifyOffset(verifier, VT_LEAVING) &&
            verifier.VerifyVector(leaving()) &&
            verifier.VerifyVectorOfTables(leaving()) &&
+           VerifyField<uint64_t>(verifier, VT_STORE_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIGURATION_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LIST_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LIST_SINCE_ERA, 8) &&
            verifier.EndTable();
   }
   peer_message_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1522,6 +1562,18 @@
   void add_leaving(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::leaving_server>>> leaving) {
     fbb_.AddOffset(peer_message::VT_LEAVING, leaving);
   }
+  void add_store_era(uint64_t store_era) {
+    fbb_.AddElement<uint64_t>(peer_message::VT_STORE_ERA, store_era, 0);
+  }
+  void add_configuration_era(uint64_t configuration_era) {
+    fbb_.AddElement<uint64_t>(peer_message::VT_CONFIGURATION_ERA, configuration_era, 0);
+  }
+  void add_list_era(uint64_t list_era) {
+    fbb_.AddElement<uint64_t>(peer_message::VT_LIST_ERA, list_era, 0);
+  }
+  void add_list_since_era(uint64_t list_since_era) {
+    fbb_.AddElement<uint64_t>(peer_message::VT_LIST_SINCE_ERA, list_since_era, 0);
+  }
   explicit peer_messageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1567,8 +1619,16 @@
     uint32_t list_age_ms = 0,
     uint64_t quarantine_digest = 0,
     bool asks_refusals = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::leaving_server>>> leaving = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::leaving_server>>> leaving = 0,
+    uint64_t store_era = 0,
+    uint64_t configuration_era = 0,
+    uint64_t list_era = 0,
+    uint64_t list_since_era = 0) {
   peer_messageBuilder builder_(_fbb);
+  builder_.add_list_since_era(list_since_era);
+  builder_.add_list_era(list_era);
+  builder_.add_configuration_era(configuration_era);
+  builder_.add_store_era(store_era);
   builder_.add_quarantine_digest(quarantine_digest);
   builder_.add_list_since(list_since);
   builder_.add_list_position(list_position);
@@ -1642,7 +1702,11 @@
     uint32_t list_age_ms = 0,
     uint64_t quarantine_digest = 0,
     bool asks_refusals = false,
-    const std::vector<flatbuffers::Offset<barleyfork::schema::leaving_server>> *leaving = nullptr) {
+    const std::vector<flatbuffers::Offset<barleyfork::schema::leaving_server>> *leaving = nullptr,
+    uint64_t store_era = 0,
+    uint64_t configuration_era = 0,
+    uint64_t list_era = 0,
+    uint64_t list_since_era = 0) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::member>>(*members) : 0;
   auto quarantine__ = quarantine ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::quarantine_entry>>(*quarantine) : 0;
   auto digest__ = digest ? _fbb.CreateString(digest) : 0;
@@ -1691,7 +1755,11 @@
       list_age_ms,
       quarantine_digest,
       asks_refusals,
-      leaving__);
+      leaving__,
+      store_era,
+      configuration_era,
+      list_era,
+      list_since_era);
 }
 
 flatbuffers::Offset<peer_message> Createpeer_message(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1979,6 +2047,7 @@
   { auto _e = value(); if (_e) { _o->value.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->value.begin()); } }
   { auto _e = version(); _o->version = _e; }
   { auto _e = deleted(); _o->deleted = _e; }
+  { auto _e = era(); _o->era = _e; }
 }
 
 inline flatbuffers::Offset<listed_row> listed_row::Pack(flatbuffers::FlatBufferBuilder &_fbb, const listed_row_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1993,12 +2062,14 @@
   auto _value = _o->value.size() ? _fbb.CreateVector(_o->value) : 0;
   auto _version = _o->version;
   auto _deleted = _o->deleted;
+  auto _era = _o->era;
   return barleyfork::schema::Createlisted_row(
       _fbb,
       _key,
       _value,
       _version,
-      _deleted);
+      _deleted,
+      _era);
 }
 
 inline peer_message_record::peer_message_record(const peer_message_record &o)
@@ -2025,7 +2096,11 @@
         list_since(o.list_since),
         list_age_ms(o.list_age_ms),
         quarantine_digest(o.quarantine_digest),
-        asks_refusals(o.asks_refusals) {
+        asks_refusals(o.asks_refusals),
+        store_era(o.store_era),
+        configuration_era(o.configuration_era),
+        list_era(o.list_era),
+        list_since_era(o.list_since_era) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new barleyfork::schema::member_record(*members_) : nullptr); }
   quarantine.reserve(o.quarantine.size());
@@ -2077,6 +2152,10 @@
   std::swap(quarantine_digest, o.quarantine_digest);
   std::swap(asks_refusals, o.asks_refusals);
   std::swap(leaving, o.leaving);
+  std::swap(store_era, o.store_era);
+  std::swap(configuration_era, o.configuration_era);
+  std::swap(list_era, o.list_era);
+  std::swap(list_since_era, o.list_since_era);
   return *this;
 }
 
@@ -2121,6 +2200,10 @@
   { auto _e = quarantine_digest(); _o->quarantine_digest = _e; }
   { auto _e = asks_refusals(); _o->asks_refusals = _e; }
   { auto _e = leaving(); if (_e) { _o->leaving.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->leaving[_i] = std::unique_ptr<barleyfork::schema::leaving_server_record>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = store_era(); _o->store_era = _e; }
+  { auto _e = configuration_era(); _o->configuration_era = _e; }
+  { auto _e = list_era(); _o->list_era = _e; }
+  { auto _e = list_since_era(); _o->list_since_era = _e; }
 }
 
 inline flatbuffers::Offset<peer_message> peer_message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2163,6 +2246,10 @@
   auto _quarantine_digest = _o->quarantine_digest;
   auto _asks_refusals = _o->asks_refusals;
   auto _leaving = _o->leaving.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::leaving_server>> (_o->leaving.size(), [](size_t i, _VectorArgs *__va) { return Createleaving_server(*__va->__fbb, __va->__o->leaving[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _store_era = _o->store_era;
+  auto _configuration_era = _o->configuration_era;
+  auto _list_era = _o->list_era;
+  auto _list_since_era = _o->list_since_era;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       _kind,
@@ -2196,7 +2283,11 @@
       _list_age_ms,
       _quarantine_digest,
       _asks_refusals,
-      _leaving);
+      _leaving,
+      _store_era,
+      _configuration_era,
+      _list_era,
+      _list_since_era);
 }
 
 inline const barleyfork::schema::peer_message *Getpeer_message(const void *buf) {
