Write refusals again after the store was restored

Cause: what the daemons keep in the store was written once and taken for good. After a restore nobody wrote the refusals again, and a daemon read them at its start only where the list of daemons named it, which a copy from before its registration does not. Once all daemons had ended nobody knew the request.

- A rise of the store's era makes the holder (each daemon where none is heard) write all refusals again, and each daemon its own row, spread over 5 ms a daemon. refusal_store writes one after the other instead of all at once, and one that the store did not take stays due.
- Every daemon reads the refusals at its start: one call each.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -146,6 +146,9 @@
             updates.on_server_crashed(server, ended);
         });
     watch.on_configuration([this] { updates.relay_configuration(); });
+    context.on_store_restored = [this] {
+        updates.on_store_restored();
+    };
     auto& worker = context.serving;
     worker.spawn(accept_loop());
     worker.spawn(signal_loop());
--- a/libs/gateway/src/peer_updates.cpp
+++ b/libs/gateway/src/peer_updates.cpp
@@ -32,7 +32,8 @@
             [this](const schema::peer_message_record& message) {
                 receive(message);
             }),
-      started_ms_(static_cast<std::uint64_t>(wall_clock_ms()))
+      started_ms_(static_cast<std::uint64_t>(wall_clock_ms())),
+      refusals_(context)
 {
     watch.on_changes_missed([this] { request_missed_changes(); });
     watch.on_list_read([this] {
--- a/libs/gateway/src/peer_updates.hpp
+++ b/libs/gateway/src/peer_updates.hpp
@@ -2,6 +2,7 @@
 #define BARLEYFORK_GATEWAY_SRC_PEER_UPDATES_HPP
 
 #include "gateway_context.hpp"
+#include "refusal_store.hpp"
 #include "store_watch.hpp"
 
 #include <barleyfork/core/relay_selector.hpp>
@@ -89,6 +90,10 @@
     void on_server_crashed(const server_id& server,
                            const crashed_process& crashed);
 
+    /// Writes again what the daemons keep in the store, which was restored from
+    /// a backup that may lack it.
+    void on_store_restored();
+
     /// Sets whether this daemon holds the placement lease, and of which epoch.
     void set_lease_holder(bool is_holder, std::uint64_t epoch);
 
@@ -153,13 +158,13 @@
     void on_crashes(const schema::peer_message_record& message);
     void compare_refusals(const schema::peer_message_record& message,
                           time_point now);
-    boost::asio::awaitable<void> store_refusal(std::uint64_t fingerprint);
     boost::asio::awaitable<void> read_refusals();
     boost::asio::awaitable<bool> read_members();
     void apply_members(const store_read& read);
     void apply_member(const store_row& row);
     void update_reader_rank();
     boost::asio::awaitable<void> register_self();
+    boost::asio::awaitable<void> register_again();
 
     gateway_context& context_;
     store_watch& watch_;
@@ -171,6 +176,8 @@
     std::map<instance_id, member> members_;
     /// This daemon's row in the store as last read.
     store_row own_row_;
+    /// When this daemon checks its row, which a restored store may lack.
+    std::optional<time_point> registration_due_at_;
     /// Whether the last report to the neighbours announced that this daemon
     /// follows the store.
     bool announced_following_ = false;
@@ -200,10 +207,9 @@
     std::vector<crash_blame> unsent_blames_;
     /// When the unsent attributions are sent.
     std::optional<time_point> blames_due_at_;
-    /// Requests whose refusal was logged, and those whose refusal this daemon
-    /// wrote to the store.
+    /// Requests whose refusal was logged.
     std::set<std::uint64_t> logged_refusals_;
-    std::set<std::uint64_t> stored_refusals_;
+    refusal_store refusals_;
 };
 
 } // namespace barleyfork
--- a/libs/gateway/src/peer_updates_neighbours.cpp
+++ b/libs/gateway/src/peer_updates_neighbours.cpp
@@ -26,6 +26,9 @@
 /// delay after a failed read.
 constexpr std::int64_t member_poll_ms = 600;
 constexpr std::int64_t retry_delay_ms = 700;
+/// Time over which daemons check their rows after a restore of the store, for
+/// each daemon.
+constexpr duration registration_spread_per_daemon{5};
 /// Maximum number of neighbours that a starting daemon asks for a snapshot.
 constexpr std::size_t max_neighbours_asked = 2;
 
@@ -53,6 +56,32 @@
     }
 }
 
+void peer_updates::on_store_restored()
+{
+    std::uniform_int_distribution<std::int64_t> spread(
+        0,
+        registration_spread_per_daemon.count() *
+            static_cast<std::int64_t>(context_.daemons()));
+    registration_due_at_ = steady_now() + duration(spread(context_.random));
+    refusals_.on_store_restored();
+    process_refusals(steady_now());
+}
+
+/// Writes this daemon's row if the restored store lacks it.
+asio::awaitable<void> peer_updates::register_again()
+{
+    registration_due_at_.reset();
+    context_.measures.count_store_call(store_purpose::members, "read_own");
+    const auto read = co_await context_.platform.store->read_row(
+        member_table, context_.self.value());
+    if (read.error) {
+        registration_due_at_ = steady_now() + duration(retry_delay_ms);
+        co_return;
+    }
+    own_row_ = read.rows.empty() ? store_row() : read.rows.front();
+    co_await register_self();
+}
+
 asio::awaitable<bool> peer_updates::read_members()
 {
     context_.measures.count_store_call(store_purpose::members, "read");
@@ -65,15 +94,13 @@
 
 asio::awaitable<void> peer_updates::follow_members()
 {
+    // Also a daemon that is not listed may be the first after all ended: its
+    // row is lost if the store was restored.
+    context_.serving.spawn(read_refusals());
     // A daemon that restarts finds its neighbours listed.
     if (co_await read_members())
         request_neighbour_snapshots();
-    const bool listed_before = own_row_.version > 0;
-    // A daemon that was not listed learns the refusals from the holder. If all
-    // daemons stop at once, some of the listed ones return and read them from
-    // the store.
-    if (listed_before)
-        context_.serving.spawn(read_refusals());
+    const bool listed_before = own_row_.version.is_known();
     co_await register_self();
     // Daemons that start together for the first time are all listed only after
     // a while, so the list is read again soon.
@@ -81,6 +108,8 @@
         steady_now() - duration(listed_before ? 0 : member_interval_ms);
     for (;;) {
         co_await sleep_for_ms(member_poll_ms);
+        if (registration_due_at_ && steady_now() >= *registration_due_at_)
+            co_await register_again();
         // A holder must know all daemons, also when it has just taken the
         // lease.
         const duration interval(is_lease_holder_ ? holder_interval_ms
--- a/libs/gateway/src/peer_updates_quarantine.cpp
+++ b/libs/gateway/src/peer_updates_quarantine.cpp
@@ -4,7 +4,6 @@
 #include "peer_updates.hpp"
 
 #include "peer_records.hpp"
-#include "quarantine_row_codec.hpp"
 
 #include <barleyfork/base/log.hpp>
 #include <barleyfork/base/text.hpp>
@@ -19,17 +18,12 @@
 
 namespace {
 
-constexpr const char* quarantine_table = "barleyfork_quarantine";
-constexpr std::int64_t retry_delay_ms = 700;
 /// Delay of a report with a suspected request. All daemons separate suspected
 /// requests only once they have the report.
 constexpr duration suspect_report_delay{20};
 /// Maximum number of attributions in one message; requests with the most
 /// crashes are sent first.
 constexpr std::size_t max_blames_per_message = 512;
-/// Maximum number of attempts to write a row, which is read and written again
-/// if other daemons write it at the same time.
-constexpr int max_write_attempts = 20;
 
 } // namespace
 
@@ -140,7 +134,6 @@
     std::set<std::uint64_t> refused;
     for (const auto& reported : context_.quarantine.refusals(now))
         refused.insert(reported.blame.fingerprint);
-    const bool stores_refusals = is_lease_holder_ || !is_holder_responsive(now);
     for (const auto fingerprint : refused) {
         if (logged_refusals_.insert(fingerprint).second)
             log_event(log_level::warn, "refusal_in_force")
@@ -151,14 +144,12 @@
                 .with("for_ms",
                       context_.quarantine.remaining_refusal(fingerprint, now)
                           .count());
-        if (stores_refusals && stored_refusals_.insert(fingerprint).second)
-            context_.serving.spawn(store_refusal(fingerprint));
     }
-    const auto is_over = [&refused](auto fingerprint) {
+    std::erase_if(logged_refusals_, [&refused](auto fingerprint) {
         return !refused.contains(fingerprint);
-    };
-    std::erase_if(logged_refusals_, is_over);
-    std::erase_if(stored_refusals_, is_over);
+    });
+    if (is_lease_holder_ || !is_holder_responsive(now))
+        refusals_.keep(refused);
 }
 
 void peer_updates::merge_blames(std::span<const reported_blame> blames)
@@ -205,63 +196,10 @@
     link_.send({message.address, message.port}, answer, false);
 }
 
-/// Writes a refusal to the store, so that it persists when all daemons stop.
-asio::awaitable<void> peer_updates::store_refusal(std::uint64_t fingerprint)
-{
-    const auto key = to_hexadecimal(fingerprint);
-    store_version expected;
-    for (int i = 0; i < max_write_attempts; ++i) {
-        const auto text =
-            encode_refusal(fingerprint,
-                           context_.quarantine.refusals(steady_now()),
-                           wall_clock_ms());
-        context_.measures.count_store_call(store_purpose::members,
-                                           "keep_refusal");
-        const auto written = co_await context_.platform.store->write_row(
-            quarantine_table, key, text, expected);
-        if (written.end == store_write_outcome::done) {
-            log_event(log_level::info, "refusal_stored")
-                .with("fingerprint", key)
-                .with("row_version",
-                      static_cast<std::int64_t>(written.version.number()));
-            co_return;
-        }
-        if (written.end != store_write_outcome::conflict) {
-            co_await sleep_for_ms(retry_delay_ms);
-            continue;
-        }
-        const auto read =
-            co_await context_.platform.store->read_row(quarantine_table, key);
-        if (read.error || read.rows.empty())
-            continue;
-        expected = read.rows.front().version;
-        // Another daemon has stored as many crashes of this request.
-        if (decode_refusal(read.rows.front().value, wall_clock_ms()).size() >=
-            context_.quarantine.crashes(fingerprint))
-            co_return;
-    }
-    log_event(log_level::warn, "refusal_not_kept").with("fingerprint", key);
-}
-
+/// Learns the refusals that the daemons before this one stored.
 asio::awaitable<void> peer_updates::read_refusals()
 {
-    for (;;) {
-        context_.measures.count_store_call(store_purpose::members,
-                                           "read_refusals");
-        const auto read =
-            co_await context_.platform.store->read_table(quarantine_table);
-        if (!read.error) {
-            for (const auto& row : read.rows)
-                if (!row.deleted)
-                    merge_blames(decode_refusal(row.value, wall_clock_ms()));
-            log_event(log_level::info, "refusals_read")
-                .with("rows", static_cast<std::int64_t>(read.rows.size()))
-                .with("store_version",
-                      static_cast<std::int64_t>(read.version.number()));
-            co_return;
-        }
-        co_await sleep_for_ms(retry_delay_ms);
-    }
+    merge_blames(co_await refusals_.read_all());
 }
 
 } // namespace barleyfork
--- /dev/null
+++ b/libs/gateway/src/refusal_store.cpp
@@ -0,0 +1,123 @@
+#include "refusal_store.hpp"
+
+#include "quarantine_row_codec.hpp"
+
+#include <barleyfork/base/log.hpp>
+#include <barleyfork/base/text.hpp>
+
+namespace barleyfork {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr const char* quarantine_table = "barleyfork_quarantine";
+constexpr std::int64_t retry_delay_ms = 700;
+/// Maximum number of attempts to write a row, which is read and written again
+/// if other daemons write it at the same time.
+constexpr int max_write_attempts = 20;
+
+} // namespace
+
+refusal_store::refusal_store(gateway_context& context) : context_(context) {}
+
+void refusal_store::keep(const std::set<std::uint64_t>& refused)
+{
+    std::erase_if(stored_, [&refused](auto fingerprint) {
+        return !refused.contains(fingerprint);
+    });
+    for (const auto fingerprint : refused)
+        if (stored_.insert(fingerprint).second)
+            pending_.push_back(fingerprint);
+    if (pending_.empty() || is_writing_)
+        return;
+    is_writing_ = true;
+    context_.serving.spawn(write_pending());
+}
+
+void refusal_store::on_store_restored()
+{
+    stored_.clear();
+    pending_.clear();
+}
+
+asio::awaitable<void> refusal_store::write_pending()
+{
+    while (!pending_.empty()) {
+        const auto fingerprint = pending_.front();
+        pending_.pop_front();
+        if (co_await write(fingerprint))
+            continue;
+        log_event(log_level::warn, "refusal_not_kept")
+            .with("fingerprint", to_hexadecimal(fingerprint));
+        stored_.erase(fingerprint);
+    }
+    is_writing_ = false;
+}
+
+/// Writes a refusal, or finds that another daemon has stored as many crashes of
+/// the request. Returns false if the store did not respond in time.
+asio::awaitable<bool> refusal_store::write(std::uint64_t fingerprint)
+{
+    auto& store = *context_.platform.store;
+    const auto key = to_hexadecimal(fingerprint);
+    store_version expected;
+    for (int i = 0; i < max_write_attempts; ++i) {
+        context_.measures.count_store_call(store_purpose::members,
+                                           "keep_refusal");
+        const auto written = co_await store.write_row(
+            quarantine_table,
+            key,
+            encode_refusal(fingerprint,
+                           context_.quarantine.refusals(steady_now()),
+                           wall_clock_ms()),
+            expected);
+        if (written.end == store_write_outcome::done) {
+            log_event(log_level::info, "refusal_stored")
+                .with("fingerprint", key)
+                .with("row_version",
+                      static_cast<std::int64_t>(written.version.number()));
+            co_return true;
+        }
+        if (written.end != store_write_outcome::conflict)
+            co_await sleep_for_ms(retry_delay_ms);
+        const auto read = co_await store.read_row(quarantine_table, key);
+        if (read.error) {
+            co_await sleep_for_ms(retry_delay_ms);
+            continue;
+        }
+        expected =
+            read.rows.empty() ? store_version() : read.rows.front().version;
+        if (!read.rows.empty() &&
+            decode_refusal(read.rows.front().value, wall_clock_ms()).size() >=
+                context_.quarantine.crashes(fingerprint))
+            co_return true;
+    }
+    co_return false;
+}
+
+asio::awaitable<std::vector<reported_blame>> refusal_store::read_all()
+{
+    for (;;) {
+        context_.measures.count_store_call(store_purpose::members,
+                                           "read_refusals");
+        const auto read =
+            co_await context_.platform.store->read_table(quarantine_table);
+        if (read.error) {
+            co_await sleep_for_ms(retry_delay_ms);
+            continue;
+        }
+        std::vector<reported_blame> blames;
+        for (const auto& row : read.rows) {
+            const auto decoded = decode_refusal(row.value, wall_clock_ms());
+            blames.insert(blames.end(), decoded.begin(), decoded.end());
+        }
+        log_event(log_level::info, "refusals_read")
+            .with("rows", static_cast<std::int64_t>(read.rows.size()))
+            .with("store_version",
+                  static_cast<std::int64_t>(read.version.number()));
+        co_return blames;
+    }
+}
+
+} // namespace barleyfork
