Follow stored refusals where other daemons are not heard

Daemons that are cut off from each other, but not from the store, each let three servers end under the same request: gateways_cut_off_from_each_other_refuse_it_too fails on the code before (the second daemon ran a request that the first one refused).

Cause: stored refusals were read at the start only. Others rely on messages as before.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -156,6 +156,7 @@
     worker.spawn(watch.follow_configuration());
     worker.spawn(watch.follow_servers());
     worker.spawn(updates.follow_members());
+    worker.spawn(updates.follow_refusals());
     worker.spawn(updates.run());
     worker.spawn(updates.report_to_neighbours());
     worker.spawn(placement.run());
--- a/libs/gateway/src/peer_updates.hpp
+++ b/libs/gateway/src/peer_updates.hpp
@@ -74,6 +74,9 @@
     /// store for them.
     boost::asio::awaitable<void> report_to_neighbours();
 
+    /// Follows the refusals in the store.
+    boost::asio::awaitable<void> follow_refusals();
+
     /// Sends a newer configuration to the neighbours if this daemon follows the
     /// store for them.
     void relay_configuration();
@@ -158,7 +161,6 @@
     void on_crashes(const schema::peer_message_record& message);
     void compare_refusals(const schema::peer_message_record& message,
                           time_point now);
-    boost::asio::awaitable<void> read_refusals();
     boost::asio::awaitable<bool> read_members();
     void apply_members(const store_read& read);
     void apply_member(const store_row& row);
--- a/libs/gateway/src/peer_updates_neighbours.cpp
+++ b/libs/gateway/src/peer_updates_neighbours.cpp
@@ -94,9 +94,6 @@
 
 asio::awaitable<void> peer_updates::follow_members()
 {
-    // Also a daemon that is not listed may be the first after all ended: its
-    // row is lost if the store was restored.
-    context_.serving.spawn(read_refusals());
     // A daemon that restarts finds its neighbours listed.
     if (co_await read_members())
         request_neighbour_snapshots();
--- a/libs/gateway/src/peer_updates_quarantine.cpp
+++ b/libs/gateway/src/peer_updates_quarantine.cpp
@@ -24,6 +24,12 @@
 /// Maximum number of attributions in one message; requests with the most
 /// crashes are sent first.
 constexpr std::size_t max_blames_per_message = 512;
+/// Intervals between reads of the stored refusals: until the first one
+/// succeeds, by the holder, and by daemons that hear no holder.
+constexpr duration first_read_interval{700};
+constexpr duration holder_read_interval{2000};
+constexpr duration cut_off_read_interval{1000};
+constexpr std::int64_t read_poll_ms = 200;
 
 } // namespace
 
@@ -196,10 +202,31 @@
     link_.send({message.address, message.port}, answer, false);
 }
 
-/// Learns the refusals that the daemons before this one stored.
-asio::awaitable<void> peer_updates::read_refusals()
+/// Reads the stored refusals at the start, and from then on while the messages
+/// of other daemons do not suffice: the holder does not hear of refusals by
+/// daemons that are cut off from it, and those do not hear the holder.
+asio::awaitable<void> peer_updates::follow_refusals()
 {
-    merge_blames(co_await refusals_.read_all());
+    bool has_read = false;
+    time_point read_at{};
+    for (;;) {
+        const auto now = steady_now();
+        const auto interval = !has_read          ? first_read_interval
+                              : is_lease_holder_ ? holder_read_interval
+                                                 : cut_off_read_interval;
+        const bool relies_on_messages =
+            has_read && !is_lease_holder_ && is_holder_responsive(now);
+        if (now < read_at + interval || relies_on_messages) {
+            co_await sleep_for_ms(read_poll_ms);
+            continue;
+        }
+        read_at = now;
+        const auto blames = co_await refusals_.read_new();
+        if (!blames)
+            continue;
+        has_read = true;
+        merge_blames(*blames);
+    }
 }
 
 } // namespace barleyfork
--- a/libs/gateway/src/refusal_store.cpp
+++ b/libs/gateway/src/refusal_store.cpp
@@ -5,6 +5,8 @@
 #include <barleyfork/base/log.hpp>
 #include <barleyfork/base/text.hpp>
 
+#include <algorithm>
+
 namespace barleyfork {
 
 namespace asio = boost::asio;
@@ -96,28 +98,36 @@
     co_return false;
 }
 
-asio::awaitable<std::vector<reported_blame>> refusal_store::read_all()
+asio::awaitable<std::optional<std::vector<reported_blame>>>
+refusal_store::read_new()
 {
-    for (;;) {
-        context_.measures.count_store_call(store_purpose::members,
-                                           "read_refusals");
-        const auto read =
-            co_await context_.platform.store->read_table(quarantine_table);
-        if (read.error) {
-            co_await sleep_for_ms(retry_delay_ms);
-            continue;
-        }
-        std::vector<reported_blame> blames;
-        for (const auto& row : read.rows) {
-            const auto decoded = decode_refusal(row.value, wall_clock_ms());
-            blames.insert(blames.end(), decoded.begin(), decoded.end());
-        }
+    auto& store = *context_.platform.store;
+    const bool is_full_read = !position_.is_known();
+    context_.measures.count_store_call(store_purpose::members, "read_refusals");
+    store_read read;
+    if (is_full_read)
+        read = co_await store.read_table(quarantine_table);
+    else
+        read = co_await store.read_changes(
+            quarantine_table, position_, duration{0});
+    const bool is_of_other_era =
+        !is_full_read && read.version.era() != position_.era();
+    if (is_of_other_era || kind_of(read.error.code) == errc::conflict)
+        position_ = store_version();
+    if (read.error || is_of_other_era)
+        co_return std::nullopt;
+    position_ = std::max(position_, read.version);
+    std::vector<reported_blame> blames;
+    for (const auto& row : read.rows) {
+        const auto decoded = decode_refusal(row.value, wall_clock_ms());
+        blames.insert(blames.end(), decoded.begin(), decoded.end());
+    }
+    if (is_full_read || !read.rows.empty())
         log_event(log_level::info, "refusals_read")
             .with("rows", static_cast<std::int64_t>(read.rows.size()))
             .with("store_version",
                   static_cast<std::int64_t>(read.version.number()));
-        co_return blames;
-    }
+    co_return blames;
 }
 
 } // namespace barleyfork
--- a/libs/gateway/src/refusal_store.hpp
+++ b/libs/gateway/src/refusal_store.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -28,8 +29,10 @@
     /// backup that may lack them.
     void on_store_restored();
 
-    /// Reads all stored refusals; repeats the read until it succeeds.
-    boost::asio::awaitable<std::vector<reported_blame>> read_all();
+    /// Reads the stored refusals that are new since the last read; all of them
+    /// at first and after a restore. Returns nothing if the read failed.
+    boost::asio::awaitable<std::optional<std::vector<reported_blame>>>
+    read_new();
 
 private:
     boost::asio::awaitable<void> write_pending();
@@ -40,6 +43,8 @@
     std::set<std::uint64_t> stored_;
     std::deque<std::uint64_t> pending_;
     bool is_writing_ = false;
+    /// The version of the store up to which the refusals are read.
+    store_version position_;
 };
 
 } // namespace barleyfork
