Let no restored lease row make a second holder

A row tells the era in which it was written. One of an earlier era, or a missing one, says nothing of the holder: a daemon that holds the lease writes it again, all others wait a full term, and no order of its list counts as known. Epochs of an era begin above all of the era before, so fencing numbers only grow. A process that is not of the first start takes a missing row for lost (first_start).

Not covered: a write that the store carries out after a restore, under a version that was given out again meanwhile.

--- a/libs/core/include/barleyfork/core/lease.hpp
+++ b/libs/core/include/barleyfork/core/lease.hpp
@@ -35,6 +35,16 @@
     duration renewal_interval{2000};
 };
 
+/// Where a lease row that was read comes from.
+enum class row_origin : std::uint8_t
+{
+    /// Written since the store was last restored.
+    current,
+    /// Part of the backup from which the store was restored: later holders may
+    /// be missing from it.
+    backup,
+};
+
 /// State of one lease in one daemon. Needs no synchronized clocks.
 ///
 /// The holder's term starts before it sent the write that took effect. For
@@ -45,12 +55,15 @@
 public:
     lease(instance_id self, lease_options options);
 
-    /// Processes the row as read, with its version (0 where the row is
-    /// absent). `age` is the minimum age of the row, where that is known.
+    /// Processes the row as read, with its version (number 0 where the row is
+    /// absent). `age` is the minimum age of the row, where that is known. A row
+    /// of a backup says nothing of the present holder, so this daemon keeps a
+    /// lease that it holds, and otherwise waits for a full term.
     void observe(const lease_row& row,
                  store_version version,
                  time_point now,
-                 duration age = duration{0});
+                 duration age = duration{0},
+                 row_origin origin = row_origin::current);
 
     /// Returns the row to write now, or nothing. `candidate` is true where
     /// this daemon should acquire a free lease. A write whose outcome is
@@ -101,6 +114,7 @@
     };
 
     bool is_expired(time_point now) const noexcept;
+    std::uint64_t next_epoch() const noexcept;
     lease_row begin_write(lease_row row, time_point now);
 
     instance_id self_;
@@ -109,6 +123,13 @@
     store_version version_;
     bool observed_ = false;
     time_point seen_at_{};
+    /// The largest epoch observed, which a restored row may lack.
+    std::uint64_t largest_epoch_ = 0;
+    /// True if the row is of a backup, so that the present holder is unknown.
+    bool is_holder_unknown_ = false;
+    /// True if this daemon holds the lease and the restored row does not say
+    /// so.
+    bool must_write_again_ = false;
     /// When this daemon stops acting as holder by its own clock: the end of
     /// its term less the margin.
     time_point held_until_{};
--- a/libs/core/src/lease.cpp
+++ b/libs/core/src/lease.cpp
@@ -5,6 +5,19 @@
 
 namespace barleyfork {
 
+namespace {
+
+/// Epochs of one era; the epochs of a later era are larger than all of an
+/// earlier one, whose last holders may be missing from the restored row.
+constexpr unsigned epoch_bits_per_era = 20;
+
+std::uint64_t first_epoch(std::uint64_t era)
+{
+    return era << epoch_bits_per_era;
+}
+
+} // namespace
+
 lease::lease(instance_id self, lease_options options)
     : self_(std::move(self)), options_(options)
 {
@@ -13,10 +26,21 @@
 void lease::observe(const lease_row& row,
                     store_version version,
                     time_point now,
-                    duration age)
+                    duration age,
+                    row_origin origin)
 {
     if (observed_ && version <= version_)
         return;
+    largest_epoch_ = std::max(largest_epoch_, row.epoch);
+    const bool is_of_backup = origin == row_origin::backup;
+    if (is_of_backup && held(now)) {
+        version_ = version;
+        must_write_again_ = true;
+        pending_.clear();
+        return;
+    }
+    must_write_again_ = false;
+    is_holder_unknown_ = is_of_backup;
     const auto own_write = std::find_if(
         pending_.begin(), pending_.end(), [&row](const auto& write) {
             return write.row.write_id == row.write_id;
@@ -24,7 +48,7 @@
     row_ = row;
     version_ = version;
     observed_ = true;
-    seen_at_ = now - age;
+    seen_at_ = is_of_backup ? now : now - age;
     // The response to a write that took effect was lost: the term starts
     // before the write was sent.
     if (own_write != pending_.end())
@@ -42,13 +66,13 @@
     if (held(now)) {
         const auto renew_at = held_until_ - options_.term + options_.margin +
                               options_.renewal_interval;
-        if (now < renew_at)
+        if (now < renew_at && !must_write_again_)
             return std::nullopt;
         return begin_write({self_, row_.epoch, std::move(write_id)}, now);
     }
     if (!candidate || !is_expired(now))
         return std::nullopt;
-    return begin_write({self_, row_.epoch + 1, std::move(write_id)}, now);
+    return begin_write({self_, next_epoch(), std::move(write_id)}, now);
 }
 
 void lease::written(const lease_row& row, store_version version, time_point now)
@@ -71,7 +95,14 @@
 
 bool lease::is_expired(time_point now) const noexcept
 {
-    return row_.holder.empty() || now >= seen_at_ + options_.term;
+    const bool is_free = row_.holder.empty() && !is_holder_unknown_;
+    return is_free || now >= seen_at_ + options_.term;
+}
+
+std::uint64_t lease::next_epoch() const noexcept
+{
+    const auto largest = std::max(largest_epoch_, row_.epoch);
+    return std::max(largest + 1, first_epoch(version_.era()));
 }
 
 lease_row lease::begin_write(lease_row row, time_point now)
--- a/libs/gateway/src/lease_row_codec.cpp
+++ b/libs/gateway/src/lease_row_codec.cpp
@@ -76,6 +76,7 @@
     value["epoch"] = stored.row.epoch;
     value["write_id"] = stored.row.write_id;
     value["sent_ms"] = stored.sent_ms;
+    value["era"] = stored.era;
     if (stored.orders)
         value["orders"] = encode_orders(*stored.orders);
     return json::serialize(value);
@@ -97,6 +98,7 @@
     stored.row.epoch = static_cast<std::uint64_t>(get_integer(object, "epoch"));
     stored.row.write_id = get_text(object, "write_id");
     stored.sent_ms = get_integer(object, "sent_ms");
+    stored.era = static_cast<std::uint64_t>(get_integer(object, "era"));
     stored.orders = decode_orders(object);
     return stored;
 }
--- a/libs/gateway/src/lease_row_codec.hpp
+++ b/libs/gateway/src/lease_row_codec.hpp
@@ -31,6 +31,9 @@
     /// Upper bound of the store's clock when the row was sent, in milliseconds;
     /// 0 if unknown.
     std::int64_t sent_ms = 0;
+    /// The era of the store in which the row was written; 0 if unknown. A row
+    /// of an earlier era comes from a backup.
+    std::uint64_t era = 0;
     /// Orders that still bind the next holder, if the writer knows them.
     std::optional<order_ages> orders;
 };
--- a/libs/gateway/src/placement_worker.hpp
+++ b/libs/gateway/src/placement_worker.hpp
@@ -91,6 +91,8 @@
     /// Earliest time of the first order. A holder that released the lease
     /// without leaving its orders may have sent some just before.
     time_point orders_allowed_from_{};
+    /// Whether the row that was read last is of a backup of the store.
+    bool is_row_of_backup_ = false;
     /// Whether an earlier process of this instance was the last holder.
     bool was_held_by_own_predecessor_ = false;
     /// The orders that the last holder left in the row, and when it wrote them.
--- a/libs/gateway/src/placement_worker_lease.cpp
+++ b/libs/gateway/src/placement_worker_lease.cpp
@@ -137,9 +137,9 @@
     previous_ = previous_holder();
     orders_allowed_from_ = time_point{};
     const auto gap = min_holder_gap(*context_.settings.bounds);
-    if (lease_.version() == 0)
+    if (!lease_.version().is_known() && !is_row_of_backup_)
         return;
-    if (!lease_.holder().empty()) {
+    if (!lease_.holder().empty() || is_row_of_backup_) {
         previous_.ended_at = steady_time - gap;
         return;
     }
@@ -192,10 +192,16 @@
 {
     const auto* row = read.rows.empty() ? nullptr : &read.rows.front();
     auto stored = row == nullptr ? stored_lease{} : decode_lease(row->value);
+    const auto era = read.version.era();
+    // A process that is not of the first start expects a row.
+    const bool is_lost = row == nullptr && !context_.settings.first_start;
+    const bool is_of_backup =
+        row == nullptr ? is_lost || context_.store_era().was_restored()
+                       : stored.era < era;
     // An earlier process of this instance held the lease. No other process of
     // the instance runs now, so the lease is free.
     was_held_by_own_predecessor_ =
-        !has_written_ && stored.row.holder == context_.self &&
+        !has_written_ && !is_of_backup && stored.row.holder == context_.self &&
         stored.holder_address == context_.settings.address;
     if (was_held_by_own_predecessor_)
         stored.row.holder = instance_id();
@@ -205,20 +211,25 @@
         stored.sent_ms == 0
             ? 0
             : std::max<std::int64_t>(read.store_ms - stored.sent_ms, 0));
-    previous_orders_ = std::move(stored.orders);
+    previous_orders_ = is_of_backup ? std::nullopt : std::move(stored.orders);
     previous_orders_written_at_ = steady_now() - age;
     lease_.observe(stored.row,
-                   row == nullptr ? store_version() : row->version,
+                   row == nullptr ? store_version(0, era) : row->version,
                    boot_now(),
-                   age);
+                   age,
+                   is_of_backup ? row_origin::backup : row_origin::current);
+    is_row_of_backup_ = is_of_backup;
 }
 
 asio::awaitable<void> placement_worker::write_lease(lease_row row)
 {
     context_.measures.count_store_call(store_purpose::lease, "write");
     const auto began = boot_now();
-    stored_lease stored{
-        row, context_.settings.address, latest_store_ms(began), std::nullopt};
+    stored_lease stored{row,
+                        context_.settings.address,
+                        latest_store_ms(began),
+                        context_.store_era().current(),
+                        std::nullopt};
     const auto others =
         orders_of_earlier_holders(previous_, bounds(), steady_now());
     if (!others.last_order.empty())
@@ -256,6 +267,7 @@
         {*row,
          std::string(),
          latest_store_ms(boot_now()),
+         context_.store_era().current(),
          orders ? std::optional(to_ages(*orders, now)) : std::nullopt});
     const auto written = co_await context_.platform.store->write_row(
         lease_table, lease_key, text, lease_.version());
--- a/libs/gateway/tests/lease_row_test.cpp
+++ b/libs/gateway/tests/lease_row_test.cpp
@@ -24,6 +24,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("a-1"), read.row.write_id);
         CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1"), read.holder_address);
         CPPUNIT_ASSERT_EQUAL(std::int64_t{5000}, read.sent_ms);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, read.era);
         CPPUNIT_ASSERT(!read.orders);
     }
 
@@ -70,7 +71,8 @@
 private:
     static stored_lease make()
     {
-        return {{instance_id("a"), 7, "a-1"}, "10.0.0.1", 5000, std::nullopt};
+        return {
+            {instance_id("a"), 7, "a-1"}, "10.0.0.1", 5000, 3, std::nullopt};
     }
 };
 
--- a/libs/schema/include/barleyfork/schema/gateway_generated.h
+++ b/libs/schema/include/barleyfork/schema/gateway_generated.h
@@ -508,6 +508,7 @@
   double cpu_share = 1.0;
   double link_mbps = 1000.0;
   double memory_mb = 256.0;
+  bool first_start = true;
   uint32_t max_descriptors = 1024;
   std::unique_ptr<barleyfork::schema::store_settings_record> store{};
   std::unique_ptr<barleyfork::schema::bound_settings_record> bounds{};
@@ -519,7 +520,8 @@
   gateway_settings_record &operator=(gateway_settings_record o) FLATBUFFERS_NOEXCEPT;
 };
 
-/// A complete settings file.
+/// A complete settings file. `first_start` is true for the processes with which
+/// the deployment starts for the first time, whose store is empty.
 struct gateway_settings FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef gateway_settings_record NativeTableType;
   typedef gateway_settingsBuilder Builder;
@@ -539,11 +541,12 @@
     VT_CPU_SHARE = 26,
     VT_LINK_MBPS = 28,
     VT_MEMORY_MB = 30,
-    VT_MAX_DESCRIPTORS = 32,
-    VT_STORE = 34,
-    VT_BOUNDS = 36,
-    VT_PLACEMENT = 38,
-    VT_LOG = 40
+    VT_FIRST_START = 32,
+    VT_MAX_DESCRIPTORS = 34,
+    VT_STORE = 36,
+    VT_BOUNDS = 38,
+    VT_PLACEMENT = 40,
+    VT_LOG = 42
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -587,6 +590,9 @@
   double memory_mb() const {
     return GetField<double>(VT_MEMORY_MB, 256.0);
   }
+  bool first_start() const {
+    return GetField<uint8_t>(VT_FIRST_START, 1) != 0;
+  }
   uint32_t max_descriptors() const {
     return GetField<uint32_t>(VT_MAX_DESCRIPTORS, 1024);
   }
@@ -629,6 +635,7 @@
            VerifyField<double>(verifier, VT_CPU_SHARE, 8) &&
            VerifyField<double>(verifier, VT_LINK_MBPS, 8) &&
            VerifyField<double>(verifier, VT_MEMORY_MB, 8) &&
+           VerifyField<uint8_t>(verifier, VT_FIRST_START, 1) &&
            VerifyField<uint32_t>(verifier, VT_MAX_DESCRIPTORS, 4) &&
            VerifyOffsetRequired(verifier, VT_STORE) &&
            verifier.VerifyTable(store()) &&
@@ -691,6 +698,9 @@
   void add_memory_mb(double memory_mb) {
     fbb_.AddElement<double>(gateway_settings::VT_MEMORY_MB, memory_mb, 256.0);
   }
+  void add_first_start(bool first_start) {
+    fbb_.AddElement<uint8_t>(gateway_settings::VT_FIRST_START, static_cast<uint8_t>(first_start), 1);
+  }
   void add_max_descriptors(uint32_t max_descriptors) {
     fbb_.AddElement<uint32_t>(gateway_settings::VT_MAX_DESCRIPTORS, max_descriptors, 1024);
   }
@@ -741,6 +751,7 @@
     double cpu_share = 1.0,
     double link_mbps = 1000.0,
     double memory_mb = 256.0,
+    bool first_start = true,
     uint32_t max_descriptors = 1024,
     flatbuffers::Offset<barleyfork::schema::store_settings> store = 0,
     flatbuffers::Offset<barleyfork::schema::bound_settings> bounds = 0,
@@ -766,6 +777,7 @@
   builder_.add_instance(instance);
   builder_.add_metrics_port(metrics_port);
   builder_.add_peer_port(peer_port);
+  builder_.add_first_start(first_start);
   return builder_.Finish();
 }
 
@@ -790,6 +802,7 @@
     double cpu_share = 1.0,
     double link_mbps = 1000.0,
     double memory_mb = 256.0,
+    bool first_start = true,
     uint32_t max_descriptors = 1024,
     flatbuffers::Offset<barleyfork::schema::store_settings> store = 0,
     flatbuffers::Offset<barleyfork::schema::bound_settings> bounds = 0,
@@ -820,6 +833,7 @@
       cpu_share,
       link_mbps,
       memory_mb,
+      first_start,
       max_descriptors,
       store,
       bounds,
@@ -995,6 +1009,7 @@
         cpu_share(o.cpu_share),
         link_mbps(o.link_mbps),
         memory_mb(o.memory_mb),
+        first_start(o.first_start),
         max_descriptors(o.max_descriptors),
         store((o.store) ? new barleyfork::schema::store_settings_record(*o.store) : nullptr),
         bounds((o.bounds) ? new barleyfork::schema::bound_settings_record(*o.bounds) : nullptr),
@@ -1019,6 +1034,7 @@
   std::swap(cpu_share, o.cpu_share);
   std::swap(link_mbps, o.link_mbps);
   std::swap(memory_mb, o.memory_mb);
+  std::swap(first_start, o.first_start);
   std::swap(max_descriptors, o.max_descriptors);
   std::swap(store, o.store);
   std::swap(bounds, o.bounds);
@@ -1050,6 +1066,7 @@
   { auto _e = cpu_share(); _o->cpu_share = _e; }
   { auto _e = link_mbps(); _o->link_mbps = _e; }
   { auto _e = memory_mb(); _o->memory_mb = _e; }
+  { auto _e = first_start(); _o->first_start = _e; }
   { auto _e = max_descriptors(); _o->max_descriptors = _e; }
   { auto _e = store(); if (_e) _o->store = std::unique_ptr<barleyfork::schema::store_settings_record>(_e->UnPack(_resolver)); }
   { auto _e = bounds(); if (_e) _o->bounds = std::unique_ptr<barleyfork::schema::bound_settings_record>(_e->UnPack(_resolver)); }
@@ -1079,6 +1096,7 @@
   auto _cpu_share = _o->cpu_share;
   auto _link_mbps = _o->link_mbps;
   auto _memory_mb = _o->memory_mb;
+  auto _first_start = _o->first_start;
   auto _max_descriptors = _o->max_descriptors;
   auto _store = _o->store ? Createstore_settings(_fbb, _o->store.get(), _rehasher) : 0;
   auto _bounds = _o->bounds ? Createbound_settings(_fbb, _o->bounds.get(), _rehasher) : 0;
@@ -1100,6 +1118,7 @@
       _cpu_share,
       _link_mbps,
       _memory_mb,
+      _first_start,
       _max_descriptors,
       _store,
       _bounds,
