Keep the limit that a server names for all daemons

Cause: hypothesis 1, the header was not read. Now answers' limits are kept by process, told to the holder and by it to all, and shared without asking: a few daemons, which all pick alike, leave a fixed gap between two requests.

--- a/libs/core/include/barleyfork/core/server_process.hpp
+++ b/libs/core/include/barleyfork/core/server_process.hpp
@@ -3,6 +3,7 @@
 
 #include <barleyfork/base/strong_id.hpp>
 
+#include <compare>
 #include <cstdint>
 #include <string>
 
@@ -14,6 +15,9 @@
     server_id server;
     /// Start time of the process in Unix milliseconds.
     std::uint64_t started_ms = 0;
+
+    friend auto operator<=>(const server_process&,
+                            const server_process&) = default;
 };
 
 /// A process with the address at which it listens; its successor may use the
--- a/libs/gateway/include/barleyfork/gateway/call_codec.hpp
+++ b/libs/gateway/include/barleyfork/gateway/call_codec.hpp
@@ -63,6 +63,9 @@
     /// For how long a server that rejected the request will reject further
     /// ones (the server's Retry-After).
     std::optional<duration> rejects_requests_for;
+    /// Requests per second that the server takes from all daemons together;
+    /// nothing if it names no limit.
+    std::optional<double> request_limit;
     /// True if the server's signature covers the response and its body.
     bool signed_by_server = false;
     struct server_load
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -209,6 +209,11 @@
         const auto now = steady_now();
         context.pool.close_expiring(now);
         context.quarantine.expire(now);
+        context.limits.expire(now, [this](const auto& process) {
+            const auto* known = context.directory.find(process.server);
+            return known != nullptr &&
+                   known->entry.held.started_ms == process.started_ms;
+        });
         std::erase_if(sessions, [](const auto& entry) {
             const auto session = entry.lock();
             return !session || session->is_closed();
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -30,6 +30,9 @@
 /// The range of the `Retry-After` that is sent to rejected callers.
 constexpr duration min_retry_delay{200};
 constexpr duration max_retry_delay{800};
+/// A caller that is rejected because of the servers' limits may find another
+/// daemon that is allowed to send; it is not kept away for longer than this.
+constexpr duration max_limit_delay{2000};
 /// A healthy server responds within this multiple of the expected time.
 constexpr double attempt_timeout_factor = 4.0;
 /// The cost of an output token relative to a prompt token.
@@ -171,6 +174,7 @@
     const bool suspected = is_suspected(now);
     bool any_isolated = false;
     bool any_rejecting = false;
+    bool any_limited = false;
     reason = wait_reason::no_server;
     if (suspected && context_.suspects.runs(fingerprint_)) {
         reason = wait_reason::isolated;
@@ -192,6 +196,10 @@
             any_rejecting = true;
             continue;
         }
+        if (!is_within_limit(id, state, now)) {
+            any_limited = true;
+            continue;
+        }
         if (suspected && context_.suspects.is_server_occupied(id)) {
             any_isolated = true;
             continue;
@@ -208,6 +216,8 @@
     }
     if (any_isolated && found.empty())
         reason = wait_reason::isolated;
+    else if (any_limited && found.empty())
+        reason = wait_reason::limited;
     else if (any_rejecting && found.empty())
         reason = wait_reason::servers_rejecting;
     return found;
@@ -236,6 +246,40 @@
     return earliest;
 }
 
+bool gateway_call::is_within_limit(const server_id& id,
+                                   const backend_state& state,
+                                   time_point now) const
+{
+    const auto allowed =
+        context_.limits.next_allowed_at({id, state.entry.held.started_ms});
+    return !allowed || *allowed <= now;
+}
+
+/// Returns when this request can be sent at the earliest, after the calls that
+/// wait for the same servers already, by the limits of these.
+time_point gateway_call::earliest_within_limit(time_point now) const
+{
+    auto earliest = time_point::max();
+    double per_second = 0.0;
+    for (const auto& [id, state] : context_.directory.servers()) {
+        if (state.entry.service != service_ || !state.usable() ||
+            residency_on(state, now) != holding::all)
+            continue;
+        const server_process process{id, state.entry.held.started_ms};
+        const auto allowed = context_.limits.next_allowed_at(process);
+        if (!allowed || *allowed == time_point::max())
+            continue;
+        earliest = std::min(earliest, std::max(*allowed, now));
+        per_second += context_.limits.own_rate(process).value_or(0.0);
+    }
+    const auto ahead = context_.limited_waits.find({service_, facts_.model});
+    if (per_second <= 0.0 || ahead == context_.limited_waits.end())
+        return earliest;
+    return earliest + duration(static_cast<std::int64_t>(
+                          ms_per_second * static_cast<double>(ahead->second) /
+                          per_second));
+}
+
 double gateway_call::expected_ms(const server_candidate& candidate) const
 {
     if (is_for_engine())
@@ -308,8 +352,12 @@
 
 const char* gateway_call::wait_reason_name(wait_reason reason) noexcept
 {
-    constexpr const char* names[] = {
-        "no_server", "no_adapter", "no_room", "turned_away", "kept_apart"};
+    constexpr const char* names[] = {"no_server",
+                                     "no_adapter",
+                                     "no_room",
+                                     "turned_away",
+                                     "kept_apart",
+                                     "limit"};
     return names[static_cast<std::size_t>(reason)];
 }
 
@@ -392,6 +440,7 @@
         context_.suspects.begin(fingerprint_, chosen.server);
     const auto load = context_.loads.view(chosen.server, route_->priority, now);
     attempt_->tokens_ahead = load.own_waiting_tokens + facts_.prompt_tokens;
+    context_.count_against_limit({chosen.server, chosen.started_ms}, now);
     attempt_->ticket = context_.loads.begin(
         chosen.server, facts_.prompt_tokens, route_->priority, now);
     // A second attempt at a server carries the same id as the first. On the
@@ -521,6 +570,17 @@
     }
     if (waiting_since_)
         return;
+    if (reason == wait_reason::limited) {
+        const auto earliest = earliest_within_limit(now);
+        if (earliest > now + max_wait) {
+            reject(errc::overloaded,
+                   std::min(earliest - now, max_limit_delay) +
+                       draw_retry_delay());
+            return;
+        }
+        limited_wait_ = limited_group(service_, facts_.model);
+        ++context_.limited_waits[*limited_wait_];
+    }
     waiting_since_ = now;
     if (reason == wait_reason::no_capacity)
         max_wait = std::min(max_wait, route_->latency_target);
@@ -553,6 +613,9 @@
     if (!waiting_since_)
         return;
     context_.waiting_calls.erase(waiting_key_);
+    if (limited_wait_ && --context_.limited_waits[*limited_wait_] == 0)
+        context_.limited_waits.erase(*limited_wait_);
+    limited_wait_.reset();
     context_.measures.record_wait(
         static_cast<double>((steady_now() - *waiting_since_).count()));
     waiting_since_.reset();
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -124,6 +124,9 @@
         /// The request is suspected of crashing servers. Another suspected
         /// request runs on the eligible server, or this request runs already.
         isolated,
+        /// The eligible servers take no further request yet, by the limits that
+        /// they name.
+        limited,
     };
 
     /// Whether a request is sent, waits or is rejected, given the best eligible
@@ -171,6 +174,10 @@
     void retry_elsewhere(time_point now);
     void send_or_wait(const choice& chosen, time_point now);
     time_point earliest_acceptance(time_point now) const;
+    time_point earliest_within_limit(time_point now) const;
+    bool is_within_limit(const server_id& id,
+                         const backend_state& state,
+                         time_point now) const;
     holding residency_on(const backend_state& state, time_point now) const;
     bool reject_if_quarantined(time_point now);
     bool is_suspected(time_point now) const;
@@ -222,6 +229,8 @@
     timer_queue::timer_id wait_timer_ = 0;
     timer_queue::timer_id attempt_timer_ = 0;
     std::optional<time_point> waiting_since_;
+    /// Set while this call waits because of the servers' limits.
+    std::optional<limited_group> limited_wait_;
     waiting_key waiting_key_;
     bool is_finished_ = false;
 };
--- a/libs/gateway/src/gateway_call_answers.cpp
+++ b/libs/gateway/src/gateway_call_answers.cpp
@@ -97,14 +97,18 @@
     return true;
 }
 
-/// Applies the server's status (shutdown, rejection period) from a response
-/// that is known to belong to this request.
+/// Applies the server's status (shutdown, rejection period, limit) from a
+/// response that is known to belong to this request.
 void gateway_call::apply_server_status(time_point now)
 {
     if (!belongs_to_request())
         return;
     const auto& facts = attempt_->facts;
     const auto& server = attempt_->server;
+    if (!facts.wrong_server)
+        context_.observe_limit(
+            {{server, attempt_->started_ms}, facts.request_limit, now},
+            "answer");
     if (facts.leaving &&
         context_.directory.leaves(server, attempt_->started_ms)) {
         context_.unreported_shutdowns.push_back({server, attempt_->started_ms});
--- a/libs/gateway/src/gateway_context.cpp
+++ b/libs/gateway/src/gateway_context.cpp
@@ -63,7 +63,8 @@
       timers(serving.executor()), pool(serving.executor(), timers),
       answer_memory(fraction_of_memory(settings, answers_memory_fraction),
                     fraction_of_memory(settings, one_answer_memory_fraction)),
-      crashes(serving.executor(), timers, pool), quarantine(refusal_limits)
+      crashes(serving.executor(), timers, pool), quarantine(refusal_limits),
+      limits(self)
 {
     for (const auto& place : settings.places)
         regions_.emplace(place->failure_domain, place->region);
@@ -95,6 +96,46 @@
     return same_region ? distance::same_region : distance::other_region;
 }
 
+void gateway_context::observe_limit(const limit_observation& observation,
+                                    std::string_view source)
+{
+    const auto& process = observation.process;
+    const auto before = limits.own_rate(process);
+    limits.observe(observation,
+                   std::uniform_real_distribution<double>()(random),
+                   steady_now());
+    const auto after = limits.own_rate(process);
+    if (before == after)
+        return;
+    constexpr double thousand = 1000.0;
+    log_event(log_level::info, "server_limit")
+        .with("server", process.server.value())
+        .with("source", source)
+        .with("per_1000_s",
+              after ? static_cast<std::int64_t>(
+                          thousand * observation.per_second.value_or(0.0))
+                    : -1)
+        .with("own_per_1000_s",
+              after ? static_cast<std::int64_t>(thousand * *after) : -1);
+    wake_when_allowed(process);
+}
+
+void gateway_context::count_against_limit(const server_process& process,
+                                          time_point now)
+{
+    limits.on_sent(process, now);
+    wake_when_allowed(process);
+}
+
+void gateway_context::wake_when_allowed(const server_process& process)
+{
+    const auto at = limits.next_allowed_at(process);
+    if (!at)
+        wake_waiting_calls_soon();
+    else if (*at != time_point::max())
+        timers.add(*at, [this] { wake_waiting_calls(); });
+}
+
 shared_retry_budget& gateway_context::budget(const service_id& service)
 {
     const auto found = budgets_.find(service);
--- a/libs/gateway/src/gateway_context.hpp
+++ b/libs/gateway/src/gateway_context.hpp
@@ -14,6 +14,7 @@
 #include <barleyfork/core/gateway_configuration.hpp>
 #include <barleyfork/core/memory_budget.hpp>
 #include <barleyfork/core/pace_estimator.hpp>
+#include <barleyfork/core/request_limits.hpp>
 #include <barleyfork/core/server_choice.hpp>
 #include <barleyfork/core/server_process.hpp>
 #include <barleyfork/core/shared_retry_budget.hpp>
@@ -31,6 +32,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace barleyfork {
 
@@ -58,6 +60,9 @@
     friend auto operator<=>(const waiting_key&, const waiting_key&) = default;
 };
 
+/// Requests that the same servers can run.
+using limited_group = std::pair<service_id, model_id>;
+
 /// The state that all parts of a gateway share. Everything runs on one worker
 /// thread: with the caller side and the server side of a request on two
 /// threads, each event would have to be handed over between them.
@@ -93,6 +98,15 @@
         return store_era_;
     }
 
+    /// Records what a server said of its request limit, as `source` received
+    /// it.
+    void observe_limit(const limit_observation& observation,
+                       std::string_view source);
+
+    /// Records a request to a server, and lets waiting calls try again once the
+    /// server's limit allows the next one.
+    void count_against_limit(const server_process& process, time_point now);
+
     /// Returns the time between two updates of a daemon to the holder of the
     /// placement lease. The interval grows with the number of daemons, as the
     /// holder receives updates from all of them.
@@ -127,6 +141,8 @@
     crash_watch crashes;
     /// Requests that crash the servers that run them.
     crash_quarantine quarantine;
+    /// This daemon's share of the request limits that servers name.
+    request_limits limits;
     /// The servers on which suspected, not yet quarantined requests run.
     suspect_runs suspects;
     gateway_metrics measures;
@@ -152,6 +168,8 @@
     std::function<void()> on_store_restored;
     /// Handlers that let the calls waiting for a server try again.
     std::map<waiting_key, std::function<void()>> waiting_calls;
+    /// The number of calls that wait because of the servers' limits.
+    std::map<limited_group, std::size_t> limited_waits;
     /// The number of waits since the start; the source of their numbers.
     std::uint64_t wait_count = 0;
     drain_plan drain;
@@ -163,6 +181,8 @@
     std::mt19937_64 random{std::random_device{}()};
 
 private:
+    void wake_when_allowed(const server_process& process);
+
     std::map<failure_domain_id, region_id> regions_;
     std::map<service_id, shared_retry_budget> budgets_;
     std::size_t daemons_ = 0;
--- a/libs/gateway/src/peer_records.cpp
+++ b/libs/gateway/src/peer_records.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::uint64_t tokens_per_unit = 100;
+/// The limit in the record of a process that named none.
+constexpr double no_limit = -1.0;
 
 std::uint16_t clamp_to_uint16(std::uint64_t number)
 {
@@ -119,6 +121,28 @@
     return {message.list_position, message.list_era};
 }
 
+std::unique_ptr<schema::request_limit_record>
+to_record(const limit_observation& observation, time_point now)
+{
+    auto record = std::make_unique<schema::request_limit_record>();
+    record->server = observation.process.server.value();
+    record->started_ms = observation.process.started_ms;
+    record->per_second = observation.per_second.value_or(no_limit);
+    record->age_ms = age_ms(observation.observed_at, now);
+    return record;
+}
+
+limit_observation to_observation(const schema::request_limit_record& record,
+                                 time_point now)
+{
+    limit_observation observation;
+    observation.process = {server_id(record.server), record.started_ms};
+    if (record.per_second >= 0.0)
+        observation.per_second = record.per_second;
+    observation.observed_at = now - duration(record.age_ms);
+    return observation;
+}
+
 std::vector<schema::outstanding_work>
 to_records(std::span<const peer_work> work)
 {
--- a/libs/gateway/src/peer_records.hpp
+++ b/libs/gateway/src/peer_records.hpp
@@ -5,6 +5,7 @@
 
 #include <barleyfork/core/crash_quarantine.hpp>
 #include <barleyfork/core/list_follower.hpp>
+#include <barleyfork/core/request_limits.hpp>
 #include <barleyfork/core/server_process.hpp>
 
 #include <cstdint>
@@ -36,6 +37,12 @@
 std::unique_ptr<schema::leaving_server_record>
 to_record(const server_process& process);
 
+/// Request limits that servers named.
+std::unique_ptr<schema::request_limit_record>
+to_record(const limit_observation& observation, time_point now);
+limit_observation to_observation(const schema::request_limit_record& record,
+                                 time_point now);
+
 /// Crashes attributed to requests.
 std::unique_ptr<schema::quarantine_entry_record>
 to_record(const reported_blame& reported);
--- a/libs/gateway/src/peer_updates.cpp
+++ b/libs/gateway/src/peer_updates.cpp
@@ -21,6 +21,10 @@
 constexpr duration holder_timeout{1800};
 /// Maximum number of servers that are shutting down in one message.
 constexpr std::size_t max_leaving_per_message = 256;
+/// How long a daemon repeats to the holder what a server said of its limit; the
+/// holder repeats it for twice as long.
+constexpr duration limit_report_age{2000};
+constexpr std::size_t max_limits_per_message = 256;
 
 } // namespace
 
@@ -100,16 +104,18 @@
 
 void peer_updates::send_demand()
 {
+    const auto now = steady_now();
     auto& demand_to_report = context_.demand_to_report;
     const auto outstanding = context_.loads.own_work();
     const bool empty = demand_to_report.work.empty() &&
                        demand_to_report.needs.empty() && outstanding.empty() &&
                        !sent_outstanding_ && !holder_is_behind_ &&
-                       context_.unreported_shutdowns.empty();
+                       context_.unreported_shutdowns.empty() &&
+                       context_.limits.recent(limit_report_age, now).empty();
     if (is_lease_holder_ || empty)
         return;
     sent_outstanding_ = !outstanding.empty();
-    if (!holder_ || !is_holder_responsive(steady_now())) {
+    if (!holder_ || !is_holder_responsive(now)) {
         demand_to_report = placement_demand();
         return;
     }
@@ -129,6 +135,7 @@
         message.running.emplace_back(use.server, use.adapter);
     demand_to_report = placement_demand();
     add_leaving(message);
+    add_limits(message);
     link_.send(*holder_, message, false);
 }
 
@@ -149,6 +156,7 @@
         message.servers.push_back(to_record(server));
     add_list_changes(message);
     add_leaving(message);
+    add_limits(message);
     send_to_all(std::move(message), now);
     return order;
 }
@@ -193,6 +201,26 @@
     }
 }
 
+/// Adds the limits that servers named lately, and those that they no longer
+/// name. They are repeated, so that a lost message makes no difference.
+void peer_updates::add_limits(schema::peer_message_record& message)
+{
+    const auto now = steady_now();
+    auto recent = context_.limits.recent(
+        is_lease_holder_ ? 2 * limit_report_age : limit_report_age, now);
+    recent.resize(std::min(recent.size(), max_limits_per_message));
+    for (const auto& observation : recent)
+        message.limits.push_back(to_record(observation, now));
+}
+
+void peer_updates::apply_limits(const schema::peer_message_record& message)
+{
+    const auto now = steady_now();
+    for (const auto& record : message.limits)
+        context_.observe_limit(to_observation(*record, now),
+                               message.sender->instance);
+}
+
 /// Sends a message to all daemons. In each other failure domain one daemon
 /// receives it and relays it: traffic between domains is charged by volume, and
 /// a holder's link is narrow.
@@ -274,6 +302,7 @@
     context_.observe_store_era(message.store_era);
     request_newer_configuration(message);
     apply_leaving(message);
+    apply_limits(message);
     switch (message.kind) {
     case schema::message_kind::placement:
         if (message.pass_on)
--- a/libs/gateway/src/peer_updates.hpp
+++ b/libs/gateway/src/peer_updates.hpp
@@ -141,6 +141,8 @@
     void add_list_changes(schema::peer_message_record& message);
     void add_leaving(schema::peer_message_record& message);
     void apply_leaving(const schema::peer_message_record& message);
+    void add_limits(schema::peer_message_record& message);
+    void apply_limits(const schema::peer_message_record& message);
     void request_missed_changes();
     void
     request_newer_configuration(const schema::peer_message_record& message);
--- a/libs/gateway/src/peer_updates_neighbours.cpp
+++ b/libs/gateway/src/peer_updates_neighbours.cpp
@@ -127,6 +127,10 @@
         apply_member(row);
     }
     context_.set_daemon_count(members_.size());
+    std::vector<instance_id> listed;
+    for (const auto& [id, entry] : members_)
+        listed.push_back(id);
+    context_.limits.set_daemons(std::move(listed));
     update_reader_rank();
 }
 
--- a/libs/schema/include/barleyfork/schema/peer_generated.h
+++ b/libs/schema/include/barleyfork/schema/peer_generated.h
@@ -28,6 +28,10 @@
 struct leaving_serverBuilder;
 struct leaving_server_record;
 
+struct request_limit;
+struct request_limitBuilder;
+struct request_limit_record;
+
 struct configuration_digest;
 struct configuration_digestBuilder;
 struct configuration_digest_record;
@@ -537,6 +541,116 @@
 
 flatbuffers::Offset<leaving_server> Createleaving_server(flatbuffers::FlatBufferBuilder &_fbb, const leaving_server_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct request_limit_record : public flatbuffers::NativeTable {
+  typedef request_limit TableType;
+  std::string server{};
+  uint64_t started_ms = 0;
+  double per_second = 0.0;
+  uint32_t age_ms = 0;
+};
+
+/// The requests per second that a backend server process takes from all daemons
+/// together, as it said `age_ms` ago; less than 0 if it named no limit.
+struct request_limit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef request_limit_record NativeTableType;
+  typedef request_limitBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_STARTED_MS = 6,
+    VT_PER_SECOND = 8,
+    VT_AGE_MS = 10
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  uint64_t started_ms() const {
+    return GetField<uint64_t>(VT_STARTED_MS, 0);
+  }
+  double per_second() const {
+    return GetField<double>(VT_PER_SECOND, 0.0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<uint64_t>(verifier, VT_STARTED_MS, 8) &&
+           VerifyField<double>(verifier, VT_PER_SECOND, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+  request_limit_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(request_limit_record *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<request_limit> Pack(flatbuffers::FlatBufferBuilder &_fbb, const request_limit_record* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct request_limitBuilder {
+  typedef request_limit Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(request_limit::VT_SERVER, server);
+  }
+  void add_started_ms(uint64_t started_ms) {
+    fbb_.AddElement<uint64_t>(request_limit::VT_STARTED_MS, started_ms, 0);
+  }
+  void add_per_second(double per_second) {
+    fbb_.AddElement<double>(request_limit::VT_PER_SECOND, per_second, 0.0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(request_limit::VT_AGE_MS, age_ms, 0);
+  }
+  explicit request_limitBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<request_limit> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<request_limit>(end);
+    fbb_.Required(o, request_limit::VT_SERVER);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<request_limit> Createrequest_limit(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    uint64_t started_ms = 0,
+    double per_second = 0.0,
+    uint32_t age_ms = 0) {
+  request_limitBuilder builder_(_fbb);
+  builder_.add_per_second(per_second);
+  builder_.add_started_ms(started_ms);
+  builder_.add_age_ms(age_ms);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+struct request_limit::Traits {
+  using type = request_limit;
+  static auto constexpr Create = Createrequest_limit;
+};
+
+inline flatbuffers::Offset<request_limit> Createrequest_limitDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    uint64_t started_ms = 0,
+    double per_second = 0.0,
+    uint32_t age_ms = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return barleyfork::schema::Createrequest_limit(
+      _fbb,
+      server__,
+      started_ms,
+      per_second,
+      age_ms);
+}
+
+flatbuffers::Offset<request_limit> Createrequest_limit(flatbuffers::FlatBufferBuilder &_fbb, const request_limit_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct configuration_digest_record : public flatbuffers::NativeTable {
   typedef configuration_digest TableType;
   uint64_t revision = 0;
@@ -1213,6 +1327,7 @@
   uint64_t configuration_era = 0;
   uint64_t list_era = 0;
   uint64_t list_since_era = 0;
+  std::vector<std::unique_ptr<barleyfork::schema::request_limit_record>> limits{};
   peer_message_record() = default;
   peer_message_record(const peer_message_record &o);
   peer_message_record(peer_message_record&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1282,7 +1397,8 @@
     VT_STORE_ERA = 72,
     VT_CONFIGURATION_ERA = 74,
     VT_LIST_ERA = 76,
-    VT_LIST_SINCE_ERA = 78
+    VT_LIST_SINCE_ERA = 78,
+    VT_LIMITS = 80
   };
   barleyfork::schema::message_kind kind() const {
     return static_cast<barleyfork::schema::message_kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -1392,6 +1508,9 @@
   uint64_t list_since_era() const {
     return GetField<uint64_t>(VT_LIST_SINCE_ERA, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::request_limit>> *limits() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::request_limit>> *>(VT_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -1455,6 +1574,9 @@
            VerifyField<uint64_t>(verifier, VT_CONFIGURATION_ERA, 8) &&
            VerifyField<uint64_t>(verifier, VT_LIST_ERA, 8) &&
            VerifyField<uint64_t>(verifier, VT_LIST_SINCE_ERA, 8) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
+           verifier.VerifyVectorOfTables(limits()) &&
            verifier.EndTable();
   }
   peer_message_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1574,6 +1696,9 @@
   void add_list_since_era(uint64_t list_since_era) {
     fbb_.AddElement<uint64_t>(peer_message::VT_LIST_SINCE_ERA, list_since_era, 0);
   }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::request_limit>>> limits) {
+    fbb_.AddOffset(peer_message::VT_LIMITS, limits);
+  }
   explicit peer_messageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1623,7 +1748,8 @@
     uint64_t store_era = 0,
     uint64_t configuration_era = 0,
     uint64_t list_era = 0,
-    uint64_t list_since_era = 0) {
+    uint64_t list_since_era = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::request_limit>>> limits = 0) {
   peer_messageBuilder builder_(_fbb);
   builder_.add_list_since_era(list_since_era);
   builder_.add_list_era(list_era);
@@ -1636,6 +1762,7 @@
   builder_.add_configuration_version(configuration_version);
   builder_.add_epoch(epoch);
   builder_.add_sequence(sequence);
+  builder_.add_limits(limits);
   builder_.add_leaving(leaving);
   builder_.add_list_age_ms(list_age_ms);
   builder_.add_work(work);
@@ -1706,7 +1833,8 @@
     uint64_t store_era = 0,
     uint64_t configuration_era = 0,
     uint64_t list_era = 0,
-    uint64_t list_since_era = 0) {
+    uint64_t list_since_era = 0,
+    const std::vector<flatbuffers::Offset<barleyfork::schema::request_limit>> *limits = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::member>>(*members) : 0;
   auto quarantine__ = quarantine ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::quarantine_entry>>(*quarantine) : 0;
   auto digest__ = digest ? _fbb.CreateString(digest) : 0;
@@ -1722,6 +1850,7 @@
   auto running__ = running ? _fbb.CreateVectorOfStructs<barleyfork::schema::used_adapter>(*running) : 0;
   auto work__ = work ? _fbb.CreateVectorOfStructs<barleyfork::schema::outstanding_work>(*work) : 0;
   auto leaving__ = leaving ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::leaving_server>>(*leaving) : 0;
+  auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::request_limit>>(*limits) : 0;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       kind,
@@ -1759,7 +1888,8 @@
       store_era,
       configuration_era,
       list_era,
-      list_since_era);
+      list_since_era,
+      limits__);
 }
 
 flatbuffers::Offset<peer_message> Createpeer_message(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1857,6 +1987,41 @@
       _started_ms);
 }
 
+inline request_limit_record *request_limit::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<request_limit_record>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void request_limit::UnPackTo(request_limit_record *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = server(); if (_e) _o->server = _e->str(); }
+  { auto _e = started_ms(); _o->started_ms = _e; }
+  { auto _e = per_second(); _o->per_second = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+}
+
+inline flatbuffers::Offset<request_limit> request_limit::Pack(flatbuffers::FlatBufferBuilder &_fbb, const request_limit_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createrequest_limit(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<request_limit> Createrequest_limit(flatbuffers::FlatBufferBuilder &_fbb, const request_limit_record *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const request_limit_record* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _server = _fbb.CreateString(_o->server);
+  auto _started_ms = _o->started_ms;
+  auto _per_second = _o->per_second;
+  auto _age_ms = _o->age_ms;
+  return barleyfork::schema::Createrequest_limit(
+      _fbb,
+      _server,
+      _started_ms,
+      _per_second,
+      _age_ms);
+}
+
 inline configuration_digest_record *configuration_digest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<configuration_digest_record>();
   UnPackTo(_o.get(), _resolver);
@@ -2117,6 +2282,8 @@
   for (const auto &rows_ : o.rows) { rows.emplace_back((rows_) ? new barleyfork::schema::listed_row_record(*rows_) : nullptr); }
   leaving.reserve(o.leaving.size());
   for (const auto &leaving_ : o.leaving) { leaving.emplace_back((leaving_) ? new barleyfork::schema::leaving_server_record(*leaving_) : nullptr); }
+  limits.reserve(o.limits.size());
+  for (const auto &limits_ : o.limits) { limits.emplace_back((limits_) ? new barleyfork::schema::request_limit_record(*limits_) : nullptr); }
 }
 
 inline peer_message_record &peer_message_record::operator=(peer_message_record o) FLATBUFFERS_NOEXCEPT {
@@ -2156,6 +2323,7 @@
   std::swap(configuration_era, o.configuration_era);
   std::swap(list_era, o.list_era);
   std::swap(list_since_era, o.list_since_era);
+  std::swap(limits, o.limits);
   return *this;
 }
 
@@ -2204,6 +2372,7 @@
   { auto _e = configuration_era(); _o->configuration_era = _e; }
   { auto _e = list_era(); _o->list_era = _e; }
   { auto _e = list_since_era(); _o->list_since_era = _e; }
+  { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = std::unique_ptr<barleyfork::schema::request_limit_record>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<peer_message> peer_message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2250,6 +2419,7 @@
   auto _configuration_era = _o->configuration_era;
   auto _list_era = _o->list_era;
   auto _list_since_era = _o->list_since_era;
+  auto _limits = _o->limits.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::request_limit>> (_o->limits.size(), [](size_t i, _VectorArgs *__va) { return Createrequest_limit(*__va->__fbb, __va->__o->limits[i].get(), __va->__rehasher); }, &_va ) : 0;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       _kind,
@@ -2287,7 +2457,8 @@
       _store_era,
       _configuration_era,
       _list_era,
-      _list_since_era);
+      _list_since_era,
+      _limits);
 }
 
 inline const barleyfork::schema::peer_message *Getpeer_message(const void *buf) {
