--- a/libs/core/include/barleyfork/core/shared_retry_budget.hpp
+++ b/libs/core/include/barleyfork/core/shared_retry_budget.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <memory>
 
 namespace barleyfork {
 
@@ -26,6 +27,13 @@
 /// share. Not thread-safe.
 class shared_retry_budget
 {
+    struct retry_count
+    {
+        std::deque<time_point> sent;
+        /// Number of retries that were decided on and not sent yet.
+        std::size_t reserved = 0;
+    };
+
 public:
     explicit shared_retry_budget(shared_retry_limits limits);
 
@@ -35,11 +43,34 @@
     /// Counts a first attempt.
     void record_first_attempt(time_point now);
 
+    /// A retry that was decided on and not sent yet. Many requests can fail
+    /// together, and each of them is sent only later; a reservation counts
+    /// against the bound at once.
+    class reservation
+    {
+    public:
+        reservation(const reservation&) = delete;
+        reservation& operator=(const reservation&) = delete;
+
+        /// Returns the reserved retry unless it was sent.
+        ~reservation();
+
+        /// Counts the retry as sent.
+        void spend(time_point now);
+
+    private:
+        friend class shared_retry_budget;
+        explicit reservation(std::shared_ptr<retry_count> retries);
+
+        std::shared_ptr<retry_count> retries_;
+        bool is_spent_ = false;
+    };
+
     /// Returns true if one more retry is within the bound.
     bool allows_retry(time_point now);
 
-    /// Counts a retry.
-    void record_retry(time_point now);
+    /// Reserves a retry; returns null if it is not within the bound.
+    std::unique_ptr<reservation> reserve_retry(time_point now);
 
 private:
     /// Removes the attempts that are older than the window.
@@ -48,7 +79,8 @@
     shared_retry_limits limits_;
     double share_;
     std::deque<time_point> first_attempts_;
-    std::deque<time_point> retries_;
+    /// Shared with the reservations, which may outlive the budget.
+    std::shared_ptr<retry_count> retries_ = std::make_shared<retry_count>();
 };
 
 } // namespace barleyfork
--- a/libs/core/src/shared_retry_budget.cpp
+++ b/libs/core/src/shared_retry_budget.cpp
@@ -1,6 +1,7 @@
 #include <barleyfork/core/shared_retry_budget.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace barleyfork {
 
@@ -44,19 +45,44 @@
 {
     remove_expired(now);
     const auto first_attempts = static_cast<double>(first_attempts_.size());
-    const auto retries = static_cast<double>(retries_.size());
+    const auto retries =
+        static_cast<double>(retries_->sent.size() + retries_->reserved);
     return retries + 1.0 <= limits_.ratio * first_attempts + share_;
 }
 
-void shared_retry_budget::record_retry(time_point now)
+std::unique_ptr<shared_retry_budget::reservation>
+shared_retry_budget::reserve_retry(time_point now)
 {
-    retries_.push_back(now);
+    if (!allows_retry(now))
+        return nullptr;
+    return std::unique_ptr<reservation>(new reservation(retries_));
+}
+
+shared_retry_budget::reservation::reservation(
+    std::shared_ptr<retry_count> retries)
+    : retries_(std::move(retries))
+{
+    ++retries_->reserved;
+}
+
+shared_retry_budget::reservation::~reservation()
+{
+    if (!is_spent_)
+        --retries_->reserved;
+}
+
+void shared_retry_budget::reservation::spend(time_point now)
+{
+    if (std::exchange(is_spent_, true))
+        return;
+    --retries_->reserved;
+    retries_->sent.push_back(now);
 }
 
 void shared_retry_budget::remove_expired(time_point now)
 {
     remove_until(first_attempts_, now - limits_.window);
-    remove_until(retries_, now - limits_.window);
+    remove_until(retries_->sent, now - limits_.window);
 }
 
 } // namespace barleyfork
--- a/libs/core/tests/gateway_parts_test.cpp
+++ b/libs/core/tests/gateway_parts_test.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(refused_model_is_not_requested_until_the_refusal_expires);
     CPPUNIT_TEST(misdirected_server_is_not_usable_until_a_new_process);
     CPPUNIT_TEST(retries_stay_within_every_window);
+    CPPUNIT_TEST(retries_decided_together_share_the_budget);
     CPPUNIT_TEST(less_urgent_work_does_not_count);
     CPPUNIT_TEST(work_of_peers_is_counted_once);
     CPPUNIT_TEST(less_urgent_work_of_peers_is_not_expected_to_delay);
@@ -247,8 +248,8 @@
                     budget.record_first_attempt(now);
                     first_attempts.push_back(now);
                 }
-                else if (budget.allows_retry(now)) {
-                    budget.record_retry(now);
+                else if (const auto retry = budget.reserve_retry(now)) {
+                    retry->spend(now);
                     retries.push_back(now);
                 }
                 const auto count_in_window = [now, &limits](const auto& times) {
@@ -267,6 +268,28 @@
         });
     }
 
+    /// Many requests fail at one moment and are sent again later.
+    void retries_decided_together_share_the_budget()
+    {
+        const shared_retry_limits limits{0.2, duration{1000}, 16.0};
+        shared_retry_budget budget(limits);
+        budget.set_daemon_count(1);
+        std::vector<std::unique_ptr<shared_retry_budget::reservation>> decided;
+        while (auto retry = budget.reserve_retry(start))
+            decided.push_back(std::move(retry));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, decided.size());
+        for (auto& retry : decided)
+            retry->spend(start);
+        decided.clear();
+        CPPUNIT_ASSERT(!budget.allows_retry(start));
+        CPPUNIT_ASSERT(budget.allows_retry(start + limits.window));
+        budget.reserve_retry(start + limits.window).reset();
+        const auto later = start + limits.window;
+        while (auto retry = budget.reserve_retry(later))
+            decided.push_back(std::move(retry));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, decided.size());
+    }
+
     void less_urgent_work_does_not_count()
     {
         backend_loads loads;
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -481,12 +481,13 @@
     }
     attempt_->has_begun_sending = true;
     attempt_->sent_at = now;
-    auto& budget = context_.budget(service_);
     if (send_count_ == 0) {
-        budget.record_first_attempt(now);
+        context_.budget(service_).record_first_attempt(now);
     }
     else {
-        budget.record_retry(now);
+        if (retry_)
+            retry_->spend(now);
+        retry_.reset();
         context_.measures.count_retry();
     }
     ++send_count_;
@@ -720,6 +721,7 @@
 void gateway_call::finish(errc kind)
 {
     is_finished_ = true;
+    retry_.reset();
     if (attempt_)
         attempt_->adapter_in_use.reset();
     stop_waiting();
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -169,6 +169,7 @@
                             exchange_result exchange,
                             time_point now);
     void after_attempt(attempt_outcome end, time_point now);
+    bool reserve_retry(time_point now);
     void on_rejected_by_server(time_point now);
     void apply_server_status(time_point now);
     void retry_elsewhere(time_point now);
@@ -214,6 +215,8 @@
     time_point received_at_{};
     time_point deadline_{};
     std::optional<attempt> attempt_;
+    /// Held from the decision to retry until the retry is sent.
+    std::unique_ptr<shared_retry_budget::reservation> retry_;
     /// The number of attempts at each server.
     std::map<server_id, int> sends_per_server_;
     int send_count_ = 0;
--- a/libs/gateway/src/gateway_call_answers.cpp
+++ b/libs/gateway/src/gateway_call_answers.cpp
@@ -347,9 +347,8 @@
         ++run_count_;
     const bool may_run =
         run_count_ < static_cast<int>(std::max(route_->max_runs, 1U));
-    const bool may_retry =
-        may_run && (end == attempt_outcome::not_sent ||
-                    context_.budget(service_).allows_retry(now));
+    const bool is_decided = end == attempt_outcome::not_sent;
+    const bool may_retry = may_run && (is_decided || reserve_retry(now));
     const auto step =
         progress_->after_attempt(end, is_delivering_, may_retry, now);
     switch (step) {
@@ -388,6 +387,13 @@
     }
 }
 
+bool gateway_call::reserve_retry(time_point now)
+{
+    if (!retry_)
+        retry_ = context_.budget(service_).reserve_retry(now);
+    return retry_ != nullptr;
+}
+
 /// Sends a rejected request to another server at once, or retries the same
 /// server after a delay.
 void gateway_call::retry_elsewhere(time_point now)
