Write the time that is left when a request is sent

A request whose connection opened a second late carried the time of its arrival: 2000 ms after 1007 to 1019 ms, so a server worked past the caller's deadline, and a repeat ended over half a second after it. Cause: the request's bytes were made before the connection was opened. They are made when the first byte is written.

a_request_sent_late_carries_the_time_left passes; it failed before. All 39 tests pass, arm64.

--- a/libs/gateway/src/backend_connection.cpp
+++ b/libs/gateway/src/backend_connection.cpp
@@ -52,11 +52,9 @@
 {
 }
 
-void backend_connection::exchange(std::string request,
-                                  bool is_head_request,
+void backend_connection::exchange(bool is_head_request,
                                   std::shared_ptr<answer_receiver> receiver)
 {
-    request_ = std::move(request);
     is_head_request_ = is_head_request;
     receiver_ = std::move(receiver);
     is_request_written_ = false;
@@ -105,9 +103,10 @@
 void backend_connection::write()
 {
     const auto self = shared_from_this();
-    receiver_->on_send_started();
+    auto request = receiver_->on_send_started();
     if (state_ != state::busy)
         return;
+    request_ = std::move(request);
     asio::async_write(socket_,
                       asio::buffer(request_),
                       [self](const auto& error, std::size_t) {
--- a/libs/gateway/src/backend_connection.hpp
+++ b/libs/gateway/src/backend_connection.hpp
@@ -41,8 +41,10 @@
 public:
     virtual ~answer_receiver() = default;
 
-    /// Called just before the first byte of the request is written.
-    virtual void on_send_started() = 0;
+    /// Called just before the first byte of the request is written. Returns the
+    /// request, which names the time that is left now. The receiver may cancel
+    /// the exchange instead.
+    virtual std::string on_send_started() = 0;
 
     /// Returns false if the response belongs to an earlier request. The
     /// connection then discards that response and waits for the next one.
@@ -75,8 +77,7 @@
     backend_connection& operator=(const backend_connection&) = delete;
 
     /// Sends a request, after connecting if there is no connection yet.
-    void exchange(std::string request,
-                  bool is_head_request,
+    void exchange(bool is_head_request,
                   std::shared_ptr<answer_receiver> receiver);
 
     /// Aborts the exchange and closes the connection. The receiver is not
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -464,20 +464,16 @@
         .with("configuration",
               static_cast<std::int64_t>(configuration_->version));
     start_attempt_timer(chosen, now);
-    attempt_->connection->exchange(
-        write_request(request_,
-                      *context_.platform.codec,
-                      forward_headers(chosen.server, now)),
-        request_.method == "HEAD",
-        shared_from_this());
+    attempt_->connection->exchange(request_.method == "HEAD",
+                                   shared_from_this());
 }
 
-void gateway_call::on_send_started()
+std::string gateway_call::on_send_started()
 {
     const auto now = steady_now();
     if (!may_still_send(now)) {
         withdraw_attempt(now);
-        return;
+        return {};
     }
     attempt_->has_begun_sending = true;
     attempt_->sent_at = now;
@@ -491,6 +487,9 @@
         context_.measures.count_retry();
     }
     ++send_count_;
+    return write_request(request_,
+                         *context_.platform.codec,
+                         forward_headers(attempt_->server, now));
 }
 
 /// Connecting can take long. Meanwhile the server may have rejected another
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -41,7 +41,7 @@
     /// written to the caller.
     void on_answer_bytes_written();
 
-    void on_send_started() override;
+    std::string on_send_started() override;
     bool on_head(const answer_head& head) override;
     void on_body(std::string_view bytes) override;
     void on_end(exchange_result end) override;
