Ignore a daemon's entry whose port is out of range

An entry with port 70000 among those of the daemons ended the following of that list for good: a gateway that started did not register, so others did not know it (odd_entries_of_daemons_are_ignored fails on the code before). No daemon ended by itself. Cause: a conversion that throws, within a coroutine. Odd entries of servers (200,000 levels, 1e999, 400 digits, ports out of range) pass, before and after: odd_entries_of_servers_are_ignored.

--- a/libs/gateway/src/peer_updates_neighbours.cpp
+++ b/libs/gateway/src/peer_updates_neighbours.cpp
@@ -32,6 +32,18 @@
 /// Maximum number of neighbours that a starting daemon asks for a snapshot.
 constexpr std::size_t max_neighbours_asked = 2;
 
+/// Returns nothing for a value that is no port.
+std::optional<std::uint16_t> parse_port(const json::value* value)
+{
+    if (value == nullptr)
+        return std::nullopt;
+    boost::system::error_code error;
+    const auto port = value->to_number<std::uint16_t>(error);
+    if (error || port == 0)
+        return std::nullopt;
+    return port;
+}
+
 } // namespace
 
 /// Writes this daemon's row and replaces the row of an earlier process.
@@ -152,12 +164,16 @@
     const auto* port = value.as_object().if_contains("port");
     const auto* domain = value.as_object().if_contains("failure_domain");
     const auto* link = value.as_object().if_contains("link_mbps");
-    if (address == nullptr || !address->is_string() || port == nullptr ||
-        !port->is_number() || domain == nullptr || !domain->is_string())
+    const auto peer_port = parse_port(port);
+    if (address == nullptr || !address->is_string() || !peer_port ||
+        domain == nullptr || !domain->is_string())
+    {
+        log_event(log_level::warn, "member_row_unreadable")
+            .with("instance", row.key);
         return;
+    }
     auto& entry = members_[id];
-    entry.address = {std::string(address->as_string()),
-                     port->to_number<std::uint16_t>()};
+    entry.address = {std::string(address->as_string()), *peer_port};
     entry.failure_domain = failure_domain_id(std::string(domain->as_string()));
     if (link != nullptr && link->is_number())
         entry.link_mbps = link->to_number<double>();
