Read the instance list past an entry that cannot be used

One entry with a port out of range, a number too large or a field of another type made the whole list unreadable: daemons stopped following it until the entry was gone (an_odd_entry_hides_no_other_instance fails on the code before). Each entry is read by itself now; one that cannot be used is logged and passed over. An entry nested over 32 levels still hides the list, since it is one document.

--- a/libs/store/src/row_codec.cpp
+++ b/libs/store/src/row_codec.cpp
@@ -1,9 +1,11 @@
 #include <barleyfork/store/row_codec.hpp>
 
 #include <barleyfork/base/digest.hpp>
+#include <barleyfork/base/log.hpp>
 
 #include <array>
 #include <boost/json.hpp>
+#include <optional>
 
 namespace barleyfork {
 
@@ -57,6 +59,29 @@
     }
 }
 
+/// Returns nothing for an entry that cannot be used, so that it hides no other.
+std::optional<listed_instance> parse_instance(const json::value& entry)
+{
+    try {
+        listed_instance instance;
+        instance.id = instance_id(get_string(entry, "instance"));
+        instance.address = get_string(entry, "address");
+        instance.port = get_number<std::uint16_t>(entry, "port");
+        instance.region = region_id(get_string(entry, "region"));
+        instance.failure_domain =
+            failure_domain_id(get_string(entry, "failure_domain"));
+        instance.leaving = get_string(entry, "state") != "live";
+        instance.is_backend_server =
+            get_string(entry, "role") == "backend_server";
+        return instance;
+    }
+    catch (const std::exception& error) {
+        log_event(log_level::warn, "instance_entry_ignored")
+            .with("error", error.what());
+        return std::nullopt;
+    }
+}
+
 json::object to_json(const resident_model& entry)
 {
     return {{"model", entry.model.value()},
@@ -257,19 +282,9 @@
 failure decode(std::string_view text, std::vector<listed_instance>& out)
 {
     return decode_text(text, "instance list", [&out](const auto& value) {
-        for (const auto& entry : value.at("instances").as_array()) {
-            listed_instance instance;
-            instance.id = instance_id(get_string(entry, "instance"));
-            instance.address = get_string(entry, "address");
-            instance.port = get_number<std::uint16_t>(entry, "port");
-            instance.region = region_id(get_string(entry, "region"));
-            instance.failure_domain =
-                failure_domain_id(get_string(entry, "failure_domain"));
-            instance.leaving = get_string(entry, "state") != "live";
-            instance.is_backend_server =
-                get_string(entry, "role") == "backend_server";
-            out.push_back(std::move(instance));
-        }
+        for (const auto& entry : value.at("instances").as_array())
+            if (auto instance = parse_instance(entry))
+                out.push_back(std::move(*instance));
     });
 }
 
