Grant no slack of the retry budget before the others are known

Such a daemon now counts on 512 sharers until its first read of the list, and counts itself from then on, listed or not.

--- a/libs/core/src/shared_retry_budget.cpp
+++ b/libs/core/src/shared_retry_budget.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-/// Number of daemons assumed to share the slack until the actual number is set.
-constexpr std::size_t assumed_daemons = 8;
+/// Number of daemons assumed to share the slack until the actual number is set:
+/// the most that a deployment has.
+constexpr std::size_t assumed_daemons = 512;
 /// Processes of a daemon in one window: one and its successor after a restart.
 constexpr double processes_per_window = 2.0;
 
--- a/libs/core/tests/gateway_parts_test.cpp
+++ b/libs/core/tests/gateway_parts_test.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST(misdirected_server_is_not_usable_until_a_new_process);
     CPPUNIT_TEST(retries_stay_within_every_window);
     CPPUNIT_TEST(retries_decided_together_share_the_budget);
+    CPPUNIT_TEST(daemons_that_know_no_others_keep_the_budget);
     CPPUNIT_TEST(less_urgent_work_does_not_count);
     CPPUNIT_TEST(work_of_peers_is_counted_once);
     CPPUNIT_TEST(less_urgent_work_of_peers_is_not_expected_to_delay);
@@ -290,6 +291,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{8}, decided.size());
     }
 
+    /// Hundreds that start while the list of daemons cannot be read.
+    void daemons_that_know_no_others_keep_the_budget()
+    {
+        constexpr int daemons = 300;
+        const shared_retry_limits limits{0.2, duration{1000}, 56.0};
+        int retries = 0;
+        for (int i = 0; i < daemons; ++i) {
+            shared_retry_budget budget(limits);
+            while (const auto retry = budget.reserve_retry(start)) {
+                retry->spend(start);
+                ++retries;
+            }
+        }
+        CPPUNIT_ASSERT(retries <= limits.slack);
+    }
+
     void less_urgent_work_does_not_count()
     {
         backend_loads loads;
--- a/libs/gateway/src/peer_updates_neighbours.cpp
+++ b/libs/gateway/src/peer_updates_neighbours.cpp
@@ -138,7 +138,9 @@
             own_row_ = row;
         apply_member(row);
     }
-    context_.set_daemon_count(members_.size());
+    // This daemon may not be listed yet.
+    const std::size_t unlisted = members_.contains(context_.self) ? 0 : 1;
+    context_.set_daemon_count(members_.size() + unlisted);
     std::vector<instance_id> listed;
     for (const auto& [id, entry] : members_)
         listed.push_back(id);
