--- /dev/null
+++ b/libs/gateway/src/gateway_call_choice.cpp
@@ -0,0 +1,212 @@
+// The part of gateway_call that chooses a server.
+
+#include "gateway_call.hpp"
+
+#include <algorithm>
+
+namespace barleyfork {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// A server that rejected a request gets at most one retry.
+constexpr int max_sends_per_server = 2;
+/// Expected times to the first event, as multiples of the target, up to which
+/// a request is sent and above which the request is rejected at once.
+constexpr double max_send_target_ratio = 2.0;
+constexpr double max_wait_target_ratio = 6.0;
+constexpr double ms_per_second = 1000.0;
+
+asio::ip::tcp::endpoint endpoint_of(const backend_entry& entry)
+{
+    boost::system::error_code error;
+    return {asio::ip::make_address(entry.address, error), entry.port};
+}
+
+} // namespace
+
+std::vector<server_candidate>
+gateway_call::candidates(time_point now, wait_reason& reason) const
+{
+    std::vector<server_candidate> found;
+    const bool suspected = is_suspected(now);
+    bool any_isolated = false;
+    bool any_rejecting = false;
+    bool any_limited = false;
+    reason = wait_reason::no_server;
+    if (suspected && context_.suspects.runs(fingerprint_)) {
+        reason = wait_reason::isolated;
+        return found;
+    }
+    for (const auto& [id, state] : context_.directory.servers()) {
+        if (state.entry.service != service_ || !state.usable())
+            continue;
+        const auto sent = sends_per_server_.find(id);
+        const int sends = sent == sends_per_server_.end() ? 0 : sent->second;
+        if (sends >= max_sends_per_server)
+            continue;
+        const auto resident = residency_on(state, now);
+        if (resident == holding::model_only)
+            reason = wait_reason::no_adapter;
+        if (resident != holding::all)
+            continue;
+        if (state.rejects_requests(now)) {
+            any_rejecting = true;
+            continue;
+        }
+        if (!is_within_limit(id, state, now)) {
+            any_limited = true;
+            continue;
+        }
+        if (suspected && context_.suspects.is_server_occupied(id)) {
+            any_isolated = true;
+            continue;
+        }
+        server_candidate candidate;
+        candidate.server = id;
+        candidate.load = context_.loads.view(id, route_->priority, now);
+        candidate.away = context_.distance_to(state.entry.failure_domain);
+        candidate.slots = state.entry.slots;
+        candidate.tried = sends > 0;
+        candidate.connected = context_.pool.has_idle(
+            endpoint_of(state.entry), route_->is_retryable(), now);
+        found.push_back(std::move(candidate));
+    }
+    if (any_isolated && found.empty())
+        reason = wait_reason::isolated;
+    else if (any_limited && found.empty())
+        reason = wait_reason::limited;
+    else if (any_rejecting && found.empty())
+        reason = wait_reason::servers_rejecting;
+    return found;
+}
+
+/// Returns how much of the needed model and adapter is resident on the server.
+/// A plain service needs neither.
+holding gateway_call::residency_on(const backend_state& state,
+                                   time_point now) const
+{
+    return is_for_engine() ? backend_directory::holds(
+                                 state, facts_.model, facts_.adapter, now)
+                           : holding::all;
+}
+
+/// Returns the earliest time at which an eligible server that rejects requests
+/// will accept them again.
+time_point gateway_call::earliest_acceptance(time_point now) const
+{
+    auto earliest = time_point::max();
+    for (const auto& [id, state] : context_.directory.servers())
+        if (state.entry.service == service_ && state.usable() &&
+            state.rejects_requests(now) &&
+            residency_on(state, now) == holding::all)
+            earliest = std::min(earliest, state.rejects_until);
+    return earliest;
+}
+
+bool gateway_call::is_within_limit(const server_id& id,
+                                   const backend_state& state,
+                                   time_point now) const
+{
+    const auto allowed =
+        context_.limits.next_allowed_at({id, state.entry.held.started_ms});
+    return !allowed || *allowed <= now;
+}
+
+/// Returns when this request can be sent at the earliest, after the calls that
+/// wait for the same servers already, by the limits of these.
+time_point gateway_call::earliest_within_limit(time_point now) const
+{
+    auto earliest = time_point::max();
+    double per_second = 0.0;
+    for (const auto& [id, state] : context_.directory.servers()) {
+        if (state.entry.service != service_ || !state.usable() ||
+            residency_on(state, now) != holding::all)
+            continue;
+        const server_process process{id, state.entry.held.started_ms};
+        const auto allowed = context_.limits.next_allowed_at(process);
+        if (!allowed || *allowed == time_point::max())
+            continue;
+        earliest = std::min(earliest, std::max(*allowed, now));
+        per_second += context_.limits.own_rate(process).value_or(0.0);
+    }
+    const auto ahead = context_.limited_waits.find({service_, facts_.model});
+    if (per_second <= 0.0 || ahead == context_.limited_waits.end())
+        return earliest;
+    return earliest + duration(static_cast<std::int64_t>(
+                          ms_per_second * static_cast<double>(ahead->second) /
+                          per_second));
+}
+
+double gateway_call::expected_ms(const server_candidate& candidate) const
+{
+    if (is_for_engine())
+        return expected_first_event_ms(candidate, work());
+    const auto found = context_.service_times_ms.find(service_);
+    return expected_answer_ms(candidate,
+                              found == context_.service_times_ms.end()
+                                  ? default_service_ms
+                                  : found->second);
+}
+
+std::optional<gateway_call::choice> gateway_call::choose(time_point now,
+                                                         wait_reason& reason)
+{
+    const auto found = candidates(now, reason);
+    const auto draw = context_.random();
+    const auto times = context_.service_times_ms.find(service_);
+    const auto index =
+        is_for_engine()
+            ? choose_engine(found, work(), draw)
+            : choose_plain_server(found,
+                                  times == context_.service_times_ms.end()
+                                      ? default_service_ms
+                                      : times->second,
+                                  draw);
+    if (!index)
+        return std::nullopt;
+    const auto& picked = found[*index];
+    choice chosen;
+    chosen.server = picked.server;
+    const auto& entry = context_.directory.find(picked.server)->entry;
+    chosen.started_ms = entry.held.started_ms;
+    chosen.target = endpoint_of(entry);
+    chosen.expected_ms = expected_ms(picked);
+    chosen.candidates = found.size();
+    return chosen;
+}
+
+/// Returns when the caller is expected to disconnect if no response has begun
+/// by then.
+time_point gateway_call::expected_disconnect_at() const
+{
+    if (route_->kind != call_kind::stream)
+        return deadline_;
+    return std::min(deadline_, received_at_ + route_->caller_timeout());
+}
+
+/// Keeps an engine's queue short enough that the requests in it can meet their
+/// target. A request that would be late waits in the gateway, where any other
+/// server can still be chosen for it, or is rejected while its caller has time
+/// for a retry.
+gateway_call::admission gateway_call::decide_admission(const choice& chosen,
+                                                       time_point now) const
+{
+    const bool has_begun = is_delivering_ || progress_->may_have_run();
+    const auto left =
+        static_cast<double>((expected_disconnect_at() - now).count());
+    if (has_begun)
+        return admission::send;
+    if (chosen.expected_ms >= left)
+        return admission::reject;
+    const auto target = static_cast<double>(route_->queue_target.count());
+    if (!is_for_engine() || target <= 0.0 ||
+        chosen.expected_ms <= max_send_target_ratio * target)
+        return admission::send;
+    return chosen.expected_ms > max_wait_target_ratio * target
+               ? admission::reject
+               : admission::wait;
+}
+
+} // namespace barleyfork
