Follow stored refusals only once the holder is silent for long

It takes itself for cut off after 4 s. gateways_cut_off_from_each_other_refuse_it_too passes as before.

--- a/libs/gateway/src/peer_updates_quarantine.cpp
+++ b/libs/gateway/src/peer_updates_quarantine.cpp
@@ -29,6 +29,8 @@
 constexpr duration first_read_interval{700};
 constexpr duration holder_read_interval{2000};
 constexpr duration cut_off_read_interval{1000};
+/// A holder that is silent for less than this may only have been replaced.
+constexpr duration cut_off_delay{4000};
 constexpr std::int64_t read_poll_ms = 200;
 
 } // namespace
@@ -207,6 +209,7 @@
 /// daemons that are cut off from it, and those do not hear the holder.
 asio::awaitable<void> peer_updates::follow_refusals()
 {
+    const auto started_at = steady_now();
     bool has_read = false;
     time_point read_at{};
     for (;;) {
@@ -214,8 +217,10 @@
         const auto interval = !has_read          ? first_read_interval
                               : is_lease_holder_ ? holder_read_interval
                                                  : cut_off_read_interval;
+        const bool is_cut_off =
+            now >= std::max(holder_last_seen_at_, started_at) + cut_off_delay;
         const bool relies_on_messages =
-            has_read && !is_lease_holder_ && is_holder_responsive(now);
+            has_read && !is_lease_holder_ && !is_cut_off;
         if (now < read_at + interval || relies_on_messages) {
             co_await sleep_for_ms(read_poll_ms);
             continue;
