Look up no limit where no server names one

Both return at once while no limit is known, which gives the same results as before: an empty table has no limit, and an answer without one adds nothing to it.

--- a/libs/core/include/barleyfork/core/request_limits.hpp
+++ b/libs/core/include/barleyfork/core/request_limits.hpp
@@ -54,6 +54,12 @@
     /// process; nothing if the process has no limit.
     std::optional<double> own_rate(const server_process& process) const;
 
+    /// Returns whether no process has named a limit lately.
+    bool empty() const noexcept
+    {
+        return entries_.empty();
+    }
+
     /// Records a request to the process.
     void on_sent(const server_process& process, time_point now);
 
--- a/libs/gateway/src/gateway_call_choice.cpp
+++ b/libs/gateway/src/gateway_call_choice.cpp
@@ -109,6 +109,8 @@
                                    const backend_state& state,
                                    time_point now) const
 {
+    if (context_.limits.empty())
+        return true;
     const auto allowed =
         context_.limits.next_allowed_at({id, state.entry.held.started_ms});
     return !allowed || *allowed <= now;
--- a/libs/gateway/src/gateway_context.cpp
+++ b/libs/gateway/src/gateway_context.cpp
@@ -99,6 +99,8 @@
 void gateway_context::observe_limit(const limit_observation& observation,
                                     std::string_view source)
 {
+    if (limits.empty() && !observation.per_second)
+        return;
     const auto& process = observation.process;
     const auto before = limits.own_rate(process);
     limits.observe(observation,
