--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -176,6 +176,7 @@
     void send_or_wait(const choice& chosen, time_point now);
     time_point earliest_acceptance(time_point now) const;
     time_point earliest_within_limit(time_point now) const;
+    bool is_eligible(const backend_state& state, time_point now) const;
     bool is_within_limit(const server_id& id,
                          const backend_state& state,
                          time_point now) const;
--- a/libs/gateway/src/gateway_call_choice.cpp
+++ b/libs/gateway/src/gateway_call_choice.cpp
@@ -92,15 +92,21 @@
                            : holding::all;
 }
 
+/// Returns whether the server can run the request, apart from what it takes
+/// now.
+bool gateway_call::is_eligible(const backend_state& state, time_point now) const
+{
+    return state.entry.service == service_ && state.usable() &&
+           residency_on(state, now) == holding::all;
+}
+
 /// Returns the earliest time at which an eligible server that rejects requests
 /// will accept them again.
 time_point gateway_call::earliest_acceptance(time_point now) const
 {
     auto earliest = time_point::max();
     for (const auto& [id, state] : context_.directory.servers())
-        if (state.entry.service == service_ && state.usable() &&
-            state.rejects_requests(now) &&
-            residency_on(state, now) == holding::all)
+        if (state.rejects_requests(now) && is_eligible(state, now))
             earliest = std::min(earliest, state.rejects_until);
     return earliest;
 }
@@ -123,8 +129,7 @@
     auto earliest = time_point::max();
     double per_second = 0.0;
     for (const auto& [id, state] : context_.directory.servers()) {
-        if (state.entry.service != service_ || !state.usable() ||
-            residency_on(state, now) != holding::all)
+        if (!is_eligible(state, now))
             continue;
         const server_process process{id, state.entry.held.started_ms};
         const auto allowed = context_.limits.next_allowed_at(process);
--- a/libs/gateway/src/gateway_context.cpp
+++ b/libs/gateway/src/gateway_context.cpp
@@ -71,13 +71,13 @@
     platform.store = std::make_unique<restorable_store>(
         std::move(platform.store), [this](std::uint64_t era) {
             observe_store_era(era);
-            return store_era_.current();
+            return era_.current();
         });
 }
 
 void gateway_context::observe_store_era(std::uint64_t era)
 {
-    if (!store_era_.observe(era))
+    if (!era_.observe(era))
         return;
     log_event(log_level::warn, "store_restored")
         .with("era", static_cast<std::int64_t>(era));
--- a/libs/gateway/src/gateway_context.hpp
+++ b/libs/gateway/src/gateway_context.hpp
@@ -93,9 +93,9 @@
     /// lacks are retained for a while, and `on_store_restored` is called.
     void observe_store_era(std::uint64_t era);
 
-    const class store_era& store_era() const noexcept
+    const store_era& era() const noexcept
     {
-        return store_era_;
+        return era_;
     }
 
     /// Records what a server said of its request limit, as `source` received
@@ -186,7 +186,7 @@
     std::map<failure_domain_id, region_id> regions_;
     std::map<service_id, shared_retry_budget> budgets_;
     std::size_t daemons_ = 0;
-    class store_era store_era_;
+    store_era era_;
 };
 
 } // namespace barleyfork
--- a/libs/gateway/src/peer_updates.cpp
+++ b/libs/gateway/src/peer_updates.cpp
@@ -66,7 +66,7 @@
     message.failure_domain = context_.settings.failure_domain;
     message.configuration_version = configuration_version();
     message.link_mbps = static_cast<float>(context_.settings.link_mbps);
-    message.store_era = context_.store_era().current();
+    message.store_era = context_.era().current();
     const auto configuration = watch_.configuration_position();
     message.configuration_position = configuration.number();
     message.configuration_era = configuration.era();
--- a/libs/gateway/src/placement_worker_lease.cpp
+++ b/libs/gateway/src/placement_worker_lease.cpp
@@ -196,7 +196,7 @@
     // A process that is not of the first start expects a row.
     const bool is_lost = row == nullptr && !context_.settings.first_start;
     const bool is_of_backup =
-        row == nullptr ? is_lost || context_.store_era().was_restored()
+        row == nullptr ? is_lost || context_.era().was_restored()
                        : stored.era < era;
     // An earlier process of this instance held the lease. No other process of
     // the instance runs now, so the lease is free.
@@ -228,7 +228,7 @@
     stored_lease stored{row,
                         context_.settings.address,
                         latest_store_ms(began),
-                        context_.store_era().current(),
+                        context_.era().current(),
                         std::nullopt};
     const auto others =
         orders_of_earlier_holders(previous_, bounds(), steady_now());
@@ -267,7 +267,7 @@
         {*row,
          std::string(),
          latest_store_ms(boot_now()),
-         context_.store_era().current(),
+         context_.era().current(),
          orders ? std::optional(to_ages(*orders, now)) : std::nullopt});
     const auto written = co_await context_.platform.store->write_row(
         lease_table, lease_key, text, lease_.version());
