--- a/libs/gateway/src/placement_worker_lease.cpp
+++ b/libs/gateway/src/placement_worker_lease.cpp
@@ -195,9 +195,9 @@
     const auto era = read.version.era();
     // A process that is not of the first start expects a row.
     const bool is_lost = row == nullptr && !context_.settings.first_start;
-    const bool is_of_backup =
-        row == nullptr ? is_lost || context_.era().was_restored()
-                       : stored.era < era;
+    const bool is_of_backup = row == nullptr
+                                  ? is_lost || context_.era().was_restored()
+                                  : stored.era < era;
     // An earlier process of this instance held the lease. No other process of
     // the instance runs now, so the lease is free.
     was_held_by_own_predecessor_ =
