Add up ends of servers below a refusal in the store

Callers saw a request that comes seldom end servers again and again. Cause: only refusals, three ends together, stood in the store; each daemon that hears no other, and each set of daemons that starts anew, counted from one.

The holder, or a daemon that hears none, now keeps the ends below a refusal in a row of its own and writes it again after a restore; it takes over the row of its predecessor. Readers are those of the refusals.

rare_crashing_request before: 12 ends and 7 sends past the bound, 8 and 4, 8 and 4 (3 allowed; three tests failed). The 14 test programs of core, gateway, platform and soak pass.

--- a/libs/core/include/barleyfork/core/crash_quarantine.hpp
+++ b/libs/core/include/barleyfork/core/crash_quarantine.hpp
@@ -107,6 +107,11 @@
     /// Returns the attributions of all refused requests.
     std::vector<reported_blame> refusals(time_point now) const;
 
+    /// Returns the attributions of requests that are blamed but not refused,
+    /// those of the requests with the most crashes first; `limit` at most.
+    std::vector<reported_blame> suspicions(time_point now,
+                                           std::size_t limit) const;
+
     /// Returns a digest that is equal on daemons that refuse the same requests.
     std::uint64_t digest(time_point now) const;
 
@@ -121,6 +126,10 @@
         time_point last_crash_at{};
     };
 
+    static void append_report(std::uint64_t fingerprint,
+                              const entry& known,
+                              time_point now,
+                              std::vector<reported_blame>& reported);
     bool is_trusted(std::uint64_t fingerprint, time_point now) const;
     time_point refused_until(const entry& known) const;
     bool is_settled(time_point blamed_at, time_point now) const;
--- a/libs/core/src/crash_quarantine.cpp
+++ b/libs/core/src/crash_quarantine.cpp
@@ -197,16 +197,44 @@
 std::vector<reported_blame> crash_quarantine::refusals(time_point now) const
 {
     std::vector<reported_blame> reported;
-    for (const auto& [fingerprint, known] : entries_) {
-        if (!meets_refusal_rule(known, now))
-            continue;
-        for (const auto& [crash, blamed_at] : known.crashes)
-            reported.push_back(
-                {{fingerprint, crash}, now - known.last_crash_at});
+    for (const auto& [fingerprint, known] : entries_)
+        if (meets_refusal_rule(known, now))
+            append_report(fingerprint, known, now, reported);
+    return reported;
+}
+
+std::vector<reported_blame>
+crash_quarantine::suspicions(time_point now, std::size_t limit) const
+{
+    std::vector<std::pair<std::uint64_t, const entry*>> suspects;
+    for (const auto& [fingerprint, known] : entries_)
+        if (now < refused_until(known) && !is_trusted(fingerprint, now) &&
+            !meets_refusal_rule(known, now))
+            suspects.emplace_back(fingerprint, &known);
+    std::stable_sort(suspects.begin(),
+                     suspects.end(),
+                     [](const auto& left, const auto& right) {
+                         return left.second->crashes.size() >
+                                right.second->crashes.size();
+                     });
+    std::vector<reported_blame> reported;
+    for (const auto& [fingerprint, known] : suspects) {
+        if (reported.size() + known->crashes.size() > limit)
+            break;
+        append_report(fingerprint, *known, now, reported);
     }
     return reported;
 }
 
+void crash_quarantine::append_report(std::uint64_t fingerprint,
+                                     const entry& known,
+                                     time_point now,
+                                     std::vector<reported_blame>& reported)
+{
+    for (const auto& [crash, blamed_at] : known.crashes)
+        reported.push_back({{fingerprint, crash}, now - known.last_crash_at});
+}
+
 std::uint64_t crash_quarantine::digest(time_point now) const
 {
     std::uint64_t sum = 0;
--- a/libs/core/tests/crash_quarantine_test.cpp
+++ b/libs/core/tests/crash_quarantine_test.cpp
@@ -117,6 +117,7 @@
     CPPUNIT_TEST(the_crash_of_a_listed_successor_carries_its_id);
     CPPUNIT_TEST(a_crash_under_the_old_id_refuses_no_innocent_request);
     CPPUNIT_TEST(a_request_with_five_crashes_beside_the_cause_is_served);
+    CPPUNIT_TEST(suspicions_are_those_below_a_refusal);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -504,6 +505,34 @@
         quarantine.on_crash(own, threshold + 4, at(2000));
         CPPUNIT_ASSERT(quarantine.refused(7, at(2000)));
     }
+
+    /// Neither refused, answered nor expired; the gravest first, each with all
+    /// of its crashes.
+    void suspicions_are_those_below_a_refusal()
+    {
+        crash_quarantine quarantine(limits());
+        const std::vector<std::uint64_t> expired{5};
+        const std::vector<std::uint64_t> once{6, 8};
+        const std::vector<std::uint64_t> twice{7};
+        const std::vector<std::uint64_t> refused{cause};
+        quarantine.on_crash(expired, 1, at(0));
+        const auto later = at(0) + limits().memory;
+        quarantine.on_crash(once, 2, later);
+        quarantine.on_answer(8, later);
+        for (std::uint64_t crash = 3; crash < 3 + threshold; ++crash)
+            quarantine.on_crash(refused, crash, later);
+        for (const std::uint64_t crash : {10U, 11U})
+            quarantine.on_crash(twice, crash, later);
+        const auto all = quarantine.suspicions(later + duration{40}, 100);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, all.size());
+        CPPUNIT_ASSERT((all[0].blame == crash_blame{7, 10}));
+        CPPUNIT_ASSERT((all[1].blame == crash_blame{7, 11}));
+        CPPUNIT_ASSERT((all[2].blame == crash_blame{6, 2}));
+        CPPUNIT_ASSERT(all[0].age == duration{40});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2},
+                             quarantine.suspicions(later, 2).size());
+        CPPUNIT_ASSERT(quarantine.suspicions(later, 1).empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(crash_quarantine_test);
--- a/libs/gateway/src/peer_updates.hpp
+++ b/libs/gateway/src/peer_updates.hpp
@@ -4,6 +4,7 @@
 #include "gateway_context.hpp"
 #include "refusal_store.hpp"
 #include "store_watch.hpp"
+#include "suspicion_store.hpp"
 
 #include <barleyfork/core/relay_selector.hpp>
 #include <barleyfork/core/sustained_condition.hpp>
@@ -214,6 +215,7 @@
     /// Requests whose refusal was logged.
     std::set<std::uint64_t> logged_refusals_;
     refusal_store refusals_;
+    suspicion_store suspicions_;
 };
 
 } // namespace barleyfork
--- a/libs/gateway/src/peer_updates_neighbours.cpp
+++ b/libs/gateway/src/peer_updates_neighbours.cpp
@@ -76,6 +76,7 @@
             static_cast<std::int64_t>(context_.daemons()));
     registration_due_at_ = steady_now() + duration(spread(context_.random));
     refusals_.on_store_restored();
+    suspicions_.on_store_restored();
     process_refusals(steady_now());
 }
 
--- a/libs/gateway/src/peer_updates_quarantine.cpp
+++ b/libs/gateway/src/peer_updates_quarantine.cpp
@@ -133,10 +133,10 @@
     return message;
 }
 
-/// Logs each request that is refused from now on and stores its refusal, by the
-/// holder or, while no holder is responsive, by every daemon. A request may
-/// become refused without a new crash of its own, because another request that
-/// met the same crashes got a response.
+/// Logs each request that is refused from now on. Stores the refusals and the
+/// suspicions, by the holder or, while no holder is responsive, by every
+/// daemon. A request may become refused without a new crash of its own, because
+/// another request that met the same crashes got a response.
 void peer_updates::process_refusals(time_point now)
 {
     std::set<std::uint64_t> refused;
@@ -156,8 +156,10 @@
     std::erase_if(logged_refusals_, [&refused](auto fingerprint) {
         return !refused.contains(fingerprint);
     });
-    if (is_lease_holder_ || !is_holder_responsive(now))
-        refusals_.keep(refused);
+    if (!is_lease_holder_ && is_holder_responsive(now))
+        return;
+    refusals_.keep(refused);
+    suspicions_.keep();
 }
 
 void peer_updates::merge_blames(std::span<const reported_blame> blames)
--- a/libs/gateway/src/quarantine_row_codec.cpp
+++ b/libs/gateway/src/quarantine_row_codec.cpp
@@ -24,11 +24,10 @@
     return std::nullopt;
 }
 
-} // namespace
-
-std::string encode_refusal(std::uint64_t fingerprint,
-                           std::span<const reported_blame> blames,
-                           std::int64_t now_ms)
+/// Encodes the attributions to one request; those to others are skipped.
+json::object encode_request(std::uint64_t fingerprint,
+                            std::span<const reported_blame> blames,
+                            std::int64_t now_ms)
 {
     json::array crashes;
     std::int64_t last_ms = 0;
@@ -38,31 +37,74 @@
         crashes.push_back(entry.blame.crash);
         last_ms = now_ms - entry.age.count();
     }
-    return json::serialize(json::object{{"fingerprint", fingerprint},
-                                        {"crashes", std::move(crashes)},
-                                        {"last_ms", last_ms}});
+    return {{"fingerprint", fingerprint},
+            {"crashes", std::move(crashes)},
+            {"last_ms", last_ms}};
 }
 
-std::vector<reported_blame> decode_refusal(std::string_view text,
-                                           std::int64_t now_ms)
+/// Appends the attributions to one request; nothing if `value` has another
+/// format.
+void append_request(const json::value& value,
+                    std::int64_t now_ms,
+                    std::vector<reported_blame>& blames)
 {
-    std::vector<reported_blame> blames;
-    boost::system::error_code error;
-    const auto value = json::parse({text.data(), text.size()}, error);
-    if (error || !value.is_object())
-        return blames;
-    const auto& object = value.as_object();
-    const auto fingerprint = get_unsigned(object.if_contains("fingerprint"));
-    const auto last_ms = get_unsigned(object.if_contains("last_ms"));
-    const auto* crashes = object.if_contains("crashes");
+    const auto* object = value.if_object();
+    if (object == nullptr)
+        return;
+    const auto fingerprint = get_unsigned(object->if_contains("fingerprint"));
+    const auto last_ms = get_unsigned(object->if_contains("last_ms"));
+    const auto* crashes = object->if_contains("crashes");
     if (!fingerprint || !last_ms || crashes == nullptr || !crashes->is_array())
-        return blames;
+        return;
     const auto now = static_cast<std::uint64_t>(now_ms);
     const duration age(
         static_cast<std::int64_t>(now - std::min(*last_ms, now)));
     for (const auto& crash : crashes->as_array())
         if (const auto id = get_unsigned(&crash))
             blames.push_back({{*fingerprint, *id}, age});
+}
+
+} // namespace
+
+std::string encode_refusal(std::uint64_t fingerprint,
+                           std::span<const reported_blame> blames,
+                           std::int64_t now_ms)
+{
+    return json::serialize(encode_request(fingerprint, blames, now_ms));
+}
+
+std::string encode_suspicions(std::span<const reported_blame> blames,
+                              std::int64_t now_ms)
+{
+    json::array requests;
+    while (!blames.empty()) {
+        const auto fingerprint = blames.front().blame.fingerprint;
+        const auto end = std::find_if(
+            blames.begin(), blames.end(), [fingerprint](const auto& entry) {
+                return entry.blame.fingerprint != fingerprint;
+            });
+        const auto count = static_cast<std::size_t>(end - blames.begin());
+        requests.push_back(
+            encode_request(fingerprint, blames.first(count), now_ms));
+        blames = blames.subspan(count);
+    }
+    return json::serialize(json::object{{"requests", std::move(requests)}});
+}
+
+std::vector<reported_blame> decode_blames(std::string_view text,
+                                          std::int64_t now_ms)
+{
+    std::vector<reported_blame> blames;
+    boost::system::error_code error;
+    const auto value = json::parse({text.data(), text.size()}, error);
+    if (error || !value.is_object())
+        return blames;
+    const auto* requests = value.as_object().if_contains("requests");
+    if (requests == nullptr)
+        append_request(value, now_ms, blames);
+    else if (const auto* list = requests->if_array())
+        for (const auto& request : *list)
+            append_request(request, now_ms, blames);
     return blames;
 }
 
--- a/libs/gateway/src/refusal_store.cpp
+++ b/libs/gateway/src/refusal_store.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr const char* quarantine_table = "barleyfork_quarantine";
 constexpr std::int64_t retry_delay_ms = 700;
 /// Maximum number of attempts to write a row, which is read and written again
 /// if other daemons write it at the same time.
@@ -91,7 +90,7 @@
         expected =
             read.rows.empty() ? store_version() : read.rows.front().version;
         if (!read.rows.empty() &&
-            decode_refusal(read.rows.front().value, wall_clock_ms()).size() >=
+            decode_blames(read.rows.front().value, wall_clock_ms()).size() >=
                 context_.quarantine.crashes(fingerprint))
             co_return true;
     }
@@ -119,7 +118,7 @@
     position_ = std::max(position_, read.version);
     std::vector<reported_blame> blames;
     for (const auto& row : read.rows) {
-        const auto decoded = decode_refusal(row.value, wall_clock_ms());
+        const auto decoded = decode_blames(row.value, wall_clock_ms());
         blames.insert(blames.end(), decoded.begin(), decoded.end());
     }
     if (is_full_read || !read.rows.empty())
--- a/libs/gateway/src/refusal_store.hpp
+++ b/libs/gateway/src/refusal_store.hpp
@@ -29,8 +29,9 @@
     /// backup that may lack them.
     void on_store_restored();
 
-    /// Reads the stored refusals that are new since the last read; all of them
-    /// at first and after a restore. Returns nothing if the read failed.
+    /// Reads the stored refusals and suspicions that are new since the last
+    /// read; all of them at first and after a restore. Returns nothing if the
+    /// read failed.
     boost::asio::awaitable<std::optional<std::vector<reported_blame>>>
     read_new();
 
--- /dev/null
+++ b/libs/gateway/src/suspicion_store.hpp
@@ -0,0 +1,43 @@
+#ifndef BARLEYFORK_GATEWAY_SRC_SUSPICION_STORE_HPP
+#define BARLEYFORK_GATEWAY_SRC_SUSPICION_STORE_HPP
+
+#include "gateway_context.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <set>
+
+namespace barleyfork {
+
+/// Keeps in the store the crashes that are attributed to requests below the
+/// refusal threshold, in one row for each daemon that writes them. Crashes that
+/// daemons meet before they all stop, or while they do not hear each other, add
+/// up this way. Used by one worker only.
+class suspicion_store
+{
+public:
+    explicit suspicion_store(gateway_context& context);
+
+    /// Writes this daemon's row if it lacks an attribution that is known here.
+    void keep();
+
+    /// Forgets what is stored, since the store was restored from a backup that
+    /// may lack it.
+    void on_store_restored();
+
+private:
+    bool is_stored() const;
+    boost::asio::awaitable<void> write_until_stored();
+    boost::asio::awaitable<void> write();
+    boost::asio::awaitable<void> read_own_row();
+
+    gateway_context& context_;
+    /// The attributions in this daemon's row.
+    std::set<crash_blame> stored_;
+    /// The row's version as last known.
+    store_version version_;
+    bool is_writing_ = false;
+};
+
+} // namespace barleyfork
+
+#endif
