Date stored refusals by the store's clock

A refusal's row bore the time of day of the daemon that wrote it. On an instance whose time of day was set back, or read by one whose time was set forward, it was over before it was read, and after the end of all daemons the request ran again. The class: a time of one process is compared with that of another.

Rows bear the store's clock, which all daemons share. store_clock is what placement kept for the lease, moved; the lease's own estimate stays the one that is never too low. Weighed: an age without a date (nobody could tell how long the row has stood).

--- a/libs/gateway/src/gateway_context.cpp
+++ b/libs/gateway/src/gateway_context.cpp
@@ -69,7 +69,7 @@
     for (const auto& place : settings.places)
         regions_.emplace(place->failure_domain, place->region);
     platform.store = std::make_unique<restorable_store>(
-        std::move(platform.store), [this](std::uint64_t era) {
+        std::move(platform.store), clock_of_store, [this](std::uint64_t era) {
             observe_store_era(era);
             return era_.current();
         });
--- a/libs/gateway/src/gateway_context.hpp
+++ b/libs/gateway/src/gateway_context.hpp
@@ -4,6 +4,7 @@
 #include "backend_pool.hpp"
 #include "crash_watch.hpp"
 #include "gateway_metrics.hpp"
+#include "store_clock.hpp"
 #include "timer_queue.hpp"
 
 #include <barleyfork/core/adapter_use.hpp>
@@ -131,6 +132,9 @@
     /// its loop.
     io_worker serving{"serving", ring_capacity};
     schema::gateway_settings_record settings;
+    /// Observed by every call to the store. It does not depend on the clocks of
+    /// instances, which may be set.
+    store_clock clock_of_store;
     platform_port platform;
     instance_id self;
     timer_queue timers;
--- a/libs/gateway/src/placement_worker.hpp
+++ b/libs/gateway/src/placement_worker.hpp
@@ -54,8 +54,6 @@
     boost::asio::awaitable<void> read_lease();
     boost::asio::awaitable<void> write_lease(lease_row row);
     void observe(const store_read& read);
-    void record_store_clock(std::int64_t store_ms, time_point began);
-    std::int64_t latest_store_ms(time_point now) const;
     bool may_order(time_point now) const;
 
     void add_own_demand();
@@ -80,10 +78,9 @@
     bool has_written_ = false;
     bool stopping_ = false;
     std::uint64_t writes_ = 0;
-    /// The last reading of the store's clock in milliseconds, and when it was
-    /// requested.
-    std::int64_t store_ms_ = 0;
-    time_point store_ms_at_{};
+    /// Observed by calls about the lease only, from their sending: a renewal
+    /// may not look older than it is.
+    store_clock store_clock_;
     takeover_timer takeover_timer_;
     placement_throttle throttle_;
     time_point next_demand_log_{};
--- a/libs/gateway/src/placement_worker_lease.cpp
+++ b/libs/gateway/src/placement_worker_lease.cpp
@@ -170,24 +170,10 @@
         co_await context_.platform.store->read_row(lease_table, lease_key);
     if (read.error)
         co_return;
-    record_store_clock(read.store_ms, began);
+    store_clock_.observe(read.store_ms, began);
     observe(read);
 }
 
-/// Records a reading of the store's clock. The clock is at most the reading of
-/// a response plus the time since its request was sent.
-void placement_worker::record_store_clock(std::int64_t store_ms,
-                                          time_point began)
-{
-    store_ms_ = store_ms;
-    store_ms_at_ = began;
-}
-
-std::int64_t placement_worker::latest_store_ms(time_point now) const
-{
-    return store_ms_ == 0 ? 0 : store_ms_ + (now - store_ms_at_).count();
-}
-
 void placement_worker::observe(const store_read& read)
 {
     const auto* row = read.rows.empty() ? nullptr : &read.rows.front();
@@ -227,7 +213,7 @@
     const auto began = boot_now();
     stored_lease stored{row,
                         context_.settings.address,
-                        latest_store_ms(began),
+                        store_clock_.estimate(began),
                         context_.era().current(),
                         std::nullopt};
     const auto others =
@@ -241,7 +227,7 @@
         co_await read_lease();
         co_return;
     }
-    record_store_clock(written.store_ms, began);
+    store_clock_.observe(written.store_ms, began);
     lease_.written(row, written.version, boot_now());
 }
 
@@ -266,7 +252,7 @@
     const auto text = encode_lease(
         {*row,
          std::string(),
-         latest_store_ms(boot_now()),
+         store_clock_.estimate(boot_now()),
          context_.era().current(),
          orders ? std::optional(to_ages(*orders, now)) : std::nullopt});
     const auto written = co_await context_.platform.store->write_row(
--- a/libs/gateway/src/refusal_store.cpp
+++ b/libs/gateway/src/refusal_store.cpp
@@ -30,7 +30,7 @@
     for (const auto fingerprint : refused)
         if (stored_.insert(fingerprint).second)
             pending_.push_back(fingerprint);
-    if (pending_.empty() || is_writing_)
+    if (pending_.empty() || is_writing_ || !context_.clock_of_store.is_known())
         return;
     is_writing_ = true;
     context_.serving.spawn(write_pending());
@@ -71,7 +71,7 @@
             key,
             encode_refusal(fingerprint,
                            context_.quarantine.refusals(steady_now()),
-                           wall_clock_ms()),
+                           context_.clock_of_store.estimate(boot_now())),
             expected);
         if (written.end == store_write_outcome::done) {
             log_event(log_level::info, "refusal_stored")
@@ -90,8 +90,9 @@
         expected =
             read.rows.empty() ? store_version() : read.rows.front().version;
         if (!read.rows.empty() &&
-            decode_blames(read.rows.front().value, wall_clock_ms()).size() >=
-                context_.quarantine.crashes(fingerprint))
+            decode_blames(read.rows.front().value,
+                          context_.clock_of_store.estimate(boot_now()))
+                    .size() >= context_.quarantine.crashes(fingerprint))
             co_return true;
     }
     co_return false;
@@ -118,7 +119,8 @@
     position_ = std::max(position_, read.version);
     std::vector<reported_blame> blames;
     for (const auto& row : read.rows) {
-        const auto decoded = decode_blames(row.value, wall_clock_ms());
+        const auto decoded = decode_blames(
+            row.value, context_.clock_of_store.estimate(boot_now()));
         blames.insert(blames.end(), decoded.begin(), decoded.end());
     }
     if (is_full_read || !read.rows.empty())
--- a/libs/gateway/src/restorable_store.hpp
+++ b/libs/gateway/src/restorable_store.hpp
@@ -1,6 +1,8 @@
 #ifndef BARLEYFORK_GATEWAY_SRC_RESTORABLE_STORE_HPP
 #define BARLEYFORK_GATEWAY_SRC_RESTORABLE_STORE_HPP
 
+#include "store_clock.hpp"
+
 #include <barleyfork/gateway/row_store.hpp>
 
 #include <functional>
@@ -8,7 +10,8 @@
 
 namespace barleyfork {
 
-/// Reports the era of each response of another store, and refuses writes that
+/// Reports the era and the clock of each response of another store, and refuses
+/// writes that
 /// expect a row version of an earlier era: after a restore the same number may
 /// belong to another row state.
 class restorable_store : public row_store
@@ -17,7 +20,10 @@
     /// Called with the era of each response. Returns the newest known era.
     using era_handler = std::function<std::uint64_t(std::uint64_t)>;
 
-    restorable_store(std::unique_ptr<row_store> store, era_handler on_era);
+    /// `clock` must outlive this object.
+    restorable_store(std::unique_ptr<row_store> store,
+                     store_clock& clock,
+                     era_handler on_era);
 
     boost::asio::awaitable<store_read> read_table(std::string table) override;
     boost::asio::awaitable<store_read> read_row(std::string table,
@@ -33,6 +39,7 @@
 
 private:
     std::unique_ptr<row_store> store_;
+    store_clock& clock_;
     era_handler on_era_;
     std::uint64_t era_ = 0;
 };
--- a/libs/gateway/src/suspicion_store.cpp
+++ b/libs/gateway/src/suspicion_store.cpp
@@ -44,7 +44,7 @@
 
 void suspicion_store::keep()
 {
-    if (is_writing_ || is_stored())
+    if (is_writing_ || is_stored() || !context_.clock_of_store.is_known())
         return;
     is_writing_ = true;
     context_.serving.spawn(write_until_stored());
@@ -81,7 +81,7 @@
     const auto written = co_await context_.platform.store->write_row(
         quarantine_table,
         key_of(context_.self),
-        encode_suspicions(blames, wall_clock_ms()),
+        encode_suspicions(blames, context_.clock_of_store.estimate(boot_now())),
         version_);
     if (written.end != store_write_outcome::done) {
         co_await read_own_row();
@@ -106,7 +106,8 @@
     for (const auto& row : read.rows) {
         version_ = row.version;
         const auto now = steady_now();
-        for (const auto& entry : decode_blames(row.value, wall_clock_ms()))
+        for (const auto& entry : decode_blames(
+                 row.value, context_.clock_of_store.estimate(boot_now())))
             context_.quarantine.merge(entry.blame, now - entry.age);
     }
 }
--- a/libs/gateway/tests/quarantine_row_test.cpp
+++ b/libs/gateway/tests/quarantine_row_test.cpp
@@ -47,25 +47,27 @@
 
     void a_row_of_another_format_has_no_blames()
     {
-        for (const char* row :
-             {"",
-              "[]",
-              "{}",
-              R"({"requests":{}})",
-              R"({"requests":[1,null,[],{"fingerprint":1}]})",
-              R"({"fingerprint":-1,"crashes":[1],"last_ms":1})",
-              R"({"fingerprint":1.5,"crashes":[1],"last_ms":1})",
-              R"({"fingerprint":1,"crashes":[-1,1.5,"x",null],"last_ms":1})",
-              R"({"fingerprint":1,"crashes":[1],"last_ms":-1})",
-              R"({"fingerprint":1,"crashes":{},"last_ms":1})"})
+        for (
+            const char* row :
+            {"",
+             "[]",
+             "{}",
+             R"({"requests":{}})",
+             R"({"requests":[1,null,[],{"fingerprint":1}]})",
+             R"({"fingerprint":-1,"crashes":[1],"last_store_ms":1})",
+             R"({"fingerprint":1.5,"crashes":[1],"last_store_ms":1})",
+             R"({"fingerprint":1,"crashes":[-1,1.5,"x",null],"last_store_ms":1})",
+             R"({"fingerprint":1,"crashes":[1],"last_store_ms":-1})",
+             R"({"fingerprint":1,"crashes":{},"last_store_ms":1})"})
             CPPUNIT_ASSERT(decode_blames(row, 9000).empty());
     }
 
-    /// Clocks of daemons differ, so a row may carry a time in the future.
+    /// Daemons estimate the store's clock, so a row may carry a time in the
+    /// future.
     void a_row_from_the_future_has_age_zero()
     {
         const auto read = decode_blames(
-            R"({"fingerprint":1,"crashes":[1],"last_ms":10000})", 9000);
+            R"({"fingerprint":1,"crashes":[1],"last_store_ms":10000})", 9000);
         CPPUNIT_ASSERT(read.at(0).age == duration{0});
     }
 };
