Clear no request of ended servers by a failure of a server

Callers saw a request under which servers had ended go on ending them while some servers failed requests with 500. Cause: a whole answer cleared a request for a minute, and a 500 of a faulty server counted as one, although it may have failed before the request could do harm. Each daemon that got one neither blamed nor refused the request for that minute. The class: a weak sign is taken for a proof. Ruled out: late or foreign answers (they must name the request and bear the seal).

--- a/libs/gateway/src/gateway_call_answers.cpp
+++ b/libs/gateway/src/gateway_call_answers.cpp
@@ -28,6 +28,12 @@
     return status >= 200 && status < 300;
 }
 
+bool is_failure(unsigned status)
+{
+    constexpr unsigned first_failure = 500;
+    return status >= first_failure;
+}
+
 /// Returns true for a status that promises the caller that the request was not
 /// run.
 bool promises_not_run(unsigned status)
@@ -241,8 +247,7 @@
 /// retried.
 bool gateway_call::is_retryable_failure() const
 {
-    constexpr unsigned first_failure = 500;
-    return route_->is_retryable() && attempt_->head->status >= first_failure;
+    return route_->is_retryable() && is_failure(attempt_->head->status);
 }
 
 attempt_outcome gateway_call::classify(exchange_result end) const
@@ -286,7 +291,9 @@
             {attempt_->server, attempt_->started_ms},
             attempt_->target,
             {fingerprint_, attempt_->sent_at});
-    if (ended == attempt_outcome::answered && is_authentic_answer())
+    // A server that fails may not have got far enough to crash.
+    if (ended == attempt_outcome::answered && is_authentic_answer() &&
+        !is_failure(attempt_->head->status))
         context_.quarantine.on_answer(fingerprint_, now);
     if (ended == attempt_outcome::refused_by_server)
         on_rejected_by_server(now);
