Clear no request of a crash by an engine's failure in barleyforkd

scenario.failure_clears_no_crash failed before (the request ran a third time, outcome_unknown), and passes; the other 25 scenarios pass. The stand-in of an engine can fail completions for it.

--- a/libs/daemon/src/model_request.cpp
+++ b/libs/daemon/src/model_request.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr unsigned status_ok = 200;
+constexpr unsigned first_failure_status = 500;
 constexpr std::size_t max_prefix_bytes = 256;
 constexpr duration suspect_period{2000};
 constexpr double retry_after_seconds = 1.0;
@@ -409,7 +410,9 @@
 asio::awaitable<void> model_request::conclude(next_step step)
 {
     if (step == next_step::finish) {
-        front_.quarantine_.on_answer(request_.fingerprint, steady_now());
+        // An engine that fails may not have got far enough to crash.
+        if (status_ < first_failure_status)
+            front_.quarantine_.on_answer(request_.fingerprint, steady_now());
         co_await finish();
         co_return;
     }
--- a/libs/standins/src/engine_standin.cpp
+++ b/libs/standins/src/engine_standin.cpp
@@ -111,6 +111,7 @@
         take("delay_ms", delay_ms);
         take("second_copy_ms", second_copy_ms);
         take("leaving", leaving);
+        take("failing", failing);
         take("between_tokens_ms", options.between_tokens_ms);
         take("first_token_ms", options.first_token_ms);
         if (faults.contains("crash"))
@@ -234,8 +235,14 @@
             co_await out.send(std::move(refusal));
             co_return;
         }
-        ++outstanding;
         ++ran;
+        if (failing != 0) {
+            auto failure = answer_json("out of order", 500);
+            echo_exchange(in, failure);
+            co_await out.send(std::move(failure));
+            co_return;
+        }
+        ++outstanding;
         if (in.body.find("crash-engine") != std::string::npos) {
             crash();
             --outstanding;
@@ -379,6 +386,7 @@
     /// A whole answer is sent once more after this; 0 for once.
     std::int64_t second_copy_ms = 0;
     std::int64_t leaving = 0;
+    std::int64_t failing = 0;
 };
 
 engine_standin::engine_standin(io_worker& owner, engine_standin_options options)
