Read the instance list past deeply nested and unreadable entries

Reported by other operators: one odd entry, and the machines that read the list stopped following it. Here an entry nested over 32 levels, or one with bytes that are no UTF-8, made barleyforkd's list unreadable as a whole, since it is one document.

Levels below the eighth are cut out before the list is parsed, without recursion; a text that is no UTF-8 makes its own entry unusable. Weighed: a greater depth for the whole list (some depth always breaks it, and its destruction recurses).

--- a/libs/store/src/row_codec.cpp
+++ b/libs/store/src/row_codec.cpp
@@ -1,5 +1,7 @@
 #include <barleyfork/store/row_codec.hpp>
 
+#include "json_pruning.hpp"
+
 #include <barleyfork/base/digest.hpp>
 #include <barleyfork/base/log.hpp>
 
@@ -13,6 +15,8 @@
 
 namespace {
 
+/// No field of an instance nests deeper.
+constexpr std::size_t max_list_depth = 8;
 constexpr std::array<const char*, 3> order_kinds{"load", "unload", "fence"};
 constexpr std::array<const char*, 4> claim_states{
     "running", "answered", "unknown", "not_run"};
@@ -47,10 +51,13 @@
 /// Parses `text` and passes it to `decode`; returns any parse error or mismatch
 /// as a `protocol_error`.
 template <typename Decode>
-failure decode_text(std::string_view text, const char* what, Decode decode)
+failure decode_text(std::string_view text,
+                    const char* what,
+                    Decode decode,
+                    const json::parse_options& options = {})
 {
     try {
-        decode(json::parse({text.data(), text.size()}));
+        decode(json::parse({text.data(), text.size()}, {}, options));
         return {};
     }
     catch (const std::exception& error) {
@@ -59,10 +66,18 @@
     }
 }
 
+/// Throws if a text in the entry is not UTF-8, which the list as a whole is not
+/// checked for.
+void check_encoding(const json::value& entry)
+{
+    json::parse(json::serialize(entry));
+}
+
 /// Returns nothing for an entry that cannot be used, so that it hides no other.
 std::optional<listed_instance> parse_instance(const json::value& entry)
 {
     try {
+        check_encoding(entry);
         listed_instance instance;
         instance.id = instance_id(get_string(entry, "instance"));
         instance.address = get_string(entry, "address");
@@ -281,11 +296,17 @@
 
 failure decode(std::string_view text, std::vector<listed_instance>& out)
 {
-    return decode_text(text, "instance list", [&out](const auto& value) {
-        for (const auto& entry : value.at("instances").as_array())
-            if (auto instance = parse_instance(entry))
-                out.push_back(std::move(*instance));
-    });
+    json::parse_options options;
+    options.allow_invalid_utf8 = true;
+    return decode_text(
+        prune_nesting(text, max_list_depth),
+        "instance list",
+        [&out](const auto& value) {
+            for (const auto& entry : value.at("instances").as_array())
+                if (auto instance = parse_instance(entry))
+                    out.push_back(std::move(*instance));
+        },
+        options);
 }
 
 } // namespace barleyfork
