Share no limit before the other daemons know of it

Servers that named a limit got more than it allows from daemons that had just joined: one that had not read the list of daemons, as in an outage of the store, took the whole limit for itself, and one that the others did not list yet added a share to theirs for up to a minute. Cause: a daemon always counted itself. Found by reading.

Weighed: telling a newcomer's name with each message (a lost one would bring the fault back).

--- a/libs/core/include/barleyfork/core/request_limits.hpp
+++ b/libs/core/include/barleyfork/core/request_limits.hpp
@@ -35,8 +35,10 @@
 public:
     explicit request_limits(instance_id self);
 
-    /// Sets the daemons that share the limits; this one always belongs to them.
-    void set_daemons(std::vector<instance_id> listed);
+    /// Sets the daemons that share the limits. This one belongs to them if
+    /// `is_counted`: a daemon that the others do not list yet would add a share
+    /// to theirs, so it sends nothing to a process with a limit.
+    void set_daemons(std::vector<instance_id> listed, bool is_counted);
 
     /// Records an observation of this daemon or of another one. Older ones than
     /// the last are ignored. `draw` is a random number from 0 to 1, by which
@@ -98,6 +100,7 @@
 
     instance_id self_;
     std::vector<instance_id> others_;
+    bool is_counted_ = false;
     std::map<server_process, entry> entries_;
 };
 
--- a/libs/core/src/request_limits.cpp
+++ b/libs/core/src/request_limits.cpp
@@ -35,12 +35,14 @@
 
 request_limits::request_limits(instance_id self) : self_(std::move(self)) {}
 
-void request_limits::set_daemons(std::vector<instance_id> listed)
+void request_limits::set_daemons(std::vector<instance_id> listed,
+                                 bool is_counted)
 {
     std::erase(listed, self_);
-    if (listed == others_)
+    if (listed == others_ && is_counted == is_counted_)
         return;
     others_ = std::move(listed);
+    is_counted_ = is_counted;
     for (auto& [process, known] : entries_)
         if (known.per_second)
             known.gap = gap_for(process.server, *known.per_second);
@@ -51,6 +53,8 @@
 std::optional<duration> request_limits::gap_for(const server_id& server,
                                                 double per_second) const
 {
+    if (!is_counted_)
+        return std::nullopt;
     const auto own = rank_of(self_, server);
     const auto ahead =
         std::count_if(others_.begin(), others_.end(), [&](const auto& other) {
--- a/libs/core/tests/request_limits_test.cpp
+++ b/libs/core/tests/request_limits_test.cpp
@@ -44,7 +44,7 @@
                 listed.erase(listed.begin() +
                              static_cast<std::ptrdiff_t>(missing));
             daemons_.emplace_back(ids[i]);
-            daemons_.back().set_daemons(std::move(listed));
+            daemons_.back().set_daemons(std::move(listed), true);
         }
     }
 
@@ -108,6 +108,13 @@
     std::vector<time_point> sent_;
 };
 
+request_limits only_daemon()
+{
+    request_limits limits(instance_id("a"));
+    limits.set_daemons({}, true);
+    return limits;
+}
+
 class request_limits_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(request_limits_test);
@@ -115,6 +122,7 @@
     CPPUNIT_TEST(what_a_server_takes_is_used);
     CPPUNIT_TEST(a_process_that_names_no_limit_has_none);
     CPPUNIT_TEST(the_newest_observation_counts);
+    CPPUNIT_TEST(a_daemon_that_others_do_not_list_sends_nothing);
     CPPUNIT_TEST(a_limit_of_nothing_is_asked_again_now_and_then);
     CPPUNIT_TEST_SUITE_END();
 
@@ -151,7 +159,7 @@
 
     void a_process_that_names_no_limit_has_none()
     {
-        request_limits limits(instance_id("a"));
+        auto limits = only_daemon();
         CPPUNIT_ASSERT(!limits.next_allowed_at(process));
         limits.observe({process, 2.0, start}, 0.5, start);
         CPPUNIT_ASSERT(limits.next_allowed_at(process).has_value());
@@ -163,7 +171,7 @@
 
     void the_newest_observation_counts()
     {
-        request_limits limits(instance_id("a"));
+        auto limits = only_daemon();
         limits.observe({process, 2.0, start + tick}, 0.0, start + tick);
         limits.observe({process, {}, start}, 0.0, start + tick);
         CPPUNIT_ASSERT(limits.next_allowed_at(process) == start + tick);
@@ -172,9 +180,21 @@
         CPPUNIT_ASSERT(limits.recent(tick, start + 2 * tick).empty());
     }
 
-    void a_limit_of_nothing_is_asked_again_now_and_then()
+    void a_daemon_that_others_do_not_list_sends_nothing()
     {
         request_limits limits(instance_id("a"));
+        CPPUNIT_ASSERT(!limits.next_allowed_at(process));
+        limits.observe({process, 2.0, start}, 0.0, start);
+        CPPUNIT_ASSERT(limits.next_allowed_at(process) == time_point::max());
+        limits.set_daemons({instance_id("b")}, false);
+        CPPUNIT_ASSERT(limits.next_allowed_at(process) == time_point::max());
+        limits.set_daemons({instance_id("b")}, true);
+        CPPUNIT_ASSERT(limits.next_allowed_at(process) <= start);
+    }
+
+    void a_limit_of_nothing_is_asked_again_now_and_then()
+    {
+        auto limits = only_daemon();
         limits.observe({process, 0.0, start}, 1.0, start);
         const auto allowed = limits.next_allowed_at(process);
         CPPUNIT_ASSERT(allowed.has_value());
--- a/libs/gateway/src/peer_updates.hpp
+++ b/libs/gateway/src/peer_updates.hpp
@@ -167,6 +167,7 @@
     boost::asio::awaitable<bool> read_members();
     void apply_members(const store_read& read);
     void apply_member(const store_row& row);
+    void update_limit_sharers();
     void update_reader_rank();
     boost::asio::awaitable<void> register_self();
     boost::asio::awaitable<void> register_again();
@@ -181,6 +182,10 @@
     std::map<instance_id, member> members_;
     /// This daemon's row in the store as last read.
     store_row own_row_;
+    /// Whether the list of daemons was read since the start.
+    bool has_read_members_ = false;
+    /// From when on the other daemons list this one.
+    std::optional<time_point> counted_from_;
     /// When this daemon checks its row, which a restored store may lack.
     std::optional<time_point> registration_due_at_;
     /// Whether the last report to the neighbours announced that this daemon
--- a/libs/gateway/src/peer_updates_neighbours.cpp
+++ b/libs/gateway/src/peer_updates_neighbours.cpp
@@ -22,6 +22,8 @@
 /// all of them, also learns of new ones from their own messages.
 constexpr std::int64_t member_interval_ms = 60000;
 constexpr std::int64_t holder_interval_ms = 3000;
+/// Time after which all daemons have read of a new one.
+constexpr duration joining_delay{member_interval_ms + 5000};
 /// Interval of checks whether a read of that list is due, and thus also the
 /// delay after a failed read.
 constexpr std::int64_t member_poll_ms = 600;
@@ -112,6 +114,8 @@
         request_neighbour_snapshots();
     const bool listed_before = own_row_.version.is_known();
     co_await register_self();
+    const bool is_new = !listed_before && !context_.settings.first_start;
+    counted_from_ = steady_now() + (is_new ? joining_delay : duration{0});
     // Daemons that start together for the first time are all listed only after
     // a while, so the list is read again soon.
     auto read_at =
@@ -124,6 +128,7 @@
         // lease.
         const duration interval(is_lease_holder_ ? holder_interval_ms
                                                  : member_interval_ms);
+        update_limit_sharers();
         if (steady_now() < read_at + interval)
             continue;
         if (co_await read_members())
@@ -142,11 +147,21 @@
     // This daemon may not be listed yet.
     const std::size_t unlisted = members_.contains(context_.self) ? 0 : 1;
     context_.set_daemon_count(members_.size() + unlisted);
+    has_read_members_ = true;
+    update_limit_sharers();
+    update_reader_rank();
+}
+
+/// Sets which daemons share the limits that servers name. This one is among
+/// them once it knows the others and they know it.
+void peer_updates::update_limit_sharers()
+{
     std::vector<instance_id> listed;
     for (const auto& [id, entry] : members_)
         listed.push_back(id);
-    context_.limits.set_daemons(std::move(listed));
-    update_reader_rank();
+    const bool is_counted =
+        has_read_members_ && counted_from_ && steady_now() >= *counted_from_;
+    context_.limits.set_daemons(std::move(listed), is_counted);
 }
 
 void peer_updates::apply_member(const store_row& row)
