Grant no slack of the retry budget again at each restart

Repeats piled up beyond the budget where gateways were killed again and again while servers turned most requests away. The class: a bound of all against what one process knows.

A process with predecessors now gains its half over one window, so that any number of restarts in a window grants no more than the other half. Weighed: no slack at all for a window (callers get nothing where few requests come).

--- a/libs/core/include/barleyfork/core/shared_retry_budget.hpp
+++ b/libs/core/include/barleyfork/core/shared_retry_budget.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 
 namespace barleyfork {
 
@@ -23,8 +24,9 @@
 ///
 /// In every sliding window the daemon's retries are at most `ratio` times its
 /// own first attempts plus its share of the slack. A restarted daemon does not
-/// know how much its predecessor used, so each daemon uses only half of an even
-/// share. Not thread-safe.
+/// know how much its predecessors used: each daemon uses only half of an even
+/// share, and a process that has predecessors gains it over one window, so that
+/// any number of restarts grants no more than the other half. Not thread-safe.
 class shared_retry_budget
 {
     struct retry_count
@@ -37,6 +39,10 @@
 public:
     explicit shared_retry_budget(shared_retry_limits limits);
 
+    /// Lets the share of the slack grow from nothing at `start`, since earlier
+    /// processes of this daemon may have used it.
+    void set_predecessors(time_point start) noexcept;
+
     /// Sets the number of daemons that share the slack; 0 counts as 1.
     void set_daemon_count(std::size_t count) noexcept;
 
@@ -73,11 +79,16 @@
     std::unique_ptr<reservation> reserve_retry(time_point now);
 
 private:
+    /// Returns the part of the slack that this process may use.
+    double slack_at(time_point now) const;
+
     /// Removes the attempts that are older than the window.
     void remove_expired(time_point now);
 
     shared_retry_limits limits_;
     double share_;
+    /// When the process started, if it has predecessors.
+    std::optional<time_point> grows_from_;
     std::deque<time_point> first_attempts_;
     /// Shared with the reservations, which may outlive the budget.
     std::shared_ptr<retry_count> retries_ = std::make_shared<retry_count>();
--- a/libs/core/src/shared_retry_budget.cpp
+++ b/libs/core/src/shared_retry_budget.cpp
@@ -10,12 +10,13 @@
 /// Number of daemons assumed to share the slack until the actual number is set:
 /// the most that a deployment has.
 constexpr std::size_t assumed_daemons = 512;
-/// Processes of a daemon in one window: one and its successor after a restart.
-constexpr double processes_per_window = 2.0;
+/// One that uses its share at once, and its successors, which gain theirs over
+/// the window.
+constexpr double shares_per_window = 2.0;
 
 double share_of(double slack, std::size_t daemons)
 {
-    return slack / (processes_per_window * static_cast<double>(daemons));
+    return slack / (shares_per_window * static_cast<double>(daemons));
 }
 
 void remove_until(std::deque<time_point>& times, time_point limit)
@@ -36,6 +37,20 @@
     share_ = share_of(limits_.slack, std::max<std::size_t>(count, 1));
 }
 
+void shared_retry_budget::set_predecessors(time_point start) noexcept
+{
+    grows_from_ = start;
+}
+
+double shared_retry_budget::slack_at(time_point now) const
+{
+    if (!grows_from_)
+        return share_;
+    const auto age = static_cast<double>((now - *grows_from_).count());
+    const auto window = static_cast<double>(limits_.window.count());
+    return share_ * std::clamp(age / window, 0.0, 1.0);
+}
+
 void shared_retry_budget::record_first_attempt(time_point now)
 {
     remove_expired(now);
@@ -48,7 +63,7 @@
     const auto first_attempts = static_cast<double>(first_attempts_.size());
     const auto retries =
         static_cast<double>(retries_->sent.size() + retries_->reserved);
-    return retries + 1.0 <= limits_.ratio * first_attempts + share_;
+    return retries + 1.0 <= limits_.ratio * first_attempts + slack_at(now);
 }
 
 std::unique_ptr<shared_retry_budget::reservation>
--- a/libs/core/tests/gateway_parts_test.cpp
+++ b/libs/core/tests/gateway_parts_test.cpp
@@ -13,6 +13,7 @@
 #include <barleyfork/testing/property.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <deque>
 #include <map>
 
 namespace barleyfork {
@@ -63,6 +64,7 @@
     CPPUNIT_TEST(misdirected_server_is_not_usable_until_a_new_process);
     CPPUNIT_TEST(retries_stay_within_every_window);
     CPPUNIT_TEST(retries_decided_together_share_the_budget);
+    CPPUNIT_TEST(restarts_grant_no_slack_again);
     CPPUNIT_TEST(daemons_that_know_no_others_keep_the_budget);
     CPPUNIT_TEST(less_urgent_work_does_not_count);
     CPPUNIT_TEST(work_of_peers_is_counted_once);
@@ -291,6 +293,45 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{8}, decided.size());
     }
 
+    /// Daemons that are each started anew again and again, at random, and want
+    /// as many retries as they may have.
+    void restarts_grant_no_slack_again()
+    {
+        testing::check_property("retry budget over restarts", 100, [] {
+            const auto daemons = *rc::gen::inRange<std::size_t>(1, 6);
+            const shared_retry_limits limits{0.2, duration{1000}, 16.0};
+            const auto restart = [&](time_point now) {
+                shared_retry_budget budget(limits);
+                budget.set_daemon_count(daemons);
+                budget.set_predecessors(now);
+                return budget;
+            };
+            std::vector<shared_retry_budget> budgets;
+            for (std::size_t i = 0; i < daemons; ++i) {
+                budgets.emplace_back(limits);
+                budgets.back().set_daemon_count(daemons);
+            }
+            std::deque<time_point> retries;
+            constexpr int steps = 400;
+            const auto restart_percent = *rc::gen::inRange(0, 30);
+            for (int step = 0; step < steps; ++step) {
+                const auto now = start + duration{10} * step;
+                for (auto& budget : budgets) {
+                    if (*rc::gen::inRange(0, 100) < restart_percent)
+                        budget = restart(now);
+                    while (const auto retry = budget.reserve_retry(now)) {
+                        retry->spend(now);
+                        retries.push_back(now);
+                    }
+                }
+                while (!retries.empty() &&
+                       retries.front() <= now - limits.window)
+                    retries.pop_front();
+                RC_ASSERT(static_cast<double>(retries.size()) <= limits.slack);
+            }
+        });
+    }
+
     /// Hundreds that start while the list of daemons cannot be read.
     void daemons_that_know_no_others_keep_the_budget()
     {
--- a/libs/gateway/src/gateway_context.cpp
+++ b/libs/gateway/src/gateway_context.cpp
@@ -151,6 +151,8 @@
     auto& budget = budgets_.emplace(service, limits).first->second;
     if (daemons_ > 0)
         budget.set_daemon_count(daemons_);
+    if (!settings.first_start)
+        budget.set_predecessors(started_at_);
     return budget;
 }
 
--- a/libs/gateway/src/gateway_context.hpp
+++ b/libs/gateway/src/gateway_context.hpp
@@ -190,6 +190,7 @@
     std::map<failure_domain_id, region_id> regions_;
     std::map<service_id, shared_retry_budget> budgets_;
     std::size_t daemons_ = 0;
+    time_point started_at_ = steady_now();
     store_era era_;
 };
 
