Load elsewhere what a server with a limit alone holds

Callers of a model that only a limited server held were refused for as long as it named its limit: placement knew nothing of limits, so the server counted as one with all its capacity.

The planner already weighs a server's capacity; the holder now sets it to the mean work of as many requests as the server takes, 1 where it names none.

models_of_a_limited_server_are_loaded_elsewhere: without the capacity (the test's second case, capacity 1) no load in 20 s; with it the model is loaded on another server. 138 core tests pass.

--- a/libs/core/include/barleyfork/core/placement_controller.hpp
+++ b/libs/core/include/barleyfork/core/placement_controller.hpp
@@ -136,6 +136,10 @@
     /// Updates the service's servers from the list.
     void observe(std::span<const backend_state* const> servers, time_point now);
 
+    /// Sets how much work a listed server can do, in server-seconds per second:
+    /// less than 1 while it limits its requests.
+    void set_capacity(const server_id& server, double capacity);
+
     /// Adds work that callers requested of a model, in server-seconds.
     void add_demand(const model_id& model, double work);
 
@@ -263,6 +267,8 @@
     struct engine_server
     {
         failure_domain_id failure_domain;
+        /// Work that it can do, in server-seconds per second.
+        double capacity = 1.0;
         bool usable = true;
         /// Whether another holder sent it an order a short time ago.
         bool in_holder_gap = false;
--- a/libs/core/include/barleyfork/core/request_limits.hpp
+++ b/libs/core/include/barleyfork/core/request_limits.hpp
@@ -52,6 +52,10 @@
     std::optional<time_point>
     next_allowed_at(const server_process& process) const;
 
+    /// Returns how many requests per second the process takes from all daemons;
+    /// nothing if it has no limit.
+    std::optional<double> rate(const server_process& process) const;
+
     /// Returns how many requests per second this daemon may send to the
     /// process; nothing if the process has no limit.
     std::optional<double> own_rate(const server_process& process) const;
--- a/libs/core/src/placement_controller.cpp
+++ b/libs/core/src/placement_controller.cpp
@@ -303,6 +303,7 @@
     planner_server entry;
     entry.id = id;
     entry.failure_domain = server.failure_domain;
+    entry.capacity = server.capacity;
     entry.memory_mib = engine_.memory_mb;
     entry.committed_mib = committed_mb(server);
     entry.usable = server.usable;
@@ -350,6 +351,14 @@
     return entry;
 }
 
+void placement_controller::set_capacity(const server_id& server,
+                                        double capacity)
+{
+    const auto found = servers_.find(server);
+    if (found != servers_.end())
+        found->second.capacity = capacity;
+}
+
 planner_input placement_controller::make_input(time_point now)
 {
     planner_input input;
--- a/libs/core/src/request_limits.cpp
+++ b/libs/core/src/request_limits.cpp
@@ -105,6 +105,12 @@
                              : time_point::max();
 }
 
+std::optional<double> request_limits::rate(const server_process& process) const
+{
+    const auto found = entries_.find(process);
+    return found == entries_.end() ? std::nullopt : found->second.per_second;
+}
+
 std::optional<double>
 request_limits::own_rate(const server_process& process) const
 {
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -29,6 +29,8 @@
 constexpr double attempt_timeout_factor = 4.0;
 /// The cost of an output token relative to a prompt token.
 constexpr double output_weight = 2.5;
+/// The weight of a new sample in the mean work of a request.
+constexpr double work_smoothing = 0.02;
 constexpr double ms_per_second = 1000.0;
 /// Reading from a server resumes once fewer than this many bytes are unsent to
 /// the caller.
@@ -147,8 +149,11 @@
     const double tokens =
         static_cast<double>(facts_.prompt_tokens) +
         output_weight * static_cast<double>(facts_.max_output_tokens);
-    context_.demand_to_report.work[facts_.model] +=
-        tokens * work().ms_per_token / ms_per_second;
+    const double work_s = tokens * work().ms_per_token / ms_per_second;
+    context_.demand_to_report.work[facts_.model] += work_s;
+    auto& mean_s =
+        context_.request_work_s.try_emplace(service_, work_s).first->second;
+    mean_s += work_smoothing * (work_s - mean_s);
     if (!facts_.adapter.empty())
         context_.demand_to_report.uses.emplace(facts_.model, facts_.adapter);
 }
--- a/libs/gateway/src/gateway_context.cpp
+++ b/libs/gateway/src/gateway_context.cpp
@@ -122,6 +122,17 @@
     wake_when_allowed(process);
 }
 
+double gateway_context::capacity(const backend_entry& server) const
+{
+    // Of a server that takes nothing, the planner still compares the load.
+    constexpr double min_capacity = 0.01;
+    const auto rate = limits.rate({server.id, server.held.started_ms});
+    const auto work = request_work_s.find(server.service);
+    if (!rate || work == request_work_s.end())
+        return 1.0;
+    return std::clamp(*rate * work->second, min_capacity, 1.0);
+}
+
 void gateway_context::count_against_limit(const server_process& process,
                                           time_point now)
 {
--- a/libs/gateway/src/gateway_context.hpp
+++ b/libs/gateway/src/gateway_context.hpp
@@ -113,6 +113,10 @@
     /// holder receives updates from all of them.
     duration update_interval() const noexcept;
 
+    /// Returns the work that a server can do within the limit that it named, in
+    /// server-seconds per second; 1 if that is no restriction.
+    double capacity(const backend_entry& server) const;
+
     /// Returns the work that other daemons may have sent to a server in the
     /// time by which the update interval exceeds its minimum, in milliseconds
     /// of server time.
@@ -157,6 +161,9 @@
     bool has_server_list = false;
     backend_loads loads;
     std::map<model_id, pace_estimator> paces;
+    /// The smoothed work of a request to each engine service, in
+    /// server-seconds.
+    std::map<service_id, double> request_work_s;
     /// The smoothed response time of each plain service, in milliseconds.
     std::map<service_id, double> service_times_ms;
     placement_demand demand_to_report;
--- a/libs/gateway/src/placement_worker.cpp
+++ b/libs/gateway/src/placement_worker.cpp
@@ -145,6 +145,9 @@
             if (state.entry.service == service.id)
                 servers.push_back(&state);
         found->second.observe(servers, now);
+        for (const auto* server : servers)
+            found->second.set_capacity(server->entry.id,
+                                       context_.capacity(server->entry));
     }
 }
 
