--- a/libs/core/tests/crash_quarantine_test.cpp
+++ b/libs/core/tests/crash_quarantine_test.cpp
@@ -1,4 +1,3 @@
-#include <barleyfork/core/crash_detector.hpp>
 #include <barleyfork/core/crash_quarantine.hpp>
 #include <barleyfork/core/suspect_runs.hpp>
 #include <barleyfork/testing/property.hpp>
@@ -110,11 +109,6 @@
     CPPUNIT_TEST(a_crash_after_a_refusal_doubles_the_refusal);
     CPPUNIT_TEST(merged_refusals_end_at_the_same_time);
     CPPUNIT_TEST(entries_are_bounded);
-    CPPUNIT_TEST(a_broken_connection_alone_is_no_crash);
-    CPPUNIT_TEST(all_requests_of_a_crash_are_reported_once);
-    CPPUNIT_TEST(a_process_crashes_once);
-    CPPUNIT_TEST(the_crash_of_a_successor_carries_its_id);
-    CPPUNIT_TEST(the_crash_of_a_listed_successor_carries_its_id);
     CPPUNIT_TEST(a_crash_under_the_old_id_refuses_no_innocent_request);
     CPPUNIT_TEST(a_request_with_five_crashes_beside_the_cause_is_served);
     CPPUNIT_TEST(suspicions_are_those_below_a_refusal);
@@ -352,125 +346,6 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, quarantine.crashes(1000));
     }
 
-    void a_broken_connection_alone_is_no_crash()
-    {
-        crash_detector detector;
-        const listening_process process{{server_id("s"), 5}, "a", 1};
-        const auto due =
-            detector.on_connection_broken(process, {1, at(0)}, at(0));
-        CPPUNIT_ASSERT(due == at(0) + crash_detector::settling_period);
-        CPPUNIT_ASSERT(
-            detector.on_probe(process.process.server, true, at(20)).empty());
-        // The server is not probed for each broken connection.
-        const auto later =
-            detector.on_connection_broken(process, {2, at(30)}, at(30));
-        CPPUNIT_ASSERT(later == *due + crash_detector::min_probe_interval);
-    }
-
-    void all_requests_of_a_crash_are_reported_once()
-    {
-        crash_detector detector;
-        const listening_process process{{server_id("s"), 5}, "a", 1};
-        CPPUNIT_ASSERT(
-            detector.on_connection_broken(process, {1, at(0)}, at(0)));
-        CPPUNIT_ASSERT(
-            !detector.on_connection_broken(process, {2, at(0)}, at(5)));
-        const auto ended =
-            detector.on_probe(process.process.server, false, at(20));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ended.size());
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, ended.front().in_flight.size());
-        CPPUNIT_ASSERT(
-            detector.on_probe(process.process.server, false, at(20)).empty());
-        crash_detector elsewhere;
-        elsewhere.on_connection_broken(process, {9, at(0)}, at(700));
-        CPPUNIT_ASSERT_EQUAL(
-            ended.front().crash,
-            elsewhere.on_probe(process.process.server, false, at(20))
-                .front()
-                .crash);
-    }
-
-    /// A successor listens at the address before it is listed.
-    void a_process_crashes_once()
-    {
-        crash_detector detector;
-        const listening_process process{{server_id("s"), 5}, "a", 1};
-        detector.on_connection_broken(process, {1, at(0)}, at(0));
-        const auto ended =
-            detector.on_probe(process.process.server, false, at(20));
-        // The request was sent to the successor, which still runs.
-        CPPUNIT_ASSERT(
-            detector.on_connection_broken(process, {2, at(500)}, at(700)));
-        CPPUNIT_ASSERT(
-            detector.on_probe(process.process.server, true, at(720)).empty());
-        // The request broke with the exited process and is reported late.
-        CPPUNIT_ASSERT(
-            detector.on_connection_broken(process, {3, at(10)}, at(800)));
-        const auto late =
-            detector.on_probe(process.process.server, true, at(1300));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, late.size());
-        CPPUNIT_ASSERT_EQUAL(ended.front().crash, late.front().crash);
-        CPPUNIT_ASSERT(late.front().in_flight == std::vector<std::uint64_t>{3});
-        // The successor is listed.
-        const listening_process next{{server_id("s"), 6}, "a", 1};
-        CPPUNIT_ASSERT(
-            detector.on_connection_broken(next, {4, at(2000)}, at(2100)));
-        CPPUNIT_ASSERT(
-            detector.on_probe(next.process.server, true, at(2120)).empty());
-    }
-
-    /// The crash of a successor that is listed later carries the successor's
-    /// id.
-    void the_crash_of_a_successor_carries_its_id()
-    {
-        crash_detector detector;
-        const listening_process process{{server_id("s"), 5}, "a", 1};
-        const listening_process next{{server_id("t"), 6}, "a", 1};
-        const listening_process elsewhere{{server_id("u"), 6}, "a", 2};
-        detector.on_connection_broken(process, {1, at(0)}, at(0));
-        detector.on_probe(process.process.server, false, at(20));
-        CPPUNIT_ASSERT(
-            detector.on_connection_broken(process, {2, at(500)}, at(700)));
-        CPPUNIT_ASSERT(
-            detector.on_probe(process.process.server, false, at(720)).empty());
-        CPPUNIT_ASSERT(!detector.on_process_listed(process));
-        CPPUNIT_ASSERT(!detector.on_process_listed(elsewhere));
-        const auto ended = detector.on_process_listed(next);
-        CPPUNIT_ASSERT(ended);
-        CPPUNIT_ASSERT(ended->in_flight == std::vector<std::uint64_t>{2});
-        CPPUNIT_ASSERT(!detector.on_process_listed(next));
-        crash_detector other;
-        other.on_connection_broken(next, {3, at(500)}, at(700));
-        CPPUNIT_ASSERT_EQUAL(
-            other.on_probe(next.process.server, false, at(720)).front().crash,
-            ended->crash);
-    }
-
-    /// The probe is completed after the successor was listed.
-    void the_crash_of_a_listed_successor_carries_its_id()
-    {
-        crash_detector detector;
-        const listening_process process{{server_id("s"), 5}, "a", 1};
-        const listening_process next{{server_id("t"), 6}, "a", 1};
-        const listening_process third{{server_id("u"), 7}, "a", 1};
-        detector.on_connection_broken(process, {1, at(0)}, at(0));
-        detector.on_probe(process.process.server, false, at(20));
-        CPPUNIT_ASSERT(
-            detector.on_connection_broken(process, {2, at(500)}, at(700)));
-        CPPUNIT_ASSERT(!detector.on_process_listed(next));
-        const auto ended =
-            detector.on_probe(process.process.server, false, at(720));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ended.size());
-        CPPUNIT_ASSERT(ended.front().in_flight ==
-                       std::vector<std::uint64_t>{2});
-        CPPUNIT_ASSERT(!detector.on_process_listed(third));
-        crash_detector other;
-        other.on_connection_broken(next, {3, at(500)}, at(700));
-        CPPUNIT_ASSERT_EQUAL(
-            other.on_probe(next.process.server, false, at(720)).front().crash,
-            ended.front().crash);
-    }
-
     /// The cause was in flight at the third crash too, but its daemon knew the
     /// server by the id of an exited process and reported another crash id.
     void a_crash_under_the_old_id_refuses_no_innocent_request()
