--- a/libs/gateway/src/restorable_store.hpp
+++ b/libs/gateway/src/restorable_store.hpp
@@ -11,9 +11,8 @@
 namespace barleyfork {
 
 /// Reports the era and the clock of each response of another store, and refuses
-/// writes that
-/// expect a row version of an earlier era: after a restore the same number may
-/// belong to another row state.
+/// writes that expect a row version of an earlier era: after a restore the same
+/// number may belong to another row state.
 class restorable_store : public row_store
 {
 public:
