--- a/libs/core/include/barleyfork/core/crash_quarantine.hpp
+++ b/libs/core/include/barleyfork/core/crash_quarantine.hpp
@@ -107,7 +107,7 @@
     /// Returns the attributions of all refused requests.
     std::vector<reported_blame> refusals(time_point now) const;
 
-    /// Returns the attributions of requests that are blamed but not refused,
+    /// Returns the attributions of requests that are suspected but not refused,
     /// those of the requests with the most crashes first; `limit` at most.
     std::vector<reported_blame> suspicions(time_point now,
                                            std::size_t limit) const;
--- a/libs/core/src/crash_quarantine.cpp
+++ b/libs/core/src/crash_quarantine.cpp
@@ -208,8 +208,7 @@
 {
     std::vector<std::pair<std::uint64_t, const entry*>> suspects;
     for (const auto& [fingerprint, known] : entries_)
-        if (now < refused_until(known) && !is_trusted(fingerprint, now) &&
-            !meets_refusal_rule(known, now))
+        if (suspected(fingerprint, now) && !meets_refusal_rule(known, now))
             suspects.emplace_back(fingerprint, &known);
     std::stable_sort(suspects.begin(),
                      suspects.end(),
--- a/libs/gateway/src/peer_updates_quarantine.cpp
+++ b/libs/gateway/src/peer_updates_quarantine.cpp
@@ -133,10 +133,11 @@
     return message;
 }
 
-/// Logs each request that is refused from now on. Stores the refusals and the
-/// suspicions, by the holder or, while no holder is responsive, by every
-/// daemon. A request may become refused without a new crash of its own, because
-/// another request that met the same crashes got a response.
+/// Logs each request that is refused from now on. Stores the refusals, by the
+/// holder or, while no holder is responsive, by every daemon, and the
+/// suspicions, by the holder. A request may become refused without a new crash
+/// of its own, because another request that met the same crashes got a
+/// response.
 void peer_updates::process_refusals(time_point now)
 {
     std::set<std::uint64_t> refused;
@@ -159,7 +160,9 @@
     if (!is_lease_holder_ && is_holder_responsive(now))
         return;
     refusals_.keep(refused);
-    suspicions_.keep();
+    // One writer: after the loss of a holder all daemons know the same.
+    if (is_lease_holder_)
+        suspicions_.keep();
 }
 
 void peer_updates::merge_blames(std::span<const reported_blame> blames)
