--- a/libs/gateway/src/suspicion_store.cpp
+++ b/libs/gateway/src/suspicion_store.cpp
@@ -18,7 +18,7 @@
 
 /// Interval between two writes; crashes within it share one write.
 constexpr std::int64_t write_interval_ms = 1000;
-/// Maximum number of attributions in the row, 4 KB at most.
+/// Maximum number of attributions in the row, 6.2 KB at most.
 constexpr std::size_t max_blames_per_row = 64;
 
 /// Rows of daemons and rows of refused requests share a table; the keys of the
--- a/libs/gateway/src/suspicion_store.hpp
+++ b/libs/gateway/src/suspicion_store.hpp
@@ -8,10 +8,9 @@
 
 namespace barleyfork {
 
-/// Keeps in the store the crashes that are attributed to requests below the
-/// refusal threshold, in one row for each daemon that writes them. Crashes that
-/// daemons meet before they all stop, or while they do not hear each other, add
-/// up this way. Used by one worker only.
+/// Keeps in the store the crashes that are attributed to suspected requests
+/// below the refusal threshold, in one row of each lease holder, so that they
+/// are still counted after all daemons stopped. Used by one worker only.
 class suspicion_store
 {
 public:
