Write suspicions only while holding the lease

Read at the end: the write of a holder's row repeated itself until all that was known was stored, also after the lease was lost, so that the store could have more writers than the one that its bound is for. Each call now writes once, a second apart at least, and only the holder calls.

--- a/libs/gateway/src/suspicion_store.cpp
+++ b/libs/gateway/src/suspicion_store.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 /// Interval between two writes; crashes within it share one write.
-constexpr std::int64_t write_interval_ms = 1000;
+constexpr duration write_interval{1000};
 /// Maximum number of attributions in the row, 6.2 KB at most.
 constexpr std::size_t max_blames_per_row = 64;
 
@@ -44,10 +44,13 @@
 
 void suspicion_store::keep()
 {
-    if (is_writing_ || is_stored() || !context_.clock_of_store.is_known())
+    const auto now = steady_now();
+    if (is_writing_ || now < next_write_at_ || is_stored() ||
+        !context_.clock_of_store.is_known())
         return;
     is_writing_ = true;
-    context_.serving.spawn(write_until_stored());
+    next_write_at_ = now + write_interval;
+    context_.serving.spawn(write());
 }
 
 void suspicion_store::on_store_restored()
@@ -63,16 +66,13 @@
         stored_.begin(), stored_.end(), known.begin(), known.end());
 }
 
-asio::awaitable<void> suspicion_store::write_until_stored()
+asio::awaitable<void> suspicion_store::write()
 {
-    while (!is_stored()) {
-        co_await write();
-        co_await sleep_for_ms(write_interval_ms);
-    }
+    co_await write_row();
     is_writing_ = false;
 }
 
-asio::awaitable<void> suspicion_store::write()
+asio::awaitable<void> suspicion_store::write_row()
 {
     const auto blames =
         context_.quarantine.suspicions(steady_now(), max_blames_per_row);
--- a/libs/gateway/src/suspicion_store.hpp
+++ b/libs/gateway/src/suspicion_store.hpp
@@ -17,6 +17,8 @@
     explicit suspicion_store(gateway_context& context);
 
     /// Writes this daemon's row if it lacks an attribution that is known here.
+    /// The holder calls this at each of its updates, so that a failed write is
+    /// repeated, and only while it holds the lease.
     void keep();
 
     /// Forgets what is stored, since the store was restored from a backup that
@@ -25,8 +27,8 @@
 
 private:
     bool is_stored() const;
-    boost::asio::awaitable<void> write_until_stored();
     boost::asio::awaitable<void> write();
+    boost::asio::awaitable<void> write_row();
     boost::asio::awaitable<void> read_own_row();
 
     gateway_context& context_;
@@ -35,6 +37,7 @@
     /// The row's version as last known.
     store_version version_;
     bool is_writing_ = false;
+    time_point next_write_at_{};
 };
 
 } // namespace barleyfork
