--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -261,6 +261,7 @@
     ++sends_per_server_[chosen.server];
     log_event(log_level::info, "request_sent")
         .with("request", facts_.client_attempt_id)
+        .with("caller", request_.caller_address)
         .with("server", chosen.server.value())
         .with("fingerprint", fingerprint_text())
         .with("model", facts_.model.value())
