Know a request that ends servers whatever address it comes from

Cause: the fingerprint of a request contained the address of its caller's connection. The same request through other connections was a new one each time, and each address had three servers of its own to end.

--- a/libs/gateway/src/http_text.cpp
+++ b/libs/gateway/src/http_text.cpp
@@ -48,6 +48,20 @@
     return false;
 }
 
+/// Returns the host that a request names, in lower case and without the port,
+/// as routes are matched.
+std::string host_name(const header_list& headers)
+{
+    const auto host = find_header(headers, "host").value_or("");
+    std::string name(host.substr(0, host.find(':')));
+    std::transform(name.begin(), name.end(), name.begin(), [](char letter) {
+        return letter >= 'A' && letter <= 'Z'
+                   ? static_cast<char>(letter - 'A' + 'a')
+                   : letter;
+    });
+    return name;
+}
+
 void append_header(std::string& out,
                    std::string_view name,
                    std::string_view value)
@@ -76,10 +90,12 @@
 
 std::uint64_t caller_request::fingerprint() const
 {
-    auto hash = hash64(caller_address);
-    for (const std::string_view part : {std::string_view(method),
-                                        std::string_view(target),
-                                        std::string_view(body)})
+    auto hash = hash64(host_name(headers));
+    for (const std::string_view part :
+         {find_header(headers, "authorization").value_or(""),
+          std::string_view(method),
+          std::string_view(target),
+          std::string_view(body)})
         hash = hash64(part, hash);
     return hash;
 }
