Keep a refusal when another request is blamed later

Cause: another request counts as a possible cause where it has as many ends and lacks fewer than three of this one's. Of three ends one in common is enough, and reached its third end at 15.7 s, long after the first was refused and no longer sent. Now only ends within 4 s of the request's own last end, the time in which reports arrive, make another one a rival.

--- a/libs/core/include/barleyfork/core/crash_quarantine.hpp
+++ b/libs/core/include/barleyfork/core/crash_quarantine.hpp
@@ -136,6 +136,7 @@
     std::size_t settled_crashes(const entry& known, time_point now) const;
     bool has_other_suspect(const entry& known,
                            std::size_t at_least,
+                           time_point until,
                            time_point now) const;
     bool meets_refusal_rule(const entry& known, time_point now) const;
     void make_room(time_point now);
--- a/libs/core/src/crash_quarantine.cpp
+++ b/libs/core/src/crash_quarantine.cpp
@@ -14,6 +14,9 @@
 /// Crashes past the threshold that the decision waits for to separate requests
 /// that share the same crashes.
 constexpr std::size_t max_undecided_crashes = 2;
+/// Crashes of other requests that happen later than this after the last one of
+/// a refused request do not count in its favour: it was not there.
+constexpr duration max_report_delay{4000};
 
 std::uint64_t mix_bits(std::uint64_t fingerprint)
 {
@@ -128,13 +131,20 @@
         }));
 }
 
-/// Returns whether another request may be the cause: it has `at_least` crashes,
-/// and fewer than `refusal_threshold` of this one's crashes happened without
-/// it.
+/// Returns whether another request may be the cause: it has `at_least` crashes
+/// by `until`, and fewer than `refusal_threshold` of this one's crashes
+/// happened without it.
 bool crash_quarantine::has_other_suspect(const entry& known,
                                          std::size_t at_least,
+                                         time_point until,
                                          time_point now) const
 {
+    const auto crashes_by = [until](const entry& other) {
+        return static_cast<std::size_t>(std::count_if(
+            other.crashes.begin(),
+            other.crashes.end(),
+            [until](const auto& crash) { return crash.second <= until; }));
+    };
     const auto crashes_without = [&](const entry& other) {
         return static_cast<std::size_t>(std::count_if(
             known.crashes.begin(), known.crashes.end(), [&](const auto& crash) {
@@ -144,7 +154,7 @@
     };
     return std::any_of(entries_.begin(), entries_.end(), [&](const auto& item) {
         const auto& other = item.second;
-        return &other != &known && other.crashes.size() >= at_least &&
+        return &other != &known && crashes_by(other) >= at_least &&
                crashes_without(other) < limits_.refusal_threshold;
     });
 }
@@ -155,12 +165,13 @@
     const auto settled = settled_crashes(known, now);
     if (settled < limits_.refusal_threshold || now >= refused_until(known))
         return false;
-    if (!has_other_suspect(known, settled, now))
+    const auto reported_by = known.last_crash_at + max_report_delay;
+    if (!has_other_suspect(known, settled, reported_by, now))
         return true;
     return settled >= limits_.refusal_threshold + max_undecided_crashes &&
            settled_crashes(known, now - limits_.doubt) >=
                limits_.refusal_threshold &&
-           !has_other_suspect(known, known.crashes.size() + 1, now);
+           !has_other_suspect(known, known.crashes.size() + 1, now, now);
 }
 
 bool crash_quarantine::suspected(std::uint64_t fingerprint,
--- a/libs/core/tests/crash_quarantine_test.cpp
+++ b/libs/core/tests/crash_quarantine_test.cpp
@@ -111,6 +111,7 @@
     CPPUNIT_TEST(entries_are_bounded);
     CPPUNIT_TEST(a_crash_under_the_old_id_refuses_no_innocent_request);
     CPPUNIT_TEST(a_request_with_five_crashes_beside_the_cause_is_served);
+    CPPUNIT_TEST(a_later_suspect_of_one_crash_does_not_end_a_refusal);
     CPPUNIT_TEST(suspicions_are_those_below_a_refusal);
     CPPUNIT_TEST_SUITE_END();
 
@@ -381,6 +382,23 @@
         CPPUNIT_ASSERT(quarantine.refused(7, at(2000)));
     }
 
+    /// Another request was in flight at one of the three crashes, and at two
+    /// further ones long after the refusal.
+    void a_later_suspect_of_one_crash_does_not_end_a_refusal()
+    {
+        crash_quarantine quarantine(limits_with_doubt());
+        const std::vector<std::uint64_t> only{cause};
+        const std::vector<std::uint64_t> other{7};
+        for (std::uint64_t server = 1; server <= threshold; ++server)
+            quarantine.on_crash(only, server, at(0));
+        quarantine.on_crash(other, threshold, at(0));
+        CPPUNIT_ASSERT(quarantine.refused(cause, at(9000)));
+        quarantine.on_crash(other, 10, at(9000));
+        quarantine.on_crash(other, 11, at(9100));
+        CPPUNIT_ASSERT(quarantine.refused(cause, at(12000)));
+        CPPUNIT_ASSERT(quarantine.refused(cause, at(0) + memory - duration(1)));
+    }
+
     /// One crash below the threshold, neither refused, answered nor expired;
     /// each with all of its crashes.
     void suspicions_are_those_below_a_refusal()
