--- a/libs/gateway/include/barleyfork/gateway/call_codec.hpp
+++ b/libs/gateway/include/barleyfork/gateway/call_codec.hpp
@@ -33,6 +33,9 @@
     std::string adapter;
     std::uint32_t prompt_tokens = 0;
     std::uint32_t max_output_tokens = 0;
+    /// The ids of the parts of the prompt that other requests may share, in
+    /// order; 64 at most.
+    std::vector<std::string> shared_prompt_parts;
 };
 
 /// The metadata that this daemon sends to a backend server in addition to the
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -3,7 +3,6 @@
 #include "local_answer.hpp"
 
 #include <barleyfork/base/log.hpp>
-#include <barleyfork/base/text.hpp>
 
 #include <algorithm>
 
@@ -42,7 +41,7 @@
                            std::shared_ptr<caller_port> caller,
                            caller_request request)
     : context_(context), caller_(std::move(caller)),
-      request_(std::move(request)), fingerprint_(request_.fingerprint())
+      request_(std::move(request))
 {
     call_number_ = ++context_.call_count;
     context_.active_calls[call_number_] = [this] {
@@ -61,6 +60,7 @@
     received_at_ = now;
     deadline_ = now + default_timeout;
     facts_ = context_.platform.codec->parse_request_metadata(request_.headers);
+    suspects_ = make_suspects();
     if (!find_route())
         return;
     if (!is_accepted_while_draining(now)) {
@@ -200,29 +200,6 @@
     start_attempt(chosen, now);
 }
 
-/// Rejects a request that is quarantined because it crashes the servers that
-/// run it. Returns true if the request was rejected.
-bool gateway_call::reject_if_quarantined(time_point now)
-{
-    if (!context_.quarantine.refused(fingerprint_, now))
-        return false;
-    const auto left = context_.quarantine.remaining_refusal(fingerprint_, now);
-    log_event(log_level::warn, "request_quarantined")
-        .with("request", facts_.client_attempt_id)
-        .with("fingerprint", fingerprint_text())
-        .with("crashes",
-              static_cast<std::int64_t>(
-                  context_.quarantine.crashes(fingerprint_)))
-        .with("for_ms", left.count());
-    reject(errc::quarantined, left);
-    return true;
-}
-
-bool gateway_call::is_suspected(time_point now) const
-{
-    return context_.quarantine.suspected(fingerprint_, now);
-}
-
 header_list gateway_call::forward_headers(const server_id& server,
                                           time_point now) const
 {
@@ -245,7 +222,7 @@
             make_adapter_use(chosen.server, facts_.model, facts_.adapter));
     attempt_->suspected = is_suspected(now);
     if (attempt_->suspected)
-        context_.suspects.begin(fingerprint_, chosen.server);
+        context_.suspects.begin(suspects_.request, chosen.server);
     const auto load = context_.loads.view(chosen.server, route_->priority, now);
     attempt_->tokens_ahead = load.own_waiting_tokens + facts_.prompt_tokens;
     context_.count_against_limit({chosen.server, chosen.started_ms}, now);
@@ -264,6 +241,7 @@
         .with("caller", request_.caller_address)
         .with("server", chosen.server.value())
         .with("fingerprint", fingerprint_text())
+        .with("prompt_parts", prompt_parts_text())
         .with("model", facts_.model.value())
         .with("adapter", facts_.adapter)
         .with("send", send_count_ + 1)
@@ -307,7 +285,8 @@
 {
     const auto* state = context_.directory.find(attempt_->server);
     const bool is_rejecting = state != nullptr && state->rejects_requests(now);
-    return !is_rejecting && !context_.quarantine.refused(fingerprint_, now);
+    return !is_rejecting &&
+           !context_.quarantine.refused(suspects_.request, now);
 }
 
 /// Ends an attempt of which no byte was sent. The request is sent to another
@@ -405,7 +384,7 @@
     const auto self = shared_from_this();
     waiting_key_ = {
         route_->priority,
-        is_suspected(now) ? context_.quarantine.crashes(fingerprint_) : 0,
+        is_suspected(now) ? context_.quarantine.crashes(suspects_.request) : 0,
         ++context_.wait_count};
     context_.waiting_calls[waiting_key_] = [self] {
         self->dispatch();
@@ -488,7 +467,7 @@
     if (!attempt_->suspected)
         return;
     attempt_->suspected = false;
-    context_.suspects.end(fingerprint_);
+    context_.suspects.end(suspects_.request);
     context_.wake_waiting_calls_soon();
 }
 
@@ -543,11 +522,6 @@
         caller->abort();
 }
 
-std::string gateway_call::fingerprint_text() const
-{
-    return to_hexadecimal(fingerprint_);
-}
-
 void gateway_call::log_end(errc kind, unsigned status) const
 {
     log_event(kind == errc::ok ? log_level::info : log_level::warn,
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -5,6 +5,7 @@
 #include "caller_port.hpp"
 #include "gateway_context.hpp"
 
+#include <barleyfork/core/crash_suspects.hpp>
 #include <barleyfork/core/event_splitter.hpp>
 #include <barleyfork/core/request_progress.hpp>
 
@@ -201,14 +202,17 @@
     void finish(errc kind);
     void log_end(errc kind, unsigned status) const;
     std::string fingerprint_text() const;
+    std::string prompt_parts_text() const;
+    crash_suspects make_suspects() const;
 
     gateway_context& context_;
     /// Identifies this call among the running ones.
     std::uint64_t call_number_ = 0;
     std::shared_ptr<caller_port> caller_;
     caller_request request_;
-    std::uint64_t fingerprint_ = 0;
     request_metadata facts_;
+    /// What this request may crash servers by.
+    crash_suspects suspects_;
     std::shared_ptr<const gateway_configuration> configuration_;
     const gateway_route* route_ = nullptr;
     service_id service_;
--- a/libs/gateway/src/gateway_call_choice.cpp
+++ b/libs/gateway/src/gateway_call_choice.cpp
@@ -35,7 +35,7 @@
     bool any_rejecting = false;
     bool any_limited = false;
     reason = wait_reason::no_server;
-    if (suspected && context_.suspects.runs(fingerprint_)) {
+    if (suspected && context_.suspects.runs(suspects_.request)) {
         reason = wait_reason::isolated;
         return found;
     }
--- a/libs/gateway/src/http_text.cpp
+++ b/libs/gateway/src/http_text.cpp
@@ -88,14 +88,18 @@
     return std::string_view(target).substr(0, target.find('?'));
 }
 
+std::uint64_t caller_request::caller_hash() const
+{
+    return hash64(find_header(headers, "authorization").value_or(""),
+                  hash64(host_name(headers)));
+}
+
 std::uint64_t caller_request::fingerprint() const
 {
-    auto hash = hash64(host_name(headers));
-    for (const std::string_view part :
-         {find_header(headers, "authorization").value_or(""),
-          std::string_view(method),
-          std::string_view(target),
-          std::string_view(body)})
+    auto hash = caller_hash();
+    for (const std::string_view part : {std::string_view(method),
+                                        std::string_view(target),
+                                        std::string_view(body)})
         hash = hash64(part, hash);
     return hash;
 }
--- a/libs/gateway/src/http_text.hpp
+++ b/libs/gateway/src/http_text.hpp
@@ -24,11 +24,13 @@
 
     std::string_view path() const;
 
+    /// Returns a hash of the caller, which is known by the host that it asks
+    /// and by its credentials. The address of its connection does not matter:
+    /// it may be that of a balancer, and one caller may have many.
+    std::uint64_t caller_hash() const;
+
     /// Returns a hash that is the same for all client attempts of a request, at
-    /// any daemon and with any client attempt id. Its caller is known by the
-    /// host that it asks and by its credentials. The address of its connection
-    /// does not matter: it may be that of a balancer, and one caller may have
-    /// many.
+    /// any daemon and with any client attempt id.
     std::uint64_t fingerprint() const;
 };
 
