Refuse requests with a part of their prompt under which servers end

Cause: only whole requests were known.

Now an end is held against the parts of a prompt too, each together with its caller, in the same quarantine, messages and rows. A whole answer clears its parts, here and, where another daemon blames one, there (answered_parts). A part is refused only in requests that hold everything that may be the cause: each suspect outside must leave three ends unexplained. So sound requests with the same first part run, and their answers clear it. The holder tells parts from their second end on, as the first one is held against each part that ran there.

--- a/libs/core/include/barleyfork/core/crash_detector.hpp
+++ b/libs/core/include/barleyfork/core/crash_detector.hpp
@@ -3,6 +3,7 @@
 
 #include <barleyfork/base/strong_id.hpp>
 #include <barleyfork/base/time.hpp>
+#include <barleyfork/core/crash_suspects.hpp>
 #include <barleyfork/core/server_process.hpp>
 
 #include <cstdint>
@@ -17,16 +18,17 @@
 /// A request whose connection broke before its response arrived.
 struct broken_request
 {
-    std::uint64_t fingerprint = 0;
+    crash_suspects suspects;
     time_point sent_at{};
 };
 
-/// A server process that exited or crashed, with the requests in flight on it.
+/// A server process that exited or crashed, with the requests in flight on it
+/// and the parts of their prompts.
 struct crashed_process
 {
     /// Identifies this crash; every daemon derives the same value for it.
     std::uint64_t crash = 0;
-    std::vector<std::uint64_t> in_flight;
+    std::vector<crash_suspect> in_flight;
 };
 
 /// Distinguishes server processes that crashed from servers that only broke a
@@ -48,8 +50,8 @@
     /// Retention of an exited process; its successor is listed within this
     /// time.
     static constexpr duration exited_retention{60000};
-    /// Maximum number of requests recorded per server and category.
-    static constexpr std::size_t max_recorded_requests = 1024;
+    /// Maximum number of requests and parts recorded per server and category.
+    static constexpr std::size_t max_recorded_suspects = 4096;
 
     /// Records that the connection of a request broke. Returns when the server
     /// is to be probed, or nothing if a probe is due already.
@@ -75,12 +77,12 @@
         std::uint64_t started_ms = 0;
         std::string address;
         std::uint16_t port = 0;
-        std::set<std::uint64_t> requests;
+        std::set<crash_suspect> requests;
         /// Requests whose connections to the successor broke. If a probe finds
         /// no listener, they move from `successor_requests` to
         /// `unattributed_requests`, until the successor is listed.
-        std::set<std::uint64_t> successor_requests;
-        std::set<std::uint64_t> unattributed_requests;
+        std::set<crash_suspect> successor_requests;
+        std::set<crash_suspect> unattributed_requests;
         /// First process listed at the address after this one.
         std::optional<server_process> successor;
         bool probe_due = false;
--- a/libs/core/include/barleyfork/core/crash_quarantine.hpp
+++ b/libs/core/include/barleyfork/core/crash_quarantine.hpp
@@ -1,12 +1,13 @@
 #ifndef BARLEYFORK_CORE_CRASH_QUARANTINE_HPP
 #define BARLEYFORK_CORE_CRASH_QUARANTINE_HPP
 
-#include <barleyfork/base/strong_id.hpp>
 #include <barleyfork/base/time.hpp>
+#include <barleyfork/core/crash_suspects.hpp>
 
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <span>
 #include <unordered_map>
 #include <utility>
@@ -14,10 +15,11 @@
 
 namespace barleyfork {
 
-/// Attributes the crash of an engine process to a request in flight on it.
+/// Attributes the crash of an engine process to a request in flight on it, or
+/// to a part of that request's prompt.
 struct crash_blame
 {
-    std::uint64_t fingerprint = 0;
+    crash_suspect fingerprint = 0;
     /// Identifies one crash of one process.
     std::uint64_t crash = 0;
 
@@ -64,6 +66,12 @@
 /// crashes than this one can still keep it from being refused.
 /// When the refusal ends, the request may run again: a complete response clears
 /// it, a crash refuses it for twice as long. The number of entries is bounded.
+///
+/// A part of prompts is blamed and cleared like a request. Since innocent parts
+/// go along with it, it is refused only in requests that hold everything that
+/// may be the cause: each suspect outside the request must leave
+/// `refusal_threshold` of its crashes unexplained. So a request with the
+/// innocent parts alone runs, and its response clears these.
 /// Not thread-safe.
 class crash_quarantine
 {
@@ -81,9 +89,14 @@
                                       std::uint64_t crash,
                                       time_point now);
 
-    /// Clears a request that got a complete response, and trusts it for
+    /// Clears a request or part that got a complete response, and trusts it for
+    /// `quarantine_limits::trust`. Returns true if crashes were attributed to
+    /// it.
+    bool on_answer(crash_suspect fingerprint, time_point now);
+
+    /// Returns whether a complete response cleared the suspect within
     /// `quarantine_limits::trust`.
-    void on_answer(std::uint64_t fingerprint, time_point now);
+    bool is_trusted(crash_suspect fingerprint, time_point now) const;
 
     /// Adds an attribution by a peer or by this daemon, made at `at`. Returns
     /// false if it was known already.
@@ -101,9 +114,25 @@
     /// attributed to the request.
     duration remaining_refusal(std::uint64_t fingerprint, time_point now) const;
 
+    /// Returns whether the request is suspected, as a whole or for a part.
+    bool suspected(const crash_suspects& request, time_point now) const;
+
+    /// Returns the suspect for which the request is to be refused: itself or
+    /// one of its parts. Returns nothing if it may run.
+    std::optional<crash_suspect> refusal_cause(const crash_suspects& request,
+                                               time_point now) const;
+
+    /// Returns the number of crashes attributed to the request or to the one
+    /// of its parts that has the most.
+    std::size_t crashes(const crash_suspects& request) const;
+
     /// Returns the number of crashes attributed to the request.
     std::size_t crashes(std::uint64_t fingerprint) const;
 
+    /// Returns all attributions to a request or part.
+    std::vector<reported_blame> attributions(crash_suspect fingerprint,
+                                             time_point now) const;
+
     /// Returns the attributions of all refused requests.
     std::vector<reported_blame> refusals(time_point now) const;
 
@@ -121,6 +150,7 @@
 private:
     struct entry
     {
+        crash_suspect suspect = 0;
         /// When each crash was attributed to the request.
         std::map<std::uint64_t, time_point> crashes;
         time_point last_crash_at{};
@@ -130,14 +160,26 @@
                               const entry& known,
                               time_point now,
                               std::vector<reported_blame>& reported);
-    bool is_trusted(std::uint64_t fingerprint, time_point now) const;
     time_point refused_until(const entry& known) const;
     bool is_settled(time_point blamed_at, time_point now) const;
     std::size_t settled_crashes(const entry& known, time_point now) const;
+    std::size_t settled_crashes_without(const entry& known,
+                                        const entry& other,
+                                        time_point now) const;
     bool has_other_suspect(const entry& known,
+                           const crash_suspects& request,
                            std::size_t at_least,
                            time_point until,
                            time_point now) const;
+    bool is_part_refused(const entry& known,
+                         const crash_suspects& request,
+                         time_point now) const;
+    bool is_request_refused(const entry& known,
+                            const crash_suspects& request,
+                            time_point now) const;
+    bool meets_refusal_rule(const entry& known,
+                            const crash_suspects& request,
+                            time_point now) const;
     bool meets_refusal_rule(const entry& known, time_point now) const;
     void make_room(time_point now);
 
--- a/libs/core/src/crash_detector.cpp
+++ b/libs/core/src/crash_detector.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 crashed_process to_crashed_process(const server_process& process,
-                                   const std::set<std::uint64_t>& requests)
+                                   const std::set<crash_suspect>& requests)
 {
     return {hash64(process.server.value(), process.started_ms),
             {requests.begin(), requests.end()}};
@@ -56,8 +56,9 @@
 {
     const bool later = known.exited_at && broken.sent_at >= *known.exited_at;
     auto& requests = later ? known.successor_requests : known.requests;
-    if (requests.size() < max_recorded_requests)
-        requests.insert(broken.fingerprint);
+    for (const auto suspect : broken.suspects.all())
+        if (requests.size() < max_recorded_suspects)
+            requests.insert(suspect);
 }
 
 std::vector<crashed_process> crash_detector::on_probe(const server_id& server,
@@ -99,7 +100,7 @@
 std::optional<crashed_process>
 crash_detector::on_process_listed(const listening_process& at)
 {
-    std::set<std::uint64_t> requests;
+    std::set<crash_suspect> requests;
     for (auto& [server, known] : servers_) {
         if (known.successor || !is_successor_of(at, known))
             continue;
--- a/libs/core/src/crash_quarantine.cpp
+++ b/libs/core/src/crash_quarantine.cpp
@@ -17,6 +17,11 @@
 /// Crashes of other requests that happen later than this after the last one of
 /// a refused request do not count in its favour: it was not there.
 constexpr duration max_report_delay{4000};
+/// Crashes past the threshold that may happen before a part is refused, since
+/// several requests with it run at once; these do not prolong its refusal.
+constexpr std::size_t max_part_crashes_past_threshold = 5;
+/// Parts that many responses clear prolong their trust only this often.
+constexpr duration trust_precision{1000};
 
 std::uint64_t mix_bits(std::uint64_t fingerprint)
 {
@@ -49,11 +54,14 @@
     return blamed;
 }
 
-void crash_quarantine::on_answer(std::uint64_t fingerprint, time_point now)
+bool crash_quarantine::on_answer(crash_suspect fingerprint, time_point now)
 {
-    entries_.erase(fingerprint);
+    const bool was_blamed = entries_.erase(fingerprint) > 0;
     const auto until = now + limits_.trust;
-    trusted_[fingerprint] = until;
+    auto& known_until = trusted_[fingerprint];
+    if (known_until + trust_precision >= until)
+        return was_blamed;
+    known_until = until;
     trust_order_.emplace_back(until, fingerprint);
     while (trust_order_.front().first <= now ||
            trust_order_.size() > max_fingerprints)
@@ -64,6 +72,7 @@
         if (known != trusted_.end() && known->second == trust_ends_at)
             trusted_.erase(known);
     }
+    return was_blamed;
 }
 
 bool crash_quarantine::merge(const crash_blame& blame, time_point at)
@@ -71,6 +80,7 @@
     if (!entries_.contains(blame.fingerprint))
         make_room(at);
     auto& entry = entries_[blame.fingerprint];
+    entry.suspect = blame.fingerprint;
     if (!entry.crashes.emplace(blame.crash, at).second)
         return false;
     entry.last_crash_at = std::max(entry.last_crash_at, at);
@@ -110,9 +120,11 @@
 time_point crash_quarantine::refused_until(const entry& known) const
 {
     const auto crashes = known.crashes.size();
-    const auto further = crashes > limits_.refusal_threshold
-                             ? crashes - limits_.refusal_threshold
-                             : 0;
+    const auto before_first_refusal =
+        limits_.refusal_threshold +
+        (is_prompt_part(known.suspect) ? max_part_crashes_past_threshold : 0);
+    const auto further =
+        crashes > before_first_refusal ? crashes - before_first_refusal : 0;
     const auto factor = std::int64_t{1} << std::min(further, max_doublings);
     return known.last_crash_at + limits_.memory * factor;
 }
@@ -131,47 +143,81 @@
         }));
 }
 
-/// Returns whether another request may be the cause: it has `at_least` crashes
-/// by `until`, and fewer than `refusal_threshold` of this one's crashes
-/// happened without it.
+/// Returns the number of crashes that happened without the other one.
+std::size_t crash_quarantine::settled_crashes_without(const entry& known,
+                                                      const entry& other,
+                                                      time_point now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        known.crashes.begin(), known.crashes.end(), [&](const auto& crash) {
+            return is_settled(crash.second, now) &&
+                   !other.crashes.contains(crash.first);
+        }));
+}
+
+/// Returns whether another suspect, which is not of `request`, may be the
+/// cause: it has `at_least` crashes by `until`, and fewer than
+/// `refusal_threshold` of this one's crashes happened without it.
 bool crash_quarantine::has_other_suspect(const entry& known,
+                                         const crash_suspects& request,
                                          std::size_t at_least,
                                          time_point until,
                                          time_point now) const
 {
     const auto crashes_by = [until](const entry& other) {
         return static_cast<std::size_t>(std::count_if(
-            other.crashes.begin(),
-            other.crashes.end(),
-            [until](const auto& crash) { return crash.second <= until; }));
-    };
-    const auto crashes_without = [&](const entry& other) {
-        return static_cast<std::size_t>(std::count_if(
-            known.crashes.begin(), known.crashes.end(), [&](const auto& crash) {
-                return is_settled(crash.second, now) &&
-                       !other.crashes.contains(crash.first);
+            other.crashes.begin(), other.crashes.end(), [&](const auto& crash) {
+                return crash.second <= until;
             }));
     };
     return std::any_of(entries_.begin(), entries_.end(), [&](const auto& item) {
         const auto& other = item.second;
-        return &other != &known && crashes_by(other) >= at_least &&
-               crashes_without(other) < limits_.refusal_threshold;
+        return &other != &known && !request.contains(item.first) &&
+               crashes_by(other) >= at_least &&
+               settled_crashes_without(known, other, now) <
+                   limits_.refusal_threshold;
     });
 }
 
-bool crash_quarantine::meets_refusal_rule(const entry& known,
+bool crash_quarantine::is_part_refused(const entry& known,
+                                       const crash_suspects& request,
+                                       time_point now) const
+{
+    return !has_other_suspect(known, request, 0, now, now);
+}
+
+bool crash_quarantine::is_request_refused(const entry& known,
+                                          const crash_suspects& request,
                                           time_point now) const
 {
     const auto settled = settled_crashes(known, now);
-    if (settled < limits_.refusal_threshold || now >= refused_until(known))
-        return false;
     const auto reported_by = known.last_crash_at + max_report_delay;
-    if (!has_other_suspect(known, settled, reported_by, now))
+    if (!has_other_suspect(known, request, settled, reported_by, now))
         return true;
     return settled >= limits_.refusal_threshold + max_undecided_crashes &&
            settled_crashes(known, now - limits_.doubt) >=
                limits_.refusal_threshold &&
-           !has_other_suspect(known, known.crashes.size() + 1, now, now);
+           !has_other_suspect(
+               known, request, known.crashes.size() + 1, now, now);
+}
+
+bool crash_quarantine::meets_refusal_rule(const entry& known,
+                                          const crash_suspects& request,
+                                          time_point now) const
+{
+    if (settled_crashes(known, now) < limits_.refusal_threshold ||
+        now >= refused_until(known))
+        return false;
+    return is_prompt_part(known.suspect)
+               ? is_part_refused(known, request, now)
+               : is_request_refused(known, request, now);
+}
+
+/// Returns whether the suspect is refused in any request that it belongs to.
+bool crash_quarantine::meets_refusal_rule(const entry& known,
+                                          time_point now) const
+{
+    return meets_refusal_rule(known, {known.suspect, {}}, now);
 }
 
 bool crash_quarantine::suspected(std::uint64_t fingerprint,
@@ -190,6 +236,40 @@
            !is_trusted(fingerprint, now);
 }
 
+bool crash_quarantine::suspected(const crash_suspects& request,
+                                 time_point now) const
+{
+    if (entries_.empty())
+        return false;
+    const auto all = request.all();
+    return std::any_of(all.begin(), all.end(), [&](auto suspect) {
+        return suspected(suspect, now);
+    });
+}
+
+std::optional<crash_suspect>
+crash_quarantine::refusal_cause(const crash_suspects& request,
+                                time_point now) const
+{
+    if (entries_.empty())
+        return std::nullopt;
+    for (const auto suspect : request.all()) {
+        const auto found = entries_.find(suspect);
+        if (found != entries_.end() && !is_trusted(suspect, now) &&
+            meets_refusal_rule(found->second, request, now))
+            return suspect;
+    }
+    return std::nullopt;
+}
+
+std::size_t crash_quarantine::crashes(const crash_suspects& request) const
+{
+    std::size_t most = 0;
+    for (const auto suspect : request.all())
+        most = std::max(most, crashes(suspect));
+    return most;
+}
+
 duration crash_quarantine::remaining_refusal(std::uint64_t fingerprint,
                                              time_point now) const
 {
@@ -205,6 +285,16 @@
     return found == entries_.end() ? 0 : found->second.crashes.size();
 }
 
+std::vector<reported_blame>
+crash_quarantine::attributions(crash_suspect fingerprint, time_point now) const
+{
+    std::vector<reported_blame> reported;
+    const auto found = entries_.find(fingerprint);
+    if (found != entries_.end())
+        append_report(fingerprint, found->second, now, reported);
+    return reported;
+}
+
 std::vector<reported_blame> crash_quarantine::refusals(time_point now) const
 {
     std::vector<reported_blame> reported;
--- a/libs/core/tests/crash_detector_test.cpp
+++ b/libs/core/tests/crash_detector_test.cpp
@@ -31,13 +31,13 @@
         crash_detector detector;
         const listening_process process{{server_id("s"), 5}, "a", 1};
         const auto due =
-            detector.on_connection_broken(process, {1, at(0)}, at(0));
+            detector.on_connection_broken(process, {{1, {}}, at(0)}, at(0));
         CPPUNIT_ASSERT(due == at(0) + crash_detector::settling_period);
         CPPUNIT_ASSERT(
             detector.on_probe(process.process.server, true, at(20)).empty());
         // The server is not probed for each broken connection.
         const auto later =
-            detector.on_connection_broken(process, {2, at(30)}, at(30));
+            detector.on_connection_broken(process, {{2, {}}, at(30)}, at(30));
         CPPUNIT_ASSERT(later == *due + crash_detector::min_probe_interval);
     }
 
@@ -46,9 +46,9 @@
         crash_detector detector;
         const listening_process process{{server_id("s"), 5}, "a", 1};
         CPPUNIT_ASSERT(
-            detector.on_connection_broken(process, {1, at(0)}, at(0)));
+            detector.on_connection_broken(process, {{1, {}}, at(0)}, at(0)));
         CPPUNIT_ASSERT(
-            !detector.on_connection_broken(process, {2, at(0)}, at(5)));
+            !detector.on_connection_broken(process, {{2, {}}, at(0)}, at(5)));
         const auto ended =
             detector.on_probe(process.process.server, false, at(20));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ended.size());
@@ -56,7 +56,7 @@
         CPPUNIT_ASSERT(
             detector.on_probe(process.process.server, false, at(20)).empty());
         crash_detector elsewhere;
-        elsewhere.on_connection_broken(process, {9, at(0)}, at(700));
+        elsewhere.on_connection_broken(process, {{9, {}}, at(0)}, at(700));
         CPPUNIT_ASSERT_EQUAL(
             ended.front().crash,
             elsewhere.on_probe(process.process.server, false, at(20))
@@ -69,17 +69,17 @@
     {
         crash_detector detector;
         const listening_process process{{server_id("s"), 5}, "a", 1};
-        detector.on_connection_broken(process, {1, at(0)}, at(0));
+        detector.on_connection_broken(process, {{1, {}}, at(0)}, at(0));
         const auto ended =
             detector.on_probe(process.process.server, false, at(20));
         // The request was sent to the successor, which still runs.
-        CPPUNIT_ASSERT(
-            detector.on_connection_broken(process, {2, at(500)}, at(700)));
+        CPPUNIT_ASSERT(detector.on_connection_broken(
+            process, {{2, {}}, at(500)}, at(700)));
         CPPUNIT_ASSERT(
             detector.on_probe(process.process.server, true, at(720)).empty());
         // The request broke with the exited process and is reported late.
         CPPUNIT_ASSERT(
-            detector.on_connection_broken(process, {3, at(10)}, at(800)));
+            detector.on_connection_broken(process, {{3, {}}, at(10)}, at(800)));
         const auto late =
             detector.on_probe(process.process.server, true, at(1300));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, late.size());
@@ -88,7 +88,7 @@
         // The successor is listed.
         const listening_process next{{server_id("s"), 6}, "a", 1};
         CPPUNIT_ASSERT(
-            detector.on_connection_broken(next, {4, at(2000)}, at(2100)));
+            detector.on_connection_broken(next, {{4, {}}, at(2000)}, at(2100)));
         CPPUNIT_ASSERT(
             detector.on_probe(next.process.server, true, at(2120)).empty());
     }
@@ -101,10 +101,10 @@
         const listening_process process{{server_id("s"), 5}, "a", 1};
         const listening_process next{{server_id("t"), 6}, "a", 1};
         const listening_process elsewhere{{server_id("u"), 6}, "a", 2};
-        detector.on_connection_broken(process, {1, at(0)}, at(0));
+        detector.on_connection_broken(process, {{1, {}}, at(0)}, at(0));
         detector.on_probe(process.process.server, false, at(20));
-        CPPUNIT_ASSERT(
-            detector.on_connection_broken(process, {2, at(500)}, at(700)));
+        CPPUNIT_ASSERT(detector.on_connection_broken(
+            process, {{2, {}}, at(500)}, at(700)));
         CPPUNIT_ASSERT(
             detector.on_probe(process.process.server, false, at(720)).empty());
         CPPUNIT_ASSERT(!detector.on_process_listed(process));
@@ -114,7 +114,7 @@
         CPPUNIT_ASSERT(ended->in_flight == std::vector<std::uint64_t>{2});
         CPPUNIT_ASSERT(!detector.on_process_listed(next));
         crash_detector other;
-        other.on_connection_broken(next, {3, at(500)}, at(700));
+        other.on_connection_broken(next, {{3, {}}, at(500)}, at(700));
         CPPUNIT_ASSERT_EQUAL(
             other.on_probe(next.process.server, false, at(720)).front().crash,
             ended->crash);
@@ -127,10 +127,10 @@
         const listening_process process{{server_id("s"), 5}, "a", 1};
         const listening_process next{{server_id("t"), 6}, "a", 1};
         const listening_process third{{server_id("u"), 7}, "a", 1};
-        detector.on_connection_broken(process, {1, at(0)}, at(0));
+        detector.on_connection_broken(process, {{1, {}}, at(0)}, at(0));
         detector.on_probe(process.process.server, false, at(20));
-        CPPUNIT_ASSERT(
-            detector.on_connection_broken(process, {2, at(500)}, at(700)));
+        CPPUNIT_ASSERT(detector.on_connection_broken(
+            process, {{2, {}}, at(500)}, at(700)));
         CPPUNIT_ASSERT(!detector.on_process_listed(next));
         const auto ended =
             detector.on_probe(process.process.server, false, at(720));
@@ -139,7 +139,7 @@
                        std::vector<std::uint64_t>{2});
         CPPUNIT_ASSERT(!detector.on_process_listed(third));
         crash_detector other;
-        other.on_connection_broken(next, {3, at(500)}, at(700));
+        other.on_connection_broken(next, {{3, {}}, at(500)}, at(700));
         CPPUNIT_ASSERT_EQUAL(
             other.on_probe(next.process.server, false, at(720)).front().crash,
             ended.front().crash);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -145,6 +145,9 @@
         [this](const auto& server, const auto& ended) {
             updates.on_server_crashed(server, ended);
         });
+    context.on_blamed_part_answered = [this] {
+        updates.on_blamed_part_answered();
+    };
     watch.on_configuration([this] { updates.relay_configuration(); });
     context.on_store_restored = [this] {
         updates.on_store_restored();
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -285,8 +285,7 @@
 {
     const auto* state = context_.directory.find(attempt_->server);
     const bool is_rejecting = state != nullptr && state->rejects_requests(now);
-    return !is_rejecting &&
-           !context_.quarantine.refused(suspects_.request, now);
+    return !is_rejecting && !context_.quarantine.refusal_cause(suspects_, now);
 }
 
 /// Ends an attempt of which no byte was sent. The request is sent to another
@@ -382,10 +381,10 @@
         .with("reason", wait_reason_name(reason))
         .with("patience_ms", max_wait.count());
     const auto self = shared_from_this();
-    waiting_key_ = {
-        route_->priority,
-        is_suspected(now) ? context_.quarantine.crashes(suspects_.request) : 0,
-        ++context_.wait_count};
+    waiting_key_ = {route_->priority,
+                    is_suspected(now) ? context_.quarantine.crashes(suspects_)
+                                      : 0,
+                    ++context_.wait_count};
     context_.waiting_calls[waiting_key_] = [self] {
         self->dispatch();
     };
--- a/libs/gateway/src/gateway_call_answers.cpp
+++ b/libs/gateway/src/gateway_call_answers.cpp
@@ -290,11 +290,11 @@
         context_.crashes.on_connection_broken(
             {attempt_->server, attempt_->started_ms},
             attempt_->target,
-            {suspects_.request, attempt_->sent_at});
+            {suspects_, attempt_->sent_at});
     // A server that fails may not have got far enough to crash.
     if (ended == attempt_outcome::answered && is_authentic_answer() &&
         !is_failure(attempt_->head->status))
-        context_.quarantine.on_answer(suspects_.request, now);
+        context_.clear_suspects(suspects_, now);
     if (ended == attempt_outcome::refused_by_server)
         on_rejected_by_server(now);
     after_attempt(ended, now);
--- a/libs/gateway/src/gateway_call_suspects.cpp
+++ b/libs/gateway/src/gateway_call_suspects.cpp
@@ -32,16 +32,17 @@
 /// run it. Returns true if the request was rejected.
 bool gateway_call::reject_if_quarantined(time_point now)
 {
-    if (!context_.quarantine.refused(suspects_.request, now))
+    const auto& quarantine = context_.quarantine;
+    const auto cause = quarantine.refusal_cause(suspects_, now);
+    if (!cause)
         return false;
-    const auto left =
-        context_.quarantine.remaining_refusal(suspects_.request, now);
+    const auto left = quarantine.remaining_refusal(*cause, now);
     log_event(log_level::warn, "request_quarantined")
         .with("request", facts_.client_attempt_id)
         .with("fingerprint", fingerprint_text())
-        .with("crashes",
-              static_cast<std::int64_t>(
-                  context_.quarantine.crashes(suspects_.request)))
+        .with("cause", is_prompt_part(*cause) ? "prompt_part" : "request")
+        .with("cause_fingerprint", to_hexadecimal(*cause))
+        .with("crashes", static_cast<std::int64_t>(quarantine.crashes(*cause)))
         .with("for_ms", left.count());
     reject(errc::quarantined, left);
     return true;
@@ -49,7 +50,7 @@
 
 bool gateway_call::is_suspected(time_point now) const
 {
-    return context_.quarantine.suspected(suspects_.request, now);
+    return context_.quarantine.suspected(suspects_, now);
 }
 
 std::string gateway_call::fingerprint_text() const
--- a/libs/gateway/src/gateway_context.cpp
+++ b/libs/gateway/src/gateway_context.cpp
@@ -122,6 +122,18 @@
     wake_when_allowed(process);
 }
 
+void gateway_context::clear_suspects(const crash_suspects& request,
+                                     time_point now)
+{
+    quarantine.on_answer(request.request, now);
+    const auto known = unreported_answers.size();
+    for (const auto part : request.parts)
+        if (quarantine.on_answer(part, now))
+            unreported_answers.insert(part);
+    if (unreported_answers.size() > known && on_blamed_part_answered)
+        on_blamed_part_answered();
+}
+
 double gateway_context::capacity(const backend_entry& server) const
 {
     // Of a server that takes nothing, the planner still compares the load.
--- a/libs/gateway/src/gateway_context.hpp
+++ b/libs/gateway/src/gateway_context.hpp
@@ -11,6 +11,7 @@
 #include <barleyfork/core/backend_directory.hpp>
 #include <barleyfork/core/backend_loads.hpp>
 #include <barleyfork/core/crash_quarantine.hpp>
+#include <barleyfork/core/crash_suspects.hpp>
 #include <barleyfork/core/drain_plan.hpp>
 #include <barleyfork/core/gateway_configuration.hpp>
 #include <barleyfork/core/memory_budget.hpp>
@@ -113,6 +114,10 @@
     /// holder receives updates from all of them.
     duration update_interval() const noexcept;
 
+    /// Clears a request and the parts of its prompt after a complete response.
+    /// Parts that daemons blamed for crashes are reported to these.
+    void clear_suspects(const crash_suspects& request, time_point now);
+
     /// Returns the work that a server can do within the limit that it named, in
     /// server-seconds per second; 1 if that is no restriction.
     double capacity(const backend_entry& server) const;
@@ -149,6 +154,9 @@
     crash_watch crashes;
     /// Requests that crash the servers that run them.
     crash_quarantine quarantine;
+    /// Parts of prompts that were answered although they are blamed for crashes
+    /// here or at other daemons, and that are not reported yet.
+    std::set<crash_suspect> unreported_answers;
     /// This daemon's share of the request limits that servers name.
     request_limits limits;
     /// The servers on which suspected, not yet quarantined requests run.
@@ -175,6 +183,8 @@
     active_adapter_uses adapters;
     /// Called when a request needs an adapter that is not resident.
     std::function<void()> on_adapter_needed;
+    /// Called when `unreported_answers` has grown.
+    std::function<void()> on_blamed_part_answered;
     /// Called after the store was restored from a backup.
     std::function<void()> on_store_restored;
     /// Handlers that let the calls waiting for a server try again.
--- a/libs/gateway/src/peer_updates.cpp
+++ b/libs/gateway/src/peer_updates.cpp
@@ -152,6 +152,7 @@
     message.quarantine_digest = context_.quarantine.digest(now);
     for (const auto& blame : take_unsent_blames())
         message.quarantine.push_back(to_record(blame));
+    add_answered_parts(message);
     for (const auto& server : changed)
         message.servers.push_back(to_record(server));
     add_list_changes(message);
@@ -347,6 +348,7 @@
     holder_ = peer_address{message.address, message.port};
     watch_.apply_relayed_rows(extract_rows(message),
                               extract_list_claim(message, now));
+    apply_answered_parts(message);
     merge_blames(extract_blames(message));
     compare_refusals(message, now);
     holder_is_behind_ = message.configuration_version < configuration_version();
--- a/libs/gateway/src/peer_updates.hpp
+++ b/libs/gateway/src/peer_updates.hpp
@@ -94,6 +94,13 @@
     void on_server_crashed(const server_id& server,
                            const crashed_process& crashed);
 
+    /// Reports to all daemons a part of prompts that was answered although it
+    /// is blamed for crashes.
+    void on_blamed_part_answered()
+    {
+        schedule_blames();
+    }
+
     /// Writes again what the daemons keep in the store, which was restored from
     /// a backup that may lack it.
     void on_store_restored();
@@ -161,6 +168,9 @@
     std::vector<reported_blame> take_unsent_blames();
     void process_refusals(time_point now);
     void merge_blames(std::span<const reported_blame> blames);
+    void add_unsent_blame(const crash_blame& blame, time_point now);
+    void add_answered_parts(schema::peer_message_record& message);
+    void apply_answered_parts(const schema::peer_message_record& message);
     void on_crashes(const schema::peer_message_record& message);
     void compare_refusals(const schema::peer_message_record& message,
                           time_point now);
--- a/libs/gateway/src/peer_updates_quarantine.cpp
+++ b/libs/gateway/src/peer_updates_quarantine.cpp
@@ -9,6 +9,7 @@
 #include <barleyfork/base/text.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -24,6 +25,9 @@
 /// Maximum number of attributions in one message; requests with the most
 /// crashes are sent first.
 constexpr std::size_t max_blames_per_message = 512;
+constexpr std::size_t max_answered_per_message = 512;
+/// Crashes from which on the holder reports a part of prompts to all daemons.
+constexpr std::size_t min_reported_part_crashes = 2;
 /// Intervals between reads of the stored refusals: until the first one
 /// succeeds, by the holder, and by daemons that hear no holder.
 constexpr duration first_read_interval{700};
@@ -33,6 +37,13 @@
 constexpr duration cut_off_delay{4000};
 constexpr std::int64_t read_poll_ms = 200;
 
+std::int64_t count_requests(std::span<const crash_suspect> suspects)
+{
+    return std::count_if(suspects.begin(), suspects.end(), [](auto suspect) {
+        return !is_prompt_part(suspect);
+    });
+}
+
 } // namespace
 
 void peer_updates::on_server_crashed(const server_id& server,
@@ -40,38 +51,63 @@
 {
     const auto now = steady_now();
     auto& quarantine = context_.quarantine;
+    const auto& in_flight = crashed.in_flight;
     log_event(log_level::warn, "server_ended")
         .with("server", server.value())
-        .with("requests", static_cast<std::int64_t>(crashed.in_flight.size()));
-    for (const auto& blame :
-         quarantine.on_crash(crashed.in_flight, crashed.crash, now))
+        .with("requests", count_requests(in_flight));
+    for (const auto& blame : quarantine.on_crash(in_flight, crashed.crash, now))
     {
-        unsent_blames_.push_back(blame);
+        add_unsent_blame(blame, now);
+        const auto crashes = quarantine.crashes(blame.fingerprint);
+        // A first crash is attributed to each part that ran on the server.
+        if (is_prompt_part(blame.fingerprint) && crashes < 2)
+            continue;
         log_event(log_level::info, "request_blamed_for_crash")
             .with("server", server.value())
             .with("fingerprint", to_hexadecimal(blame.fingerprint))
-            .with("crashes",
-                  static_cast<std::int64_t>(
-                      quarantine.crashes(blame.fingerprint)));
+            .with("crashes", static_cast<std::int64_t>(crashes));
     }
     process_refusals(now);
     schedule_blames();
 }
 
+/// Adds an attribution to the next report. The holder, which reports to all
+/// daemons, leaves out parts of prompts until a second crash is attributed to
+/// them, since every part that ran on a server has the first one.
+void peer_updates::add_unsent_blame(const crash_blame& blame, time_point now)
+{
+    const auto crashes = context_.quarantine.crashes(blame.fingerprint);
+    if (!is_lease_holder_ || !is_prompt_part(blame.fingerprint) ||
+        crashes > min_reported_part_crashes)
+    {
+        unsent_blames_.push_back(blame);
+        return;
+    }
+    if (crashes < min_reported_part_crashes)
+        return;
+    for (const auto& known :
+         context_.quarantine.attributions(blame.fingerprint, now))
+        unsent_blames_.push_back(known.blame);
+}
+
 /// Schedules the report of all attributions within one update interval, or
-/// earlier if a request is suspected already. Requests that get a response in
-/// the meantime are not reported.
+/// earlier if a request is suspected already or a blamed part was answered.
+/// Requests that get a response in the meantime are not reported.
 void peer_updates::schedule_blames()
 {
-    if (unsent_blames_.empty())
+    const bool has_answered = !context_.unreported_answers.empty();
+    if (unsent_blames_.empty() && !has_answered)
         return;
     const auto now = steady_now();
-    const bool has_suspect = std::any_of(
-        unsent_blames_.begin(), unsent_blames_.end(), [&](const auto& blame) {
-            return context_.quarantine.suspected(blame.fingerprint, now);
-        });
+    const bool is_urgent =
+        has_answered || std::any_of(unsent_blames_.begin(),
+                                    unsent_blames_.end(),
+                                    [&](const auto& blame) {
+                                        return context_.quarantine.suspected(
+                                            blame.fingerprint, now);
+                                    });
     const auto due =
-        now + (has_suspect ? suspect_report_delay : context_.update_interval());
+        now + (is_urgent ? suspect_report_delay : context_.update_interval());
     if (blames_due_at_ && *blames_due_at_ <= due)
         return;
     blames_due_at_ = due;
@@ -91,9 +127,10 @@
         return;
     }
     const auto blames = take_unsent_blames();
-    if (blames.empty())
+    if (blames.empty() && context_.unreported_answers.empty())
         return;
     auto message = make_crash_message(blames, now);
+    add_answered_parts(message);
     if (holder_ && is_holder_responsive(now))
         link_.send(*holder_, message, false);
     else
@@ -165,15 +202,49 @@
         suspicions_.keep();
 }
 
+/// Merges the attributions of another daemon or of the store. Parts that were
+/// answered here are cleared at the others instead.
 void peer_updates::merge_blames(std::span<const reported_blame> blames)
 {
     const auto now = steady_now();
-    for (const auto& entry : blames)
-        if (context_.quarantine.merge(entry.blame, now - entry.age) &&
-            is_lease_holder_)
-            unsent_blames_.push_back(entry.blame);
+    auto& quarantine = context_.quarantine;
+    for (const auto& entry : blames) {
+        const auto suspect = entry.blame.fingerprint;
+        if (is_prompt_part(suspect) && quarantine.is_trusted(suspect, now))
+            context_.unreported_answers.insert(suspect);
+        else if (quarantine.merge(entry.blame, now - entry.age) &&
+                 is_lease_holder_)
+            add_unsent_blame(entry.blame, now);
+    }
     if (!blames.empty())
         process_refusals(now);
+    if (is_lease_holder_ || !context_.unreported_answers.empty())
+        schedule_blames();
+}
+
+/// Adds parts that were answered; those beyond the maximum are sent with the
+/// next message.
+void peer_updates::add_answered_parts(schema::peer_message_record& message)
+{
+    auto& unsent = context_.unreported_answers;
+    const auto count = std::min(unsent.size(), max_answered_per_message);
+    const auto last =
+        std::next(unsent.begin(), static_cast<std::ptrdiff_t>(count));
+    message.answered_parts.assign(unsent.begin(), last);
+    unsent.erase(unsent.begin(), last);
+}
+
+void peer_updates::apply_answered_parts(
+    const schema::peer_message_record& message)
+{
+    const auto now = steady_now();
+    for (const auto part : message.answered_parts) {
+        if (!is_prompt_part(part) || context_.quarantine.is_trusted(part, now))
+            continue;
+        context_.quarantine.on_answer(part, now);
+        if (is_lease_holder_)
+            context_.unreported_answers.insert(part);
+    }
     if (is_lease_holder_)
         schedule_blames();
 }
@@ -182,6 +253,7 @@
 {
     if (message.pass_on)
         relay_to_neighbours(message);
+    apply_answered_parts(message);
     merge_blames(extract_blames(message));
     const auto now = steady_now();
     const auto& quarantine = context_.quarantine;
--- a/libs/schema/include/barleyfork/schema/peer_generated.h
+++ b/libs/schema/include/barleyfork/schema/peer_generated.h
@@ -383,8 +383,8 @@
   uint32_t age_ms = 0;
 };
 
-/// The fingerprint of a request to which the crash of one engine process is
-/// attributed. `crash` distinguishes such crashes; `age_ms` is the time since
+/// The fingerprint of a request, or of a part of prompts, to which the crash of
+/// one engine process is attributed. `crash` distinguishes such crashes; `age_ms` is the time since
 /// the last crash attributed to the request.
 struct quarantine_entry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef quarantine_entry_record NativeTableType;
@@ -1328,6 +1328,7 @@
   uint64_t list_era = 0;
   uint64_t list_since_era = 0;
   std::vector<std::unique_ptr<barleyfork::schema::request_limit_record>> limits{};
+  std::vector<uint64_t> answered_parts{};
   peer_message_record() = default;
   peer_message_record(const peer_message_record &o);
   peer_message_record(peer_message_record&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1353,7 +1354,8 @@
 /// that is to acquire the lease in `successor`. `crashes` reports the crashes
 /// attributed to requests. `quarantine_digest` is equal on daemons that reject
 /// the same requests; a daemon that sets `asks_refusals` asks the receiver for
-/// the requests that it rejects.
+/// the requests that it rejects. `answered_parts` are parts of prompts that are
+/// blamed for crashes although requests with them were answered.
 ///
 /// `store_era` is the newest era of the store that the sender knows; the other
 /// eras belong to the versions of the same names.
@@ -1398,7 +1400,8 @@
     VT_CONFIGURATION_ERA = 74,
     VT_LIST_ERA = 76,
     VT_LIST_SINCE_ERA = 78,
-    VT_LIMITS = 80
+    VT_LIMITS = 80,
+    VT_ANSWERED_PARTS = 82
   };
   barleyfork::schema::message_kind kind() const {
     return static_cast<barleyfork::schema::message_kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -1511,6 +1514,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::request_limit>> *limits() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::request_limit>> *>(VT_LIMITS);
   }
+  const flatbuffers::Vector<uint64_t> *answered_parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_ANSWERED_PARTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -1577,6 +1583,8 @@
            VerifyOffset(verifier, VT_LIMITS) &&
            verifier.VerifyVector(limits()) &&
            verifier.VerifyVectorOfTables(limits()) &&
+           VerifyOffset(verifier, VT_ANSWERED_PARTS) &&
+           verifier.VerifyVector(answered_parts()) &&
            verifier.EndTable();
   }
   peer_message_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1699,6 +1707,9 @@
   void add_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::request_limit>>> limits) {
     fbb_.AddOffset(peer_message::VT_LIMITS, limits);
   }
+  void add_answered_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> answered_parts) {
+    fbb_.AddOffset(peer_message::VT_ANSWERED_PARTS, answered_parts);
+  }
   explicit peer_messageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1749,7 +1760,8 @@
     uint64_t configuration_era = 0,
     uint64_t list_era = 0,
     uint64_t list_since_era = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::request_limit>>> limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::request_limit>>> limits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> answered_parts = 0) {
   peer_messageBuilder builder_(_fbb);
   builder_.add_list_since_era(list_since_era);
   builder_.add_list_era(list_era);
@@ -1762,6 +1774,7 @@
   builder_.add_configuration_version(configuration_version);
   builder_.add_epoch(epoch);
   builder_.add_sequence(sequence);
+  builder_.add_answered_parts(answered_parts);
   builder_.add_limits(limits);
   builder_.add_leaving(leaving);
   builder_.add_list_age_ms(list_age_ms);
@@ -1834,7 +1847,8 @@
     uint64_t configuration_era = 0,
     uint64_t list_era = 0,
     uint64_t list_since_era = 0,
-    const std::vector<flatbuffers::Offset<barleyfork::schema::request_limit>> *limits = nullptr) {
+    const std::vector<flatbuffers::Offset<barleyfork::schema::request_limit>> *limits = nullptr,
+    const std::vector<uint64_t> *answered_parts = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::member>>(*members) : 0;
   auto quarantine__ = quarantine ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::quarantine_entry>>(*quarantine) : 0;
   auto digest__ = digest ? _fbb.CreateString(digest) : 0;
@@ -1851,6 +1865,7 @@
   auto work__ = work ? _fbb.CreateVectorOfStructs<barleyfork::schema::outstanding_work>(*work) : 0;
   auto leaving__ = leaving ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::leaving_server>>(*leaving) : 0;
   auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::request_limit>>(*limits) : 0;
+  auto answered_parts__ = answered_parts ? _fbb.CreateVector<uint64_t>(*answered_parts) : 0;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       kind,
@@ -1889,7 +1904,8 @@
       configuration_era,
       list_era,
       list_since_era,
-      limits__);
+      limits__,
+      answered_parts__);
 }
 
 flatbuffers::Offset<peer_message> Createpeer_message(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2265,7 +2281,8 @@
         store_era(o.store_era),
         configuration_era(o.configuration_era),
         list_era(o.list_era),
-        list_since_era(o.list_since_era) {
+        list_since_era(o.list_since_era),
+        answered_parts(o.answered_parts) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new barleyfork::schema::member_record(*members_) : nullptr); }
   quarantine.reserve(o.quarantine.size());
@@ -2324,6 +2341,7 @@
   std::swap(list_era, o.list_era);
   std::swap(list_since_era, o.list_since_era);
   std::swap(limits, o.limits);
+  std::swap(answered_parts, o.answered_parts);
   return *this;
 }
 
@@ -2373,6 +2391,7 @@
   { auto _e = list_era(); _o->list_era = _e; }
   { auto _e = list_since_era(); _o->list_since_era = _e; }
   { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = std::unique_ptr<barleyfork::schema::request_limit_record>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = answered_parts(); if (_e) { _o->answered_parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->answered_parts[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<peer_message> peer_message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2420,6 +2439,7 @@
   auto _list_era = _o->list_era;
   auto _list_since_era = _o->list_since_era;
   auto _limits = _o->limits.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::request_limit>> (_o->limits.size(), [](size_t i, _VectorArgs *__va) { return Createrequest_limit(*__va->__fbb, __va->__o->limits[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _answered_parts = _o->answered_parts.size() ? _fbb.CreateVector(_o->answered_parts) : 0;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       _kind,
@@ -2458,7 +2478,8 @@
       _configuration_era,
       _list_era,
       _list_since_era,
-      _limits);
+      _limits,
+      _answered_parts);
 }
 
 inline const barleyfork::schema::peer_message *Getpeer_message(const void *buf) {
