Clear nothing by an answer that ends with its connection until its server lives

An answer without a length ends with its connection, and so does the process of a server that ended: where the kernel closes without a reset, behind a whole event, the stream looked complete. The part was then cleared for a minute by the very end that it caused, and no end was held against it.

--- a/libs/gateway/src/backend_connection.cpp
+++ b/libs/gateway/src/backend_connection.cpp
@@ -171,6 +171,7 @@
         parser_->put_eof(ended);
         if (!ended && parser_->is_done() && !is_stray_answer_) {
             must_close_ = true;
+            ended_by_close_ = true;
             finish(exchange_result::complete);
             return;
         }
--- a/libs/gateway/src/backend_connection.hpp
+++ b/libs/gateway/src/backend_connection.hpp
@@ -106,6 +106,13 @@
         return exchange_count_ > 1;
     }
 
+    /// Returns true if the end of the connection was that of the response, so
+    /// that the end of the server's process would have looked the same.
+    bool ended_by_close() const noexcept
+    {
+        return ended_by_close_;
+    }
+
     /// Returns true if the connection is idle at `now` for less than the given
     /// fraction of the server's idle timeout.
     bool is_usable(time_point now, double timeout_fraction) const noexcept;
@@ -150,6 +157,7 @@
     /// True if the connection must not be reused, for example after an
     /// unsolicited response.
     bool must_close_ = false;
+    bool ended_by_close_ = false;
     bool is_head_reported_ = false;
     /// True if the response being read belongs to an earlier request.
     bool is_stray_answer_ = false;
--- a/libs/gateway/src/crash_watch.cpp
+++ b/libs/gateway/src/crash_watch.cpp
@@ -11,6 +11,8 @@
 
 /// An address without a listener refuses a connection within a round trip.
 constexpr duration probe_timeout{1000};
+/// Answers of one server that wait for one probe.
+constexpr std::size_t max_unconfirmed = 256;
 
 } // namespace
 
@@ -21,9 +23,10 @@
 {
 }
 
-void crash_watch::on_connection_broken(const server_process& process,
-                                       const tcp::endpoint& target,
-                                       const broken_request& broken)
+void crash_watch::on_connection_ended(const server_process& process,
+                                      const tcp::endpoint& target,
+                                      const broken_request& broken,
+                                      bool is_answered)
 {
     const listening_process at{
         process, target.address().to_string(), target.port()};
@@ -32,6 +35,9 @@
         timers_.add(*due, [this, server = process.server, target] {
             probe(server, target);
         });
+    auto& unconfirmed = unconfirmed_[process.server];
+    if (is_answered && unconfirmed.size() < max_unconfirmed)
+        unconfirmed.push_back(broken.suspects);
 }
 
 void crash_watch::probe(const server_id& server, const tcp::endpoint& target)
@@ -66,10 +72,15 @@
 
 void crash_watch::handle_probe_result(const server_id& server, bool is_running)
 {
-    for (const auto& crashed :
-         detector_.on_probe(server, is_running, steady_now()))
-        if (on_crash_)
-            on_crash_(server, crashed);
+    const auto crashed = detector_.on_probe(server, is_running, steady_now());
+    const auto answered = std::exchange(unconfirmed_[server], {});
+    unconfirmed_.erase(server);
+    if (on_crash_)
+        for (const auto& process : crashed)
+            on_crash_(server, process);
+    if (crashed.empty() && on_answer_)
+        for (const auto& request : answered)
+            on_answer_(request);
 }
 
 } // namespace barleyfork
--- a/libs/gateway/src/crash_watch.hpp
+++ b/libs/gateway/src/crash_watch.hpp
@@ -8,6 +8,8 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
+#include <map>
+#include <vector>
 
 namespace barleyfork {
 
@@ -19,6 +21,7 @@
     using tcp = boost::asio::ip::tcp;
     using crash_handler =
         std::function<void(const server_id&, const crashed_process&)>;
+    using answer_handler = std::function<void(const crash_suspects&)>;
 
     crash_watch(boost::asio::any_io_executor executor,
                 timer_queue& timers,
@@ -32,11 +35,20 @@
         on_crash_ = std::move(handler);
     }
 
-    /// Records that a connection to `target` broke under a request, and
-    /// schedules a probe of the server.
-    void on_connection_broken(const server_process& process,
-                              const tcp::endpoint& target,
-                              const broken_request& broken);
+    /// Sets the handler that is called with a request that was answered
+    /// completely, once its server is known to have survived it.
+    void on_answer_confirmed(answer_handler handler)
+    {
+        on_answer_ = std::move(handler);
+    }
+
+    /// Records that a connection to `target` ended under a request, and
+    /// schedules a probe of the server. `is_answered` is true if the response
+    /// is complete unless the process ended too.
+    void on_connection_ended(const server_process& process,
+                             const tcp::endpoint& target,
+                             const broken_request& broken,
+                             bool is_answered);
 
     /// Processes the listing of a process in the store.
     void on_process_listed(const listening_process& at);
@@ -50,6 +62,9 @@
     const backend_pool& pool_;
     crash_detector detector_;
     crash_handler on_crash_;
+    answer_handler on_answer_;
+    /// Requests to each server that are answered if it is found running.
+    std::map<server_id, std::vector<crash_suspects>> unconfirmed_;
 };
 
 } // namespace barleyfork
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -145,6 +145,9 @@
         [this](const auto& server, const auto& ended) {
             updates.on_server_crashed(server, ended);
         });
+    context.crashes.on_answer_confirmed([this](const auto& request) {
+        context.clear_suspects(request, steady_now());
+    });
     context.on_blamed_part_answered = [this] {
         updates.on_blamed_part_answered();
     };
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -169,6 +169,9 @@
     void record_attempt_end(attempt_outcome end,
                             exchange_result exchange,
                             time_point now);
+    void report_to_crash_watch(exchange_result exchange,
+                               attempt_outcome end,
+                               time_point now);
     void after_attempt(attempt_outcome end, time_point now);
     bool reserve_retry(time_point now);
     void on_rejected_by_server(time_point now);
--- a/libs/gateway/src/gateway_call_answers.cpp
+++ b/libs/gateway/src/gateway_call_answers.cpp
@@ -286,20 +286,36 @@
     attempt_->is_answer_complete = end == exchange_result::complete;
     const auto ended = classify(end);
     record_attempt_end(ended, end, now);
-    if (end == exchange_result::lost && attempt_->has_begun_sending)
-        context_.crashes.on_connection_broken(
-            {attempt_->server, attempt_->started_ms},
-            attempt_->target,
-            {suspects_, attempt_->sent_at});
-    // A server that fails may not have got far enough to crash.
-    if (ended == attempt_outcome::answered && is_authentic_answer() &&
-        !is_failure(attempt_->head->status))
-        context_.clear_suspects(suspects_, now);
+    report_to_crash_watch(end, ended, now);
     if (ended == attempt_outcome::refused_by_server)
         on_rejected_by_server(now);
     after_attempt(ended, now);
 }
 
+/// Reports a connection that ended under the request, and clears the request
+/// after a complete response. If the end of the connection is that of the
+/// response, the server's process may have ended too.
+void gateway_call::report_to_crash_watch(exchange_result exchange,
+                                         attempt_outcome end,
+                                         time_point now)
+{
+    // A server that fails may not have got far enough to crash.
+    const bool is_sound = end == attempt_outcome::answered &&
+                          is_authentic_answer() &&
+                          !is_failure(attempt_->head->status);
+    const bool ended_by_close = attempt_->connection->ended_by_close();
+    const bool is_broken =
+        exchange == exchange_result::lost && attempt_->has_begun_sending;
+    if (is_broken || ended_by_close)
+        context_.crashes.on_connection_ended(
+            {attempt_->server, attempt_->started_ms},
+            attempt_->target,
+            {suspects_, attempt_->sent_at},
+            is_sound);
+    else if (is_sound)
+        context_.clear_suspects(suspects_, now);
+}
+
 void gateway_call::record_attempt_end(attempt_outcome end,
                                       exchange_result exchange,
                                       time_point now)
