Hold ends against a shared part rather than against a request beside it

A part is told apart by each further end, so a request does not pass it. In turn a request that goes along kept the part from being refused for ever; it is retried only so often, so from eight ends on only other parts can explain those of a part.

--- a/libs/core/include/barleyfork/core/crash_quarantine.hpp
+++ b/libs/core/include/barleyfork/core/crash_quarantine.hpp
@@ -163,14 +163,15 @@
     time_point refused_until(const entry& known) const;
     bool is_settled(time_point blamed_at, time_point now) const;
     std::size_t settled_crashes(const entry& known, time_point now) const;
+    static std::size_t crashes_by(const entry& known, time_point until);
     std::size_t settled_crashes_without(const entry& known,
                                         const entry& other,
                                         time_point now) const;
+    template <class Predicate>
     bool has_other_suspect(const entry& known,
                            const crash_suspects& request,
-                           std::size_t at_least,
-                           time_point until,
-                           time_point now) const;
+                           time_point now,
+                           Predicate is_candidate) const;
     bool is_part_refused(const entry& known,
                          const crash_suspects& request,
                          time_point now) const;
--- a/libs/core/src/crash_quarantine.cpp
+++ b/libs/core/src/crash_quarantine.cpp
@@ -143,6 +143,14 @@
         }));
 }
 
+std::size_t crash_quarantine::crashes_by(const entry& known, time_point until)
+{
+    return static_cast<std::size_t>(std::count_if(
+        known.crashes.begin(), known.crashes.end(), [&](const auto& crash) {
+            return crash.second <= until;
+        }));
+}
+
 /// Returns the number of crashes that happened without the other one.
 std::size_t crash_quarantine::settled_crashes_without(const entry& known,
                                                       const entry& other,
@@ -156,24 +164,17 @@
 }
 
 /// Returns whether another suspect, which is not of `request`, may be the
-/// cause: it has `at_least` crashes by `until`, and fewer than
-/// `refusal_threshold` of this one's crashes happened without it.
+/// cause: fewer than `refusal_threshold` of this one's crashes happened without
+/// it, and `is_candidate` is true for it.
+template <class Predicate>
 bool crash_quarantine::has_other_suspect(const entry& known,
                                          const crash_suspects& request,
-                                         std::size_t at_least,
-                                         time_point until,
-                                         time_point now) const
+                                         time_point now,
+                                         Predicate is_candidate) const
 {
-    const auto crashes_by = [until](const entry& other) {
-        return static_cast<std::size_t>(std::count_if(
-            other.crashes.begin(), other.crashes.end(), [&](const auto& crash) {
-                return crash.second <= until;
-            }));
-    };
     return std::any_of(entries_.begin(), entries_.end(), [&](const auto& item) {
         const auto& other = item.second;
-        return &other != &known && !request.contains(item.first) &&
-               crashes_by(other) >= at_least &&
+        return !request.contains(item.first) && is_candidate(other) &&
                settled_crashes_without(known, other, now) <
                    limits_.refusal_threshold;
     });
@@ -183,22 +184,38 @@
                                        const crash_suspects& request,
                                        time_point now) const
 {
-    return !has_other_suspect(known, request, 0, now, now);
+    // A single request is retried only so often, so it can't explain more.
+    const bool exceeds_requests =
+        settled_crashes(known, now) >=
+        limits_.refusal_threshold + max_part_crashes_past_threshold;
+    const auto is_candidate = [&](const entry& other) {
+        return !exceeds_requests || is_prompt_part(other.suspect);
+    };
+    return !has_other_suspect(known, request, now, is_candidate);
 }
 
+/// Requests that no crash separates are refused after the doubt, but not beside
+/// a part of prompts that may be the cause: each further crash that it causes
+/// tells it apart.
 bool crash_quarantine::is_request_refused(const entry& known,
                                           const crash_suspects& request,
                                           time_point now) const
 {
     const auto settled = settled_crashes(known, now);
     const auto reported_by = known.last_crash_at + max_report_delay;
-    if (!has_other_suspect(known, request, settled, reported_by, now))
+    const auto has_as_many = [&](const entry& other) {
+        return crashes_by(other, reported_by) >= settled;
+    };
+    if (!has_other_suspect(known, request, now, has_as_many))
         return true;
+    const auto is_ahead = [&](const entry& other) {
+        return other.crashes.size() > known.crashes.size() ||
+               (is_prompt_part(other.suspect) && has_as_many(other));
+    };
     return settled >= limits_.refusal_threshold + max_undecided_crashes &&
            settled_crashes(known, now - limits_.doubt) >=
                limits_.refusal_threshold &&
-           !has_other_suspect(
-               known, request, known.crashes.size() + 1, now, now);
+           !has_other_suspect(known, request, now, is_ahead);
 }
 
 bool crash_quarantine::meets_refusal_rule(const entry& known,
