--- a/libs/core/include/barleyfork/core/drain_plan.hpp
+++ b/libs/core/include/barleyfork/core/drain_plan.hpp
@@ -11,8 +11,8 @@
 /// exits: if all daemons of a failure domain stop one after the other, the load
 /// balancer has no better destination. How long a response takes is not known,
 /// but its caller's deadline is, so a plain request is accepted late if its
-/// deadline is before the exit. A stream may go on past its deadline, so streams
-/// are not accepted late.
+/// deadline is before the exit. A stream may go on past its deadline, so
+/// streams are not accepted late.
 class drain_plan
 {
 public:
--- a/libs/logs/src/request_timeline.cpp
+++ b/libs/logs/src/request_timeline.cpp
@@ -96,8 +96,11 @@
 {
     if (refused == nullptr)
         return "servers crashed while running it";
+    const bool is_part = refused->field("cause") == "prompt_part";
     return std::string(refused->field("crashes")) +
-           " servers crashed while running it or its retries";
+           (is_part ? " servers crashed while running requests that share a "
+                      "part of its prompt"
+                    : " servers crashed while running it or its retries");
 }
 
 std::string describe_end(std::span<const log_line> lines)
