Name whole requests as such in barleyforkd's quarantine

The highest bit of a suspect tells a part of prompts from a request. barleyforkd used the hash as it was, so that half of its requests would have been held to the rule for parts. Found by reading; no release had it.

--- a/libs/daemon/src/caller_front.cpp
+++ b/libs/daemon/src/caller_front.cpp
@@ -170,8 +170,8 @@
         co_return;
     }
     request.owner = *owner;
-    request.fingerprint =
-        hash64(incoming.body, hash64(owner->id.value() + incoming.path));
+    request.fingerprint = make_request_suspect(
+        hash64(incoming.body, hash64(owner->id.value() + incoming.path)));
     if (incoming.path == "/v1/models") {
         co_await list_models(request, out);
         co_return;
