Leave the lease's row alone until a configuration is known

Cause: a gateway's first check of the lease may fall before its first configuration is in force (the logs: the configuration 100 ms after the start, where the first check may be too). It can't acquire the lease then, yet the check counts as one that found a holder, and the next one comes a whole term later: 5 s with the default holder_change_ms, and without a holder nothing is placed. The same where an operator's first configuration is late, for all daemons.

Ruled out: a lost or refused write (no call to the store failed in the three logs, none shows lease_taken), a late configuration (in force within 101 ms in all three), the handicap of a narrow link (0 with the defaults).

Now a gateway looks at the lease only once it has a configuration; the spread of checks begins then. A call to the store less for each daemon that waits.

--- a/libs/gateway/src/placement_worker_lease.cpp
+++ b/libs/gateway/src/placement_worker_lease.cpp
@@ -87,6 +87,9 @@
 
 asio::awaitable<void> placement_worker::maintain_lease()
 {
+    // Without a configuration this daemon could not acquire the lease.
+    if (context_.configuration == nullptr)
+        co_return;
     const bool held = lease_.held(boot_now());
     const bool is_holder_responsive =
         peer_updates_.is_holder_responsive(steady_now());
@@ -109,10 +112,7 @@
 {
     const auto id = context_.self.value() + "-" + std::to_string(++writes_) +
                     "-" + std::to_string(context_.random());
-    const auto row = lease_.next_write(!is_holder_responsive &&
-                                           context_.configuration != nullptr,
-                                       id,
-                                       boot_now());
+    const auto row = lease_.next_write(!is_holder_responsive, id, boot_now());
     if (!row)
         co_return;
     if (!held)
