Look again soon at a free lease whose acquisition failed

Now a free row expires when it was read, so the next check comes after the minimum interval and the spread; a restored row still binds for a term.

--- a/libs/core/include/barleyfork/core/lease.hpp
+++ b/libs/core/include/barleyfork/core/lease.hpp
@@ -83,10 +83,7 @@
 
     /// Returns when another daemon may acquire the lease, according to the row
     /// last observed.
-    time_point expires_at() const noexcept
-    {
-        return seen_at_ + options_.term;
-    }
+    time_point expires_at() const noexcept;
 
     /// Returns the epoch under which this daemon acts.
     std::uint64_t epoch() const noexcept
@@ -113,7 +110,6 @@
         time_point sent_at{};
     };
 
-    bool is_expired(time_point now) const noexcept;
     std::uint64_t next_epoch() const noexcept;
     lease_row begin_write(lease_row row, time_point now);
 
--- a/libs/core/src/lease.cpp
+++ b/libs/core/src/lease.cpp
@@ -70,7 +70,7 @@
             return std::nullopt;
         return begin_write({self_, row_.epoch, std::move(write_id)}, now);
     }
-    if (!candidate || !is_expired(now))
+    if (!candidate || now < expires_at())
         return std::nullopt;
     return begin_write({self_, next_epoch(), std::move(write_id)}, now);
 }
@@ -93,10 +93,10 @@
     return row_.holder == self_ && now < held_until_;
 }
 
-bool lease::is_expired(time_point now) const noexcept
+time_point lease::expires_at() const noexcept
 {
     const bool is_free = row_.holder.empty() && !is_holder_unknown_;
-    return is_free || now >= seen_at_ + options_.term;
+    return is_free ? seen_at_ : seen_at_ + options_.term;
 }
 
 std::uint64_t lease::next_epoch() const noexcept
--- a/libs/core/tests/gateway_parts_test.cpp
+++ b/libs/core/tests/gateway_parts_test.cpp
@@ -70,6 +70,7 @@
     CPPUNIT_TEST(caller_timeout_is_the_longest_of_three);
     CPPUNIT_TEST(pace_estimate_converges);
     CPPUNIT_TEST(late_renewal_extends_the_lease_from_its_sending_time);
+    CPPUNIT_TEST(a_free_lease_is_not_waited_for);
     CPPUNIT_TEST(announcements_of_a_process_expire_with_it);
     CPPUNIT_TEST(announcements_of_an_older_process_are_ignored);
     CPPUNIT_TEST(memory_is_shared_up_to_its_limits);
@@ -392,6 +393,20 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, row->epoch);
     }
 
+    /// A candidate whose write failed would check again only a term later.
+    void a_free_lease_is_not_waited_for()
+    {
+        lease candidate(instance_id("b"), lease_options());
+        candidate.observe({instance_id(), 3, "released"}, 10, start);
+        CPPUNIT_ASSERT(candidate.next_write(true, "w1", start).has_value());
+        CPPUNIT_ASSERT(candidate.expires_at() == start);
+        const lease_row of_backup{instance_id(), 3, "released"};
+        candidate.observe(
+            of_backup, 11, start, duration{0}, row_origin::backup);
+        CPPUNIT_ASSERT(!candidate.next_write(true, "w2", start));
+        CPPUNIT_ASSERT(candidate.expires_at() == start + lease_options().term);
+    }
+
     void announcements_of_a_process_expire_with_it()
     {
         backend_directory directory;
