Add up ends at daemons that are cut off from the holder

Cause: ends below a refusal stand in the memory of those that hear of them, and in the holder's row. Daemons that only have the store in common knew their own ends.

Now, where no holder was heard for 4 s, the reader of each failure domain stores ends too: all requests from the first end on and parts from the second, 16 ends at most and what it has read in no other row. A write that meets another version of the row is tried once more at once.

The change of crash_quarantine_test names the scope it asked for before; its other checks are the same.

--- a/libs/core/include/barleyfork/core/crash_quarantine.hpp
+++ b/libs/core/include/barleyfork/core/crash_quarantine.hpp
@@ -34,6 +34,15 @@
     duration age{0};
 };
 
+/// Which of the suspects below a refusal are meant.
+enum class suspicion_scope : std::uint8_t
+{
+    /// Requests and parts that one more crash brings to the threshold.
+    near_refusal,
+    /// These, and all requests with fewer crashes.
+    all_requests,
+};
+
 /// Limits that decide when a request is refused for attributed crashes.
 struct quarantine_limits
 {
@@ -136,10 +145,10 @@
     /// Returns the attributions of all refused requests.
     std::vector<reported_blame> refusals(time_point now) const;
 
-    /// Returns the attributions of requests that are suspected but not refused,
-    /// those of the requests with the most crashes first; `limit` at most.
-    std::vector<reported_blame> suspicions(time_point now,
-                                           std::size_t limit) const;
+    /// Returns the attributions of suspects that are not refused, those of the
+    /// suspects with the most crashes first; `limit` at most.
+    std::vector<reported_blame>
+    suspicions(suspicion_scope scope, time_point now, std::size_t limit) const;
 
     /// Returns a digest that is equal on daemons that refuse the same requests.
     std::uint64_t digest(time_point now) const;
@@ -161,6 +170,8 @@
                               time_point now,
                               std::vector<reported_blame>& reported);
     time_point refused_until(const entry& known) const;
+    bool is_near_refusal(const entry& known) const;
+    bool is_in(suspicion_scope scope, const entry& known) const;
     bool is_settled(time_point blamed_at, time_point now) const;
     std::size_t settled_crashes(const entry& known, time_point now) const;
     static std::size_t crashes_by(const entry& known, time_point until);
--- a/libs/core/src/crash_quarantine.cpp
+++ b/libs/core/src/crash_quarantine.cpp
@@ -241,11 +241,16 @@
                                  time_point now) const
 {
     const auto found = entries_.find(fingerprint);
-    return found != entries_.end() &&
-           found->second.crashes.size() + 1 >= limits_.refusal_threshold &&
+    return found != entries_.end() && is_near_refusal(found->second) &&
            now < refused_until(found->second) && !is_trusted(fingerprint, now);
 }
 
+/// Returns whether one more crash brings the suspect to the threshold.
+bool crash_quarantine::is_near_refusal(const entry& known) const
+{
+    return known.crashes.size() + 1 >= limits_.refusal_threshold;
+}
+
 bool crash_quarantine::refused(std::uint64_t fingerprint, time_point now) const
 {
     const auto found = entries_.find(fingerprint);
@@ -321,12 +326,20 @@
     return reported;
 }
 
-std::vector<reported_blame>
-crash_quarantine::suspicions(time_point now, std::size_t limit) const
+bool crash_quarantine::is_in(suspicion_scope scope, const entry& known) const
+{
+    const bool has_all_requests = scope == suspicion_scope::all_requests;
+    return is_near_refusal(known) ||
+           (has_all_requests && !is_prompt_part(known.suspect));
+}
+
+std::vector<reported_blame> crash_quarantine::suspicions(
+    suspicion_scope scope, time_point now, std::size_t limit) const
 {
     std::vector<std::pair<std::uint64_t, const entry*>> suspects;
     for (const auto& [fingerprint, known] : entries_)
-        if (suspected(fingerprint, now) && !meets_refusal_rule(known, now))
+        if (is_in(scope, known) && now < refused_until(known) &&
+            !is_trusted(fingerprint, now) && !meets_refusal_rule(known, now))
             suspects.emplace_back(fingerprint, &known);
     std::stable_sort(suspects.begin(),
                      suspects.end(),
--- a/libs/core/tests/crash_quarantine_test.cpp
+++ b/libs/core/tests/crash_quarantine_test.cpp
@@ -113,6 +113,7 @@
     CPPUNIT_TEST(a_request_with_five_crashes_beside_the_cause_is_served);
     CPPUNIT_TEST(a_later_suspect_of_one_crash_does_not_end_a_refusal);
     CPPUNIT_TEST(suspicions_are_those_below_a_refusal);
+    CPPUNIT_TEST(suspicions_have_all_requests_where_asked);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -419,14 +420,32 @@
             quarantine.on_crash(refused, crash, later);
         for (const std::uint64_t crash : {10U, 11U})
             quarantine.on_crash(twice, crash, later);
-        const auto all = quarantine.suspicions(later + duration{40}, 100);
+        const auto near = suspicion_scope::near_refusal;
+        const auto all = quarantine.suspicions(near, later + duration{40}, 100);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, all.size());
         CPPUNIT_ASSERT((all[0].blame == crash_blame{7, 10}));
         CPPUNIT_ASSERT((all[1].blame == crash_blame{7, 11}));
         CPPUNIT_ASSERT(all[0].age == duration{40});
         CPPUNIT_ASSERT_EQUAL(std::size_t{2},
-                             quarantine.suspicions(later, 2).size());
-        CPPUNIT_ASSERT(quarantine.suspicions(later, 1).empty());
+                             quarantine.suspicions(near, later, 2).size());
+        CPPUNIT_ASSERT(quarantine.suspicions(near, later, 1).empty());
+    }
+
+    /// Requests from their first crash on, parts of prompts as before.
+    void suspicions_have_all_requests_where_asked()
+    {
+        crash_quarantine quarantine(limits());
+        const std::vector<std::uint64_t> once{6, make_part_suspect(6)};
+        const std::vector<std::uint64_t> twice{7, make_part_suspect(7)};
+        quarantine.on_crash(once, 2, at(0));
+        for (const std::uint64_t crash : {10U, 11U})
+            quarantine.on_crash(twice, crash, at(0));
+        const auto all = suspicion_scope::all_requests;
+        const auto found = quarantine.suspicions(all, at(0), 100);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, found.size());
+        CPPUNIT_ASSERT((found.back().blame == crash_blame{6, 2}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4},
+                             quarantine.suspicions(all, at(0), 4).size());
     }
 };
 
--- a/libs/gateway/src/peer_updates.cpp
+++ b/libs/gateway/src/peer_updates.cpp
@@ -37,7 +37,7 @@
                 receive(message);
             }),
       started_ms_(static_cast<std::uint64_t>(wall_clock_ms())),
-      refusals_(context), suspicions_(context)
+      started_at_(steady_now()), refusals_(context), suspicions_(context)
 {
     watch.on_changes_missed([this] { request_missed_changes(); });
     watch.on_list_read([this] {
--- a/libs/gateway/src/peer_updates.hpp
+++ b/libs/gateway/src/peer_updates.hpp
@@ -167,6 +167,7 @@
     void send_blames();
     std::vector<reported_blame> take_unsent_blames();
     void process_refusals(time_point now);
+    bool is_cut_off(time_point now) const;
     void merge_blames(std::span<const reported_blame> blames);
     void add_unsent_blame(const crash_blame& blame, time_point now);
     void add_answered_parts(schema::peer_message_record& message);
@@ -187,8 +188,9 @@
     peer_link link_;
     demand_handler on_demand_;
     std::function<void(bool)> on_released_;
-    /// When this process started, in Unix milliseconds.
+    /// When this process started, in Unix milliseconds and by its own clock.
     std::uint64_t started_ms_;
+    time_point started_at_;
     std::map<instance_id, member> members_;
     /// This daemon's row in the store as last read.
     store_row own_row_;
--- a/libs/gateway/src/peer_updates_quarantine.cpp
+++ b/libs/gateway/src/peer_updates_quarantine.cpp
@@ -60,7 +60,8 @@
         add_unsent_blame(blame, now);
         const auto crashes = quarantine.crashes(blame.fingerprint);
         // A first crash is attributed to each part that ran on the server.
-        if (is_prompt_part(blame.fingerprint) && crashes < 2)
+        if (is_prompt_part(blame.fingerprint) &&
+            crashes < min_reported_part_crashes)
             continue;
         log_event(log_level::info, "request_blamed_for_crash")
             .with("server", server.value())
@@ -172,9 +173,8 @@
 
 /// Logs each request that is refused from now on. Stores the refusals, by the
 /// holder or, while no holder is responsive, by every daemon, and the
-/// suspicions, by the holder. A request may become refused without a new crash
-/// of its own, because another request that met the same crashes got a
-/// response.
+/// suspicions. A request may become refused without a new crash of its own,
+/// because another request that met the same crashes got a response.
 void peer_updates::process_refusals(time_point now)
 {
     std::set<std::uint64_t> refused;
@@ -197,9 +197,18 @@
     if (!is_lease_holder_ && is_holder_responsive(now))
         return;
     refusals_.keep(refused);
-    // One writer: after the loss of a holder all daemons know the same.
     if (is_lease_holder_)
-        suspicions_.keep();
+        suspicions_.keep(suspicion_writer::lease_holder);
+    else if (is_cut_off(now) && watch_.readers().is_reader())
+        suspicions_.keep(suspicion_writer::cut_off);
+}
+
+/// Returns whether this daemon hears no holder. After the loss of a holder,
+/// which is soon replaced, all daemons know the same.
+bool peer_updates::is_cut_off(time_point now) const
+{
+    const auto heard_at = std::max(holder_last_seen_at_, started_at_);
+    return !is_lease_holder_ && now >= heard_at + cut_off_delay;
 }
 
 /// Merges the attributions of another daemon or of the store. Parts that were
@@ -286,7 +295,6 @@
 /// daemons that are cut off from it, and those do not hear the holder.
 asio::awaitable<void> peer_updates::follow_refusals()
 {
-    const auto started_at = steady_now();
     bool has_read = false;
     time_point read_at{};
     for (;;) {
@@ -294,10 +302,8 @@
         const auto interval = !has_read          ? first_read_interval
                               : is_lease_holder_ ? holder_read_interval
                                                  : cut_off_read_interval;
-        const bool is_cut_off =
-            now >= std::max(holder_last_seen_at_, started_at) + cut_off_delay;
         const bool relies_on_messages =
-            has_read && !is_lease_holder_ && !is_cut_off;
+            has_read && !is_lease_holder_ && !is_cut_off(now);
         if (now < read_at + interval || relies_on_messages) {
             co_await sleep_for_ms(read_poll_ms);
             continue;
@@ -307,6 +313,7 @@
         if (!blames)
             continue;
         has_read = true;
+        suspicions_.on_read(*blames);
         merge_blames(*blames);
     }
 }
--- a/libs/gateway/src/suspicion_store.cpp
+++ b/libs/gateway/src/suspicion_store.cpp
@@ -4,11 +4,7 @@
 
 #include <barleyfork/base/log.hpp>
 
-#include <algorithm>
-#include <span>
 #include <string>
-#include <utility>
-#include <vector>
 
 namespace barleyfork {
 
@@ -16,11 +12,6 @@
 
 namespace {
 
-/// Interval between two writes; crashes within it share one write.
-constexpr duration write_interval{1000};
-/// Maximum number of attributions in the row, 6.2 KB at most.
-constexpr std::size_t max_blames_per_row = 64;
-
 /// Rows of daemons and rows of refused requests share a table; the keys of the
 /// latter are hexadecimal.
 std::string key_of(const instance_id& daemon)
@@ -28,54 +19,60 @@
     return "known_by:" + daemon.value();
 }
 
-std::set<crash_blame> to_set(std::span<const reported_blame> blames)
-{
-    std::set<crash_blame> found;
-    for (const auto& entry : blames)
-        found.insert(entry.blame);
-    return found;
-}
-
 } // namespace
 
 suspicion_store::suspicion_store(gateway_context& context) : context_(context)
 {
 }
 
-void suspicion_store::keep()
+void suspicion_store::keep(suspicion_writer writer)
 {
+    if (is_writing_ || !context_.clock_of_store.is_known())
+        return;
     const auto now = steady_now();
-    if (is_writing_ || now < next_write_at_ || is_stored() ||
-        !context_.clock_of_store.is_known())
+    const auto known = suspicions(writer);
+    if (!writes_.is_due(writer, known, context_.daemons(), now))
         return;
     is_writing_ = true;
-    next_write_at_ = now + write_interval;
-    context_.serving.spawn(write());
+    writes_.on_started(now);
+    context_.serving.spawn(write(writer));
+}
+
+void suspicion_store::on_read(std::span<const reported_blame> blames)
+{
+    writes_.on_read(blames);
 }
 
 void suspicion_store::on_store_restored()
 {
-    stored_.clear();
+    writes_.on_store_restored();
 }
 
-bool suspicion_store::is_stored() const
+std::vector<reported_blame>
+suspicion_store::suspicions(suspicion_writer writer) const
 {
-    const auto known = to_set(
-        context_.quarantine.suspicions(steady_now(), max_blames_per_row));
-    return std::includes(
-        stored_.begin(), stored_.end(), known.begin(), known.end());
+    const auto scope = writer == suspicion_writer::lease_holder
+                           ? suspicion_scope::near_refusal
+                           : suspicion_scope::all_requests;
+    return context_.quarantine.suspicions(
+        scope, steady_now(), suspicion_writes::max_blames(writer));
 }
 
-asio::awaitable<void> suspicion_store::write()
+/// Writes the row, once more after a write that failed for its version.
+asio::awaitable<void> suspicion_store::write(suspicion_writer writer)
 {
-    co_await write_row();
+    const bool is_stored = co_await write_row(writer);
+    if (!is_stored) {
+        co_await read_own_row();
+        co_await write_row(writer);
+    }
     is_writing_ = false;
 }
 
-asio::awaitable<void> suspicion_store::write_row()
+/// Returns whether the row is stored.
+asio::awaitable<bool> suspicion_store::write_row(suspicion_writer writer)
 {
-    const auto blames =
-        context_.quarantine.suspicions(steady_now(), max_blames_per_row);
+    const auto blames = suspicions(writer);
     context_.measures.count_store_call(store_purpose::members,
                                        "keep_suspicions");
     const auto written = co_await context_.platform.store->write_row(
@@ -83,15 +80,16 @@
         key_of(context_.self),
         encode_suspicions(blames, context_.clock_of_store.estimate(boot_now())),
         version_);
-    if (written.end != store_write_outcome::done) {
-        co_await read_own_row();
-        co_return;
-    }
+    if (written.end != store_write_outcome::done)
+        co_return false;
     version_ = written.version;
-    stored_ = to_set(blames);
+    writes_.on_written(blames);
     log_event(log_level::info, "suspicions_stored")
+        .with("writer",
+              writer == suspicion_writer::lease_holder ? "holder" : "cut_off")
         .with("attributions", static_cast<std::int64_t>(blames.size()))
         .with("row_version", static_cast<std::int64_t>(version_.number()));
+    co_return true;
 }
 
 /// Reads the version for the next write. What an earlier process of this
