Hold requests that were given up responsible for ends of the next two seconds

Cause: only requests whose connection broke count as in flight on a process that ended. The daemon closes the connection itself when the caller leaves or the time is over, so the end was held against nobody; mostly it wasn't even seen, since nothing broke.

Now such a request counts as in flight for two seconds, and its server is probed half a second to a second later, at most twice a second for each daemon and server, and not at all where the daemon has an idle connection or another request there, which would break.

Ruled out: keeping the connection open after the caller left (a server learns from its end that nobody waits).

--- a/libs/core/include/barleyfork/core/backend_loads.hpp
+++ b/libs/core/include/barleyfork/core/backend_loads.hpp
@@ -134,6 +134,9 @@
     /// Returns this daemon's work in flight, for its updates to peers.
     std::vector<peer_work> own_work() const;
 
+    /// Returns whether this daemon has a request in flight on the server.
+    bool has_own_work(const server_id& server) const;
+
     /// Returns the load that delays a request of `priority`: less urgent
     /// waiting requests are left out, since the request overtakes them.
     load_view
--- a/libs/core/include/barleyfork/core/crash_detector.hpp
+++ b/libs/core/include/barleyfork/core/crash_detector.hpp
@@ -39,7 +39,11 @@
 /// process has exited, and every request whose connection broke there was in
 /// flight on it. A process exits only once: a request that is sent to its
 /// address later reaches a successor, whose crash is reported when the
-/// successor is listed. Not thread-safe.
+/// successor is listed.
+///
+/// A request that this daemon gave up, because its caller left or its time was
+/// over, may still run on the server. It counts as in flight for
+/// `abandoned_retention`. Not thread-safe.
 class crash_detector
 {
 public:
@@ -50,6 +54,12 @@
     /// Retention of an exited process; its successor is listed within this
     /// time.
     static constexpr duration exited_retention{60000};
+    /// For how long an abandoned request counts as in flight.
+    static constexpr duration abandoned_retention{2000};
+    /// Time from an abandonment to the probe of its server, and the least time
+    /// for which an earlier probe is waited for instead.
+    static constexpr duration abandoned_probe_delay{1000};
+    static constexpr duration min_abandoned_probe_delay{500};
     /// Maximum number of requests and parts recorded per server and category.
     static constexpr std::size_t max_recorded_suspects = 4096;
 
@@ -59,6 +69,14 @@
                                                    const broken_request& broken,
                                                    time_point now);
 
+    /// Records that this daemon closed the connection of a request that the
+    /// server may still run. Returns when the server is to be probed, or
+    /// nothing if no further probe is needed.
+    std::optional<time_point>
+    on_request_abandoned(const listening_process& at,
+                         const crash_suspects& suspects,
+                         time_point now);
+
     /// Processes the result of a probe. `is_running` is true if a process
     /// listens at the address or an older connection is still open. Returns the
     /// process if it has exited, and its successor if that has exited too while
@@ -78,6 +96,10 @@
         std::string address;
         std::uint16_t port = 0;
         std::set<crash_suspect> requests;
+        /// Until when each abandoned request counts as in flight.
+        std::map<crash_suspect, time_point> abandoned;
+        /// When the last probe for abandoned requests is due or was.
+        std::optional<time_point> abandoned_probe_at;
         /// Requests whose connections to the successor broke. If a probe finds
         /// no listener, they move from `successor_requests` to
         /// `unattributed_requests`, until the successor is listed.
@@ -92,6 +114,14 @@
     };
 
     static void reset_for(server_record& known, const listening_process& at);
+    server_record& record_of(const listening_process& at);
+    static void record_abandoned(server_record& known,
+                                 const crash_suspects& suspects,
+                                 time_point now);
+    static void add_abandoned(const server_record& known,
+                              time_point now,
+                              std::set<crash_suspect>& requests);
+    static time_point kept_until(const server_record& known);
     static void record_broken(server_record& known,
                               const broken_request& broken);
     static bool is_successor_of(const listening_process& at,
--- a/libs/core/src/backend_loads.cpp
+++ b/libs/core/src/backend_loads.cpp
@@ -155,6 +155,12 @@
     return work;
 }
 
+bool backend_loads::has_own_work(const server_id& server) const
+{
+    const auto found = loads_.find(server);
+    return found != loads_.end() && found->second.outstanding > 0;
+}
+
 std::vector<peer_work> backend_loads::all_work(time_point now) const
 {
     std::map<std::uint32_t, peer_work> sum;
--- a/libs/core/src/crash_detector.cpp
+++ b/libs/core/src/crash_detector.cpp
@@ -22,9 +22,7 @@
     const listening_process& at, const broken_request& broken, time_point now)
 {
     remove_expired(now);
-    auto& known = servers_[at.process.server];
-    if (known.started_ms != at.process.started_ms)
-        reset_for(known, at);
+    auto& known = record_of(at);
     record_broken(known, broken);
     if (known.probe_due)
         return std::nullopt;
@@ -37,6 +35,54 @@
     return known.probed_at;
 }
 
+std::optional<time_point> crash_detector::on_request_abandoned(
+    const listening_process& at, const crash_suspects& suspects, time_point now)
+{
+    remove_expired(now);
+    auto& known = record_of(at);
+    // The connections of an exited process have broken already.
+    if (known.exited_at)
+        return std::nullopt;
+    record_abandoned(known, suspects, now);
+    if (known.abandoned_probe_at &&
+        now + min_abandoned_probe_delay <= *known.abandoned_probe_at)
+        return std::nullopt;
+    known.abandoned_probe_at = now + abandoned_probe_delay;
+    return known.abandoned_probe_at;
+}
+
+void crash_detector::record_abandoned(server_record& known,
+                                      const crash_suspects& suspects,
+                                      time_point now)
+{
+    std::erase_if(known.abandoned,
+                  [now](const auto& item) { return now >= item.second; });
+    for (const auto suspect : suspects.all())
+        if (known.abandoned.size() < max_recorded_suspects)
+            known.abandoned[suspect] = now + abandoned_retention;
+}
+
+/// Adds the abandoned requests that count as in flight.
+void crash_detector::add_abandoned(const server_record& known,
+                                   time_point now,
+                                   std::set<crash_suspect>& requests)
+{
+    for (const auto& [suspect, until] : known.abandoned)
+        if (now < until)
+            requests.insert(suspect);
+}
+
+/// Returns the record of a process's server, without what an earlier process
+/// left there.
+crash_detector::server_record&
+crash_detector::record_of(const listening_process& at)
+{
+    auto& known = servers_[at.process.server];
+    if (known.started_ms != at.process.started_ms)
+        reset_for(known, at);
+    return known;
+}
+
 /// Discards the records of an earlier process, which do not apply to this one.
 void crash_detector::reset_for(server_record& known,
                                const listening_process& at)
@@ -45,6 +91,7 @@
     known.address = at.address;
     known.port = at.port;
     known.requests.clear();
+    known.abandoned.clear();
     known.successor_requests.clear();
     known.unattributed_requests.clear();
     known.successor.reset();
@@ -66,16 +113,19 @@
                                                       time_point now)
 {
     const auto found = servers_.find(server);
-    if (found == servers_.end() || !found->second.probe_due)
+    if (found == servers_.end())
         return {};
     auto& known = found->second;
     known.probe_due = false;
     if (!is_running)
         known.unattributed_requests.merge(known.successor_requests);
     known.successor_requests.clear();
-    const auto requests = std::exchange(known.requests, {});
-    if (!known.exited_at && !is_running)
+    auto requests = std::exchange(known.requests, {});
+    if (!known.exited_at && !is_running) {
         known.exited_at = now;
+        add_abandoned(known, now, requests);
+        known.abandoned.clear();
+    }
     std::vector<crashed_process> crashed;
     // A process that listens at the address of an exited one is its successor,
     // so a successful probe does not refute the exit.
@@ -115,11 +165,18 @@
 void crash_detector::remove_expired(time_point now)
 {
     std::erase_if(servers_, [now](const auto& item) {
-        const auto& known = item.second;
-        const auto memory =
-            known.exited_at ? exited_retention : min_probe_interval;
-        return !known.probe_due && now >= *known.probed_at + memory;
+        return !item.second.probe_due && now >= kept_until(item.second);
     });
 }
 
+time_point crash_detector::kept_until(const server_record& known)
+{
+    const auto memory = known.exited_at ? exited_retention : min_probe_interval;
+    const auto probed_at = known.probed_at.value_or(time_point{});
+    const auto abandoned_probe_at =
+        known.abandoned_probe_at.value_or(time_point{});
+    return std::max(probed_at + memory,
+                    abandoned_probe_at + std::max(memory, abandoned_retention));
+}
+
 } // namespace barleyfork
--- a/libs/core/tests/crash_detector_test.cpp
+++ b/libs/core/tests/crash_detector_test.cpp
@@ -3,6 +3,7 @@
 #include <barleyfork/core/crash_detector.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <vector>
 
 namespace barleyfork::testing {
 
@@ -23,6 +24,9 @@
     CPPUNIT_TEST(a_process_crashes_once);
     CPPUNIT_TEST(the_crash_of_a_successor_carries_its_id);
     CPPUNIT_TEST(the_crash_of_a_listed_successor_carries_its_id);
+    CPPUNIT_TEST(an_abandoned_request_counts_as_in_flight_for_a_while);
+    CPPUNIT_TEST(abandoned_requests_share_a_probe);
+    CPPUNIT_TEST(an_abandoned_request_is_not_held_against_a_successor);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -144,6 +148,65 @@
             other.on_probe(next.process.server, false, at(720)).front().crash,
             ended.front().crash);
     }
+
+    void an_abandoned_request_counts_as_in_flight_for_a_while()
+    {
+        const auto kept = crash_detector::abandoned_retention;
+        const auto server = process.process.server;
+        for (const auto age : {duration{0}, kept - duration{1}, kept}) {
+            crash_detector detector;
+            detector.on_request_abandoned(process, {1, {}}, at(0));
+            CPPUNIT_ASSERT(detector.on_probe(server, true, at(0)).empty());
+            const auto ended = detector.on_probe(server, false, at(0) + age);
+            CPPUNIT_ASSERT_EQUAL(age == kept, ended.empty());
+        }
+        // Another one whose connection breaks shows the end as well.
+        crash_detector detector;
+        detector.on_request_abandoned(process, {1, {}}, at(0));
+        detector.on_connection_broken(process, {{2, {}}, at(0)}, at(300));
+        const auto ended = detector.on_probe(server, false, at(320));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ended.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, ended.front().in_flight.size());
+    }
+
+    /// Each is probed half a second after it was abandoned at the soonest, and
+    /// the server twice a second at most.
+    void abandoned_requests_share_a_probe()
+    {
+        crash_detector detector;
+        std::vector<time_point> probes;
+        for (std::int64_t ms = 0; ms < 10000; ms += 10)
+            if (const auto due =
+                    detector.on_request_abandoned(process, {1, {}}, at(ms)))
+                probes.push_back(*due);
+        CPPUNIT_ASSERT(probes.front() ==
+                       at(0) + crash_detector::abandoned_probe_delay);
+        for (std::size_t i = 1; i < probes.size(); ++i)
+            CPPUNIT_ASSERT(probes[i] - probes[i - 1] >=
+                           crash_detector::min_abandoned_probe_delay);
+        CPPUNIT_ASSERT(probes.back() >=
+                       at(9990) + crash_detector::min_abandoned_probe_delay);
+    }
+
+    void an_abandoned_request_is_not_held_against_a_successor()
+    {
+        const auto server = process.process.server;
+        crash_detector detector;
+        detector.on_connection_broken(process, {{1, {}}, at(0)}, at(0));
+        detector.on_probe(server, false, at(20));
+        CPPUNIT_ASSERT(
+            !detector.on_request_abandoned(process, {2, {}}, at(500)));
+        CPPUNIT_ASSERT(detector.on_probe(server, false, at(600)).empty());
+        const listening_process successor{{server, 6}, "a", 1};
+        detector.on_request_abandoned(process, {3, {}}, at(700));
+        detector.on_connection_broken(successor, {{4, {}}, at(800)}, at(800));
+        const auto ended = detector.on_probe(server, false, at(820));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ended.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ended.front().in_flight.size());
+    }
+
+private:
+    const listening_process process{{server_id("s"), 5}, "a", 1};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(crash_detector_test);
--- a/libs/gateway/src/crash_watch.cpp
+++ b/libs/gateway/src/crash_watch.cpp
@@ -18,8 +18,10 @@
 
 crash_watch::crash_watch(asio::any_io_executor executor,
                          timer_queue& timers,
-                         const backend_pool& pool)
-    : executor_(std::move(executor)), timers_(timers), pool_(pool)
+                         const backend_pool& pool,
+                         const backend_loads& loads)
+    : executor_(std::move(executor)), timers_(timers), pool_(pool),
+      loads_(loads)
 {
 }
 
@@ -40,6 +42,21 @@
         unconfirmed.push_back(broken.suspects);
 }
 
+void crash_watch::on_request_abandoned(const server_process& process,
+                                       const tcp::endpoint& target,
+                                       const crash_suspects& suspects)
+{
+    const listening_process at{
+        process, target.address().to_string(), target.port()};
+    const auto due = detector_.on_request_abandoned(at, suspects, steady_now());
+    if (!due)
+        return;
+    timers_.add(*due, [this, server = process.server, target] {
+        if (!loads_.has_own_work(server))
+            probe(server, target);
+    });
+}
+
 void crash_watch::probe(const server_id& server, const tcp::endpoint& target)
 {
     // An idle connection would break when its process exits, so an open one
--- a/libs/gateway/src/crash_watch.hpp
+++ b/libs/gateway/src/crash_watch.hpp
@@ -4,6 +4,7 @@
 #include "backend_pool.hpp"
 #include "timer_queue.hpp"
 
+#include <barleyfork/core/backend_loads.hpp>
 #include <barleyfork/core/crash_detector.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -25,7 +26,8 @@
 
     crash_watch(boost::asio::any_io_executor executor,
                 timer_queue& timers,
-                const backend_pool& pool);
+                const backend_pool& pool,
+                const backend_loads& loads);
     crash_watch(const crash_watch&) = delete;
     crash_watch& operator=(const crash_watch&) = delete;
 
@@ -50,6 +52,13 @@
                              const broken_request& broken,
                              bool is_answered);
 
+    /// Records that this daemon closed the connection of a request that
+    /// `target` may still run. The server is probed unless this daemon has
+    /// other requests there, whose connections would break too.
+    void on_request_abandoned(const server_process& process,
+                              const tcp::endpoint& target,
+                              const crash_suspects& suspects);
+
     /// Processes the listing of a process in the store.
     void on_process_listed(const listening_process& at);
 
@@ -60,6 +69,7 @@
     boost::asio::any_io_executor executor_;
     timer_queue& timers_;
     const backend_pool& pool_;
+    const backend_loads& loads_;
     crash_detector detector_;
     crash_handler on_crash_;
     answer_handler on_answer_;
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -459,6 +459,12 @@
     context_.timers.cancel(attempt_timer_);
     if (!attempt_)
         return;
+    const auto& abandoned = *attempt_;
+    if (abandoned.has_begun_sending && !abandoned.is_answer_complete)
+        context_.crashes.on_request_abandoned(
+            {abandoned.server, abandoned.started_ms},
+            abandoned.target,
+            suspects_);
     attempt_->connection->cancel();
     release_server(end, now);
     attempt_.reset();
--- a/libs/gateway/src/gateway_context.cpp
+++ b/libs/gateway/src/gateway_context.cpp
@@ -63,8 +63,8 @@
       timers(serving.executor()), pool(serving.executor(), timers),
       answer_memory(fraction_of_memory(settings, answers_memory_fraction),
                     fraction_of_memory(settings, one_answer_memory_fraction)),
-      crashes(serving.executor(), timers, pool), quarantine(refusal_limits),
-      limits(self)
+      crashes(serving.executor(), timers, pool, loads),
+      quarantine(refusal_limits), limits(self)
 {
     for (const auto& place : settings.places)
         regions_.emplace(place->failure_domain, place->region);
