Count silence that a caller left against the server

Cause: a request whose caller left counted as well served, whether the server had been silent for 20 ms or 3 s, so silence brought its rate of failures down. An attempt withdrawn before a byte was sent counted so too.

Now silence beyond the patience that repeatable requests have (four times the expected time, at least the route's target) counts as a failure, an earlier leave counts neither way. Ruled out: any leave as a failure (a caller may have no patience at all).

--- a/libs/core/include/barleyfork/core/backend_loads.hpp
+++ b/libs/core/include/barleyfork/core/backend_loads.hpp
@@ -21,13 +21,17 @@
 /// How a request on a backend server ended, for the server's failure rate.
 enum class load_outcome : std::uint8_t
 {
-    /// A complete response, or one whose caller closed the connection.
+    /// A complete response, or one whose caller left after it had begun.
     good,
     /// The model is not resident on the server. Not counted in the failure
     /// rate.
     refused,
-    /// An error response, a lack of room, a broken connection or a timeout.
+    /// An error response, a lack of room, a broken connection, a timeout, or
+    /// silence for much longer than expected until the caller left.
     failed,
+    /// The request was given up too early to tell. Not counted in the failure
+    /// rate.
+    unknown,
 };
 
 /// The known load of one backend server.
--- a/libs/core/src/backend_loads.cpp
+++ b/libs/core/src/backend_loads.cpp
@@ -114,7 +114,7 @@
     stop_waiting(load, ticket);
     if (load.outstanding > 0)
         --load.outstanding;
-    if (end == load_outcome::refused)
+    if (end == load_outcome::refused || end == load_outcome::unknown)
         return;
     const double sample = end == load_outcome::failed ? 1.0 : 0.0;
     const double before = decayed_failure_rate(load, now);
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -301,7 +301,7 @@
         .with("request", facts_.client_attempt_id)
         .with("server", attempt_->server.value())
         .with("fingerprint", fingerprint_text());
-    abandon_attempt(load_outcome::good, now);
+    abandon_attempt(load_outcome::unknown, now);
     after_attempt(attempt_outcome::not_sent, now);
 }
 
@@ -311,16 +311,21 @@
 {
     if (!route_->is_retryable() || is_delivering_)
         return;
-    const auto expected =
-        static_cast<std::int64_t>(attempt_timeout_factor * chosen.expected_ms);
-    const auto timeout = std::max(duration(expected), route_->latency_target);
     const auto self = shared_from_this();
-    attempt_timer_ = context_.timers.add(now + timeout, [self] {
+    attempt_timer_ = context_.timers.add(now + patience(chosen), [self] {
         self->attempt_timer_ = 0;
         self->on_attempt_timeout();
     });
 }
 
+/// Returns how long a sound server may take until its response begins.
+duration gateway_call::patience(const choice& chosen) const
+{
+    const auto expected =
+        static_cast<std::int64_t>(attempt_timeout_factor * chosen.expected_ms);
+    return std::max(duration(expected), route_->latency_target);
+}
+
 void gateway_call::on_attempt_timeout()
 {
     if (is_finished_ || !attempt_ || attempt_->head || is_delivering_)
@@ -444,10 +449,21 @@
         return;
     caller_.reset();
     if (attempt_)
-        abandon_attempt(load_outcome::good, steady_now());
+        abandon_attempt(outcome_when_caller_left(steady_now()), steady_now());
     finish(errc::connection_lost);
 }
 
+/// Returns how the server of an attempt counts whose caller left. A server that
+/// had begun its response did well; one that was silent for too long did not.
+load_outcome gateway_call::outcome_when_caller_left(time_point now) const
+{
+    if (attempt_->head)
+        return load_outcome::good;
+    const bool is_too_late = attempt_->has_begun_sending &&
+                             now >= attempt_->sent_at + patience(*attempt_);
+    return is_too_late ? load_outcome::failed : load_outcome::unknown;
+}
+
 void gateway_call::on_answer_bytes_written()
 {
     if (attempt_ && caller_ && caller_->unsent_bytes() < caller_low_water)
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -201,6 +201,8 @@
     duration draw_retry_delay();
     bool may_still_send(time_point now) const;
     void withdraw_attempt(time_point now);
+    load_outcome outcome_when_caller_left(time_point now) const;
+    duration patience(const choice& chosen) const;
     void abandon_attempt(load_outcome end, time_point now);
     void release_server(load_outcome end, time_point now);
     void finish(errc kind);
