--- a/review/world/world.cpp
+++ b/review/world/world.cpp
@@ -13,7 +13,9 @@
 #include <set>
 #include <sstream>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -310,6 +312,20 @@
     return got;
 }
 
+std::string connection::read_all()
+{
+    constexpr timeval patience{3, 0};
+    ::setsockopt(
+        descriptor_, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
+    constexpr std::size_t part = 4096;
+    // A chunked answer ends with an empty chunk.
+    while (buffer_.find("\r\n0\r\n\r\n") == std::string::npos &&
+           buffer_.find("\r\n\r\n{") == std::string::npos && fill(part))
+    {
+    }
+    return buffer_;
+}
+
 void connection::close()
 {
     if (descriptor_ >= 0)
@@ -599,9 +615,9 @@
 gateway::gateway(std::string root,
                  std::string folder,
                  std::string instance,
-                 const store& platform)
+                 std::uint16_t store_port)
     : root_(std::move(root)), folder_(std::move(folder)),
-      instance_(std::move(instance)), store_port_(platform.port()),
+      instance_(std::move(instance)), store_port_(store_port),
       caller_port_(free_port()), ready_port_(free_port()),
       peer_port_(free_port()), metrics_port_(free_port())
 {
@@ -654,6 +670,8 @@
     ::dup2(out, STDOUT_FILENO);
     ::dup2(out, STDERR_FILENO);
     ::closefrom(3);
+    // The gateway ends with the script, however that ends.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (::chdir(root_.c_str()) != 0)
         ::_exit(127);
     char* const arguments[] = {const_cast<char*>(program.c_str()), nullptr};
--- a/review/world/world.hpp
+++ b/review/world/world.hpp
@@ -80,6 +80,8 @@
     /// Reads until `count` bytes or the head's end have come; false at the end
     /// of the connection.
     bool fill(std::size_t size);
+    /// Reads until the other side closes or 3 s pass without a byte.
+    std::string read_all();
     void close();
     int descriptor() const;
 
@@ -196,7 +198,7 @@
     gateway(std::string root,
             std::string folder,
             std::string instance,
-            const store& platform);
+            std::uint16_t store_port);
     ~gateway();
     void start();
     void signal(int number) const;
