Tell how old a daemon's knowledge of the configuration is

Each daemon now keeps the time as of which its configuration is known to be the newest one and sends the age in its messages (an older daemon's message confirms nothing). New: metrics barleyfork_configuration_age_ms and barleyfork_server_list_age_ms, events configuration_unconfirmed, configuration_confirmed (2 s) and route_missing, which tells the version and age behind a 404. Nothing decides by the age yet.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -285,6 +285,9 @@
 {
     http_outgoing answer;
     answer.content_type = "text/plain; version=0.0.4";
+    const auto now = steady_now();
+    context.measures.set_ages(now - context.configuration_known_at,
+                              now - watch.list_known_at());
     answer.body = context.measures.to_prometheus();
     co_await out.send(std::move(answer));
 }
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -92,6 +92,7 @@
                              ? nullptr
                              : choose_service(*route_, context_.random());
     if (chosen == nullptr) {
+        log_missing_route(host);
         reject(errc::not_found, std::nullopt);
         return false;
     }
@@ -99,6 +100,17 @@
     return true;
 }
 
+void gateway_call::log_missing_route(std::string_view host) const
+{
+    log_event(log_level::warn, "route_missing")
+        .with("request", facts_.client_attempt_id)
+        .with("host", host)
+        .with("path", request_.path())
+        .with("version", static_cast<std::int64_t>(configuration_->version))
+        .with("age_ms",
+              (steady_now() - context_.configuration_known_at).count());
+}
+
 time_point gateway_call::deadline_of(time_point arrived_at) const
 {
     auto timeout = facts_.time_left.value_or(default_timeout);
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -140,6 +140,7 @@
     };
 
     bool find_route();
+    void log_missing_route(std::string_view host) const;
     bool is_accepted_while_draining(time_point now) const;
     void on_shutdown();
     time_point deadline_of(time_point arrived_at) const;
--- a/libs/gateway/src/gateway_context.hpp
+++ b/libs/gateway/src/gateway_context.hpp
@@ -164,6 +164,8 @@
     gateway_metrics measures;
     /// Null until the first configuration was received.
     std::shared_ptr<const gateway_configuration> configuration;
+    /// Time as of which `configuration` is known to be the newest one.
+    time_point configuration_known_at{};
     backend_directory directory;
     /// True once the list of servers was read.
     bool has_server_list = false;
--- a/libs/gateway/src/gateway_metrics.cpp
+++ b/libs/gateway/src/gateway_metrics.cpp
@@ -62,6 +62,11 @@
     out << "# TYPE " << name << " counter\n" << name << ' ' << value << "\n";
 }
 
+void write_gauge(std::ostream& out, const char* name, std::int64_t value)
+{
+    out << "# TYPE " << name << " gauge\n" << name << ' ' << value << "\n";
+}
+
 } // namespace
 
 struct gateway_metrics::histograms
@@ -119,6 +124,9 @@
             << purpose_name(static_cast<store_purpose>(i)) << "\"} "
             << store_calls_[i] << "\n";
     write_counter(out, "barleyfork_configuration_version", version_);
+    write_gauge(
+        out, "barleyfork_configuration_age_ms", configuration_age_.count());
+    write_gauge(out, "barleyfork_server_list_age_ms", list_age_.count());
     return out.str();
 }
 
--- a/libs/gateway/src/gateway_metrics.hpp
+++ b/libs/gateway/src/gateway_metrics.hpp
@@ -2,6 +2,7 @@
 #define BARLEYFORK_GATEWAY_SRC_GATEWAY_METRICS_HPP
 
 #include <barleyfork/base/error.hpp>
+#include <barleyfork/base/time.hpp>
 
 #include <array>
 #include <cstdint>
@@ -52,6 +53,14 @@
         version_ = version;
     }
 
+    /// Sets how old this daemon's knowledge of the configuration and of the
+    /// list of servers is.
+    void set_ages(duration configuration, duration list) noexcept
+    {
+        configuration_age_ = configuration;
+        list_age_ = list;
+    }
+
     /// Returns the metrics in the text format of Prometheus, version 0.0.4.
     std::string to_prometheus() const;
 
@@ -64,6 +73,8 @@
     std::uint64_t order_count_ = 0;
     std::array<std::uint64_t, store_purposes> store_calls_{};
     std::uint64_t version_ = 0;
+    duration configuration_age_{0};
+    duration list_age_{0};
 };
 
 } // namespace barleyfork
--- a/libs/gateway/src/peer_updates.cpp
+++ b/libs/gateway/src/peer_updates.cpp
@@ -64,12 +64,14 @@
     message.address = context_.settings.address;
     message.port = context_.settings.peer_port;
     message.failure_domain = context_.settings.failure_domain;
-    message.configuration_version = configuration_version();
+    message.configuration_version = watch_.configuration_version();
     message.link_mbps = static_cast<float>(context_.settings.link_mbps);
     message.store_era = context_.era().current();
     const auto configuration = watch_.configuration_position();
     message.configuration_position = configuration.number();
     message.configuration_era = configuration.era();
+    message.configuration_age_ms =
+        age_ms(context_.configuration_known_at, steady_now());
     const auto list = watch_.list_position();
     message.list_position = list.number();
     message.list_era = list.era();
@@ -77,12 +79,6 @@
     return message;
 }
 
-/// Returns the version in force here; 0 if there is none.
-std::uint64_t peer_updates::configuration_version() const noexcept
-{
-    return context_.configuration ? context_.configuration->version : 0;
-}
-
 asio::awaitable<void> peer_updates::run()
 {
     for (;;) {
@@ -351,7 +347,8 @@
     apply_answered_parts(message);
     merge_blames(extract_blames(message));
     compare_refusals(message, now);
-    holder_is_behind_ = message.configuration_version < configuration_version();
+    holder_is_behind_ =
+        message.configuration_version < watch_.configuration_version();
     // The sum of all other daemons has one id, whichever daemon is the holder.
     context_.loads.on_peer_work(
         instance_id("all"),
--- a/libs/gateway/src/peer_updates.hpp
+++ b/libs/gateway/src/peer_updates.hpp
@@ -144,7 +144,6 @@
     const member* relay_of(const failure_domain_id& domain, time_point now);
     /// Returns the addresses of the other daemons of this failure domain.
     std::vector<peer_address> neighbours() const;
-    std::uint64_t configuration_version() const noexcept;
     void send_following();
     void add_list_changes(schema::peer_message_record& message);
     void add_leaving(schema::peer_message_record& message);
--- a/libs/gateway/src/peer_updates_neighbours.cpp
+++ b/libs/gateway/src/peer_updates_neighbours.cpp
@@ -281,14 +281,16 @@
         return;
     watch_.apply_relayed_rows(extract_rows(message),
                               extract_list_claim(message, steady_now()));
-    const bool newer = message.configuration_version > configuration_version();
+    const bool newer =
+        message.configuration_version > watch_.configuration_version();
     const bool list =
         !watch_.list_position().is_known() && message.list_position > 0;
     if (newer || list)
         request_snapshot(sender.address);
-    if (message.configuration_version == configuration_version())
-        watch_.confirm_configuration_position(
-            extract_configuration_position(message));
+    if (message.configuration_version == watch_.configuration_version())
+        watch_.confirm_configuration(
+            extract_configuration_position(message),
+            steady_now() - duration(message.configuration_age_ms));
 }
 
 /// Requests missed changes from the reader of the failure domain.
@@ -307,8 +309,9 @@
 void peer_updates::request_newer_configuration(
     const schema::peer_message_record& message)
 {
-    const bool behind = catchup_.on_peer_state(
-        message.configuration_version, configuration_version(), steady_now());
+    const bool behind = catchup_.on_peer_state(message.configuration_version,
+                                               watch_.configuration_version(),
+                                               steady_now());
     const bool asks = is_lease_holder_ || watch_.readers().is_reader();
     if (behind && asks)
         request_snapshot({message.address, message.port});
@@ -317,7 +320,8 @@
 /// Sends the data that the requesting daemon does not have yet.
 void peer_updates::send_snapshot(const schema::peer_message_record& request)
 {
-    const bool newer = request.configuration_version < configuration_version();
+    const bool newer =
+        request.configuration_version < watch_.configuration_version();
     std::optional<std::vector<store_row>> rows;
     auto since = extract_list_position(request);
     if (since.era() < watch_.list_position().era())
--- a/libs/gateway/src/store_watch.cpp
+++ b/libs/gateway/src/store_watch.cpp
@@ -25,6 +25,10 @@
 /// How long a daemon that knows nothing yet waits for a neighbour's message.
 constexpr duration max_neighbour_wait{2000};
 
+/// Age of the known configuration that is reported: the operators count on a
+/// change being in force soon after it.
+constexpr duration max_unconfirmed_age{2000};
+
 /// Interval of the checks whether a read of the list is due.
 constexpr std::int64_t list_poll_ms = 150;
 
@@ -93,12 +97,38 @@
     return spread(context_.random) << doublings;
 }
 
-void store_watch::confirm_configuration_position(store_version position)
+void store_watch::confirm_configuration(store_version position,
+                                        time_point known_at)
 {
-    if (position <= configuration_position_.version)
+    if (position < configuration_position_.version || !position.is_known())
         return;
     configuration_position_.version = position;
     configuration_position_.known = true;
+    context_.configuration_known_at =
+        std::max(context_.configuration_known_at, known_at);
+}
+
+/// Logs once that nothing has confirmed the configuration for too long, and
+/// once that something did.
+void store_watch::report_configuration_age(time_point now)
+{
+    const auto age = now - context_.configuration_known_at;
+    const bool is_unconfirmed =
+        context_.configuration && age >= max_unconfirmed_age;
+    if (is_unconfirmed == is_configuration_unconfirmed_)
+        return;
+    is_configuration_unconfirmed_ = is_unconfirmed;
+    log_event(is_unconfirmed ? log_level::warn : log_level::info,
+              is_unconfirmed ? "configuration_unconfirmed"
+                             : "configuration_confirmed")
+        .with("version", static_cast<std::int64_t>(configuration_version()))
+        .with("age_ms", age.count())
+        .with("reads", readers_.is_reader() ? "true" : "false");
+}
+
+std::uint64_t store_watch::configuration_version() const noexcept
+{
+    return context_.configuration ? context_.configuration->version : 0;
 }
 
 asio::awaitable<void> store_watch::follow_configuration()
@@ -117,6 +147,7 @@
         const bool is_full_read = !position.known;
         context_.measures.count_store_call(store_purpose::configuration,
                                            is_full_read ? "whole" : "changes");
+        const auto began = steady_now();
         store_read read;
         if (is_full_read)
             read = co_await store.read_row(table, key);
@@ -139,6 +170,8 @@
             continue;
         }
         set_reachable(true, {});
+        context_.configuration_known_at =
+            std::max(context_.configuration_known_at, began);
         for (const auto& row : read.rows)
             if (row.key == key && !row.deleted)
                 apply_configuration(row.value, "store");
@@ -178,6 +211,7 @@
 {
     for (;;) {
         const auto began = steady_now();
+        report_configuration_age(began);
         const bool due = list_.known() ? is_list_due(began)
                                        : !waits_for_neighbour(false, began);
         if (!due) {
--- a/libs/gateway/src/store_watch.hpp
+++ b/libs/gateway/src/store_watch.hpp
@@ -75,6 +75,9 @@
         on_list_read_ = std::move(handler);
     }
 
+    /// Returns the version in force here; 0 if there is none.
+    std::uint64_t configuration_version() const noexcept;
+
     /// Returns the newest configuration in the store's encoding.
     const std::string& configuration_bytes() const noexcept
     {
@@ -116,9 +119,9 @@
         return list_.known_at();
     }
 
-    /// Records a neighbour's confirmation that the configuration known here is
-    /// the newest one up to `position`.
-    void confirm_configuration_position(store_version position);
+    /// Records another daemon's confirmation that the configuration known here
+    /// is the newest one up to `position`, as of `known_at`.
+    void confirm_configuration(store_version position, time_point known_at);
 
     /// Applies a list from a neighbour: the complete list as read at the
     /// claim's position, or changes if the list is known here already.
@@ -161,6 +164,7 @@
                                         log_level listed_level) const;
     void log_change(const backend_entry& entry, log_level listed_level) const;
     void set_reachable(bool reachable, const failure& error);
+    void report_configuration_age(time_point now);
 
     gateway_context& context_;
     reader_election readers_;
@@ -168,6 +172,8 @@
     std::function<void()> on_configuration_;
     std::string bytes_;
     table_position configuration_position_;
+    /// Whether the last log line on it says that the configuration is old.
+    bool is_configuration_unconfirmed_ = false;
     list_follower list_;
     bool reachable_ = true;
     /// Number of successive failed calls.
--- a/libs/schema/include/barleyfork/schema/peer_generated.h
+++ b/libs/schema/include/barleyfork/schema/peer_generated.h
@@ -1329,6 +1329,7 @@
   uint64_t list_since_era = 0;
   std::vector<std::unique_ptr<barleyfork::schema::request_limit_record>> limits{};
   std::vector<uint64_t> answered_parts{};
+  uint32_t configuration_age_ms = 3600000;
   peer_message_record() = default;
   peer_message_record(const peer_message_record &o);
   peer_message_record(peer_message_record&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1357,6 +1358,10 @@
 /// the requests that it rejects. `answered_parts` are parts of prompts that are
 /// blamed for crashes although requests with them were answered.
 ///
+/// `configuration_age_ms` is the age of the sender's knowledge that
+/// `configuration_version` is the newest one. Daemons up to 0.8.0 do not send
+/// it; their word confirms nothing, so the default is the maximum age.
+///
 /// `store_era` is the newest era of the store that the sender knows; the other
 /// eras belong to the versions of the same names.
 struct peer_message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1401,7 +1406,8 @@
     VT_LIST_ERA = 76,
     VT_LIST_SINCE_ERA = 78,
     VT_LIMITS = 80,
-    VT_ANSWERED_PARTS = 82
+    VT_ANSWERED_PARTS = 82,
+    VT_CONFIGURATION_AGE_MS = 84
   };
   barleyfork::schema::message_kind kind() const {
     return static_cast<barleyfork::schema::message_kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -1517,6 +1523,9 @@
   const flatbuffers::Vector<uint64_t> *answered_parts() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_ANSWERED_PARTS);
   }
+  uint32_t configuration_age_ms() const {
+    return GetField<uint32_t>(VT_CONFIGURATION_AGE_MS, 3600000);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -1585,6 +1594,7 @@
            verifier.VerifyVectorOfTables(limits()) &&
            VerifyOffset(verifier, VT_ANSWERED_PARTS) &&
            verifier.VerifyVector(answered_parts()) &&
+           VerifyField<uint32_t>(verifier, VT_CONFIGURATION_AGE_MS, 4) &&
            verifier.EndTable();
   }
   peer_message_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1710,6 +1720,9 @@
   void add_answered_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> answered_parts) {
     fbb_.AddOffset(peer_message::VT_ANSWERED_PARTS, answered_parts);
   }
+  void add_configuration_age_ms(uint32_t configuration_age_ms) {
+    fbb_.AddElement<uint32_t>(peer_message::VT_CONFIGURATION_AGE_MS, configuration_age_ms, 3600000);
+  }
   explicit peer_messageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1761,7 +1774,8 @@
     uint64_t list_era = 0,
     uint64_t list_since_era = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::request_limit>>> limits = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> answered_parts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> answered_parts = 0,
+    uint32_t configuration_age_ms = 3600000) {
   peer_messageBuilder builder_(_fbb);
   builder_.add_list_since_era(list_since_era);
   builder_.add_list_era(list_era);
@@ -1774,6 +1788,7 @@
   builder_.add_configuration_version(configuration_version);
   builder_.add_epoch(epoch);
   builder_.add_sequence(sequence);
+  builder_.add_configuration_age_ms(configuration_age_ms);
   builder_.add_answered_parts(answered_parts);
   builder_.add_limits(limits);
   builder_.add_leaving(leaving);
@@ -1848,7 +1863,8 @@
     uint64_t list_era = 0,
     uint64_t list_since_era = 0,
     const std::vector<flatbuffers::Offset<barleyfork::schema::request_limit>> *limits = nullptr,
-    const std::vector<uint64_t> *answered_parts = nullptr) {
+    const std::vector<uint64_t> *answered_parts = nullptr,
+    uint32_t configuration_age_ms = 3600000) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::member>>(*members) : 0;
   auto quarantine__ = quarantine ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::quarantine_entry>>(*quarantine) : 0;
   auto digest__ = digest ? _fbb.CreateString(digest) : 0;
@@ -1905,7 +1921,8 @@
       list_era,
       list_since_era,
       limits__,
-      answered_parts__);
+      answered_parts__,
+      configuration_age_ms);
 }
 
 flatbuffers::Offset<peer_message> Createpeer_message(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2282,7 +2299,8 @@
         configuration_era(o.configuration_era),
         list_era(o.list_era),
         list_since_era(o.list_since_era),
-        answered_parts(o.answered_parts) {
+        answered_parts(o.answered_parts),
+        configuration_age_ms(o.configuration_age_ms) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new barleyfork::schema::member_record(*members_) : nullptr); }
   quarantine.reserve(o.quarantine.size());
@@ -2342,6 +2360,7 @@
   std::swap(list_since_era, o.list_since_era);
   std::swap(limits, o.limits);
   std::swap(answered_parts, o.answered_parts);
+  std::swap(configuration_age_ms, o.configuration_age_ms);
   return *this;
 }
 
@@ -2392,6 +2411,7 @@
   { auto _e = list_since_era(); _o->list_since_era = _e; }
   { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = std::unique_ptr<barleyfork::schema::request_limit_record>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = answered_parts(); if (_e) { _o->answered_parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->answered_parts[_i] = _e->Get(_i); } } }
+  { auto _e = configuration_age_ms(); _o->configuration_age_ms = _e; }
 }
 
 inline flatbuffers::Offset<peer_message> peer_message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2440,6 +2460,7 @@
   auto _list_since_era = _o->list_since_era;
   auto _limits = _o->limits.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::request_limit>> (_o->limits.size(), [](size_t i, _VectorArgs *__va) { return Createrequest_limit(*__va->__fbb, __va->__o->limits[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _answered_parts = _o->answered_parts.size() ? _fbb.CreateVector(_o->answered_parts) : 0;
+  auto _configuration_age_ms = _o->configuration_age_ms;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       _kind,
@@ -2479,7 +2500,8 @@
       _list_era,
       _list_since_era,
       _limits,
-      _answered_parts);
+      _answered_parts,
+      _configuration_age_ms);
 }
 
 inline const barleyfork::schema::peer_message *Getpeer_message(const void *buf) {
