Name the follower of a table for what it does

list_follower, list_claim, list_role, list_step and list_intervals become table_follower, table_claim, follower_role, follower_step and follower_intervals; comments follow.

--- a/libs/core/src/list_follower.cpp
+++ b/libs/core/src/table_follower.cpp
@@ -1,4 +1,4 @@
-#include <barleyfork/core/list_follower.hpp>
+#include <barleyfork/core/table_follower.hpp>
 
 #include <algorithm>
 
@@ -14,9 +14,9 @@
 
 } // namespace
 
-list_intervals shorten_to_bound(list_intervals intervals,
-                                duration bound,
-                                duration call_timeout)
+follower_intervals shorten_to_bound(follower_intervals intervals,
+                                    duration bound,
+                                    duration call_timeout)
 {
     const auto max_interval =
         bound - call_timeout - max_first_retry_delay - effect_delay;
@@ -28,7 +28,7 @@
     return intervals;
 }
 
-bool list_follower::on_peer_state(const list_claim& claim)
+bool table_follower::on_peer_state(const table_claim& claim)
 {
     // A restored store may have lost rows that are known only here.
     const bool is_later_era = claim.position.era() > position_.era();
@@ -44,7 +44,7 @@
     return true;
 }
 
-void list_follower::on_read(store_version position, time_point began)
+void table_follower::on_read(store_version position, time_point began)
 {
     is_known_ = true;
     refresh_needed_ = false;
@@ -53,31 +53,31 @@
     read_at_ = began;
 }
 
-list_step
-list_follower::next(list_role role, bool reader_reachable, time_point now)
+follower_step
+table_follower::next(follower_role role, bool reader_reachable, time_point now)
 {
     const auto is_older = [this, now](duration age) {
         return now >= known_at_ + age;
     };
     switch (role) {
-    case list_role::holder:
-        return now >= read_at_ + intervals_.holder ? list_step::read_store
-                                                   : list_step::nothing;
-    case list_role::reader:
+    case follower_role::holder:
+        return now >= read_at_ + intervals_.holder ? follower_step::read_store
+                                                   : follower_step::nothing;
+    case follower_role::reader:
         return refresh_needed_ || is_older(intervals_.reader) ||
                        now >= read_at_ + intervals_.floor
-                   ? list_step::read_store
-                   : list_step::nothing;
-    case list_role::neighbour:
+                   ? follower_step::read_store
+                   : follower_step::nothing;
+    case follower_role::neighbour:
         break;
     }
     if (is_older(intervals_.neighbour) ||
         (refresh_needed_ && !reader_reachable))
-        return list_step::read_store;
+        return follower_step::read_store;
     if (!refresh_needed_ || now < asked_at_ + min_ask_interval)
-        return list_step::nothing;
+        return follower_step::nothing;
     asked_at_ = now;
-    return list_step::ask_reader;
+    return follower_step::ask_reader;
 }
 
 } // namespace barleyfork
--- a/libs/core/tests/list_follower_test.cpp
+++ b/libs/core/tests/table_follower_test.cpp
@@ -2,7 +2,7 @@
 /// servers, while the holder's announcements are lost, late or absent in one
 /// failure domain.
 
-#include <barleyfork/core/list_follower.hpp>
+#include <barleyfork/core/table_follower.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <random>
@@ -24,7 +24,7 @@
 public:
     failure_domain(bool holder_announces, double loss_rate)
         : holder_announces_(holder_announces), loss_rate_(loss_rate),
-          daemons_(neighbours + 1, list_follower(list_intervals()))
+          daemons_(neighbours + 1, table_follower(follower_intervals()))
     {
         for (auto& daemon : daemons_)
             daemon.on_read(version_, start);
@@ -37,7 +37,7 @@
             if (holder_announces_)
                 announce({holder_position_, version_, now}, 0);
             holder_position_ = holder_announces_ ? version_ : holder_position_;
-            step(reader(), list_role::reader, false, now);
+            step(reader(), follower_role::reader, false, now);
             if (reader_announces && now >= next_announcement_at_) {
                 next_announcement_at_ = now + announcement_interval;
                 announce({reader_position_,
@@ -47,7 +47,10 @@
                 reader_position_ = reader().position().number();
             }
             for (std::size_t i = 1; i < daemons_.size(); ++i)
-                step(daemons_[i], list_role::neighbour, reader_announces, now);
+                step(daemons_[i],
+                     follower_role::neighbour,
+                     reader_announces,
+                     now);
         }
     }
 
@@ -62,12 +65,12 @@
     }
 
 private:
-    list_follower& reader()
+    table_follower& reader()
     {
         return daemons_.front();
     }
 
-    void announce(const list_claim& claim, std::size_t from)
+    void announce(const table_claim& claim, std::size_t from)
     {
         std::bernoulli_distribution is_lost(loss_rate_);
         for (std::size_t i = from; i < daemons_.size(); ++i)
@@ -75,31 +78,31 @@
                 daemons_[i].on_peer_state(claim);
     }
 
-    void step(list_follower& daemon,
-              list_role role,
+    void step(table_follower& daemon,
+              follower_role role,
               bool reader_reachable,
               time_point now)
     {
         max_age_ = std::max(max_age_, now - daemon.known_at());
         switch (daemon.next(role, reader_reachable, now)) {
-        case list_step::read_store:
+        case follower_step::read_store:
             ++reads_;
             daemon.on_read(version_, now);
             return;
-        case list_step::ask_reader:
+        case follower_step::ask_reader:
             daemon.on_peer_state(
                 {daemon.position(),
                  std::max(reader().position(), daemon.position()),
                  reader().known_at()});
             return;
-        case list_step::nothing:
+        case follower_step::nothing:
             return;
         }
     }
 
     bool holder_announces_;
     double loss_rate_;
-    std::vector<list_follower> daemons_;
+    std::vector<table_follower> daemons_;
     std::uint64_t version_ = 1;
     std::uint64_t holder_position_ = 1;
     std::uint64_t reader_position_ = 1;
@@ -115,9 +118,9 @@
 
 } // namespace
 
-class list_follower_test : public CppUnit::TestFixture
+class table_follower_test : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(list_follower_test);
+    CPPUNIT_TEST_SUITE(table_follower_test);
     CPPUNIT_TEST(missed_announcements_cost_few_calls_with_a_reader);
     CPPUNIT_TEST(one_daemon_of_a_domain_reads_without_a_holder);
     CPPUNIT_TEST(each_daemon_reads_without_announcements);
@@ -162,7 +165,7 @@
         constexpr duration call_timeout{1000};
         for (const duration bound : {duration{2500}, duration{4000}}) {
             const auto intervals =
-                shorten_to_bound(list_intervals(), bound, call_timeout);
+                shorten_to_bound(follower_intervals(), bound, call_timeout);
             CPPUNIT_ASSERT(intervals.reader + call_timeout +
                                max_first_retry_delay <
                            bound);
@@ -173,12 +176,13 @@
     /// The versions of the new era are lower than the known one.
     void a_claim_after_a_restore_is_not_applied()
     {
-        list_follower daemon{list_intervals()};
+        table_follower daemon{follower_intervals()};
         daemon.on_read({10, 1}, start);
         CPPUNIT_ASSERT(!daemon.on_peer_state({{8, 1}, {9, 2}, start + tick}));
         CPPUNIT_ASSERT(daemon.position() == store_version(10, 1));
-        CPPUNIT_ASSERT(daemon.next(list_role::neighbour, true, start + tick) ==
-                       list_step::ask_reader);
+        CPPUNIT_ASSERT(daemon.next(follower_role::neighbour,
+                                   true,
+                                   start + tick) == follower_step::ask_reader);
         daemon.on_read({9, 2}, start + tick);
         CPPUNIT_ASSERT(daemon.position() == store_version(9, 2));
         CPPUNIT_ASSERT(daemon.on_peer_state({{9, 2}, {12, 2}, start + tick}));
@@ -201,13 +205,14 @@
 
     void a_claim_after_a_gap_is_not_applied()
     {
-        list_follower daemon{list_intervals()};
+        table_follower daemon{follower_intervals()};
         daemon.on_read(10, start);
         CPPUNIT_ASSERT(!daemon.on_peer_state({12, 15, start + tick}));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, daemon.position().number());
         CPPUNIT_ASSERT(daemon.known_at() == start);
-        CPPUNIT_ASSERT(daemon.next(list_role::neighbour, true, start + tick) ==
-                       list_step::ask_reader);
+        CPPUNIT_ASSERT(daemon.next(follower_role::neighbour,
+                                   true,
+                                   start + tick) == follower_step::ask_reader);
         CPPUNIT_ASSERT(daemon.on_peer_state({10, 15, start + tick}));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{15}, daemon.position().number());
     }
@@ -216,15 +221,16 @@
     /// holder acquired the lease.
     void a_change_of_holder_is_no_gap()
     {
-        list_follower daemon{list_intervals()};
+        table_follower daemon{follower_intervals()};
         daemon.on_read(10, start);
         CPPUNIT_ASSERT(daemon.on_peer_state({10, 12, start + tick}));
         CPPUNIT_ASSERT(daemon.on_peer_state({11, 14, start + 2 * tick}));
-        CPPUNIT_ASSERT(daemon.next(list_role::neighbour, true, start + tick) ==
-                       list_step::nothing);
+        CPPUNIT_ASSERT(daemon.next(follower_role::neighbour,
+                                   true,
+                                   start + tick) == follower_step::nothing);
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(list_follower_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(table_follower_test);
 
 } // namespace barleyfork
--- a/libs/gateway/src/peer_records.cpp
+++ b/libs/gateway/src/peer_records.cpp
@@ -102,8 +102,8 @@
         std::clamp<std::int64_t>((now - known_at).count(), 0, max_age_ms));
 }
 
-list_claim extract_list_claim(const schema::peer_message_record& message,
-                              time_point now)
+table_claim extract_list_claim(const schema::peer_message_record& message,
+                               time_point now)
 {
     return {{message.list_since, message.list_since_era},
             extract_list_position(message),
--- a/libs/gateway/src/peer_records.hpp
+++ b/libs/gateway/src/peer_records.hpp
@@ -4,9 +4,9 @@
 #include "peer_updates.hpp"
 
 #include <barleyfork/core/crash_quarantine.hpp>
-#include <barleyfork/core/list_follower.hpp>
 #include <barleyfork/core/request_limits.hpp>
 #include <barleyfork/core/server_process.hpp>
+#include <barleyfork/core/table_follower.hpp>
 
 #include <cstdint>
 #include <memory>
@@ -58,8 +58,8 @@
 store_version extract_list_position(const schema::peer_message_record& message);
 
 /// Returns the claim on the server list in a message received at `now`.
-list_claim extract_list_claim(const schema::peer_message_record& message,
-                              time_point now);
+table_claim extract_list_claim(const schema::peer_message_record& message,
+                               time_point now);
 
 } // namespace barleyfork
 
--- a/libs/gateway/src/store_watch.cpp
+++ b/libs/gateway/src/store_watch.cpp
@@ -32,10 +32,11 @@
 /// Interval of the checks whether a read of the list is due.
 constexpr std::int64_t list_poll_ms = 150;
 
-list_intervals make_intervals(const schema::gateway_settings_record& settings)
+follower_intervals
+make_intervals(const schema::gateway_settings_record& settings)
 {
     const auto& store = *settings.store;
-    list_intervals intervals;
+    follower_intervals intervals;
     intervals.holder = duration(store.holder_interval_ms);
     intervals.reader = duration(store.server_interval_ms);
     intervals.floor = duration(store.relayed_interval_ms);
@@ -266,11 +267,12 @@
     co_return true;
 }
 
-list_role store_watch::role() const noexcept
+follower_role store_watch::role() const noexcept
 {
     if (holder_)
-        return list_role::holder;
-    return readers_.is_reader() ? list_role::reader : list_role::neighbour;
+        return follower_role::holder;
+    return readers_.is_reader() ? follower_role::reader
+                                : follower_role::neighbour;
 }
 
 /// Returns whether the list is to be read from the store. A daemon that cannot
@@ -280,9 +282,9 @@
     update_reader_role(now);
     const bool has_reader = readers_.has_live_reader(now);
     const auto step = list_.next(role(), has_reader, now);
-    if (step == list_step::ask_reader && on_changes_missed_)
+    if (step == follower_step::ask_reader && on_changes_missed_)
         on_changes_missed_();
-    return step == list_step::read_store || !reachable_;
+    return step == follower_step::read_store || !reachable_;
 }
 
 /// Removes servers that did not return within their grace period, and requests
@@ -315,7 +317,7 @@
 store_watch::relayed_rows store_watch::take_relayed_rows()
 {
     // A daemon that collects no changes cannot claim that they are complete.
-    if (role() == list_role::neighbour)
+    if (role() == follower_role::neighbour)
         return {};
     relayed_rows taken{relayed_since_, std::move(to_relay_)};
     restart_relay();
@@ -323,7 +325,7 @@
 }
 
 void store_watch::apply_relayed_rows(const std::vector<store_row>& rows,
-                                     const list_claim& claim)
+                                     const table_claim& claim)
 {
     if (!context_.has_server_list)
         return;
@@ -343,7 +345,7 @@
 {
     std::vector<backend_entry> entries;
     std::set<std::string> listed;
-    const bool relays_changes = role() != list_role::neighbour;
+    const bool relays_changes = role() != follower_role::neighbour;
     for (const auto& row : rows) {
         listed.insert(row.key);
         auto& applied = rows_[row.key];
@@ -383,7 +385,7 @@
 }
 
 void store_watch::apply_neighbour_list(const std::vector<store_row>& rows,
-                                       const list_claim& claim)
+                                       const table_claim& claim)
 {
     const bool is_of_known_era = claim.position.era() == list_.position().era();
     if (list_.known() && is_of_known_era) {
@@ -421,7 +423,7 @@
                                 time_point now)
 {
     bool changed = false;
-    const bool relays_changes = role() != list_role::neighbour;
+    const bool relays_changes = role() != follower_role::neighbour;
     for (const auto& row : rows) {
         auto& applied = rows_[row.key];
         if (row.version <= applied.row.version)
--- a/libs/gateway/src/store_watch.hpp
+++ b/libs/gateway/src/store_watch.hpp
@@ -4,8 +4,8 @@
 #include "gateway_context.hpp"
 
 #include <barleyfork/base/log.hpp>
-#include <barleyfork/core/list_follower.hpp>
 #include <barleyfork/core/reader_election.hpp>
+#include <barleyfork/core/table_follower.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
@@ -36,7 +36,7 @@
     /// Applies changes of the list that another daemon relayed, and its claim
     /// that they are complete. A claim since 0 claims nothing.
     void apply_relayed_rows(const std::vector<store_row>& rows,
-                            const list_claim& claim);
+                            const table_claim& claim);
 
     /// Sets whether this daemon is the lease holder, which reads the list for
     /// all daemons.
@@ -126,7 +126,7 @@
     /// Applies a list from a neighbour: the complete list as read at the
     /// claim's position, or changes if the list is known here already.
     void apply_neighbour_list(const std::vector<store_row>& rows,
-                              const list_claim& claim);
+                              const table_claim& claim);
 
     /// Returns false while the store does not respond to this daemon.
     bool is_reachable() const noexcept
@@ -156,7 +156,7 @@
                        log_level listed_level,
                        time_point now);
     void restart_relay();
-    list_role role() const noexcept;
+    follower_role role() const noexcept;
     bool is_list_due(time_point now);
     boost::asio::awaitable<bool> read_list(time_point began);
     void expire_servers();
@@ -174,7 +174,7 @@
     table_position configuration_position_;
     /// Whether the last log line on it says that the configuration is old.
     bool is_configuration_unconfirmed_ = false;
-    list_follower list_;
+    table_follower list_;
     bool reachable_ = true;
     /// Number of successive failed calls.
     int failures_ = 0;
