Bound the age of the configuration by what the store has confirmed

Cause: a daemon believed without a limit in time that its configuration was the newest. A reader's only source is a call that waits up to 20 s for news, where no news is the usual answer, so a store that falls silent looks like a quiet one; the reader goes on announcing that it follows the store, and its neighbours go on relying on it. Where the store is silent for all readers at once, nobody learns of a change until the calls end. The server list never had this: its claims carry an age, and who finds it too old reads for itself.

Now the configuration follows the same rule (table_follower): the holder checks it each 0.5 s, every message says as of when the sender's version is known to be the newest, a daemon with the same version takes that over, a reader whose knowledge is 0.9 s old reads at once beside its waiting call, any daemon at 1.4 s. So each daemon that the store answers knows a change within 1.4 s and a call of its acknowledgement, whoever else is silent. The bound is the operators' (new setting bounds.configuration_ms, 2500), and the figures follow from it as for the list. Price: two calls a second for the whole deployment, whatever its size, as long as the holder is heard.

--- a/libs/core/include/barleyfork/core/table_follower.hpp
+++ b/libs/core/include/barleyfork/core/table_follower.hpp
@@ -85,6 +85,11 @@
     /// `began`.
     void on_read(store_version position, time_point began);
 
+    /// Records that what is known here was compared with the state of the store
+    /// as of `known_at` and is complete up to `position`, which may be of a
+    /// later era. Has no effect if more is known already.
+    void on_confirmed(store_version position, time_point known_at);
+
     /// Schedules a refresh, since the table may have changed.
     void request_refresh() noexcept
     {
--- a/libs/core/src/table_follower.cpp
+++ b/libs/core/src/table_follower.cpp
@@ -53,6 +53,16 @@
     read_at_ = began;
 }
 
+void table_follower::on_confirmed(store_version position, time_point known_at)
+{
+    if (!position.is_known() || position < position_)
+        return;
+    is_known_ = true;
+    refresh_needed_ = false;
+    position_ = position;
+    known_at_ = std::max(known_at_, known_at);
+}
+
 follower_step
 table_follower::next(follower_role role, bool reader_reachable, time_point now)
 {
--- a/libs/core/tests/table_follower_test.cpp
+++ b/libs/core/tests/table_follower_test.cpp
@@ -129,6 +129,8 @@
     CPPUNIT_TEST(a_claim_after_a_restore_is_not_applied);
     CPPUNIT_TEST(an_era_rises_once_for_each_restore);
     CPPUNIT_TEST(a_hung_call_leaves_time_for_the_next);
+    CPPUNIT_TEST(a_confirmation_is_believed_for_a_bounded_time);
+    CPPUNIT_TEST(a_confirmation_of_less_than_is_known_has_no_effect);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -217,6 +219,34 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{15}, daemon.position().number());
     }
 
+    void a_confirmation_is_believed_for_a_bounded_time()
+    {
+        const follower_intervals intervals;
+        table_follower daemon{intervals};
+        daemon.on_read(10, start);
+        const auto known_at = start + 4 * intervals.neighbour;
+        daemon.on_confirmed(12, known_at);
+        const auto lapses_at = known_at + intervals.neighbour;
+        CPPUNIT_ASSERT(daemon.next(follower_role::neighbour,
+                                   true,
+                                   lapses_at - tick) == follower_step::nothing);
+        CPPUNIT_ASSERT(daemon.next(follower_role::neighbour, true, lapses_at) ==
+                       follower_step::read_store);
+    }
+
+    /// Versions of a later era are lower.
+    void a_confirmation_of_less_than_is_known_has_no_effect()
+    {
+        table_follower daemon{follower_intervals()};
+        daemon.on_read({10, 1}, start);
+        daemon.on_confirmed({9, 1}, start + tick);
+        daemon.on_confirmed(store_version(), start + tick);
+        CPPUNIT_ASSERT(daemon.known_at() == start);
+        daemon.on_confirmed({4, 2}, start + tick);
+        CPPUNIT_ASSERT(daemon.known_at() == start + tick);
+        CPPUNIT_ASSERT(daemon.position() == store_version(4, 2));
+    }
+
     /// Another holder's first announcement starts at the position where that
     /// holder acquired the lease.
     void a_change_of_holder_is_no_gap()
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -160,6 +160,7 @@
     worker.spawn(signal_loop());
     worker.spawn(sweep_loop());
     worker.spawn(watch.follow_configuration());
+    worker.spawn(watch.check_configuration());
     worker.spawn(watch.follow_servers());
     worker.spawn(updates.follow_members());
     worker.spawn(updates.follow_refusals());
--- a/libs/gateway/src/peer_updates.cpp
+++ b/libs/gateway/src/peer_updates.cpp
@@ -298,6 +298,7 @@
     known.started_ms = message.sender->incarnation;
     context_.observe_store_era(message.store_era);
     request_newer_configuration(message);
+    confirm_configuration(message);
     apply_leaving(message);
     apply_limits(message);
     switch (message.kind) {
--- a/libs/gateway/src/peer_updates.hpp
+++ b/libs/gateway/src/peer_updates.hpp
@@ -153,6 +153,7 @@
     void request_missed_changes();
     void
     request_newer_configuration(const schema::peer_message_record& message);
+    void confirm_configuration(const schema::peer_message_record& message);
     void send_snapshot(const schema::peer_message_record& request);
     void apply_snapshot(const schema::peer_message_record& message);
     void request_snapshot(const peer_address& from);
--- a/libs/gateway/src/peer_updates_neighbours.cpp
+++ b/libs/gateway/src/peer_updates_neighbours.cpp
@@ -268,8 +268,7 @@
 }
 
 /// Processes a neighbour's report whether it follows the store. A reader with
-/// newer data is asked for a snapshot; a reader with the same version confirms
-/// that the version known here is the newest.
+/// newer data is asked for a snapshot.
 void peer_updates::on_following(const schema::peer_message_record& message,
                                 const member& sender)
 {
@@ -287,10 +286,6 @@
         !watch_.list_position().is_known() && message.list_position > 0;
     if (newer || list)
         request_snapshot(sender.address);
-    if (message.configuration_version == watch_.configuration_version())
-        watch_.confirm_configuration(
-            extract_configuration_position(message),
-            steady_now() - duration(message.configuration_age_ms));
 }
 
 /// Requests missed changes from the reader of the failure domain.
@@ -317,6 +312,18 @@
         request_snapshot({message.address, message.port});
 }
 
+/// Processes the sender's knowledge of which configuration is the newest. It
+/// confirms the version known here if that is the same one.
+void peer_updates::confirm_configuration(
+    const schema::peer_message_record& message)
+{
+    const auto known = watch_.configuration_version();
+    if (known > 0 && message.configuration_version == known)
+        watch_.confirm_configuration(
+            extract_configuration_position(message),
+            steady_now() - duration(message.configuration_age_ms));
+}
+
 /// Sends the data that the requesting daemon does not have yet.
 void peer_updates::send_snapshot(const schema::peer_message_record& request)
 {
@@ -350,6 +357,7 @@
             std::string_view(reinterpret_cast<const char*>(message.body.data()),
                              message.body.size()),
             message.sender->instance);
+    confirm_configuration(message);
     if (message.list_since > 0 || !message.rows.empty())
         watch_.apply_neighbour_list(extract_rows(message),
                                     extract_list_claim(message, steady_now()));
--- a/libs/gateway/src/store_watch.cpp
+++ b/libs/gateway/src/store_watch.cpp
@@ -29,21 +29,21 @@
 /// change being in force soon after it.
 constexpr duration max_unconfirmed_age{2000};
 
-/// Interval of the checks whether a read of the list is due.
-constexpr std::int64_t list_poll_ms = 150;
+/// Interval of the checks whether a read of a table is due.
+constexpr std::int64_t read_poll_ms = 150;
 
+/// Returns the intervals with which a change is known within `bound_ms`.
 follower_intervals
-make_intervals(const schema::gateway_settings_record& settings)
+make_intervals(const schema::gateway_settings_record& settings, double bound_ms)
 {
     const auto& store = *settings.store;
     follower_intervals intervals;
     intervals.holder = duration(store.holder_interval_ms);
     intervals.reader = duration(store.server_interval_ms);
     intervals.floor = duration(store.relayed_interval_ms);
-    return shorten_to_bound(
-        intervals,
-        duration(static_cast<std::int64_t>(settings.bounds->drain_ms)),
-        duration(store.request_timeout_ms));
+    return shorten_to_bound(intervals,
+                            duration(static_cast<std::int64_t>(bound_ms)),
+                            duration(store.request_timeout_ms));
 }
 
 } // namespace
@@ -51,19 +51,13 @@
 store_watch::store_watch(gateway_context& context)
     : context_(context),
       readers_({context.settings.link_mbps, context.self}, steady_now()),
-      started_at_(steady_now()), list_(make_intervals(context.settings))
+      started_at_(steady_now()),
+      configuration_(make_intervals(context.settings,
+                                    context.settings.bounds->configuration_ms)),
+      list_(make_intervals(context.settings, context.settings.bounds->drain_ms))
 {
 }
 
-bool store_watch::table_position::advance(const store_read& read)
-{
-    if (read.version < version)
-        return false;
-    version = read.version;
-    known = true;
-    return true;
-}
-
 /// Decides again whether this daemon reads for its neighbours. Returns whether
 /// it does.
 bool store_watch::update_reader_role(time_point now)
@@ -76,8 +70,7 @@
         restart_relay();
     log_event(log_level::info, is_reader ? "reading_began" : "reading_left")
         .with("configuration_position",
-              static_cast<std::int64_t>(
-                  configuration_position_.version.number()));
+              static_cast<std::int64_t>(configuration_.position().number()));
     return is_reader;
 }
 
@@ -101,12 +94,8 @@
 void store_watch::confirm_configuration(store_version position,
                                         time_point known_at)
 {
-    if (position < configuration_position_.version || !position.is_known())
-        return;
-    configuration_position_.version = position;
-    configuration_position_.known = true;
-    context_.configuration_known_at =
-        std::max(context_.configuration_known_at, known_at);
+    configuration_.on_confirmed(position, known_at);
+    context_.configuration_known_at = configuration_.known_at();
 }
 
 /// Logs once that nothing has confirmed the configuration for too long, and
@@ -134,53 +123,87 @@
 
 asio::awaitable<void> store_watch::follow_configuration()
 {
-    const auto table = context_.platform.configuration_table;
-    const auto key = context_.platform.configuration_key;
     const duration wait(context_.settings.store->watch_wait_ms);
-    auto& position = configuration_position_;
     for (;;) {
         if (waits_for_neighbour(context_.configuration != nullptr,
                                 steady_now())) {
             co_await sleep_for_ms(neighbour_poll_ms);
             continue;
         }
-        auto& store = *context_.platform.store;
-        const bool is_full_read = !position.known;
-        context_.measures.count_store_call(store_purpose::configuration,
-                                           is_full_read ? "whole" : "changes");
-        const auto began = steady_now();
-        store_read read;
-        if (is_full_read)
-            read = co_await store.read_row(table, key);
-        else
-            read = co_await store.read_changes(table, position.version, wait);
-        // Changes after a version of an earlier era are not complete.
-        const bool is_of_other_era =
-            !is_full_read && !read.error &&
-            read.version.era() != position.version.era();
-        if (is_of_other_era) {
-            position.known = false;
-            continue;
-        }
-        if (read.error || !position.advance(read)) {
-            if (kind_of(read.error.code) == errc::conflict)
-                position.known = false;
-            else
-                set_reachable(!read.error, read.error);
+        const bool done = co_await read_configuration(wait);
+        if (!done)
             co_await sleep_for_ms(draw_retry_delay_ms());
-            continue;
-        }
-        set_reachable(true, {});
-        context_.configuration_known_at =
-            std::max(context_.configuration_known_at, began);
-        for (const auto& row : read.rows)
-            if (row.key == key && !row.deleted)
-                apply_configuration(row.value, "store");
-        if (!context_.configuration)
+        else if (!context_.configuration)
             co_await sleep_for_ms(min_retry_delay_ms);
     }
 }
 
+asio::awaitable<void> store_watch::check_configuration()
+{
+    for (;;) {
+        co_await sleep_for_ms(read_poll_ms);
+        const auto now = steady_now();
+        report_configuration_age(now);
+        if (!is_configuration_due(now))
+            continue;
+        if (!co_await read_configuration(duration{0}))
+            co_await sleep_for_ms(draw_retry_delay_ms());
+    }
+}
+
+/// Returns whether the configuration is to be read from the store at once. The
+/// reads of the list notice when the store is reachable again.
+bool store_watch::is_configuration_due(time_point now)
+{
+    if (!context_.configuration || !reachable_)
+        return false;
+    const bool has_reader = readers_.has_live_reader(now);
+    return configuration_.next(role(), has_reader, now) ==
+           follower_step::read_store;
+}
+
+/// Reads the configuration or its changes, and waits up to `wait` for a change.
+/// Returns false if the read failed.
+asio::awaitable<bool> store_watch::read_configuration(duration wait)
+{
+    const auto table = context_.platform.configuration_table;
+    const auto key = context_.platform.configuration_key;
+    const bool is_full_read = !configuration_.known();
+    const auto position = configuration_.position();
+    context_.measures.count_store_call(store_purpose::configuration,
+                                       is_full_read         ? "whole"
+                                       : wait > duration{0} ? "changes"
+                                                            : "check");
+    const auto began = steady_now();
+    auto& store = *context_.platform.store;
+    store_read read;
+    if (is_full_read)
+        read = co_await store.read_row(table, key);
+    else
+        read = co_await store.read_changes(table, position, wait);
+    // Another call may have read more meanwhile, and a response may reflect an
+    // older state of the store.
+    if (read.error || read.version < configuration_.position()) {
+        if (kind_of(read.error.code) == errc::conflict)
+            configuration_.forget();
+        else
+            set_reachable(!read.error, read.error);
+        co_return false;
+    }
+    // Changes after a version of an earlier era are not complete.
+    if (!is_full_read && read.version.era() != position.era()) {
+        configuration_.forget();
+        co_return co_await read_configuration(wait);
+    }
+    set_reachable(true, {});
+    configuration_.on_read(read.version, began);
+    context_.configuration_known_at = configuration_.known_at();
+    for (const auto& row : read.rows)
+        if (row.key == key && !row.deleted)
+            apply_configuration(row.value, "store");
+    co_return true;
+}
+
 void store_watch::apply_configuration(std::string_view bytes,
                                       std::string_view source)
 {
@@ -212,18 +235,17 @@
 {
     for (;;) {
         const auto began = steady_now();
-        report_configuration_age(began);
         const bool due = list_.known() ? is_list_due(began)
                                        : !waits_for_neighbour(false, began);
         if (!due) {
             expire_servers();
-            co_await sleep_for_ms(list_.known() ? list_poll_ms
+            co_await sleep_for_ms(list_.known() ? read_poll_ms
                                                 : neighbour_poll_ms);
             continue;
         }
         const bool done = co_await read_list(began);
         expire_servers();
-        co_await sleep_for_ms(done ? list_poll_ms : draw_retry_delay_ms());
+        co_await sleep_for_ms(done ? read_poll_ms : draw_retry_delay_ms());
     }
 }
 
--- a/libs/gateway/src/store_watch.hpp
+++ b/libs/gateway/src/store_watch.hpp
@@ -27,6 +27,10 @@
     explicit store_watch(gateway_context& context);
 
     boost::asio::awaitable<void> follow_configuration();
+    /// Reads the configuration's changes at once, beside the call that waits
+    /// for one, whenever nothing has confirmed for too long that the known
+    /// version is the newest.
+    boost::asio::awaitable<void> check_configuration();
     boost::asio::awaitable<void> follow_servers();
 
     /// Applies a configuration in the store's encoding, from the store or from
@@ -107,7 +111,7 @@
     /// configuration and of the list are known here; unknown if none are.
     store_version configuration_position() const noexcept
     {
-        return configuration_position_.version;
+        return configuration_.position();
     }
     store_version list_position() const noexcept
     {
@@ -135,17 +139,6 @@
     }
 
 private:
-    /// The version up to which one table has been read.
-    struct table_position
-    {
-        store_version version;
-        bool known = false;
-
-        /// Advances to the version of a response. Returns false if the response
-        /// is older than this position.
-        bool advance(const store_read& read);
-    };
-
     bool update_reader_role(time_point now);
     bool waits_for_neighbour(bool known, time_point now);
     std::int64_t draw_retry_delay_ms();
@@ -159,6 +152,8 @@
     follower_role role() const noexcept;
     bool is_list_due(time_point now);
     boost::asio::awaitable<bool> read_list(time_point began);
+    bool is_configuration_due(time_point now);
+    boost::asio::awaitable<bool> read_configuration(duration wait);
     void expire_servers();
     std::optional<backend_entry> decode(const store_row& row,
                                         log_level listed_level) const;
@@ -171,7 +166,7 @@
     time_point started_at_;
     std::function<void()> on_configuration_;
     std::string bytes_;
-    table_position configuration_position_;
+    table_follower configuration_;
     /// Whether the last log line on it says that the configuration is old.
     bool is_configuration_unconfirmed_ = false;
     table_follower list_;
--- a/libs/schema/include/barleyfork/schema/gateway_generated.h
+++ b/libs/schema/include/barleyfork/schema/gateway_generated.h
@@ -271,9 +271,11 @@
   double retry_slack = 50.0;
   double holder_change_ms = 3000.0;
   double load_window_s = 5.0;
+  double configuration_ms = 2500.0;
 };
 
-/// Bounds that the operators guarantee to callers and engines.
+/// Bounds that the operators guarantee to callers and engines. A new version of
+/// the configuration is in force within `configuration_ms`.
 struct bound_settings FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef bound_settings_record NativeTableType;
   typedef bound_settingsBuilder Builder;
@@ -285,7 +287,8 @@
     VT_RETRY_WINDOW_S = 10,
     VT_RETRY_SLACK = 12,
     VT_HOLDER_CHANGE_MS = 14,
-    VT_LOAD_WINDOW_S = 16
+    VT_LOAD_WINDOW_S = 16,
+    VT_CONFIGURATION_MS = 18
   };
   double drain_ms() const {
     return GetField<double>(VT_DRAIN_MS, 2500.0);
@@ -308,6 +311,9 @@
   double load_window_s() const {
     return GetField<double>(VT_LOAD_WINDOW_S, 5.0);
   }
+  double configuration_ms() const {
+    return GetField<double>(VT_CONFIGURATION_MS, 2500.0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<double>(verifier, VT_DRAIN_MS, 8) &&
@@ -317,6 +323,7 @@
            VerifyField<double>(verifier, VT_RETRY_SLACK, 8) &&
            VerifyField<double>(verifier, VT_HOLDER_CHANGE_MS, 8) &&
            VerifyField<double>(verifier, VT_LOAD_WINDOW_S, 8) &&
+           VerifyField<double>(verifier, VT_CONFIGURATION_MS, 8) &&
            verifier.EndTable();
   }
   bound_settings_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -349,6 +356,9 @@
   void add_load_window_s(double load_window_s) {
     fbb_.AddElement<double>(bound_settings::VT_LOAD_WINDOW_S, load_window_s, 5.0);
   }
+  void add_configuration_ms(double configuration_ms) {
+    fbb_.AddElement<double>(bound_settings::VT_CONFIGURATION_MS, configuration_ms, 2500.0);
+  }
   explicit bound_settingsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -368,8 +378,10 @@
     double retry_window_s = 10.0,
     double retry_slack = 50.0,
     double holder_change_ms = 3000.0,
-    double load_window_s = 5.0) {
+    double load_window_s = 5.0,
+    double configuration_ms = 2500.0) {
   bound_settingsBuilder builder_(_fbb);
+  builder_.add_configuration_ms(configuration_ms);
   builder_.add_load_window_s(load_window_s);
   builder_.add_holder_change_ms(holder_change_ms);
   builder_.add_retry_slack(retry_slack);
@@ -929,6 +941,7 @@
   { auto _e = retry_slack(); _o->retry_slack = _e; }
   { auto _e = holder_change_ms(); _o->holder_change_ms = _e; }
   { auto _e = load_window_s(); _o->load_window_s = _e; }
+  { auto _e = configuration_ms(); _o->configuration_ms = _e; }
 }
 
 inline flatbuffers::Offset<bound_settings> bound_settings::Pack(flatbuffers::FlatBufferBuilder &_fbb, const bound_settings_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -946,6 +959,7 @@
   auto _retry_slack = _o->retry_slack;
   auto _holder_change_ms = _o->holder_change_ms;
   auto _load_window_s = _o->load_window_s;
+  auto _configuration_ms = _o->configuration_ms;
   return barleyfork::schema::Createbound_settings(
       _fbb,
       _drain_ms,
@@ -954,7 +968,8 @@
       _retry_window_s,
       _retry_slack,
       _holder_change_ms,
-      _load_window_s);
+      _load_window_s,
+      _configuration_ms);
 }
 
 inline placement_settings_record *placement_settings::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
