Keep a call alive while its server's bytes are handed to it

Reported by the review (address sanitizer): where the memory for unsent bytes is used up, send_stream_part ends the call, which cancels its exchange; the connection drops its receiver, the last owner, and on_body goes on with the freed object. The connection now holds the receiver while it calls it.

--- a/libs/gateway/src/backend_connection.cpp
+++ b/libs/gateway/src/backend_connection.cpp
@@ -222,8 +222,10 @@
     if (!body.empty()) {
         const std::string bytes = std::move(body);
         body.clear();
+        // The receiver may cancel this exchange and go on.
+        const auto receiver = receiver_;
         if (!is_stray_answer_)
-            receiver_->on_body(bytes);
+            receiver->on_body(bytes);
         if (state_ != state::busy)
             return false;
     }
