Let the largest answer give way when memory for answers is used up

Other operators' report: a replica that sends without end, and the requests of other clients on that machine end with it. Memory was bounded (a quarter of the machine's for all answers, a sixteenth for one), so one such replica does no harm (server_trouble). Several at once do: four of six servers that send bodies without end at 3 MB/s fill the budget, and whichever answer asks for memory next is broken off, also one of 100 kB that a sound server has given whole.

Cause: the budget serves first come, first served, and whoever comes when it is full loses, however little it needs. Now the user that holds the most gives up its memory for one that needs less; its exchange is broken off as malformed, as it would be at its own limit. An answer's memory is also given back before the caller's connection accounts for it, not counted twice.

--- a/libs/core/include/barleyfork/core/memory_budget.hpp
+++ b/libs/core/include/barleyfork/core/memory_budget.hpp
@@ -1,13 +1,17 @@
 #ifndef BARLEYFORK_CORE_MEMORY_BUDGET_HPP
 #define BARLEYFORK_CORE_MEMORY_BUDGET_HPP
 
-#include <algorithm>
 #include <cstddef>
+#include <functional>
+#include <vector>
 
 namespace barleyfork {
 
 /// Limit on the memory that many users share, in total and for each of them.
-/// Not thread-safe.
+///
+/// Where the total is used up, the user that holds the most gives up its memory
+/// for one that needs less: one user that fills all of it does not keep it from
+/// the others. Not thread-safe.
 class memory_budget
 {
 public:
@@ -25,12 +29,7 @@
     /// Returns the capacity to which a buffer of `capacity` bytes grows to hold
     /// `size` bytes: twice the present capacity within the limit for one user,
     /// so that the buffer is rarely moved, or `size` where that is more.
-    std::size_t grown(std::size_t capacity, std::size_t size) const noexcept
-    {
-        if (size <= capacity)
-            return capacity;
-        return std::max(size, std::min(2 * capacity, max_per_user_));
-    }
+    std::size_t grown(std::size_t capacity, std::size_t size) const noexcept;
 
     /// Memory of one user; returned to the budget by the destructor.
     class share
@@ -39,35 +38,40 @@
         explicit share(memory_budget& budget) : budget_(budget) {}
         share(const share&) = delete;
         share& operator=(const share&) = delete;
-        ~share()
-        {
-            resize(0);
-        }
+        ~share();
+
+        /// Sets how this user gives up its memory. The handler must call
+        /// `resize(0)`; it is called while another user's memory grows. Without
+        /// one the user keeps what it has.
+        void on_reclaimed(std::function<void()> handler);
 
         /// Sets the memory in use to `size` bytes. Returns false, and changes
         /// nothing, where the limits do not allow this.
-        bool resize(std::size_t size)
+        bool resize(std::size_t size);
+
+        /// Returns the memory in use in bytes.
+        std::size_t size() const noexcept
         {
-            const auto others = budget_.held_ - size_;
-            const bool grows = size > size_;
-            if (grows && (size > budget_.max_per_user_ ||
-                          size > budget_.max_total_ -
-                                     std::min(others, budget_.max_total_)))
-                return false;
-            budget_.held_ = others + size;
-            size_ = size;
-            return true;
+            return size_;
         }
 
     private:
+        friend class memory_budget;
+
         memory_budget& budget_;
         std::size_t size_ = 0;
+        std::function<void()> give_up_;
     };
 
 private:
+    bool make_room(std::size_t size, const share& user);
+    share* largest_reclaimable() const;
+
     std::size_t max_total_;
     std::size_t max_per_user_;
     std::size_t held_ = 0;
+    /// Users that give up their memory for others.
+    std::vector<share*> reclaimable_;
 };
 
 } // namespace barleyfork
--- a/libs/core/tests/gateway_parts_test.cpp
+++ b/libs/core/tests/gateway_parts_test.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST(announcements_of_a_process_expire_with_it);
     CPPUNIT_TEST(announcements_of_an_older_process_are_ignored);
     CPPUNIT_TEST(memory_is_shared_up_to_its_limits);
+    CPPUNIT_TEST(the_largest_user_gives_up_its_memory_for_smaller_ones);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -459,6 +460,29 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{61}, budget.grown(60, 61));
     }
 
+    void the_largest_user_gives_up_its_memory_for_smaller_ones()
+    {
+        memory_budget budget(100, 60);
+        memory_budget::share keeps(budget);
+        memory_budget::share middle(budget);
+        memory_budget::share large(budget);
+        memory_budget::share small(budget);
+        middle.on_reclaimed([&middle] { middle.resize(0); });
+        large.on_reclaimed([&large] { large.resize(0); });
+        small.on_reclaimed([&small] { small.resize(0); });
+        CPPUNIT_ASSERT(keeps.resize(45));
+        CPPUNIT_ASSERT(middle.resize(20));
+        CPPUNIT_ASSERT(large.resize(30));
+        CPPUNIT_ASSERT(small.resize(10));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, large.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{20}, middle.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{75}, budget.held());
+        // The largest of those that give way needs more itself.
+        CPPUNIT_ASSERT(!middle.resize(50));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{20}, middle.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{10}, small.size());
+    }
+
 private:
     static holding
     holds(const backend_state& state, const char* model, time_point now)
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -233,6 +233,7 @@
 void gateway_call::start_attempt(const choice& chosen, time_point now)
 {
     attempt_.emplace(chosen, context_.answer_memory);
+    attempt_->memory.on_reclaimed([this] { give_up_answer(); });
     if (!facts_.adapter.empty())
         attempt_->adapter_in_use.emplace(
             context_.adapters,
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -190,6 +190,8 @@
     bool reject_if_quarantined(time_point now);
     bool is_suspected(time_point now) const;
     bool reserve_body_memory(std::size_t size);
+    void give_up_answer();
+    void log_discarded_answer(std::size_t size) const;
     void forward_events(const std::vector<std::string>& events);
     bool is_duplicate_event(const std::string& event);
     void begin_stream();
--- a/libs/gateway/src/gateway_call_answers.cpp
+++ b/libs/gateway/src/gateway_call_answers.cpp
@@ -161,16 +161,39 @@
 {
     if (attempt_->memory.resize(size))
         return true;
+    log_discarded_answer(size);
+    const auto connection = attempt_->connection;
+    connection->cancel();
+    on_end(exchange_result::malformed);
+    return false;
+}
+
+/// Discards the buffered part of a response for other requests, whose responses
+/// need less memory. The exchange ends after the current handler, which belongs
+/// to one of these.
+void gateway_call::give_up_answer()
+{
+    log_discarded_answer(attempt_->memory.size());
+    const auto connection = attempt_->connection;
+    connection->cancel();
+    attempt_->body = std::string();
+    attempt_->memory.resize(0);
+    context_.timers.cancel(attempt_timer_);
+    const auto self = shared_from_this();
+    context_.timers.add(steady_now(), [self, connection] {
+        if (self->attempt_ && self->attempt_->connection == connection)
+            self->on_end(exchange_result::malformed);
+    });
+}
+
+void gateway_call::log_discarded_answer(std::size_t size) const
+{
     log_event(log_level::warn, "answer_too_large")
         .with("request", facts_.client_attempt_id)
         .with("server", attempt_->server.value())
         .with("bytes", static_cast<std::int64_t>(size))
         .with("held_by_all",
               static_cast<std::int64_t>(context_.answer_memory.held()));
-    const auto connection = attempt_->connection;
-    connection->cancel();
-    on_end(exchange_result::malformed);
-    return false;
 }
 
 void gateway_call::forward_events(const std::vector<std::string>& events)
@@ -449,6 +472,8 @@
     answer_head head = *attempt_->head;
     head.headers = end_to_end_headers(head.headers, *context_.platform.codec);
     const std::string body = std::move(attempt_->body);
+    // The caller's connection accounts for it from here on.
+    attempt_->memory.resize(0);
     const auto caller = caller_;
     finish(errc::ok);
     if (caller)
