Judge requests on kept connections by the limits that are in force

Cause: the parser took its limits, and the timer its end, when the last answer on the connection ended. Now the limits are read when a request begins, and a timer that ends asks again how long the caller may take.

kept_connection: 3 of 3 failed before (a larger body, a smaller limit, a longer idle time), 3 of 3 pass. Looked at for the same class: a call takes route, service and timeout of the version in force when it arrives, waiting calls keep theirs on purpose; nothing else outlives a call. Of barleyforkd the limits are settings, not configuration (read).

--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -82,16 +82,39 @@
     read();
 }
 
+/// Returns the limits that are in force now.
+caller_limits caller_session::limits() const
+{
+    return context_.configuration ? context_.configuration->limits
+                                  : caller_limits{};
+}
+
+/// Returns how long the caller may take for what it is doing.
+duration caller_session::wait_limit() const
+{
+    return has_request_begun_ ? limits().header_timeout : limits().idle_timeout;
+}
+
 void caller_session::start_parser()
 {
-    const auto limits = context_.configuration ? context_.configuration->limits
-                                               : caller_limits{};
     parser_.emplace();
     parser_->eager(true);
-    parser_->header_limit(limits.max_header_bytes);
-    parser_->body_limit(limits.max_body_bytes);
     has_request_begun_ = false;
-    set_timer(limits.idle_timeout);
+    start_waiting();
+}
+
+void caller_session::begin_request()
+{
+    has_request_begun_ = true;
+    parser_->header_limit(limits().max_header_bytes);
+    parser_->body_limit(limits().max_body_bytes);
+    start_waiting();
+}
+
+void caller_session::start_waiting()
+{
+    waits_since_ = steady_now();
+    set_timer(wait_limit());
 }
 
 void caller_session::read()
@@ -132,13 +155,8 @@
     while (!call_ && !closing_ && !closed_ && !unparsed_.empty() &&
            unsent_bytes() < max_unsent)
     {
-        if (!has_request_begun_) {
-            has_request_begun_ = true;
-            const auto limits = context_.configuration
-                                    ? context_.configuration->limits
-                                    : caller_limits{};
-            set_timer(limits.header_timeout);
-        }
+        if (!has_request_begun_)
+            begin_request();
         beast::error_code error;
         const auto used = parser_->put(asio::buffer(unparsed_), error);
         unparsed_.erase(0, used);
@@ -392,8 +410,14 @@
 
 void caller_session::on_timer()
 {
-    if (closing_)
+    if (closing_) {
         close();
+        return;
+    }
+    // A newer configuration may allow more time.
+    const auto left = waits_since_ + wait_limit() - steady_now();
+    if (left > duration{0})
+        set_timer(left);
     else if (has_request_begun_)
         reject(408);
     else
--- a/libs/gateway/src/caller_session.hpp
+++ b/libs/gateway/src/caller_session.hpp
@@ -57,6 +57,10 @@
     void read();
     void on_read(const boost::system::error_code& error, std::size_t size);
     void start_parser();
+    caller_limits limits() const;
+    duration wait_limit() const;
+    void begin_request();
+    void start_waiting();
     void parse();
     void on_request();
     void reject(unsigned status);
@@ -82,6 +86,8 @@
     std::string writing_;
     memory_budget::share unsent_memory_;
     timer_queue::timer_id timer_ = 0;
+    /// When the connection became idle or its request began.
+    time_point waits_since_{};
     bool reading_ = false;
     bool keep_alive_ = true;
     bool is_head_request_ = false;
