Reset the connection of a call that is given up

Cause: http_client closed such a connection, and the kernel goes on retransmitting after a plain close; backend_connection resets for this very reason. The timeout of a stream closes the socket by itself, so the option is set before the request is written and taken back when the answer is complete. It holds for all calls of control in both programs: a write to the store that is given up cannot arrive seconds later from this side either.

--- a/libs/gateway/src/backend_connection.cpp
+++ b/libs/gateway/src/backend_connection.cpp
@@ -317,7 +317,7 @@
     // the kernel would go on retransmitting it and deliver it once an
     // interrupted link recovers.
     if (in_exchange)
-        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+        set_reset_on_close(socket_, true);
     socket_.close(ignored);
 }
 
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -111,6 +111,9 @@
         }
         set_liveness_options(stream.socket());
     }
+    // A call that is given up must not reach the peer later: after a plain
+    // close the kernel would go on retransmitting it.
+    set_reset_on_close(stream.socket(), true);
     stream.expires_after(timeout);
     auto message = to_request(endpoint, request);
     auto [write_error, written] =
@@ -135,6 +138,7 @@
             co_return reply;
         }
     } while (is_interim(parser->get().result_int()));
+    set_reset_on_close(stream.socket(), false);
     auto answer = parser->release();
     reply.status = answer.result_int();
     reply.etag = std::string(answer[http::field::etag]);
--- a/libs/net/src/socket_options.cpp
+++ b/libs/net/src/socket_options.cpp
@@ -37,4 +37,10 @@
         ignored);
 }
 
+void set_reset_on_close(asio::ip::tcp::socket& socket, bool resets)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::linger(resets, 0), ignored);
+}
+
 } // namespace barleyfork
--- a/libs/net/tests/http_client_test.cpp
+++ b/libs/net/tests/http_client_test.cpp
@@ -4,7 +4,9 @@
 #include <barleyfork/net/http_client.hpp>
 #include <barleyfork/net/io_worker.hpp>
 
+#include <array>
 #include <atomic>
+#include <cerrno>
 #include <cppunit/extensions/HelperMacros.h>
 #include <future>
 #include <netinet/in.h>
@@ -153,6 +155,7 @@
     CPPUNIT_TEST(a_slow_steady_response_is_read_completely);
     CPPUNIT_TEST(a_response_that_stalls_times_out);
     CPPUNIT_TEST(an_endless_response_times_out);
+    CPPUNIT_TEST(a_call_that_is_given_up_is_reset);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -201,7 +204,39 @@
         CPPUNIT_ASSERT(kind_of(reply.error.code) == errc::timeout);
     }
 
+    /// An order that its sender gave up during a partition arrived after the
+    /// partition, beside those of the next holder: the kernel went on sending.
+    void a_call_that_is_given_up_is_reset()
+    {
+        const loopback_listener listener{1};
+        io_worker work("test", 16);
+        http_client client;
+        std::promise<http_reply> done;
+        constexpr duration timeout{200};
+        work.spawn(call(client, listener.endpoint(), timeout, done));
+        work.start();
+        const int connection = ::accept(listener.socket(), nullptr, nullptr);
+        const auto reply = done.get_future().get();
+        const int error = read_to_the_end(connection);
+        ::close(connection);
+        work.stop();
+        work.discard();
+        CPPUNIT_ASSERT(kind_of(reply.error.code) == errc::timeout);
+        CPPUNIT_ASSERT_EQUAL(ECONNRESET, error);
+    }
+
 private:
+    /// Returns the error that ends a connection; 0 if it was closed.
+    static int read_to_the_end(int connection)
+    {
+        std::array<char, 1024> bytes{};
+        ssize_t got = 0;
+        do {
+            got = ::recv(connection, bytes.data(), bytes.size(), 0);
+        } while (got > 0);
+        return got < 0 ? errno : 0;
+    }
+
     /// Calls a slow server with a timeout of one second.
     static http_reply call_slow_server(
         int pieces, duration pause, duration max_answer_time = duration{15000})
