Stop only once the answers in hand are written

Cause: the stop waited for calls, and a call ends when its answer is handed to the caller's session; bytes that the session had not written held nothing back. Now the stop waits for them too, as long as it may.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -87,6 +87,7 @@
                                        http_responder& out);
     asio::awaitable<void> answer_metrics(const http_incoming& request,
                                          http_responder& out);
+    bool has_unsent_answers() const;
     void reload();
     void check_settings_file(time_point now);
     bool is_ready() const;
@@ -293,8 +294,20 @@
     co_await out.send(std::move(answer));
 }
 
+/// Returns whether answers of ended calls are still being written to callers.
+bool gateway::state::has_unsent_answers() const
+{
+    return std::any_of(
+        sessions.begin(), sessions.end(), [](const auto& entry) {
+            const auto session = entry.lock();
+            return session && !session->is_closed() &&
+                   session->unsent_bytes() > 0;
+        });
+}
+
 /// Reports "not ready" at once, serves new requests until the load balancer has
-/// noticed, and ends when no call runs or the drain time has elapsed.
+/// noticed, and ends when no call runs and all answers are written, or the drain
+/// time has elapsed.
 asio::awaitable<void> gateway::state::drain()
 {
     const auto started_at = steady_now();
@@ -314,7 +327,8 @@
                 if (const auto session = entry.lock())
                     session->drain();
         }
-        if (!has_left_rotation || !context.active_calls.empty())
+        if (!has_left_rotation || !context.active_calls.empty() ||
+            has_unsent_answers())
             continue;
         if (context.drain.closed())
             break;
