Let callers read nothing for as long as their deadlines may be

Cause: the time limit for unacknowledged bytes, 3.5 s, which is meant for peers that have vanished, also counts a window that a live peer keeps closed. It stays for servers and calls of control; callers get 30 s, the longest deadline that a call has without one of its own. Price: a caller that vanished without a word is known 30 s later, not 4 s; its call ends at its deadline as before, and its unsent bytes are within the budget for answers.

--- a/libs/gateway/src/backend_connection.cpp
+++ b/libs/gateway/src/backend_connection.cpp
@@ -92,7 +92,7 @@
         finish(exchange_result::not_sent);
         return;
     }
-    set_liveness_options(socket_);
+    set_liveness_options(socket_, max_server_stall);
     state_ = state::busy;
     start_parser();
     read();
--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -26,6 +26,9 @@
 /// No further request of a caller is processed while this many bytes of its
 /// responses are unsent.
 constexpr std::size_t max_unsent = std::size_t{256} * 1024;
+/// How long a caller may read nothing. Its own deadline ends its patience before
+/// that.
+constexpr duration max_caller_stall{30000};
 /// How long a closing connection waits for the caller to close its side.
 constexpr duration linger_timeout{1000};
 
@@ -87,7 +90,7 @@
 
 void caller_session::start()
 {
-    set_liveness_options(socket_);
+    set_liveness_options(socket_, max_caller_stall);
     start_parser();
     read();
 }
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -109,7 +109,7 @@
             reply.not_sent = true;
             co_return reply;
         }
-        set_liveness_options(stream.socket());
+        set_liveness_options(stream.socket(), max_server_stall);
     }
     // A call that is given up must not reach the peer later: after a plain
     // close the kernel would go on retransmitting it.
--- a/libs/net/src/socket_options.cpp
+++ b/libs/net/src/socket_options.cpp
@@ -12,14 +12,13 @@
 constexpr int first_probe_delay_s = 1;
 constexpr int probe_interval_s = 1;
 constexpr int max_lost_probes = 3;
-constexpr int max_unacknowledged_ms = 3500;
 
 template <int Level, int Name>
 using int_option = asio::detail::socket_option::integer<Level, Name>;
 
 } // namespace
 
-void set_liveness_options(asio::ip::tcp::socket& socket)
+void set_liveness_options(asio::ip::tcp::socket& socket, duration max_stall)
 {
     // A socket whose peer has closed rejects options; its next read or write
     // reports the error.
@@ -32,9 +31,9 @@
                       ignored);
     socket.set_option(int_option<IPPROTO_TCP, TCP_KEEPCNT>(max_lost_probes),
                       ignored);
-    socket.set_option(
-        int_option<IPPROTO_TCP, TCP_USER_TIMEOUT>(max_unacknowledged_ms),
-        ignored);
+    socket.set_option(int_option<IPPROTO_TCP, TCP_USER_TIMEOUT>(
+                          static_cast<int>(max_stall.count())),
+                      ignored);
 }
 
 void set_reset_on_close(asio::ip::tcp::socket& socket, bool resets)
