Answer 502 where the memory for answers holds no more

What is left, an answer that does not fit at the hand-over, is replaced by a 502, which is true and small, instead of a closed connection.

--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -26,8 +26,8 @@
 /// No further request of a caller is processed while this many bytes of its
 /// responses are unsent.
 constexpr std::size_t max_unsent = std::size_t{256} * 1024;
-/// How long a caller may read nothing. Its own deadline ends its patience before
-/// that.
+/// How long a caller may read nothing. Its own deadline ends its patience
+/// before that.
 constexpr duration max_caller_stall{30000};
 /// How long a closing connection waits for the caller to close its side.
 constexpr duration linger_timeout{1000};
@@ -274,10 +274,10 @@
         out += "Connection: close\r\n";
 }
 
-void caller_session::send_answer(const answer_head& head, std::string_view body)
+/// Returns the bytes of a complete response.
+std::string caller_session::write_answer(const answer_head& head,
+                                         std::string_view body) const
 {
-    if (closed_)
-        return;
     std::string text = write_answer_head(
         head, {{"Content-Length", std::to_string(body.size())}});
     text.resize(text.size() - 2);
@@ -285,11 +285,25 @@
     text += "\r\n";
     if (!is_head_request_)
         text += body;
+    return text;
+}
+
+void caller_session::send_answer(const answer_head& head, std::string_view body)
+{
+    if (closed_)
+        return;
+    std::string text = write_answer(head, body);
+    if (!unsent_memory_.resize(unsent_bytes() + text.size())) {
+        log_no_memory(unsent_bytes() + text.size());
+        // An error is small, and tells more than a closed connection.
+        const auto error =
+            make_local_answer(errc::outcome_unknown, {}, std::nullopt);
+        text = write_answer(error.head, error.body);
+    }
     pending_ += text;
     if (context_.drain.draining())
         keep_alive_ = false;
-    if (reserve_unsent_memory())
-        finish_answer();
+    finish_answer();
 }
 
 void caller_session::begin_stream(const answer_head& head)
@@ -333,13 +347,20 @@
 {
     if (unsent_memory_.resize(unsent_bytes()))
         return true;
-    log_event(log_level::warn, "caller_reads_too_slowly")
-        .with("caller", address_)
-        .with("unsent", static_cast<std::int64_t>(unsent_bytes()));
+    log_no_memory(unsent_bytes());
     on_caller_disconnected();
     return false;
 }
 
+void caller_session::log_no_memory(std::size_t unsent) const
+{
+    log_event(log_level::warn, "caller_reads_too_slowly")
+        .with("caller", address_)
+        .with("unsent", static_cast<std::int64_t>(unsent))
+        .with("held_by_all",
+              static_cast<std::int64_t>(context_.answer_memory.held()));
+}
+
 void caller_session::end_stream()
 {
     if (closed_)
--- a/libs/gateway/src/caller_session.hpp
+++ b/libs/gateway/src/caller_session.hpp
@@ -71,6 +71,9 @@
     bool reserve_request_memory();
     void refuse_for_memory();
     bool reserve_unsent_memory();
+    void log_no_memory(std::size_t unsent) const;
+    std::string write_answer(const answer_head& head,
+                             std::string_view body) const;
     void on_written(const boost::system::error_code& error);
     void begin_closing();
     void close();
