--- a/libs/schema/include/barleyfork/schema/peer_generated.h
+++ b/libs/schema/include/barleyfork/schema/peer_generated.h
@@ -1359,8 +1359,8 @@
 /// blamed for crashes although requests with them were answered.
 ///
 /// `configuration_age_ms` is the age of the sender's knowledge that
-/// `configuration_version` is the newest one. Daemons up to 0.8.0 do not send
-/// it; their word confirms nothing, so the default is the maximum age.
+/// `configuration_version` is the newest one. Daemons of 0.6.0 do not send it;
+/// their word confirms nothing, so the default is the maximum age.
 ///
 /// `store_era` is the newest era of the store that the sender knows; the other
 /// eras belong to the versions of the same names.
