--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -297,17 +297,15 @@
 /// Returns whether answers of ended calls are still being written to callers.
 bool gateway::state::has_unsent_answers() const
 {
-    return std::any_of(
-        sessions.begin(), sessions.end(), [](const auto& entry) {
-            const auto session = entry.lock();
-            return session && !session->is_closed() &&
-                   session->unsent_bytes() > 0;
-        });
+    return std::any_of(sessions.begin(), sessions.end(), [](const auto& entry) {
+        const auto session = entry.lock();
+        return session && !session->is_closed() && session->unsent_bytes() > 0;
+    });
 }
 
 /// Reports "not ready" at once, serves new requests until the load balancer has
-/// noticed, and ends when no call runs and all answers are written, or the drain
-/// time has elapsed.
+/// noticed, and ends when no call runs and all answers are written, or the
+/// drain time has elapsed.
 asio::awaitable<void> gateway::state::drain()
 {
     const auto started_at = steady_now();
