Split the store watch by what it follows, and mend names

Names: no_memory_for_request instead of request_too_large_now; one word for memory that is taken back (reclaimed).

--- a/libs/core/include/barleyfork/core/memory_budget.hpp
+++ b/libs/core/include/barleyfork/core/memory_budget.hpp
@@ -64,7 +64,7 @@
 
         memory_budget& budget_;
         std::size_t size_ = 0;
-        std::function<void()> give_up_;
+        std::function<void()> reclaimed_handler_;
     };
 
 private:
--- a/libs/core/src/memory_budget.cpp
+++ b/libs/core/src/memory_budget.cpp
@@ -35,7 +35,7 @@
         if (largest == nullptr || largest->size_ <= size || largest == &user)
             return false;
         const auto before = held_;
-        largest->give_up_();
+        largest->reclaimed_handler_();
         if (held_ >= before)
             return false;
     }
@@ -50,7 +50,7 @@
 
 void memory_budget::share::on_reclaimed(std::function<void()> handler)
 {
-    give_up_ = std::move(handler);
+    reclaimed_handler_ = std::move(handler);
     budget_.reclaimable_.push_back(this);
 }
 
--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -189,8 +189,9 @@
     }
 }
 
-/// Accounts for the body of the request that is being read, as long as its head
-/// declares it to be. Returns false if the memory budget is exceeded.
+/// Accounts for the body of the request that is being read: the length that its
+/// head declares, or what has arrived if that is more. Returns false if the
+/// memory budget is exceeded.
 bool caller_session::reserve_request_memory()
 {
     if (!parser_->is_header_done())
@@ -208,7 +209,7 @@
     const auto id = context_.platform.codec
                         ->parse_request_metadata(copy_headers(parser_->get()))
                         .client_attempt_id;
-    log_event(log_level::warn, "request_too_large_now")
+    log_event(log_level::warn, "no_memory_for_request")
         .with("request", id)
         .with("caller", address_)
         .with("held_by_all",
--- a/libs/gateway/src/store_watch.hpp
+++ b/libs/gateway/src/store_watch.hpp
@@ -139,6 +139,13 @@
     }
 
 private:
+    static constexpr std::int64_t min_retry_delay_ms = 150;
+    /// Interval at which a daemon that relies on a neighbour's reads checks
+    /// whether it must read the store itself.
+    static constexpr std::int64_t neighbour_poll_ms = 100;
+    /// Interval of the checks whether a read of a table is due.
+    static constexpr std::int64_t read_poll_ms = 150;
+
     bool update_reader_role(time_point now);
     bool waits_for_neighbour(bool known, time_point now);
     std::int64_t draw_retry_delay_ms();
@@ -159,6 +166,7 @@
                                         log_level listed_level) const;
     void log_change(const backend_entry& entry, log_level listed_level) const;
     void set_reachable(bool reachable, const failure& error);
+    duration max_unconfirmed_age() const;
     void report_configuration_age(time_point now);
 
     gateway_context& context_;
--- /dev/null
+++ b/libs/gateway/src/store_watch_configuration.cpp
@@ -0,0 +1,169 @@
+/// The part of the store watch that follows the operators' configuration.
+
+#include "store_watch.hpp"
+
+#include <barleyfork/base/log.hpp>
+
+#include <utility>
+
+namespace barleyfork {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// The fraction of the bound on changes after which an unconfirmed
+/// configuration is reported.
+constexpr double reported_fraction = 0.8;
+
+} // namespace
+
+void store_watch::confirm_configuration(store_version position,
+                                        time_point known_at)
+{
+    configuration_.on_confirmed(position, known_at);
+    context_.configuration_known_at = configuration_.known_at();
+}
+
+/// Returns the age from which the known configuration is reported, before the
+/// operators' bound has passed.
+duration store_watch::max_unconfirmed_age() const
+{
+    const double bound_ms = context_.settings.bounds->configuration_ms;
+    return duration(static_cast<std::int64_t>(reported_fraction * bound_ms));
+}
+
+/// Logs once that nothing has confirmed the configuration for too long, and
+/// once that something did.
+void store_watch::report_configuration_age(time_point now)
+{
+    const auto age = now - context_.configuration_known_at;
+    const bool is_unconfirmed =
+        context_.configuration && age >= max_unconfirmed_age();
+    if (is_unconfirmed == is_configuration_unconfirmed_)
+        return;
+    is_configuration_unconfirmed_ = is_unconfirmed;
+    log_event(is_unconfirmed ? log_level::warn : log_level::info,
+              is_unconfirmed ? "configuration_unconfirmed"
+                             : "configuration_confirmed")
+        .with("version", static_cast<std::int64_t>(configuration_version()))
+        .with("age_ms", age.count())
+        .with("reads", readers_.is_reader() ? "true" : "false");
+}
+
+std::uint64_t store_watch::configuration_version() const noexcept
+{
+    return context_.configuration ? context_.configuration->version : 0;
+}
+
+asio::awaitable<void> store_watch::follow_configuration()
+{
+    const duration wait(context_.settings.store->watch_wait_ms);
+    for (;;) {
+        if (waits_for_neighbour(context_.configuration != nullptr,
+                                steady_now())) {
+            co_await sleep_for_ms(neighbour_poll_ms);
+            continue;
+        }
+        const bool done = co_await read_configuration(wait);
+        if (!done)
+            co_await sleep_for_ms(draw_retry_delay_ms());
+        else if (!context_.configuration)
+            co_await sleep_for_ms(min_retry_delay_ms);
+    }
+}
+
+asio::awaitable<void> store_watch::check_configuration()
+{
+    for (;;) {
+        co_await sleep_for_ms(read_poll_ms);
+        const auto now = steady_now();
+        report_configuration_age(now);
+        if (!is_configuration_due(now))
+            continue;
+        if (!co_await read_configuration(duration{0}))
+            co_await sleep_for_ms(draw_retry_delay_ms());
+    }
+}
+
+/// Returns whether the configuration is to be read from the store at once. The
+/// reads of the list notice when the store is reachable again.
+bool store_watch::is_configuration_due(time_point now)
+{
+    if (!context_.configuration || !reachable_)
+        return false;
+    const bool has_reader = readers_.has_live_reader(now);
+    return configuration_.next(role(), has_reader, now) ==
+           follower_step::read_store;
+}
+
+/// Reads the configuration or its changes, and waits up to `wait` for a change.
+/// Returns false if the read failed.
+asio::awaitable<bool> store_watch::read_configuration(duration wait)
+{
+    const auto table = context_.platform.configuration_table;
+    const auto key = context_.platform.configuration_key;
+    const bool is_full_read = !configuration_.known();
+    const auto position = configuration_.position();
+    context_.measures.count_store_call(store_purpose::configuration,
+                                       is_full_read         ? "whole"
+                                       : wait > duration{0} ? "changes"
+                                                            : "check");
+    const auto began = steady_now();
+    auto& store = *context_.platform.store;
+    store_read read;
+    if (is_full_read)
+        read = co_await store.read_row(table, key);
+    else
+        read = co_await store.read_changes(table, position, wait);
+    // Another call may have read more meanwhile, and a response may reflect an
+    // older state of the store.
+    if (read.error || read.version < configuration_.position()) {
+        if (kind_of(read.error.code) == errc::conflict)
+            configuration_.forget();
+        else
+            set_reachable(!read.error, read.error);
+        co_return false;
+    }
+    // Changes after a version of an earlier era are not complete.
+    if (!is_full_read && read.version.era() != position.era()) {
+        configuration_.forget();
+        co_return co_await read_configuration(wait);
+    }
+    set_reachable(true, {});
+    configuration_.on_read(read.version, began);
+    context_.configuration_known_at = configuration_.known_at();
+    for (const auto& row : read.rows)
+        if (row.key == key && !row.deleted)
+            apply_configuration(row.value, "store");
+    co_return true;
+}
+
+void store_watch::apply_configuration(std::string_view bytes,
+                                      std::string_view source)
+{
+    auto decoded = std::make_shared<gateway_configuration>();
+    if (const auto error =
+            context_.platform.decode_configuration(bytes, *decoded)) {
+        log_event(log_level::error, "configuration_unreadable")
+            .with("source", source)
+            .with("error", error.message());
+        return;
+    }
+    if (context_.configuration &&
+        decoded->version <= context_.configuration->version)
+        return;
+    set_queue_targets(*decoded);
+    log_event(log_level::info, "configuration_in_force")
+        .with("version", static_cast<std::int64_t>(decoded->version))
+        .with("source", source)
+        .with("routes", static_cast<std::int64_t>(decoded->routes.size()));
+    bytes_ = std::string(bytes);
+    context_.measures.set_configuration_version(decoded->version);
+    context_.configuration = std::move(decoded);
+    context_.wake_waiting_calls();
+    if (on_configuration_)
+        on_configuration_();
+}
+
+} // namespace barleyfork
