--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -343,14 +343,14 @@
     context.drain.close();
     const auto active = context.active_calls.size();
     context.end_calls();
-    const bool all_calls_ended = context.active_calls.empty();
+    const bool is_whole = context.active_calls.empty() && !has_unsent_answers();
     log_event(log_level::info, "drain_ended")
-        .with("whole", all_calls_ended ? "true" : "false")
+        .with("whole", is_whole ? "true" : "false")
         .with("active", static_cast<std::int64_t>(active))
         .with("took_ms", (steady_now() - started_at).count());
     // Lets pending responses be written before the process exits.
     co_await sleep_for_ms(drain_poll_ms);
-    drain_result.set_value(all_calls_ended);
+    drain_result.set_value(is_whole);
 }
 
 gateway::gateway(schema::gateway_settings_record settings,
