Break off an engine's answer that never ends in barleyforkd

Other operators' report: a faulty server sends without end, the process that called it keeps all and runs out of memory. The gateway bounds this; barleyforkd did not: a plain answer of a model was kept whole, whatever its length, and so was an event of a stream without an end, until the deadline of the request.

The limit of services, max_body_bytes, now holds for what is buffered of a model's answer; beyond it the exchange is given up and counts as lost.

--- a/libs/daemon/src/model_request.cpp
+++ b/libs/daemon/src/model_request.cpp
@@ -311,6 +311,14 @@
             result.server_crashed = event.server_crashed;
             result.crashed_boot = event.crashed_boot;
         }
+        else if (is_too_large(event)) {
+            work->cancel();
+            log_discarded_answer(id);
+            result.end = response_started_
+                             ? attempt_outcome::lost_during_answer
+                             : attempt_outcome::lost_before_answer;
+            break;
+        }
         else if (!co_await forward(event)) {
             work->cancel();
             result.caller_disconnected = true;
@@ -339,6 +347,23 @@
     co_return result;
 }
 
+/// Returns whether what is buffered of a response, all of it or an incomplete
+/// event of a stream, would exceed the limit on bodies: it may never end.
+bool model_request::is_too_large(const exchange_event& event) const
+{
+    const auto buffered =
+        response_started_ ? events_.partial_bytes() : complete_body_.size();
+    return buffered + event.bytes.size() >
+           front_.context_.settings.caller->max_body_bytes;
+}
+
+void model_request::log_discarded_answer(const server_id& server) const
+{
+    log_event(log_level::warn, "answer_too_large")
+        .with("request", request_.request_id)
+        .with("server", server.value());
+}
+
 asio::awaitable<bool> model_request::forward(const exchange_event& event)
 {
     if (event.part == exchange_part::head)
--- a/libs/daemon/src/model_request.hpp
+++ b/libs/daemon/src/model_request.hpp
@@ -45,6 +45,8 @@
     boost::asio::awaitable<bool> wait_in_queue();
     exchange_request make_request(const serving_server& server) const;
     boost::asio::awaitable<attempt_result> attempt(std::size_t server);
+    bool is_too_large(const exchange_event& event) const;
+    void log_discarded_answer(const server_id& server) const;
     boost::asio::awaitable<bool> forward(const exchange_event& event);
     boost::asio::awaitable<bool> forward_head(const exchange_event& event);
     boost::asio::awaitable<bool> forward_data(const exchange_event& event);
--- a/libs/standins/include/barleyfork/standins/engine_standin.hpp
+++ b/libs/standins/include/barleyfork/standins/engine_standin.hpp
@@ -31,7 +31,7 @@
 /// ends it; it starts again, empty, after a while. Faults by `POST /faults`:
 /// `lose_orders`, `late_order_ms`, `silent` (open streams stop for good),
 /// `break_streams_after`, `delay_ms`, `leaving`, `failing` (500 to every
-/// completion). `GET /counters` tells what ran.
+/// completion), `endless` (answers never end). `GET /counters` tells what ran.
 class engine_standin
 {
 public:
--- a/libs/standins/src/engine_standin.cpp
+++ b/libs/standins/src/engine_standin.cpp
@@ -16,6 +16,7 @@
 
 namespace {
 
+constexpr std::size_t bytes_in_mib = std::size_t{1024} * 1024;
 constexpr std::int64_t default_tokens = 16;
 
 /// An engine says on each answer whose it is.
@@ -112,6 +113,7 @@
         take("second_copy_ms", second_copy_ms);
         take("leaving", leaving);
         take("failing", failing);
+        take("endless", endless);
         take("between_tokens_ms", options.between_tokens_ms);
         take("first_token_ms", options.first_token_ms);
         if (faults.contains("crash"))
@@ -123,6 +125,7 @@
         return {{"ran", ran},
                 {"cancelled", cancelled},
                 {"crashes", crashes},
+                {"endless_mib", endless_bytes / bytes_in_mib},
                 {"peak_mib", peak_mib},
                 {"used_mib", used_mib()},
                 {"adapter_loads", adapter_loads},
@@ -302,6 +305,12 @@
         http_outgoing head;
         head.headers.emplace_back("x-engine-load", std::to_string(outstanding));
         echo_exchange(in, head);
+        if (endless != 0) {
+            if (stream)
+                head.content_type = "text/event-stream";
+            co_await send_without_end(std::move(head), out);
+            co_return;
+        }
         if (!stream) {
             co_await sleep_for_ms(options.between_tokens_ms * total);
             json::object whole;
@@ -341,6 +350,21 @@
         co_await out.finish();
     }
 
+    /// Sends bytes that end nothing until the other side closes; bounded all
+    /// the same.
+    asio::awaitable<void> send_without_end(http_outgoing head,
+                                           http_responder& out)
+    {
+        constexpr std::size_t most = 400 * bytes_in_mib;
+        const std::string piece(std::size_t{64} * 1024, 'x');
+        bool alive = co_await out.begin(std::move(head));
+        for (std::size_t sent = 0; alive && sent < most; sent += piece.size()) {
+            alive = co_await out.write(piece);
+            endless_bytes += piece.size();
+        }
+        out.abort();
+    }
+
     /// Ends the process as far as anyone outside can tell.
     void crash()
     {
@@ -387,6 +411,8 @@
     std::int64_t second_copy_ms = 0;
     std::int64_t leaving = 0;
     std::int64_t failing = 0;
+    std::int64_t endless = 0;
+    std::size_t endless_bytes = 0;
 };
 
 engine_standin::engine_standin(io_worker& owner, engine_standin_options options)
