Say in the log what ties an answer to its request, and on which connection

The hypotheses could not be told apart: nothing named the connection of a send, whether it had carried others, or why an answer counted as that of the request. request_sent has connection and exchange_number, send_failed answer and connection, stray_answer_dropped connection, request_ended may_have_run, the one value that permits a refusal with a promise.

No change of logic.

--- a/libs/gateway/src/backend_connection.cpp
+++ b/libs/gateway/src/backend_connection.cpp
@@ -45,9 +45,10 @@
 backend_connection::backend_connection(asio::any_io_executor executor,
                                        timer_queue& timers,
                                        tcp::endpoint target,
+                                       std::uint64_t number,
                                        idle_handler on_idle)
     : executor_(std::move(executor)), timers_(timers), socket_(executor_),
-      target_(std::move(target)), on_idle_(std::move(on_idle)),
+      target_(std::move(target)), number_(number), on_idle_(std::move(on_idle)),
       idle_timeout_(default_idle_timeout)
 {
 }
--- a/libs/gateway/src/backend_connection.hpp
+++ b/libs/gateway/src/backend_connection.hpp
@@ -69,9 +69,11 @@
     using idle_handler =
         std::function<void(const std::shared_ptr<backend_connection>&)>;
 
+    /// `number` identifies the connection in the log.
     backend_connection(boost::asio::any_io_executor executor,
                        timer_queue& timers,
                        tcp::endpoint target,
+                       std::uint64_t number,
                        idle_handler on_idle);
     backend_connection(const backend_connection&) = delete;
     backend_connection& operator=(const backend_connection&) = delete;
@@ -98,6 +100,17 @@
         return state_ != state::closed;
     }
 
+    std::uint64_t number() const noexcept
+    {
+        return number_;
+    }
+
+    /// Returns the number of exchanges so far, including the current one.
+    std::size_t exchange_count() const noexcept
+    {
+        return exchange_count_;
+    }
+
     /// Returns true if an earlier exchange used this connection. A late copy of
     /// the response to that exchange may then arrive in place of the current
     /// one.
@@ -148,6 +161,7 @@
     timer_queue& timers_;
     tcp::socket socket_;
     tcp::endpoint target_;
+    std::uint64_t number_;
     idle_handler on_idle_;
     state state_ = state::unconnected;
     std::shared_ptr<answer_receiver> receiver_;
--- a/libs/gateway/src/backend_pool.cpp
+++ b/libs/gateway/src/backend_pool.cpp
@@ -42,7 +42,11 @@
 {
     ++opened_count_;
     return std::make_shared<backend_connection>(
-        executor_, timers_, target, [this, target](const auto& connection) {
+        executor_,
+        timers_,
+        target,
+        opened_count_,
+        [this, target](const auto& connection) {
             auto& idle = idle_[target];
             if (idle.size() < max_idle_per_server)
                 idle.push_back(connection);
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -264,7 +264,12 @@
         .with("expected_ms", static_cast<std::int64_t>(chosen.expected_ms))
         .with("load_age_ms", load.reported ? load.report_age.count() : -1)
         .with("configuration",
-              static_cast<std::int64_t>(configuration_->version));
+              static_cast<std::int64_t>(configuration_->version))
+        .with("connection",
+              static_cast<std::int64_t>(attempt_->connection->number()))
+        .with("exchange_number",
+              static_cast<std::int64_t>(attempt_->connection->exchange_count() +
+                                        1));
     start_attempt_timer(chosen, now);
     attempt_->connection->exchange(request_.method == "HEAD",
                                    shared_from_this());
@@ -559,6 +564,7 @@
         .with("outcome", error_name(kind))
         .with("status", status)
         .with("sends", send_count_)
+        .with("may_have_run", progress_ && progress_->may_have_run() ? 1 : 0)
         .with("first_event_ms", first_event_ms_)
         .with("after_ms", (steady_now() - received_at_).count());
 }
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -166,6 +166,7 @@
 
     attempt_outcome classify(exchange_result end) const;
     bool belongs_to_request() const;
+    const char* answer_origin() const;
     bool is_retryable_failure() const;
     bool is_authentic_answer() const;
     void record_attempt_end(attempt_outcome end,
--- a/libs/gateway/src/gateway_call_answers.cpp
+++ b/libs/gateway/src/gateway_call_answers.cpp
@@ -85,7 +85,9 @@
         log_event(log_level::warn, "stray_answer_dropped")
             .with("request", facts_.client_attempt_id)
             .with("belongs_to", facts.client_attempt_id)
-            .with("server", attempt_->server.value());
+            .with("server", attempt_->server.value())
+            .with("connection",
+                  static_cast<std::int64_t>(attempt_->connection->number()));
         return false;
     }
     const auto now = steady_now();
@@ -266,6 +268,17 @@
            !attempt_->connection->is_reused();
 }
 
+/// Returns by what the response of the attempt is known to belong to this
+/// request, for the log.
+const char* gateway_call::answer_origin() const
+{
+    if (!attempt_->head)
+        return "none";
+    if (!attempt_->facts.client_attempt_id.empty())
+        return "id";
+    return attempt_->connection->is_reused() ? "unknown" : "new_connection";
+}
+
 /// Returns true for a failure response to a repeatable request, which may be
 /// retried.
 bool gateway_call::is_retryable_failure() const
@@ -359,6 +372,9 @@
             .with("exchange", exchange_result_name(exchange))
             .with("fingerprint", fingerprint_text())
             .with("status", attempt_->head ? attempt_->head->status : 0)
+            .with("answer", answer_origin())
+            .with("connection",
+                  static_cast<std::int64_t>(attempt_->connection->number()))
             .with("after_ms",
                   attempt_->has_begun_sending
                       ? (now - attempt_->sent_at).count()
