Send each request id once on a connection

What callers saw: a request that a server was running was answered 503, a promise that it has not run and never will; others ran twice.

Cause: a second send carries the id of the first, and an answer counts by that id. So a second send to a server that was tried had a connection of its own. But "tried" was kept by the server's id and connections by address: a server that started again under another id, while its old entry is still listed, has two ids at one address, and the third send of a request got the connection of the first. A second copy of the first refusal, which faulty servers send, arrived there as the answer of a send that was running. The same where a caller asks again under an id that was refused.

Fix: the tie is kept where the answer comes from. A connection remembers the ids that it has carried (hashes; it is closed after 1000 exchanges) and carries none twice, so an answer with the id of the request is that of its one send there. The rule by server id is gone.

--- a/libs/gateway/src/backend_connection.cpp
+++ b/libs/gateway/src/backend_connection.cpp
@@ -1,8 +1,10 @@
 #include "backend_connection.hpp"
 
+#include <barleyfork/base/digest.hpp>
 #include <barleyfork/net/answer_limits.hpp>
 #include <barleyfork/net/socket_options.hpp>
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -22,6 +24,8 @@
 constexpr duration default_idle_timeout{3000};
 /// An exchange with more responses to earlier requests than this is ended.
 constexpr int max_stray_answers = 3;
+/// Bounds the memory for the ids that a connection has carried.
+constexpr std::size_t max_exchanges = 1000;
 
 answer_head to_answer_head(const http::response<http::string_body>& message)
 {
@@ -53,16 +57,24 @@
 {
 }
 
-void backend_connection::exchange(bool is_head_request,
+bool backend_connection::has_carried(std::string_view request_id) const
+{
+    return std::find(carried_ids_.begin(),
+                     carried_ids_.end(),
+                     hash64(request_id)) != carried_ids_.end();
+}
+
+void backend_connection::exchange(std::string_view request_id,
+                                  bool is_head_request,
                                   std::shared_ptr<answer_receiver> receiver)
 {
+    carried_ids_.push_back(hash64(request_id));
     is_head_request_ = is_head_request;
     receiver_ = std::move(receiver);
     is_request_written_ = false;
     stray_answer_count_ = 0;
     interim_answer_count_ = 0;
     paused_ = false;
-    ++exchange_count_;
     if (state_ == state::unconnected) {
         connect();
         return;
@@ -275,7 +287,8 @@
         return;
     }
     const bool is_reusable = parser_->keep_alive() && !must_close_ &&
-                             is_request_written_ && unparsed_.empty();
+                             is_request_written_ && unparsed_.empty() &&
+                             carried_ids_.size() < max_exchanges;
     must_close_ = !is_reusable;
     finish(exchange_result::complete);
 }
--- a/libs/gateway/src/backend_connection.hpp
+++ b/libs/gateway/src/backend_connection.hpp
@@ -16,6 +16,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace barleyfork {
 
@@ -59,7 +60,10 @@
 ///
 /// The connection is reused only after an unambiguous exchange: the response
 /// was framed and complete, no other bytes arrived, and the request had been
-/// written completely. Not thread-safe: used by one worker thread only.
+/// written completely. It carries each request id at most once, so that an
+/// answer with the id of the current request is the answer to this send and no
+/// late copy of the answer to an earlier one. Not thread-safe: used by one
+/// worker thread only.
 class backend_connection
     : public std::enable_shared_from_this<backend_connection>
 {
@@ -78,10 +82,16 @@
     backend_connection(const backend_connection&) = delete;
     backend_connection& operator=(const backend_connection&) = delete;
 
-    /// Sends a request, after connecting if there is no connection yet.
-    void exchange(bool is_head_request,
+    /// Sends a request, after connecting if there is no connection yet. The
+    /// connection must not have carried `request_id` before.
+    void exchange(std::string_view request_id,
+                  bool is_head_request,
                   std::shared_ptr<answer_receiver> receiver);
 
+    /// Returns true if a request with this id was sent here. May also return
+    /// true for another id, rarely.
+    bool has_carried(std::string_view request_id) const;
+
     /// Aborts the exchange and closes the connection. The receiver is not
     /// called again.
     void cancel();
@@ -108,7 +118,7 @@
     /// Returns the number of exchanges so far, including the current one.
     std::size_t exchange_count() const noexcept
     {
-        return exchange_count_;
+        return carried_ids_.size();
     }
 
     /// Returns true if an earlier exchange used this connection. A late copy of
@@ -116,7 +126,7 @@
     /// one.
     bool is_reused() const noexcept
     {
-        return exchange_count_ > 1;
+        return carried_ids_.size() > 1;
     }
 
     /// Returns true if the end of the connection was that of the response, so
@@ -175,7 +185,8 @@
     bool is_head_reported_ = false;
     /// True if the response being read belongs to an earlier request.
     bool is_stray_answer_ = false;
-    std::size_t exchange_count_ = 0;
+    /// Hashes of the ids of all requests so far.
+    std::vector<std::uint64_t> carried_ids_;
     int stray_answer_count_ = 0;
     int interim_answer_count_ = 0;
     bool paused_ = false;
--- a/libs/gateway/src/backend_pool.cpp
+++ b/libs/gateway/src/backend_pool.cpp
@@ -21,16 +21,20 @@
 
 std::shared_ptr<backend_connection>
 backend_pool::acquire(const boost::asio::ip::tcp::endpoint& target,
+                      std::string_view request_id,
                       bool is_repeatable,
                       time_point now)
 {
     auto& idle = idle_[target];
     const double fraction =
         is_repeatable ? repeatable_fraction : non_repeatable_fraction;
-    while (!idle.empty()) {
-        auto connection = std::move(idle.back());
-        idle.pop_back();
-        if (connection->is_usable(now, fraction))
+    for (auto at = idle.size(); at-- > 0;) {
+        const auto connection = idle[at];
+        const bool is_usable = connection->is_usable(now, fraction);
+        if (is_usable && connection->has_carried(request_id))
+            continue;
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(at));
+        if (is_usable)
             return connection;
         connection->cancel();
     }
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -243,13 +243,8 @@
     context_.count_against_limit({chosen.server, chosen.started_ms}, now);
     attempt_->ticket = context_.loads.begin(
         chosen.server, facts_.prompt_tokens, route_->priority, now);
-    // A second attempt at a server carries the same id as the first. On the
-    // same connection, a late copy of the first response would be accepted as
-    // the response to the second attempt.
-    attempt_->connection =
-        sends_per_server_.contains(chosen.server)
-            ? context_.pool.open(chosen.target)
-            : context_.pool.acquire(chosen.target, route_->is_retryable(), now);
+    attempt_->connection = context_.pool.acquire(
+        chosen.target, facts_.client_attempt_id, route_->is_retryable(), now);
     ++sends_per_server_[chosen.server];
     log_event(log_level::info, "request_sent")
         .with("request", facts_.client_attempt_id)
@@ -271,7 +266,8 @@
               static_cast<std::int64_t>(attempt_->connection->exchange_count() +
                                         1));
     start_attempt_timer(chosen, now);
-    attempt_->connection->exchange(request_.method == "HEAD",
+    attempt_->connection->exchange(facts_.client_attempt_id,
+                                   request_.method == "HEAD",
                                    shared_from_this());
 }
 
