--- a/libs/net/include/barleyfork/net/http_client.hpp
+++ b/libs/net/include/barleyfork/net/http_client.hpp
@@ -34,6 +34,10 @@
     /// Time limit for a new connection, however long the call may take: the
     /// kernel retries the handshake only at intervals of seconds.
     duration connect_timeout{1000};
+    /// False for a call whose answer must be its own: on a connection that
+    /// carried other calls, a late copy of an earlier answer would be taken for
+    /// it.
+    bool may_share_connection = true;
     /// Maximum size of the body in bytes; a larger one is an error.
     std::size_t max_answer_bytes = 16 * 1024 * 1024;
 };
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -91,7 +91,7 @@
     beast::tcp_stream stream(co_await asio::this_coro::executor);
     auto& kept = idle_[key];
     bool reused = false;
-    while (!kept.empty() && !reused) {
+    while (request.may_share_connection && !kept.empty() && !reused) {
         auto socket = std::move(kept.back());
         kept.pop_back();
         reused = is_reusable_connection(socket);
@@ -148,7 +148,8 @@
     auto& pool = idle_[key];
     // Bytes after the response belong to no call.
     const bool clean = answer.keep_alive() && buffer.size() == 0;
-    if (clean && pool.size() < max_idle_connections) {
+    if (clean && request.may_share_connection &&
+        pool.size() < max_idle_connections) {
         stream.expires_never();
         pool.push_back(stream.release_socket());
     }
