Believe a write only if its answer is newer than all known before it

A late copy of the answer to an earlier write would have confirmed one that failed: two holders of the lease.

Event store_answer_outdated. Reads need no tie: the followers take no version below their position; a copy of a refusal or a conflict makes the writer ask again.

--- a/libs/gateway/src/restorable_store.cpp
+++ b/libs/gateway/src/restorable_store.cpp
@@ -1,5 +1,8 @@
 #include "restorable_store.hpp"
 
+#include <barleyfork/base/log.hpp>
+
+#include <algorithm>
 #include <utility>
 
 namespace barleyfork {
@@ -13,11 +16,17 @@
 {
 }
 
+void restorable_store::observe(store_version version, std::int64_t store_ms)
+{
+    clock_.observe(store_ms, boot_now());
+    era_ = on_era_(version.era());
+    newest_ = std::max(newest_, version);
+}
+
 asio::awaitable<store_read> restorable_store::read_table(std::string table)
 {
     auto result = co_await store_->read_table(std::move(table));
-    clock_.observe(result.store_ms, boot_now());
-    era_ = on_era_(result.version.era());
+    observe(result.version, result.store_ms);
     co_return result;
 }
 
@@ -25,8 +34,7 @@
                                                        std::string key)
 {
     auto result = co_await store_->read_row(std::move(table), std::move(key));
-    clock_.observe(result.store_ms, boot_now());
-    era_ = on_era_(result.version.era());
+    observe(result.version, result.store_ms);
     co_return result;
 }
 
@@ -35,8 +43,7 @@
 {
     auto result =
         co_await store_->read_changes(std::move(table), version, wait);
-    clock_.observe(result.store_ms, boot_now());
-    era_ = on_era_(result.version.era());
+    observe(result.version, result.store_ms);
     co_return result;
 }
 
@@ -47,10 +54,16 @@
 {
     if (expected.is_known() && expected.era() < era_)
         co_return store_write{store_write_outcome::conflict, {0, era_}, 0};
+    const auto known = newest_;
     auto result = co_await store_->write_row(
         std::move(table), std::move(key), std::move(value), expected);
-    clock_.observe(result.store_ms, boot_now());
-    era_ = on_era_(result.version.era());
+    observe(result.version, result.store_ms);
+    if (result.end == store_write_outcome::done && result.version <= known) {
+        log_event(log_level::warn, "store_answer_outdated")
+            .with("version", static_cast<std::int64_t>(result.version.number()))
+            .with("known", static_cast<std::int64_t>(known.number()));
+        result.end = store_write_outcome::unknown;
+    }
     co_return result;
 }
 
--- a/libs/gateway/src/restorable_store.hpp
+++ b/libs/gateway/src/restorable_store.hpp
@@ -13,6 +13,9 @@
 /// Reports the era and the clock of each response of another store, and refuses
 /// writes that expect a row version of an earlier era: after a restore the same
 /// number may belong to another row state.
+///
+/// A write whose response names a version that was known before the write was
+/// sent ends as unknown: that is the response to an earlier call.
 class restorable_store : public row_store
 {
 public:
@@ -37,10 +40,14 @@
               store_version expected) override;
 
 private:
+    void observe(store_version version, std::int64_t store_ms);
+
     std::unique_ptr<row_store> store_;
     store_clock& clock_;
     era_handler on_era_;
     std::uint64_t era_ = 0;
+    /// The newest version in any response.
+    store_version newest_;
 };
 
 } // namespace barleyfork
