Believe the table service only where the answer fits the call

A late copy of the answer to an earlier write would have confirmed a claim that failed, so that two daemons send one booking; a copy of another row would have been replayed to a caller as the answer to its key. Now a write is confirmed only by a version above all that were known when it was sent (the service counts them once for all rows), otherwise its end is unknown and the row is read again; and a row read must bear its key.

--- a/libs/store/include/barleyfork/store/table_client.hpp
+++ b/libs/store/include/barleyfork/store/table_client.hpp
@@ -49,7 +49,9 @@
 /// Client of the table service's HTTP protocol.
 ///
 /// A write whose response is lost has the outcome `unknown`, because the write
-/// may have taken effect. Not thread-safe: an object belongs to one worker.
+/// may have taken effect; so has one whose response names a version that was
+/// known before the write was sent, as it belongs to an earlier call. Not
+/// thread-safe: an object belongs to one worker.
 class table_client
 {
 public:
@@ -91,6 +93,8 @@
     http_client client_;
     std::uint64_t reads_ = 0;
     std::uint64_t writes_ = 0;
+    /// The newest version in any response; versions come from one counter.
+    std::uint64_t newest_ = 0;
 };
 
 } // namespace barleyfork
--- a/libs/store/src/table_client.cpp
+++ b/libs/store/src/table_client.cpp
@@ -1,5 +1,6 @@
 #include <barleyfork/store/table_client.hpp>
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 namespace barleyfork {
@@ -67,6 +68,10 @@
         result.error = decode_response(reply, [&result](const auto& value) {
             result.row = parse_row(value);
         });
+    if (!result.error && result.row.key != key)
+        result.error = make_failure(errc::protocol_error,
+                                    "table service: row of another key");
+    newest_ = std::max(newest_, result.row.version);
     co_return result;
 }
 
@@ -90,6 +95,7 @@
         for (const auto& row : value.at("rows").as_array())
             result.rows.push_back(parse_row(row));
     });
+    newest_ = std::max(newest_, result.version);
     co_return result;
 }
 
@@ -104,6 +110,7 @@
                   "?expected=" + std::to_string(expected_version);
     call.body = std::move(value);
     call.timeout = timeout_;
+    const auto known = newest_;
     const auto reply = co_await client_.call(endpoint_, std::move(call));
     table_write result;
     if (reply.error) {
@@ -123,6 +130,12 @@
             response.at("version").template to_number<std::uint64_t>();
         result.outcome = write_outcome::done;
     });
+    newest_ = std::max(newest_, result.version);
+    if (result.outcome == write_outcome::done && result.version <= known) {
+        result.outcome = write_outcome::unknown;
+        result.error = make_failure(errc::protocol_error,
+                                    "table service: answer to an earlier call");
+    }
     co_return result;
 }
 
