Tell with a refused request why it is held not to have run

For on-call engineers: `barleyfork why` prints, for an outcome that promises, how each send is known not to have run the request, and how many have no proof (a fault of ours), beside later copies of its answers on connections of other requests.

Lines of the tool only; events and causes are as before. Tests in request_timeline_test.

--- a/libs/logs/include/barleyfork/logs/request_timeline.hpp
+++ b/libs/logs/include/barleyfork/logs/request_timeline.hpp
@@ -17,6 +17,9 @@
     /// The outcome and its cause in one sentence; empty if the log has no
     /// line of the request.
     std::string cause;
+    /// For a request that was refused with a promise: why it was held not to
+    /// have run; else empty.
+    std::string not_run_proof;
     /// The request's own lines and the related events of its servers and its
     /// daemons, in chronological order.
     std::vector<log_line> lines;
--- a/libs/logs/src/request_timeline.cpp
+++ b/libs/logs/src/request_timeline.cpp
@@ -1,5 +1,7 @@
 #include <barleyfork/logs/request_timeline.hpp>
 
+#include "not_run_proof.hpp"
+
 #include <algorithm>
 #include <array>
 #include <set>
@@ -201,9 +203,14 @@
         return story;
     sort_by_time(story.lines);
     story.cause = describe_end(story.lines);
-    for (const auto& line : log)
-        if (line.field("request") != id && is_related(line, instances, servers))
+    story.not_run_proof = describe_not_run_proof(story.lines);
+    for (const auto& line : log) {
+        // Its answer came again, on a connection that another request used.
+        const bool is_stray_answer = line.field("belongs_to") == id;
+        if (line.field("request") != id &&
+            (is_stray_answer || is_related(line, instances, servers)))
             story.lines.push_back(line);
+    }
     sort_by_time(story.lines);
     return story;
 }
--- a/libs/logs/tests/request_timeline_test.cpp
+++ b/libs/logs/tests/request_timeline_test.cpp
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <fstream>
+#include <initializer_list>
 
 namespace barleyfork {
 
@@ -29,6 +30,9 @@
     CPPUNIT_TEST(missing_adapter_is_explained);
     CPPUNIT_TEST(crashes_before_and_during_the_response_differ);
     CPPUNIT_TEST(causes_are_counted_without_identifiers);
+    CPPUNIT_TEST(a_refused_request_tells_why_it_has_not_run);
+    CPPUNIT_TEST(a_send_without_proof_is_told);
+    CPPUNIT_TEST(answers_that_came_again_are_shown);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -87,7 +91,56 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found->second);
     }
 
+    void a_refused_request_tells_why_it_has_not_run()
+    {
+        const auto story = build_request_timeline(
+            parse({"event=request_sent request=r server=a",
+                   "event=send_failed request=r server=a end=1 answer=id",
+                   "event=request_sent request=r server=b",
+                   "event=send_failed request=r server=b end=0 answer=none",
+                   "event=request_ended request=r outcome=overloaded"}),
+            "r");
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("not run: of 2 sends 1 were refused in an answer with "
+                        "its id, 0 in the first answer on a new connection, 1 "
+                        "wrote nothing, 0 have no proof in these logs"),
+            story.not_run_proof);
+        const auto answered = build_request_timeline(
+            parse({"event=request_ended request=r outcome=ok"}), "r");
+        CPPUNIT_ASSERT(answered.not_run_proof.empty());
+    }
+
+    void a_send_without_proof_is_told()
+    {
+        const auto story = build_request_timeline(
+            parse({"event=request_sent request=r server=a",
+                   "event=request_ended request=r outcome=no_replica"}),
+            "r");
+        CPPUNIT_ASSERT(
+            story.not_run_proof.ends_with("1 have no proof in these logs"));
+    }
+
+    void answers_that_came_again_are_shown()
+    {
+        const auto story = build_request_timeline(
+            parse({"event=request_ended request=r outcome=overloaded",
+                   "event=stray_answer_dropped request=s belongs_to=r"}),
+            "r");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, story.lines.size());
+    }
+
 private:
+    static std::vector<log_line>
+    parse(std::initializer_list<const char*> events)
+    {
+        std::vector<log_line> lines;
+        for (const char* event : events)
+            lines.push_back(*parse_log_line(
+                std::string("ts=2026-01-01T00:00:00.1 level=WARN instance=a ") +
+                event));
+        return lines;
+    }
+
     static void
     expect_cause(const char* id, const char* cause, std::size_t lines)
     {
--- a/tools/barleyfork/commands.cpp
+++ b/tools/barleyfork/commands.cpp
@@ -228,6 +228,8 @@
         return tool_exit::refused;
     }
     std::cout << story.cause << "\n";
+    if (!story.not_run_proof.empty())
+        std::cout << story.not_run_proof << "\n";
     for (const auto& line : story.lines)
         std::cout << line.text << "\n";
     return tool_exit::ok;
