--- a/libs/net/tests/http_client_test.cpp
+++ b/libs/net/tests/http_client_test.cpp
@@ -3,6 +3,7 @@
 
 #include <barleyfork/net/http_client.hpp>
 #include <barleyfork/net/io_worker.hpp>
+#include <barleyfork/testing/loopback_listener.hpp>
 
 #include <array>
 #include <atomic>
@@ -21,45 +22,12 @@
 
 namespace {
 
-/// A listening socket on loopback.
-class loopback_listener
-{
-public:
-    explicit loopback_listener(int backlog)
-    {
-        address_.sin_family = AF_INET;
-        address_.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof(address_);
-        ::bind(socket_, generic_address(), size);
-        ::getsockname(socket_, generic_address(), &size);
-        ::listen(socket_, backlog);
-    }
-    loopback_listener(const loopback_listener&) = delete;
-    loopback_listener& operator=(const loopback_listener&) = delete;
-    ~loopback_listener()
-    {
-        ::close(socket_);
-    }
+using testing::loopback_listener;
 
-    int socket() const noexcept
-    {
-        return socket_;
-    }
-
-    sockaddr* generic_address() noexcept
-    {
-        return reinterpret_cast<sockaddr*>(&address_);
-    }
-
-    http_endpoint endpoint() const
-    {
-        return {"127.0.0.1", ntohs(address_.sin_port), ""};
-    }
-
-private:
-    int socket_ = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address_{};
-};
+http_endpoint endpoint_of(const loopback_listener& listener)
+{
+    return {"127.0.0.1", listener.port(), ""};
+}
 
 /// A listening socket whose backlog is full: the kernel drops the packets that
 /// open further connections, like a network partition that drops packets.
@@ -88,7 +56,7 @@
 
     http_endpoint endpoint() const
     {
-        return listener_.endpoint();
+        return endpoint_of(listener_);
     }
 
 private:
@@ -115,7 +83,7 @@
 
     http_endpoint endpoint() const
     {
-        return listener_.endpoint();
+        return endpoint_of(listener_);
     }
 
 private:
@@ -168,7 +136,7 @@
         http_client client;
         std::promise<http_reply> done;
         constexpr duration timeout{20000};
-        work.spawn(call(client, listener.endpoint(), timeout, done));
+        work.spawn(call(client, endpoint_of(listener), timeout, done));
         work.start();
         auto reply = done.get_future();
         constexpr std::chrono::seconds bound{5};
@@ -213,7 +181,7 @@
         http_client client;
         std::promise<http_reply> done;
         constexpr duration timeout{200};
-        work.spawn(call(client, listener.endpoint(), timeout, done));
+        work.spawn(call(client, endpoint_of(listener), timeout, done));
         work.start();
         const int connection = ::accept(listener.socket(), nullptr, nullptr);
         const auto reply = done.get_future().get();
--- a/libs/store/tests/table_client_test.cpp
+++ b/libs/store/tests/table_client_test.cpp
@@ -3,11 +3,11 @@
 
 #include <barleyfork/net/io_worker.hpp>
 #include <barleyfork/store/table_client.hpp>
+#include <barleyfork/testing/loopback_listener.hpp>
 
 #include <array>
 #include <cppunit/extensions/HelperMacros.h>
 #include <future>
-#include <netinet/in.h>
 #include <string>
 #include <sys/socket.h>
 #include <thread>
@@ -27,44 +27,6 @@
            "\r\n\r\n" + body;
 }
 
-/// A listening socket on a free port of loopback.
-class loopback_listener
-{
-public:
-    loopback_listener()
-    {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof(address);
-        auto* generic = reinterpret_cast<sockaddr*>(&address);
-        ::bind(socket_, generic, size);
-        ::listen(socket_, 1);
-        ::getsockname(socket_, generic, &size);
-        port_ = ntohs(address.sin_port);
-    }
-    loopback_listener(const loopback_listener&) = delete;
-    loopback_listener& operator=(const loopback_listener&) = delete;
-    ~loopback_listener()
-    {
-        ::close(socket_);
-    }
-
-    int socket() const noexcept
-    {
-        return socket_;
-    }
-
-    http_endpoint endpoint() const
-    {
-        return {"127.0.0.1", port_, ""};
-    }
-
-private:
-    int socket_ = ::socket(AF_INET, SOCK_STREAM, 0);
-    std::uint16_t port_ = 0;
-};
-
 /// Answers the requests on one connection in turn.
 class scripted_table
 {
@@ -130,10 +92,10 @@
     }
 
     std::vector<std::string> bodies_;
-    loopback_listener listener_;
+    testing::loopback_listener listener_{1};
     std::thread server_;
     io_worker worker_{"table", ring_capacity};
-    table_client client_{listener_.endpoint(), duration{2000}};
+    table_client client_{{"127.0.0.1", listener_.port(), ""}, duration{2000}};
 };
 
 } // namespace
