--- a/libs/net/tests/http_client_test.cpp
+++ b/libs/net/tests/http_client_test.cpp
@@ -136,7 +136,7 @@
         http_client client;
         std::promise<http_reply> done;
         constexpr duration timeout{20000};
-        work.spawn(call(client, endpoint_of(listener), timeout, done));
+        work.spawn(call(client, listener.endpoint(), timeout, done));
         work.start();
         auto reply = done.get_future();
         constexpr std::chrono::seconds bound{5};
