Count a stream that stalled against its server when its caller leaves

Now a stream counts as failed if its server sent no event for half of the time after which callers leave, unless it was held back by a caller that reads slowly. The half leaves room for the way between a caller's clock and this one.

--- a/libs/gateway/src/backend_connection.hpp
+++ b/libs/gateway/src/backend_connection.hpp
@@ -105,6 +105,11 @@
 
     void resume();
 
+    bool is_paused() const noexcept
+    {
+        return paused_;
+    }
+
     bool is_open() const noexcept
     {
         return state_ != state::closed;
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -466,16 +466,25 @@
 }
 
 /// Returns how the server of an attempt counts whose caller left. A server that
-/// had begun its response did well; one that was silent for too long did not.
+/// had begun its response did well; one that was silent for too long, before it
+/// or within a stream, did not.
 load_outcome gateway_call::outcome_when_caller_left(time_point now) const
 {
     if (attempt_->head)
-        return load_outcome::good;
+        return is_stalled(now) ? load_outcome::failed : load_outcome::good;
     const bool is_too_late = attempt_->has_begun_sending &&
                              now >= attempt_->sent_at + patience(*attempt_);
     return is_too_late ? load_outcome::failed : load_outcome::unknown;
 }
 
+/// Returns true if the server of a stream has sent no event for half of the
+/// time after which callers leave, though it was not held back.
+bool gateway_call::is_stalled(time_point now) const
+{
+    return attempt_->is_streamed && !attempt_->connection->is_paused() &&
+           now >= attempt_->last_progress_at + route_->caller_timeout() / 2;
+}
+
 void gateway_call::on_answer_bytes_written()
 {
     if (attempt_ && caller_ && caller_->unsent_bytes() < caller_low_water)
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -106,6 +106,8 @@
         /// True if events are forwarded as they arrive.
         bool is_streamed = false;
         bool has_first_event = false;
+        /// When the head or the last event of a stream arrived.
+        time_point last_progress_at{};
         /// True if the response was received up to its framed end.
         bool is_answer_complete = false;
         std::string body;
@@ -205,6 +207,7 @@
     bool may_still_send(time_point now) const;
     void withdraw_attempt(time_point now);
     load_outcome outcome_when_caller_left(time_point now) const;
+    bool is_stalled(time_point now) const;
     duration patience(const choice& chosen) const;
     void abandon_attempt(load_outcome end, time_point now);
     void release_server(load_outcome end, time_point now);
--- a/libs/gateway/src/gateway_call_answers.cpp
+++ b/libs/gateway/src/gateway_call_answers.cpp
@@ -96,6 +96,7 @@
             attempt_->server, facts.load->running, facts.load->waiting, now);
     attempt_->head = head;
     attempt_->facts = std::move(facts);
+    attempt_->last_progress_at = now;
     apply_server_status(now);
     attempt_->is_streamed = route_->kind == call_kind::stream &&
                             is_success(head.status) && is_authentic_answer();
@@ -208,6 +209,7 @@
     }
     if (events.empty() || out.empty())
         return;
+    attempt_->last_progress_at = steady_now();
     if (!attempt_->has_first_event) {
         attempt_->has_first_event = true;
         context_.loads.on_answer_started(attempt_->server, attempt_->ticket);
