--- a/libs/gateway/src/backend_pool.cpp
+++ b/libs/gateway/src/backend_pool.cpp
@@ -29,7 +29,7 @@
     const double fraction =
         is_repeatable ? repeatable_fraction : non_repeatable_fraction;
     for (auto at = idle.size(); at-- > 0;) {
-        const auto connection = idle[at];
+        auto connection = idle[at];
         const bool is_usable = connection->is_usable(now, fraction);
         if (is_usable && connection->has_carried(request_id))
             continue;
