--- a/libs/core/include/barleyfork/core/gateway_configuration.hpp
+++ b/libs/core/include/barleyfork/core/gateway_configuration.hpp
@@ -59,6 +59,8 @@
     std::uint32_t max_runs = 1;
     /// True if a broken stream may be resumed on another backend server.
     bool resumable = false;
+    /// True if requests need no key even where organisations are declared.
+    bool is_public = false;
     std::vector<service_share> services;
 
     /// Returns true if a request may run more than once.
@@ -117,6 +119,38 @@
     duration idle_timeout{15000};
 };
 
+/// The rate of tokens that an organisation's requests may use, over all
+/// daemons together.
+struct token_quota
+{
+    /// Tokens per second; zero if there is no limit.
+    double per_second = 0.0;
+    /// Tokens that may be used at once on top of the rate.
+    double burst = 0.0;
+    /// Tokens of a request that states no token count.
+    std::uint64_t plain_tokens = 0;
+
+    bool is_limited() const noexcept
+    {
+        return per_second > 0.0;
+    }
+
+    friend bool operator==(const token_quota&, const token_quota&) = default;
+};
+
+/// An organisation whose callers identify themselves by keys.
+struct gateway_organisation
+{
+    organisation_id id;
+    /// Digests of the keys (`content_digest`); the keys themselves are not
+    /// retained.
+    std::vector<std::string> key_digests;
+    /// Takes precedence over the priority of the route; zero is the most
+    /// urgent.
+    std::optional<std::uint32_t> priority;
+    token_quota quota;
+};
+
 /// One complete version of the operators' configuration.
 struct gateway_configuration
 {
@@ -124,6 +158,11 @@
     std::vector<gateway_route> routes;
     std::vector<gateway_service> services;
     caller_limits limits;
+    /// Empty where callers need no keys.
+    std::vector<gateway_organisation> organisations;
+    /// True if organisations are declared, even if none of the entries could
+    /// be decoded: requests then need a key.
+    bool requires_keys = false;
 
     const gateway_service* find_service(const service_id& id) const;
 };
--- a/libs/gateway/include/barleyfork/gateway/call_codec.hpp
+++ b/libs/gateway/include/barleyfork/gateway/call_codec.hpp
@@ -33,6 +33,8 @@
     std::string adapter;
     std::uint32_t prompt_tokens = 0;
     std::uint32_t max_output_tokens = 0;
+    /// True if the caller stated the two token counts.
+    bool has_token_count = false;
     /// The ids of the parts of the prompt that other requests may share, in
     /// order; 64 at most.
     std::vector<std::string> shared_prompt_parts;
@@ -48,6 +50,9 @@
     duration time_left{0};
     /// 0 is the most urgent. Set only for engines.
     std::optional<std::uint32_t> urgency;
+    /// The organisation that holds the caller's key; empty if the request needs
+    /// none. Replaces whatever the caller sent.
+    organisation_id organisation;
     /// The id of the last event that the caller received, if a stream is
     /// resumed.
     std::string resume_after;
--- a/libs/schema/include/barleyfork/schema/gateway_generated.h
+++ b/libs/schema/include/barleyfork/schema/gateway_generated.h
@@ -272,10 +272,21 @@
   double holder_change_ms = 3000.0;
   double load_window_s = 5.0;
   double configuration_ms = 2500.0;
+  double revocation_ms = 0.0;
+  bool revocation_fails_closed = false;
+  double quota_window_s = 10.0;
+  double quota_over = 0.0;
+  double quota_slack = 0.0;
 };
 
 /// Bounds that the operators guarantee to callers and engines. A new version of
 /// the configuration is in force within `configuration_ms`.
+///
+/// A key that was withdrawn is refused everywhere after `revocation_ms`, even by
+/// daemons that can't reach the store if `revocation_fails_closed`; 0 sets no
+/// such bound. In each span of `quota_window_s` an organisation uses at most
+/// (rate x window + burst) x (1 + `quota_over`) + `quota_slack` tokens over all
+/// daemons.
 struct bound_settings FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef bound_settings_record NativeTableType;
   typedef bound_settingsBuilder Builder;
@@ -288,7 +299,12 @@
     VT_RETRY_SLACK = 12,
     VT_HOLDER_CHANGE_MS = 14,
     VT_LOAD_WINDOW_S = 16,
-    VT_CONFIGURATION_MS = 18
+    VT_CONFIGURATION_MS = 18,
+    VT_REVOCATION_MS = 20,
+    VT_REVOCATION_FAILS_CLOSED = 22,
+    VT_QUOTA_WINDOW_S = 24,
+    VT_QUOTA_OVER = 26,
+    VT_QUOTA_SLACK = 28
   };
   double drain_ms() const {
     return GetField<double>(VT_DRAIN_MS, 2500.0);
@@ -314,6 +330,21 @@
   double configuration_ms() const {
     return GetField<double>(VT_CONFIGURATION_MS, 2500.0);
   }
+  double revocation_ms() const {
+    return GetField<double>(VT_REVOCATION_MS, 0.0);
+  }
+  bool revocation_fails_closed() const {
+    return GetField<uint8_t>(VT_REVOCATION_FAILS_CLOSED, 0) != 0;
+  }
+  double quota_window_s() const {
+    return GetField<double>(VT_QUOTA_WINDOW_S, 10.0);
+  }
+  double quota_over() const {
+    return GetField<double>(VT_QUOTA_OVER, 0.0);
+  }
+  double quota_slack() const {
+    return GetField<double>(VT_QUOTA_SLACK, 0.0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<double>(verifier, VT_DRAIN_MS, 8) &&
@@ -324,6 +355,11 @@
            VerifyField<double>(verifier, VT_HOLDER_CHANGE_MS, 8) &&
            VerifyField<double>(verifier, VT_LOAD_WINDOW_S, 8) &&
            VerifyField<double>(verifier, VT_CONFIGURATION_MS, 8) &&
+           VerifyField<double>(verifier, VT_REVOCATION_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_REVOCATION_FAILS_CLOSED, 1) &&
+           VerifyField<double>(verifier, VT_QUOTA_WINDOW_S, 8) &&
+           VerifyField<double>(verifier, VT_QUOTA_OVER, 8) &&
+           VerifyField<double>(verifier, VT_QUOTA_SLACK, 8) &&
            verifier.EndTable();
   }
   bound_settings_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -359,6 +395,21 @@
   void add_configuration_ms(double configuration_ms) {
     fbb_.AddElement<double>(bound_settings::VT_CONFIGURATION_MS, configuration_ms, 2500.0);
   }
+  void add_revocation_ms(double revocation_ms) {
+    fbb_.AddElement<double>(bound_settings::VT_REVOCATION_MS, revocation_ms, 0.0);
+  }
+  void add_revocation_fails_closed(bool revocation_fails_closed) {
+    fbb_.AddElement<uint8_t>(bound_settings::VT_REVOCATION_FAILS_CLOSED, static_cast<uint8_t>(revocation_fails_closed), 0);
+  }
+  void add_quota_window_s(double quota_window_s) {
+    fbb_.AddElement<double>(bound_settings::VT_QUOTA_WINDOW_S, quota_window_s, 10.0);
+  }
+  void add_quota_over(double quota_over) {
+    fbb_.AddElement<double>(bound_settings::VT_QUOTA_OVER, quota_over, 0.0);
+  }
+  void add_quota_slack(double quota_slack) {
+    fbb_.AddElement<double>(bound_settings::VT_QUOTA_SLACK, quota_slack, 0.0);
+  }
   explicit bound_settingsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -379,8 +430,17 @@
     double retry_slack = 50.0,
     double holder_change_ms = 3000.0,
     double load_window_s = 5.0,
-    double configuration_ms = 2500.0) {
+    double configuration_ms = 2500.0,
+    double revocation_ms = 0.0,
+    bool revocation_fails_closed = false,
+    double quota_window_s = 10.0,
+    double quota_over = 0.0,
+    double quota_slack = 0.0) {
   bound_settingsBuilder builder_(_fbb);
+  builder_.add_quota_slack(quota_slack);
+  builder_.add_quota_over(quota_over);
+  builder_.add_quota_window_s(quota_window_s);
+  builder_.add_revocation_ms(revocation_ms);
   builder_.add_configuration_ms(configuration_ms);
   builder_.add_load_window_s(load_window_s);
   builder_.add_holder_change_ms(holder_change_ms);
@@ -389,6 +449,7 @@
   builder_.add_retry_ratio(retry_ratio);
   builder_.add_grace_s(grace_s);
   builder_.add_drain_ms(drain_ms);
+  builder_.add_revocation_fails_closed(revocation_fails_closed);
   return builder_.Finish();
 }
 
@@ -942,6 +1003,11 @@
   { auto _e = holder_change_ms(); _o->holder_change_ms = _e; }
   { auto _e = load_window_s(); _o->load_window_s = _e; }
   { auto _e = configuration_ms(); _o->configuration_ms = _e; }
+  { auto _e = revocation_ms(); _o->revocation_ms = _e; }
+  { auto _e = revocation_fails_closed(); _o->revocation_fails_closed = _e; }
+  { auto _e = quota_window_s(); _o->quota_window_s = _e; }
+  { auto _e = quota_over(); _o->quota_over = _e; }
+  { auto _e = quota_slack(); _o->quota_slack = _e; }
 }
 
 inline flatbuffers::Offset<bound_settings> bound_settings::Pack(flatbuffers::FlatBufferBuilder &_fbb, const bound_settings_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -960,6 +1026,11 @@
   auto _holder_change_ms = _o->holder_change_ms;
   auto _load_window_s = _o->load_window_s;
   auto _configuration_ms = _o->configuration_ms;
+  auto _revocation_ms = _o->revocation_ms;
+  auto _revocation_fails_closed = _o->revocation_fails_closed;
+  auto _quota_window_s = _o->quota_window_s;
+  auto _quota_over = _o->quota_over;
+  auto _quota_slack = _o->quota_slack;
   return barleyfork::schema::Createbound_settings(
       _fbb,
       _drain_ms,
@@ -969,7 +1040,12 @@
       _retry_slack,
       _holder_change_ms,
       _load_window_s,
-      _configuration_ms);
+      _configuration_ms,
+      _revocation_ms,
+      _revocation_fails_closed,
+      _quota_window_s,
+      _quota_over,
+      _quota_slack);
 }
 
 inline placement_settings_record *placement_settings::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/libs/schema/include/barleyfork/schema/peer_generated.h
+++ b/libs/schema/include/barleyfork/schema/peer_generated.h
@@ -36,6 +36,14 @@
 struct configuration_digestBuilder;
 struct configuration_digest_record;
 
+struct organisation_tokens;
+struct organisation_tokensBuilder;
+struct organisation_tokens_record;
+
+struct token_transfer;
+struct token_transferBuilder;
+struct token_transfer_record;
+
 struct model_demand;
 struct model_demandBuilder;
 struct model_demand_record;
@@ -116,11 +124,13 @@
   snapshot = 9,
   following = 10,
   crashes = 11,
+  quota_request = 12,
+  quota_grant = 13,
   MIN = probe,
-  MAX = crashes
+  MAX = quota_grant
 };
 
-inline const message_kind (&EnumValuesmessage_kind())[12] {
+inline const message_kind (&EnumValuesmessage_kind())[14] {
   static const message_kind values[] = {
     message_kind::probe,
     message_kind::acknowledgement,
@@ -133,13 +143,15 @@
     message_kind::snapshot_request,
     message_kind::snapshot,
     message_kind::following,
-    message_kind::crashes
+    message_kind::crashes,
+    message_kind::quota_request,
+    message_kind::quota_grant
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage_kind() {
-  static const char * const names[13] = {
+  static const char * const names[15] = {
     "probe",
     "acknowledgement",
     "push",
@@ -152,13 +164,15 @@
     "snapshot",
     "following",
     "crashes",
+    "quota_request",
+    "quota_grant",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage_kind(message_kind e) {
-  if (flatbuffers::IsOutRange(e, message_kind::probe, message_kind::crashes)) return "";
+  if (flatbuffers::IsOutRange(e, message_kind::probe, message_kind::quota_grant)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage_kind()[index];
 }
@@ -792,6 +806,255 @@
 
 flatbuffers::Offset<configuration_digest> Createconfiguration_digest(flatbuffers::FlatBufferBuilder &_fbb, const configuration_digest_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct organisation_tokens_record : public flatbuffers::NativeTable {
+  typedef organisation_tokens TableType;
+  uint64_t organisation = 0;
+  double transferred = 0.0;
+  double waiting = 0.0;
+  double wanted = 0.0;
+  double granted = 0.0;
+  uint32_t available_in_ms = 0;
+};
+
+/// One organisation's part of a request for tokens, or of the grant that
+/// answers it; the organisation is identified by a hash of its id.
+///
+/// In a request, `transferred` tokens of the sender's own share are moved to the
+/// receiver, `waiting` tokens are needed by requests that wait now, and `wanted`
+/// tokens are expected to be needed soon. A grant gives `granted` tokens; where
+/// that is less than what waits, more is available after `available_in_ms`.
+struct organisation_tokens FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef organisation_tokens_record NativeTableType;
+  typedef organisation_tokensBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ORGANISATION = 4,
+    VT_TRANSFERRED = 6,
+    VT_WAITING = 8,
+    VT_WANTED = 10,
+    VT_GRANTED = 12,
+    VT_AVAILABLE_IN_MS = 14
+  };
+  uint64_t organisation() const {
+    return GetField<uint64_t>(VT_ORGANISATION, 0);
+  }
+  double transferred() const {
+    return GetField<double>(VT_TRANSFERRED, 0.0);
+  }
+  double waiting() const {
+    return GetField<double>(VT_WAITING, 0.0);
+  }
+  double wanted() const {
+    return GetField<double>(VT_WANTED, 0.0);
+  }
+  double granted() const {
+    return GetField<double>(VT_GRANTED, 0.0);
+  }
+  uint32_t available_in_ms() const {
+    return GetField<uint32_t>(VT_AVAILABLE_IN_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ORGANISATION, 8) &&
+           VerifyField<double>(verifier, VT_TRANSFERRED, 8) &&
+           VerifyField<double>(verifier, VT_WAITING, 8) &&
+           VerifyField<double>(verifier, VT_WANTED, 8) &&
+           VerifyField<double>(verifier, VT_GRANTED, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AVAILABLE_IN_MS, 4) &&
+           verifier.EndTable();
+  }
+  organisation_tokens_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(organisation_tokens_record *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<organisation_tokens> Pack(flatbuffers::FlatBufferBuilder &_fbb, const organisation_tokens_record* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct organisation_tokensBuilder {
+  typedef organisation_tokens Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_organisation(uint64_t organisation) {
+    fbb_.AddElement<uint64_t>(organisation_tokens::VT_ORGANISATION, organisation, 0);
+  }
+  void add_transferred(double transferred) {
+    fbb_.AddElement<double>(organisation_tokens::VT_TRANSFERRED, transferred, 0.0);
+  }
+  void add_waiting(double waiting) {
+    fbb_.AddElement<double>(organisation_tokens::VT_WAITING, waiting, 0.0);
+  }
+  void add_wanted(double wanted) {
+    fbb_.AddElement<double>(organisation_tokens::VT_WANTED, wanted, 0.0);
+  }
+  void add_granted(double granted) {
+    fbb_.AddElement<double>(organisation_tokens::VT_GRANTED, granted, 0.0);
+  }
+  void add_available_in_ms(uint32_t available_in_ms) {
+    fbb_.AddElement<uint32_t>(organisation_tokens::VT_AVAILABLE_IN_MS, available_in_ms, 0);
+  }
+  explicit organisation_tokensBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<organisation_tokens> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<organisation_tokens>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<organisation_tokens> Createorganisation_tokens(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t organisation = 0,
+    double transferred = 0.0,
+    double waiting = 0.0,
+    double wanted = 0.0,
+    double granted = 0.0,
+    uint32_t available_in_ms = 0) {
+  organisation_tokensBuilder builder_(_fbb);
+  builder_.add_granted(granted);
+  builder_.add_wanted(wanted);
+  builder_.add_waiting(waiting);
+  builder_.add_transferred(transferred);
+  builder_.add_organisation(organisation);
+  builder_.add_available_in_ms(available_in_ms);
+  return builder_.Finish();
+}
+
+struct organisation_tokens::Traits {
+  using type = organisation_tokens;
+  static auto constexpr Create = Createorganisation_tokens;
+};
+
+flatbuffers::Offset<organisation_tokens> Createorganisation_tokens(flatbuffers::FlatBufferBuilder &_fbb, const organisation_tokens_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct token_transfer_record : public flatbuffers::NativeTable {
+  typedef token_transfer TableType;
+  uint64_t request_number = 0;
+  int64_t sent_ms = 0;
+  int64_t echo_ms = 0;
+  uint32_t echo_age_ms = 0;
+  std::vector<std::unique_ptr<barleyfork::schema::organisation_tokens_record>> organisations{};
+  token_transfer_record() = default;
+  token_transfer_record(const token_transfer_record &o);
+  token_transfer_record(token_transfer_record&&) FLATBUFFERS_NOEXCEPT = default;
+  token_transfer_record &operator=(token_transfer_record o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// A request for tokens or a grant. A grant repeats the `request_number` of its
+/// request. `sent_ms` is the sender's monotonic clock; a request returns the
+/// `sent_ms` of the last grant as `echo_ms` and the time since its receipt as
+/// `echo_age_ms`, so that the receiver knows how long both were on their way.
+struct token_transfer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef token_transfer_record NativeTableType;
+  typedef token_transferBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST_NUMBER = 4,
+    VT_SENT_MS = 6,
+    VT_ECHO_MS = 8,
+    VT_ECHO_AGE_MS = 10,
+    VT_ORGANISATIONS = 12
+  };
+  uint64_t request_number() const {
+    return GetField<uint64_t>(VT_REQUEST_NUMBER, 0);
+  }
+  int64_t sent_ms() const {
+    return GetField<int64_t>(VT_SENT_MS, 0);
+  }
+  int64_t echo_ms() const {
+    return GetField<int64_t>(VT_ECHO_MS, 0);
+  }
+  uint32_t echo_age_ms() const {
+    return GetField<uint32_t>(VT_ECHO_AGE_MS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::organisation_tokens>> *organisations() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::organisation_tokens>> *>(VT_ORGANISATIONS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST_NUMBER, 8) &&
+           VerifyField<int64_t>(verifier, VT_SENT_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_ECHO_MS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_ECHO_AGE_MS, 4) &&
+           VerifyOffset(verifier, VT_ORGANISATIONS) &&
+           verifier.VerifyVector(organisations()) &&
+           verifier.VerifyVectorOfTables(organisations()) &&
+           verifier.EndTable();
+  }
+  token_transfer_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(token_transfer_record *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<token_transfer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const token_transfer_record* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct token_transferBuilder {
+  typedef token_transfer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request_number(uint64_t request_number) {
+    fbb_.AddElement<uint64_t>(token_transfer::VT_REQUEST_NUMBER, request_number, 0);
+  }
+  void add_sent_ms(int64_t sent_ms) {
+    fbb_.AddElement<int64_t>(token_transfer::VT_SENT_MS, sent_ms, 0);
+  }
+  void add_echo_ms(int64_t echo_ms) {
+    fbb_.AddElement<int64_t>(token_transfer::VT_ECHO_MS, echo_ms, 0);
+  }
+  void add_echo_age_ms(uint32_t echo_age_ms) {
+    fbb_.AddElement<uint32_t>(token_transfer::VT_ECHO_AGE_MS, echo_age_ms, 0);
+  }
+  void add_organisations(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::organisation_tokens>>> organisations) {
+    fbb_.AddOffset(token_transfer::VT_ORGANISATIONS, organisations);
+  }
+  explicit token_transferBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<token_transfer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<token_transfer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<token_transfer> Createtoken_transfer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request_number = 0,
+    int64_t sent_ms = 0,
+    int64_t echo_ms = 0,
+    uint32_t echo_age_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::organisation_tokens>>> organisations = 0) {
+  token_transferBuilder builder_(_fbb);
+  builder_.add_echo_ms(echo_ms);
+  builder_.add_sent_ms(sent_ms);
+  builder_.add_request_number(request_number);
+  builder_.add_organisations(organisations);
+  builder_.add_echo_age_ms(echo_age_ms);
+  return builder_.Finish();
+}
+
+struct token_transfer::Traits {
+  using type = token_transfer;
+  static auto constexpr Create = Createtoken_transfer;
+};
+
+inline flatbuffers::Offset<token_transfer> Createtoken_transferDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request_number = 0,
+    int64_t sent_ms = 0,
+    int64_t echo_ms = 0,
+    uint32_t echo_age_ms = 0,
+    const std::vector<flatbuffers::Offset<barleyfork::schema::organisation_tokens>> *organisations = nullptr) {
+  auto organisations__ = organisations ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::organisation_tokens>>(*organisations) : 0;
+  return barleyfork::schema::Createtoken_transfer(
+      _fbb,
+      request_number,
+      sent_ms,
+      echo_ms,
+      echo_age_ms,
+      organisations__);
+}
+
+flatbuffers::Offset<token_transfer> Createtoken_transfer(flatbuffers::FlatBufferBuilder &_fbb, const token_transfer_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct model_demand_record : public flatbuffers::NativeTable {
   typedef model_demand TableType;
   std::string model{};
@@ -1330,6 +1593,7 @@
   std::vector<std::unique_ptr<barleyfork::schema::request_limit_record>> limits{};
   std::vector<uint64_t> answered_parts{};
   uint32_t configuration_age_ms = 3600000;
+  std::unique_ptr<barleyfork::schema::token_transfer_record> tokens{};
   peer_message_record() = default;
   peer_message_record(const peer_message_record &o);
   peer_message_record(peer_message_record&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1407,7 +1671,8 @@
     VT_LIST_SINCE_ERA = 78,
     VT_LIMITS = 80,
     VT_ANSWERED_PARTS = 82,
-    VT_CONFIGURATION_AGE_MS = 84
+    VT_CONFIGURATION_AGE_MS = 84,
+    VT_TOKENS = 86
   };
   barleyfork::schema::message_kind kind() const {
     return static_cast<barleyfork::schema::message_kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -1526,6 +1791,9 @@
   uint32_t configuration_age_ms() const {
     return GetField<uint32_t>(VT_CONFIGURATION_AGE_MS, 3600000);
   }
+  const barleyfork::schema::token_transfer *tokens() const {
+    return GetPointer<const barleyfork::schema::token_transfer *>(VT_TOKENS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -1595,6 +1863,8 @@
            VerifyOffset(verifier, VT_ANSWERED_PARTS) &&
            verifier.VerifyVector(answered_parts()) &&
            VerifyField<uint32_t>(verifier, VT_CONFIGURATION_AGE_MS, 4) &&
+           VerifyOffset(verifier, VT_TOKENS) &&
+           verifier.VerifyTable(tokens()) &&
            verifier.EndTable();
   }
   peer_message_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1723,6 +1993,9 @@
   void add_configuration_age_ms(uint32_t configuration_age_ms) {
     fbb_.AddElement<uint32_t>(peer_message::VT_CONFIGURATION_AGE_MS, configuration_age_ms, 3600000);
   }
+  void add_tokens(flatbuffers::Offset<barleyfork::schema::token_transfer> tokens) {
+    fbb_.AddOffset(peer_message::VT_TOKENS, tokens);
+  }
   explicit peer_messageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1775,7 +2048,8 @@
     uint64_t list_since_era = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::request_limit>>> limits = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> answered_parts = 0,
-    uint32_t configuration_age_ms = 3600000) {
+    uint32_t configuration_age_ms = 3600000,
+    flatbuffers::Offset<barleyfork::schema::token_transfer> tokens = 0) {
   peer_messageBuilder builder_(_fbb);
   builder_.add_list_since_era(list_since_era);
   builder_.add_list_era(list_era);
@@ -1788,6 +2062,7 @@
   builder_.add_configuration_version(configuration_version);
   builder_.add_epoch(epoch);
   builder_.add_sequence(sequence);
+  builder_.add_tokens(tokens);
   builder_.add_configuration_age_ms(configuration_age_ms);
   builder_.add_answered_parts(answered_parts);
   builder_.add_limits(limits);
@@ -1864,7 +2139,8 @@
     uint64_t list_since_era = 0,
     const std::vector<flatbuffers::Offset<barleyfork::schema::request_limit>> *limits = nullptr,
     const std::vector<uint64_t> *answered_parts = nullptr,
-    uint32_t configuration_age_ms = 3600000) {
+    uint32_t configuration_age_ms = 3600000,
+    flatbuffers::Offset<barleyfork::schema::token_transfer> tokens = 0) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::member>>(*members) : 0;
   auto quarantine__ = quarantine ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::quarantine_entry>>(*quarantine) : 0;
   auto digest__ = digest ? _fbb.CreateString(digest) : 0;
@@ -1922,7 +2198,8 @@
       list_since_era,
       limits__,
       answered_parts__,
-      configuration_age_ms);
+      configuration_age_ms,
+      tokens);
 }
 
 flatbuffers::Offset<peer_message> Createpeer_message(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2096,6 +2373,103 @@
       _coordinator);
 }
 
+inline organisation_tokens_record *organisation_tokens::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<organisation_tokens_record>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void organisation_tokens::UnPackTo(organisation_tokens_record *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = organisation(); _o->organisation = _e; }
+  { auto _e = transferred(); _o->transferred = _e; }
+  { auto _e = waiting(); _o->waiting = _e; }
+  { auto _e = wanted(); _o->wanted = _e; }
+  { auto _e = granted(); _o->granted = _e; }
+  { auto _e = available_in_ms(); _o->available_in_ms = _e; }
+}
+
+inline flatbuffers::Offset<organisation_tokens> organisation_tokens::Pack(flatbuffers::FlatBufferBuilder &_fbb, const organisation_tokens_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createorganisation_tokens(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<organisation_tokens> Createorganisation_tokens(flatbuffers::FlatBufferBuilder &_fbb, const organisation_tokens_record *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const organisation_tokens_record* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _organisation = _o->organisation;
+  auto _transferred = _o->transferred;
+  auto _waiting = _o->waiting;
+  auto _wanted = _o->wanted;
+  auto _granted = _o->granted;
+  auto _available_in_ms = _o->available_in_ms;
+  return barleyfork::schema::Createorganisation_tokens(
+      _fbb,
+      _organisation,
+      _transferred,
+      _waiting,
+      _wanted,
+      _granted,
+      _available_in_ms);
+}
+
+inline token_transfer_record::token_transfer_record(const token_transfer_record &o)
+      : request_number(o.request_number),
+        sent_ms(o.sent_ms),
+        echo_ms(o.echo_ms),
+        echo_age_ms(o.echo_age_ms) {
+  organisations.reserve(o.organisations.size());
+  for (const auto &organisations_ : o.organisations) { organisations.emplace_back((organisations_) ? new barleyfork::schema::organisation_tokens_record(*organisations_) : nullptr); }
+}
+
+inline token_transfer_record &token_transfer_record::operator=(token_transfer_record o) FLATBUFFERS_NOEXCEPT {
+  std::swap(request_number, o.request_number);
+  std::swap(sent_ms, o.sent_ms);
+  std::swap(echo_ms, o.echo_ms);
+  std::swap(echo_age_ms, o.echo_age_ms);
+  std::swap(organisations, o.organisations);
+  return *this;
+}
+
+inline token_transfer_record *token_transfer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<token_transfer_record>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void token_transfer::UnPackTo(token_transfer_record *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = request_number(); _o->request_number = _e; }
+  { auto _e = sent_ms(); _o->sent_ms = _e; }
+  { auto _e = echo_ms(); _o->echo_ms = _e; }
+  { auto _e = echo_age_ms(); _o->echo_age_ms = _e; }
+  { auto _e = organisations(); if (_e) { _o->organisations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->organisations[_i] = std::unique_ptr<barleyfork::schema::organisation_tokens_record>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<token_transfer> token_transfer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const token_transfer_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createtoken_transfer(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<token_transfer> Createtoken_transfer(flatbuffers::FlatBufferBuilder &_fbb, const token_transfer_record *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const token_transfer_record* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _request_number = _o->request_number;
+  auto _sent_ms = _o->sent_ms;
+  auto _echo_ms = _o->echo_ms;
+  auto _echo_age_ms = _o->echo_age_ms;
+  auto _organisations = _o->organisations.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::organisation_tokens>> (_o->organisations.size(), [](size_t i, _VectorArgs *__va) { return Createorganisation_tokens(*__va->__fbb, __va->__o->organisations[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return barleyfork::schema::Createtoken_transfer(
+      _fbb,
+      _request_number,
+      _sent_ms,
+      _echo_ms,
+      _echo_age_ms,
+      _organisations);
+}
+
 inline model_demand_record *model_demand::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<model_demand_record>();
   UnPackTo(_o.get(), _resolver);
@@ -2300,7 +2674,8 @@
         list_era(o.list_era),
         list_since_era(o.list_since_era),
         answered_parts(o.answered_parts),
-        configuration_age_ms(o.configuration_age_ms) {
+        configuration_age_ms(o.configuration_age_ms),
+        tokens((o.tokens) ? new barleyfork::schema::token_transfer_record(*o.tokens) : nullptr) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new barleyfork::schema::member_record(*members_) : nullptr); }
   quarantine.reserve(o.quarantine.size());
@@ -2361,6 +2736,7 @@
   std::swap(limits, o.limits);
   std::swap(answered_parts, o.answered_parts);
   std::swap(configuration_age_ms, o.configuration_age_ms);
+  std::swap(tokens, o.tokens);
   return *this;
 }
 
@@ -2412,6 +2788,7 @@
   { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = std::unique_ptr<barleyfork::schema::request_limit_record>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = answered_parts(); if (_e) { _o->answered_parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->answered_parts[_i] = _e->Get(_i); } } }
   { auto _e = configuration_age_ms(); _o->configuration_age_ms = _e; }
+  { auto _e = tokens(); if (_e) _o->tokens = std::unique_ptr<barleyfork::schema::token_transfer_record>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<peer_message> peer_message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2461,6 +2838,7 @@
   auto _limits = _o->limits.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::request_limit>> (_o->limits.size(), [](size_t i, _VectorArgs *__va) { return Createrequest_limit(*__va->__fbb, __va->__o->limits[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _answered_parts = _o->answered_parts.size() ? _fbb.CreateVector(_o->answered_parts) : 0;
   auto _configuration_age_ms = _o->configuration_age_ms;
+  auto _tokens = _o->tokens ? Createtoken_transfer(_fbb, _o->tokens.get(), _rehasher) : 0;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       _kind,
@@ -2501,7 +2879,8 @@
       _list_since_era,
       _limits,
       _answered_parts,
-      _configuration_age_ms);
+      _configuration_age_ms,
+      _tokens);
 }
 
 inline const barleyfork::schema::peer_message *Getpeer_message(const void *buf) {
