--- a/libs/base/include/barleyfork/base/error.hpp
+++ b/libs/base/include/barleyfork/base/error.hpp
@@ -59,6 +59,8 @@
     /// The configuration for the request is being changed; the caller should
     /// retry.
     undecided = 21,
+    /// The request needs a key that identifies an organisation and has none.
+    unauthorized = 22,
 };
 
 /// Returns the error category of `errc`. Its messages name the remedy.
--- a/libs/base/src/error.cpp
+++ b/libs/base/src/error.cpp
@@ -13,7 +13,7 @@
     std::string_view message;
 };
 
-constexpr std::array<error_entry, 22> error_entries{{
+constexpr std::array<error_entry, 23> error_entries{{
     {"ok", "no error"},
     {"invalid_input", "the input is not valid; correct the named field"},
     {"not_found",
@@ -55,6 +55,9 @@
     {"undecided",
      "the configuration for this route is being changed and the request "
      "was not run; retry after Retry-After"},
+    {"unauthorized",
+     "the request was not run, as it has no key or its key is unknown; send "
+     "a key of your organisation as a bearer token"},
 }};
 
 class project_category : public std::error_category
--- a/libs/core/include/barleyfork/core/gateway_configuration.hpp
+++ b/libs/core/include/barleyfork/core/gateway_configuration.hpp
@@ -129,6 +129,9 @@
     double burst = 0.0;
     /// Tokens of a request that states no token count.
     std::uint64_t plain_tokens = 0;
+    /// False if the declared limit could not be decoded. Whatever is run may
+    /// then exceed it, so all requests of the organisation are refused.
+    bool is_readable = true;
 
     bool is_limited() const noexcept
     {
@@ -151,6 +154,18 @@
     token_quota quota;
 };
 
+/// A part of a configuration that could not be used and is not in force.
+struct configuration_fault
+{
+    /// Where it is, by the names and indexes of the fields.
+    std::string place;
+    /// Never contains the value at that place, which may be a key.
+    std::string reason;
+
+    friend bool operator==(const configuration_fault&,
+                           const configuration_fault&) = default;
+};
+
 /// One complete version of the operators' configuration.
 struct gateway_configuration
 {
@@ -163,6 +178,8 @@
     /// True if organisations are declared, even if none of the entries could
     /// be decoded: requests then need a key.
     bool requires_keys = false;
+    /// What of this version is not in force.
+    std::vector<configuration_fault> faults;
 
     const gateway_service* find_service(const service_id& id) const;
 };
--- a/libs/gateway/include/barleyfork/gateway/call_codec.hpp
+++ b/libs/gateway/include/barleyfork/gateway/call_codec.hpp
@@ -99,6 +99,10 @@
     /// servers.
     virtual bool is_reserved(std::string_view name) const = 0;
 
+    /// Returns true for the header that tells servers the organisation. Where
+    /// organisations are declared, a caller's own one is not forwarded.
+    virtual bool names_organisation(std::string_view name) const = 0;
+
     /// Returns true for a header that is part of the request itself. Such a
     /// header is forwarded even if the caller lists it in `Connection`.
     virtual bool is_always_forwarded(std::string_view name) const = 0;
--- a/libs/gateway/include/barleyfork/gateway/platform_port.hpp
+++ b/libs/gateway/include/barleyfork/gateway/platform_port.hpp
@@ -67,6 +67,10 @@
     failure (*decode_configuration)(std::string_view bytes,
                                     gateway_configuration& out) = nullptr;
 
+    /// Returns a configuration that decodes to the same as `bytes` and contains
+    /// the keys' digests instead of the keys.
+    std::string (*conceal_keys)(std::string_view bytes) = nullptr;
+
     /// Decodes a backend server's entry. Returns `invalid_input` if the entry
     /// does not describe a usable server.
     failure (*decode_server)(std::string_view id,
--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -114,6 +114,7 @@
     parser_->eager(true);
     request_memory_.resize(0);
     has_request_begun_ = false;
+    is_key_checked_ = false;
     start_waiting();
 }
 
@@ -178,6 +179,8 @@
             reject(rejection_status(error));
             return;
         }
+        if (refuse_by_key())
+            return;
         if (!reserve_request_memory()) {
             refuse_for_memory();
             return;
@@ -189,6 +192,46 @@
     }
 }
 
+/// Refuses a request by its head, so that the body of an unknown caller is not
+/// read. Returns true if it was refused. A request that is complete is left to
+/// its call, after which the connection continues.
+bool caller_session::refuse_by_key()
+{
+    if (is_key_checked_ || !parser_->is_header_done() || parser_->is_done())
+        return false;
+    is_key_checked_ = true;
+    const auto& head = parser_->get();
+    if (!context_.configuration || !context_.configuration->requires_keys ||
+        head.count(http::field::host) != 1)
+        return false;
+    const std::string_view target(head.target().data(), head.target().size());
+    const auto origin = split_absolute_form(target);
+    const std::string host =
+        origin ? std::string(origin->host) : std::string(head[http::field::host]);
+    const std::string path =
+        origin ? std::string(origin->target) : std::string(target);
+    const auto headers = copy_headers(head);
+    const auto caller = identify_caller(
+        context_, headers, host, path.substr(0, path.find('?')));
+    if (!caller.refusal)
+        return false;
+    context_.timers.cancel(timer_);
+    const auto facts = context_.platform.codec->parse_request_metadata(headers);
+    record_refused_key(context_, caller, address_, facts);
+    const auto outcome = outcome_of(*caller.refusal);
+    context_.measures.count_outcome(outcome);
+    is_head_request_ = head.method() == http::verb::head;
+    parser_.emplace();
+    request_memory_.resize(0);
+    keep_alive_ = false;
+    const auto answer =
+        make_local_answer(outcome,
+                          facts.client_attempt_id,
+                          retry_after(context_, *caller.refusal));
+    send_answer(answer.head, answer.body);
+    return true;
+}
+
 /// Accounts for the body of the request that is being read: the length that its
 /// head declares, or what has arrived if that is more. Returns false if the
 /// memory budget is exceeded.
--- a/libs/gateway/src/caller_session.hpp
+++ b/libs/gateway/src/caller_session.hpp
@@ -62,6 +62,7 @@
     void begin_request();
     void start_waiting();
     void parse();
+    bool refuse_by_key();
     void on_request();
     void reject(unsigned status);
     void on_caller_disconnected();
@@ -100,6 +101,8 @@
     /// False for HTTP/1.0 callers, which do not support the chunked coding.
     bool uses_chunked_coding_ = true;
     bool has_request_begun_ = false;
+    /// True once the key of the request that is being read was checked.
+    bool is_key_checked_ = false;
     bool closing_ = false;
     bool closed_ = false;
 };
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -277,7 +277,7 @@
 bool gateway::state::is_ready() const
 {
     return !context.drain.draining() && context.configuration != nullptr &&
-           context.has_server_list;
+           context.has_server_list && !context.refuses_keys();
 }
 
 asio::awaitable<void> gateway::state::answer_ready(const http_incoming& request,
@@ -297,7 +297,8 @@
     answer.content_type = "text/plain; version=0.0.4";
     const auto now = steady_now();
     context.measures.set_ages(now - context.configuration_known_at,
-                              now - watch.list_known_at());
+                              now - watch.list_known_at(),
+                              context.confirmed_age());
     answer.body = context.measures.to_prometheus();
     co_await out.send(std::move(answer));
 }
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -55,6 +55,9 @@
     received_at_ = now;
     deadline_ = now + default_timeout;
     facts_ = context_.platform.codec->parse_request_metadata(request_.headers);
+    configuration_ = context_.configuration;
+    if (!identify_caller())
+        return;
     suspects_ = make_suspects();
     if (!find_route())
         return;
@@ -74,9 +77,50 @@
                : context_.drain.accepts_plain(now, deadline_of(now));
 }
 
+/// Identifies the caller's organisation by the configuration in force now, and
+/// removes the key from the request. Returns false if the request was rejected.
+bool gateway_call::identify_caller()
+{
+    if (!configuration_ || !configuration_->requires_keys)
+        return true;
+    const auto caller = barleyfork::identify_caller(
+        context_,
+        request_.headers,
+        find_header(request_.headers, "host").value_or(""),
+        request_.path());
+    remove_identity_headers(request_.headers, *context_.platform.codec);
+    if (caller.refusal) {
+        reject_for_key(caller);
+        return false;
+    }
+    organisation_ = caller.organisation;
+    if (organisation_ == nullptr)
+        return true;
+    request_.organisation = organisation_->id;
+    if (organisation_->quota.is_readable)
+        return true;
+    reject(errc::limit_reached, context_.draw_retry_delay());
+    return false;
+}
+
+void gateway_call::reject_for_key(const caller_identity& caller)
+{
+    record_refused_key(context_, caller, request_.caller_address, facts_);
+    reject(outcome_of(*caller.refusal),
+           retry_after(context_, *caller.refusal));
+}
+
+/// Returns the priority of the request, 0 for the most urgent ones: that of the
+/// organisation takes precedence over that of the route.
+std::uint32_t gateway_call::priority() const
+{
+    return organisation_ != nullptr ? organisation_->priority.value_or(
+                                          route_->priority)
+                                    : route_->priority;
+}
+
 bool gateway_call::find_route()
 {
-    configuration_ = context_.configuration;
     if (!configuration_ || !context_.has_server_list) {
         reject(errc::store_unavailable, context_.draw_retry_delay());
         return false;
@@ -254,7 +298,7 @@
         .with("reason", wait_reason_name(reason))
         .with("patience_ms", max_wait.count());
     const auto self = shared_from_this();
-    waiting_key_ = {route_->priority,
+    waiting_key_ = {priority(),
                     is_suspected(now) ? context_.quarantine.crashes(suspects_)
                                       : 0,
                     ++context_.wait_count};
@@ -417,6 +461,7 @@
               "request_ended")
         .with("request", facts_.client_attempt_id)
         .with("route", route_ == nullptr ? "" : route_->name)
+        .with("organisation", request_.organisation.value())
         .with("outcome", error_name(kind))
         .with("status", status)
         .with("sends", send_count_)
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -2,6 +2,7 @@
 #define BARLEYFORK_GATEWAY_SRC_GATEWAY_CALL_HPP
 
 #include "backend_connection.hpp"
+#include "caller_identity.hpp"
 #include "caller_port.hpp"
 #include "gateway_context.hpp"
 
@@ -141,6 +142,9 @@
         reject,
     };
 
+    bool identify_caller();
+    void reject_for_key(const caller_identity& caller);
+    std::uint32_t priority() const;
     bool find_route();
     void log_missing_route(std::string_view host) const;
     bool is_accepted_while_draining(time_point now) const;
@@ -226,6 +230,9 @@
     /// What this request may crash servers by.
     crash_suspects suspects_;
     std::shared_ptr<const gateway_configuration> configuration_;
+    /// The organisation of the caller's key, which `configuration_` contains;
+    /// null if the request needs no key.
+    const gateway_organisation* organisation_ = nullptr;
     const gateway_route* route_ = nullptr;
     service_id service_;
     std::optional<request_progress> progress_;
--- a/libs/gateway/src/gateway_call_choice.cpp
+++ b/libs/gateway/src/gateway_call_choice.cpp
@@ -65,7 +65,7 @@
         }
         server_candidate candidate;
         candidate.server = id;
-        candidate.load = context_.loads.view(id, route_->priority, now);
+        candidate.load = context_.loads.view(id, priority(), now);
         candidate.away = context_.distance_to(state.entry.failure_domain);
         candidate.slots = state.entry.slots;
         candidate.tried = sends > 0;
--- a/libs/gateway/src/gateway_context.cpp
+++ b/libs/gateway/src/gateway_context.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// The fraction of the bound on a new configuration within which one that is
+/// in force elsewhere may be unknown here.
+constexpr double addition_fraction = 0.8;
 constexpr duration min_update_interval{200};
 constexpr duration max_update_interval{800};
 /// Limits the updates that the lease holder receives to about 700 per second.
@@ -231,4 +234,36 @@
     call_each(active_calls);
 }
 
+void gateway_context::set_configuration(
+    std::shared_ptr<const gateway_configuration> newer)
+{
+    keys = key_directory(*newer);
+    configuration = std::move(newer);
+}
+
+std::optional<duration> gateway_context::confirmed_age() const
+{
+    if (!configuration_confirmed_at)
+        return std::nullopt;
+    return boot_now() - *configuration_confirmed_at;
+}
+
+key_bounds gateway_context::bounds_of_keys() const
+{
+    const auto& set = *settings.bounds;
+    key_bounds bounds;
+    if (set.revocation_fails_closed)
+        bounds.revocation =
+            duration(static_cast<std::int64_t>(set.revocation_ms));
+    bounds.addition = duration(static_cast<std::int64_t>(
+        set.configuration_ms * addition_fraction));
+    return bounds;
+}
+
+bool gateway_context::refuses_keys() const
+{
+    return configuration && configuration->requires_keys &&
+           is_too_old_for_keys(confirmed_age(), bounds_of_keys());
+}
+
 } // namespace barleyfork
--- a/libs/gateway/src/gateway_context.hpp
+++ b/libs/gateway/src/gateway_context.hpp
@@ -14,6 +14,7 @@
 #include <barleyfork/core/crash_suspects.hpp>
 #include <barleyfork/core/drain_plan.hpp>
 #include <barleyfork/core/gateway_configuration.hpp>
+#include <barleyfork/core/key_directory.hpp>
 #include <barleyfork/core/memory_budget.hpp>
 #include <barleyfork/core/pace_estimator.hpp>
 #include <barleyfork/core/request_limits.hpp>
@@ -144,6 +145,22 @@
     /// response, before the daemon exits.
     void end_calls();
 
+    /// Puts a configuration in force.
+    void set_configuration(std::shared_ptr<const gateway_configuration> newer);
+
+    /// Returns the time since `configuration` was last known to be the newest
+    /// one, by the clock that advances while the machine is suspended; nothing
+    /// if it never was.
+    std::optional<duration> confirmed_age() const;
+
+    /// Returns how old knowledge may be that decides about callers' keys, by
+    /// the settings.
+    key_bounds bounds_of_keys() const;
+
+    /// Returns true if no key is accepted now, since the configuration in force
+    /// may lack a withdrawal that is in force elsewhere.
+    bool refuses_keys() const;
+
     /// Declared first, so that the worker outlives all objects with sockets on
     /// its loop.
     io_worker serving{"serving", ring_capacity};
@@ -176,6 +193,11 @@
     std::shared_ptr<const gateway_configuration> configuration;
     /// Time as of which `configuration` is known to be the newest one.
     time_point configuration_known_at{};
+    /// The organisations of `configuration` by their keys.
+    key_directory keys;
+    /// Time of `boot_now` as of which `configuration` is known to be the newest
+    /// one, whatever time the news took; unset if it never was.
+    std::optional<time_point> configuration_confirmed_at;
     backend_directory directory;
     /// True once the list of servers was read.
     bool has_server_list = false;
--- a/libs/gateway/src/gateway_metrics.cpp
+++ b/libs/gateway/src/gateway_metrics.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr int outcome_count = 22;
+constexpr int outcome_count = 23;
 constexpr unsigned time_bins = 30;
 constexpr double min_time_ms = 0.5;
 constexpr double max_time_ms = 20000.0;
@@ -82,6 +82,13 @@
 
 gateway_metrics::~gateway_metrics() = default;
 
+std::string_view key_refusal_name(key_refusal reason)
+{
+    constexpr std::array<std::string_view, 3> names{
+        "missing", "unknown", "unconfirmed"};
+    return names.at(static_cast<std::size_t>(reason));
+}
+
 void gateway_metrics::count_outcome(errc kind)
 {
     histograms_->outcomes(static_cast<int>(kind));
@@ -124,6 +131,17 @@
             << purpose_name(static_cast<store_purpose>(i)) << "\"} "
             << store_calls_[i] << "\n";
     write_counter(out, "barleyfork_configuration_version", version_);
+    write_gauge(out,
+                "barleyfork_configuration_faults",
+                static_cast<std::int64_t>(faults_));
+    out << "# TYPE barleyfork_refused_keys_total counter\n";
+    for (std::size_t i = 0; i < refused_keys_.size(); ++i)
+        out << "barleyfork_refused_keys_total{reason=\""
+            << key_refusal_name(static_cast<key_refusal>(i)) << "\"} "
+            << refused_keys_[i] << "\n";
+    write_gauge(out,
+                "barleyfork_key_knowledge_age_ms",
+                key_age_ ? key_age_->count() : -1);
     write_gauge(
         out, "barleyfork_configuration_age_ms", configuration_age_.count());
     write_gauge(out, "barleyfork_server_list_age_ms", list_age_.count());
--- a/libs/gateway/src/gateway_metrics.hpp
+++ b/libs/gateway/src/gateway_metrics.hpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -21,6 +22,20 @@
     lease,
 };
 
+/// Why a request was refused because of its key.
+enum class key_refusal : std::uint8_t
+{
+    /// The request has no key, or no usable one.
+    missing,
+    /// The key identifies no organisation.
+    unknown,
+    /// What this daemon knows is too old to decide.
+    unconfirmed,
+};
+
+/// Returns the short name of a reason, as written in logs and metrics.
+std::string_view key_refusal_name(key_refusal reason);
+
 /// Counters and latency histograms of one gateway. Not thread-safe: used by
 /// one worker thread only.
 class gateway_metrics
@@ -48,17 +63,29 @@
     }
     /// Counts a call to the store and logs its cause.
     void count_store_call(store_purpose purpose, std::string_view cause);
-    void set_configuration_version(std::uint64_t version) noexcept
+    /// Sets the version in force and how many of its parts could not be used.
+    void set_configuration(std::uint64_t version, std::size_t faults) noexcept
     {
         version_ = version;
+        faults_ = faults;
+    }
+
+    /// Counts a request that was refused because of its key.
+    void count_refused_key(key_refusal reason) noexcept
+    {
+        ++refused_keys_.at(static_cast<std::size_t>(reason));
     }
 
     /// Sets how old this daemon's knowledge of the configuration and of the
-    /// list of servers is.
-    void set_ages(duration configuration, duration list) noexcept
+    /// list of servers is, and the age that decides about keys, which is unset
+    /// if nothing confirmed the configuration.
+    void set_ages(duration configuration,
+                  duration list,
+                  std::optional<duration> keys) noexcept
     {
         configuration_age_ = configuration;
         list_age_ = list;
+        key_age_ = keys;
     }
 
     /// Returns the metrics in the text format of Prometheus, version 0.0.4.
@@ -67,6 +94,7 @@
 private:
     struct histograms;
     static constexpr std::size_t store_purposes = 4;
+    static constexpr std::size_t key_refusals = 3;
 
     std::unique_ptr<histograms> histograms_;
     std::uint64_t retry_count_ = 0;
@@ -75,6 +103,9 @@
     std::uint64_t version_ = 0;
     duration configuration_age_{0};
     duration list_age_{0};
+    std::optional<duration> key_age_;
+    std::size_t faults_ = 0;
+    std::array<std::uint64_t, key_refusals> refused_keys_{};
 };
 
 } // namespace barleyfork
--- a/libs/gateway/src/http_text.cpp
+++ b/libs/gateway/src/http_text.cpp
@@ -90,8 +90,11 @@
 
 std::uint64_t caller_request::caller_hash() const
 {
-    return hash64(find_header(headers, "authorization").value_or(""),
-                  hash64(host_name(headers)));
+    const std::string_view credentials =
+        organisation.empty()
+            ? find_header(headers, "authorization").value_or("")
+            : std::string_view(organisation.value());
+    return hash64(credentials, hash64(host_name(headers)));
 }
 
 std::uint64_t caller_request::fingerprint() const
--- a/libs/gateway/src/http_text.hpp
+++ b/libs/gateway/src/http_text.hpp
@@ -23,11 +23,14 @@
     std::shared_ptr<const std::string> body;
     /// The remote address of the caller's connection, without the port.
     std::string caller_address;
+    /// The organisation that the caller's key identifies; empty if the request
+    /// needs none.
+    organisation_id organisation;
 
     std::string_view path() const;
 
     /// Returns a hash of the caller, which is known by the host that it asks
-    /// and by its credentials. The address of its connection does not matter:
+    /// and by its organisation, or else by its credentials. The address of its connection does not matter:
     /// it may be that of a balancer, and one caller may have many.
     std::uint64_t caller_hash() const;
 
--- a/libs/gateway/src/local_answer.cpp
+++ b/libs/gateway/src/local_answer.cpp
@@ -10,6 +10,8 @@
 unsigned http_status_of(errc kind)
 {
     switch (kind) {
+    case errc::unauthorized:
+        return 401;
     case errc::not_found:
         return 404;
     case errc::outcome_unknown:
@@ -22,6 +24,8 @@
         return 413;
     case errc::invalid_input:
         return 400;
+    case errc::limit_reached:
+        return 429;
     default:
         return 503;
     }
@@ -75,6 +79,8 @@
                                std::optional<duration> retry_after)
 {
     auto answer = make_answer(http_status_of(kind), kind, request_id);
+    if (kind == errc::unauthorized)
+        answer.head.headers.emplace_back("WWW-Authenticate", "Bearer");
     if (retry_after)
         answer.head.headers.emplace_back("Retry-After",
                                          format_seconds(*retry_after));
--- a/libs/gateway/src/peer_updates.cpp
+++ b/libs/gateway/src/peer_updates.cpp
@@ -72,6 +72,12 @@
     message.configuration_era = configuration.era();
     message.configuration_age_ms =
         age_ms(context_.configuration_known_at, steady_now());
+    if (context_.configuration_confirmed_at)
+        message.configuration_confirmed_ms =
+            context_.clock_of_store.bounds()
+                .reading_reached_at(*context_.configuration_confirmed_at,
+                                    boot_now())
+                .value_or(0);
     const auto list = watch_.list_position();
     message.list_position = list.number();
     message.list_era = list.era();
--- a/libs/gateway/src/peer_updates_neighbours.cpp
+++ b/libs/gateway/src/peer_updates_neighbours.cpp
@@ -318,10 +318,21 @@
     const schema::peer_message_record& message)
 {
     const auto known = watch_.configuration_version();
-    if (known > 0 && message.configuration_version == known)
-        watch_.confirm_configuration(
-            extract_configuration_position(message),
-            steady_now() - duration(message.configuration_age_ms));
+    if (known == 0 || message.configuration_version != known)
+        return;
+    watch_.confirm_configuration(
+        extract_configuration_position(message),
+        steady_now() - duration(message.configuration_age_ms));
+    // The stated age lacks the time that the message took, so that only the
+    // store's clock, which both daemons know, confirms for keys.
+    const bool has_reading = message.configuration_confirmed_ms > 0 &&
+                             message.store_era == context_.era().current();
+    const auto confirmed_at =
+        has_reading ? context_.clock_of_store.bounds().time_before(
+                          message.configuration_confirmed_ms, boot_now())
+                    : std::nullopt;
+    if (confirmed_at)
+        watch_.confirm_keys(*confirmed_at);
 }
 
 /// Sends the data that the requesting daemon does not have yet.
--- a/libs/gateway/src/restorable_store.hpp
+++ b/libs/gateway/src/restorable_store.hpp
@@ -40,7 +40,7 @@
               store_version expected) override;
 
 private:
-    void observe(store_version version, std::int64_t store_ms);
+    void observe(store_version version, std::int64_t store_ms, time_point sent);
 
     std::unique_ptr<row_store> store_;
     store_clock& clock_;
--- a/libs/gateway/src/store_clock.hpp
+++ b/libs/gateway/src/store_clock.hpp
@@ -2,6 +2,7 @@
 #define BARLEYFORK_GATEWAY_SRC_STORE_CLOCK_HPP
 
 #include <barleyfork/base/time.hpp>
+#include <barleyfork/core/clock_bounds.hpp>
 
 #include <cstdint>
 
@@ -23,6 +24,22 @@
         at_ = at;
     }
 
+    /// Records the reading in the response to a call that was sent and answered
+    /// at these times.
+    void observe_call(std::int64_t store_ms,
+                      time_point sent,
+                      time_point received) noexcept
+    {
+        observe(store_ms, received);
+        if (store_ms > 0)
+            bounds_.observe(store_ms, sent, received);
+    }
+
+    const clock_bounds& bounds() const noexcept
+    {
+        return bounds_;
+    }
+
     bool is_known() const noexcept
     {
         return store_ms_ != 0;
@@ -37,6 +54,7 @@
 private:
     std::int64_t store_ms_ = 0;
     time_point at_{};
+    clock_bounds bounds_;
 };
 
 } // namespace barleyfork
--- a/libs/gateway/src/store_watch.hpp
+++ b/libs/gateway/src/store_watch.hpp
@@ -82,7 +82,8 @@
     /// Returns the version in force here; 0 if there is none.
     std::uint64_t configuration_version() const noexcept;
 
-    /// Returns the newest configuration in the store's encoding.
+    /// Returns the newest configuration in the store's encoding, with digests
+    /// instead of callers' keys.
     const std::string& configuration_bytes() const noexcept
     {
         return bytes_;
@@ -127,6 +128,10 @@
     /// is the newest one up to `position`, as of `known_at`.
     void confirm_configuration(store_version position, time_point known_at);
 
+    /// Records that the configuration known here was the newest one at `at`, by
+    /// `boot_now`.
+    void confirm_keys(time_point at);
+
     /// Applies a list from a neighbour: the complete list as read at the
     /// claim's position, or changes if the list is known here already.
     void apply_neighbour_list(const std::vector<store_row>& rows,
@@ -168,6 +173,7 @@
     void set_reachable(bool reachable, const failure& error);
     duration max_unconfirmed_age() const;
     void report_configuration_age(time_point now);
+    void log_faults(const gateway_configuration& configuration) const;
 
     gateway_context& context_;
     reader_election readers_;
@@ -177,6 +183,9 @@
     table_follower configuration_;
     /// Whether the last log line on it says that the configuration is old.
     bool is_configuration_unconfirmed_ = false;
+    /// Whether the last row that was received could not be decoded. What it
+    /// withdraws is then unknown.
+    bool is_newest_unreadable_ = false;
     table_follower list_;
     bool reachable_ = true;
     /// Number of successive failed calls.
--- a/libs/gateway/src/store_watch_configuration.cpp
+++ b/libs/gateway/src/store_watch_configuration.cpp
@@ -4,6 +4,7 @@
 
 #include <barleyfork/base/log.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace barleyfork {
@@ -15,6 +16,8 @@
 /// The fraction of the bound on changes after which an unconfirmed
 /// configuration is reported.
 constexpr double reported_fraction = 0.8;
+/// The number of faults of one version that are logged; the metric counts all.
+constexpr std::size_t max_logged_faults = 20;
 
 } // namespace
 
@@ -25,6 +28,13 @@
     context_.configuration_known_at = configuration_.known_at();
 }
 
+void store_watch::confirm_keys(time_point at)
+{
+    auto& known = context_.configuration_confirmed_at;
+    if (!is_newest_unreadable_ && (!known || at > *known))
+        known = at;
+}
+
 /// Returns the age from which the known configuration is reported, before the
 /// operators' bound has passed.
 duration store_watch::max_unconfirmed_age() const
@@ -110,6 +120,7 @@
                                        : wait > duration{0} ? "changes"
                                                             : "check");
     const auto began = steady_now();
+    const auto boot_began = boot_now();
     auto& store = *context_.platform.store;
     store_read read;
     if (is_full_read)
@@ -136,6 +147,7 @@
     for (const auto& row : read.rows)
         if (row.key == key && !row.deleted)
             apply_configuration(row.value, "store");
+    confirm_keys(boot_began);
     co_return true;
 }
 
@@ -145,11 +157,13 @@
     auto decoded = std::make_shared<gateway_configuration>();
     if (const auto error =
             context_.platform.decode_configuration(bytes, *decoded)) {
+        is_newest_unreadable_ = true;
         log_event(log_level::error, "configuration_unreadable")
             .with("source", source)
             .with("error", error.message());
         return;
     }
+    is_newest_unreadable_ = false;
     if (context_.configuration &&
         decoded->version <= context_.configuration->version)
         return;
@@ -158,12 +172,27 @@
         .with("version", static_cast<std::int64_t>(decoded->version))
         .with("source", source)
         .with("routes", static_cast<std::int64_t>(decoded->routes.size()));
-    bytes_ = std::string(bytes);
-    context_.measures.set_configuration_version(decoded->version);
-    context_.configuration = std::move(decoded);
+    log_faults(*decoded);
+    bytes_ = decoded->requires_keys ? context_.platform.conceal_keys(bytes)
+                                    : std::string(bytes);
+    context_.measures.set_configuration(decoded->version,
+                                        decoded->faults.size());
+    context_.set_configuration(std::move(decoded));
     context_.wake_waiting_calls();
     if (on_configuration_)
         on_configuration_();
 }
 
+/// Logs what of a version is not in force; never the values, which may be keys.
+void store_watch::log_faults(const gateway_configuration& configuration) const
+{
+    const auto count = std::min(configuration.faults.size(), max_logged_faults);
+    for (std::size_t i = 0; i < count; ++i)
+        log_event(log_level::error, "configuration_fault")
+            .with("version", static_cast<std::int64_t>(configuration.version))
+            .with("place", configuration.faults[i].place)
+            .with("reason", configuration.faults[i].reason)
+            .with("of", static_cast<std::int64_t>(configuration.faults.size()));
+}
+
 } // namespace barleyfork
--- a/libs/schema/include/barleyfork/schema/peer_generated.h
+++ b/libs/schema/include/barleyfork/schema/peer_generated.h
@@ -1594,6 +1594,7 @@
   std::vector<uint64_t> answered_parts{};
   uint32_t configuration_age_ms = 3600000;
   std::unique_ptr<barleyfork::schema::token_transfer_record> tokens{};
+  int64_t configuration_confirmed_ms = 0;
   peer_message_record() = default;
   peer_message_record(const peer_message_record &o);
   peer_message_record(peer_message_record&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1626,6 +1627,11 @@
 /// `configuration_version` is the newest one. Daemons of 0.6.0 do not send it;
 /// their word confirms nothing, so the default is the maximum age.
 ///
+/// `configuration_confirmed_ms` is a reading of the store's steady clock: at
+/// that reading or later, `configuration_version` was the newest one. 0 if the
+/// sender does not know any. Unlike an age, it is not made younger by the time
+/// that the message takes.
+///
 /// `store_era` is the newest era of the store that the sender knows; the other
 /// eras belong to the versions of the same names.
 struct peer_message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1672,7 +1678,8 @@
     VT_LIMITS = 80,
     VT_ANSWERED_PARTS = 82,
     VT_CONFIGURATION_AGE_MS = 84,
-    VT_TOKENS = 86
+    VT_TOKENS = 86,
+    VT_CONFIGURATION_CONFIRMED_MS = 88
   };
   barleyfork::schema::message_kind kind() const {
     return static_cast<barleyfork::schema::message_kind>(GetField<uint8_t>(VT_KIND, 0));
@@ -1794,6 +1801,9 @@
   const barleyfork::schema::token_transfer *tokens() const {
     return GetPointer<const barleyfork::schema::token_transfer *>(VT_TOKENS);
   }
+  int64_t configuration_confirmed_ms() const {
+    return GetField<int64_t>(VT_CONFIGURATION_CONFIRMED_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -1865,6 +1875,7 @@
            VerifyField<uint32_t>(verifier, VT_CONFIGURATION_AGE_MS, 4) &&
            VerifyOffset(verifier, VT_TOKENS) &&
            verifier.VerifyTable(tokens()) &&
+           VerifyField<int64_t>(verifier, VT_CONFIGURATION_CONFIRMED_MS, 8) &&
            verifier.EndTable();
   }
   peer_message_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1996,6 +2007,9 @@
   void add_tokens(flatbuffers::Offset<barleyfork::schema::token_transfer> tokens) {
     fbb_.AddOffset(peer_message::VT_TOKENS, tokens);
   }
+  void add_configuration_confirmed_ms(int64_t configuration_confirmed_ms) {
+    fbb_.AddElement<int64_t>(peer_message::VT_CONFIGURATION_CONFIRMED_MS, configuration_confirmed_ms, 0);
+  }
   explicit peer_messageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2049,8 +2063,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::request_limit>>> limits = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> answered_parts = 0,
     uint32_t configuration_age_ms = 3600000,
-    flatbuffers::Offset<barleyfork::schema::token_transfer> tokens = 0) {
+    flatbuffers::Offset<barleyfork::schema::token_transfer> tokens = 0,
+    int64_t configuration_confirmed_ms = 0) {
   peer_messageBuilder builder_(_fbb);
+  builder_.add_configuration_confirmed_ms(configuration_confirmed_ms);
   builder_.add_list_since_era(list_since_era);
   builder_.add_list_era(list_era);
   builder_.add_configuration_era(configuration_era);
@@ -2140,7 +2156,8 @@
     const std::vector<flatbuffers::Offset<barleyfork::schema::request_limit>> *limits = nullptr,
     const std::vector<uint64_t> *answered_parts = nullptr,
     uint32_t configuration_age_ms = 3600000,
-    flatbuffers::Offset<barleyfork::schema::token_transfer> tokens = 0) {
+    flatbuffers::Offset<barleyfork::schema::token_transfer> tokens = 0,
+    int64_t configuration_confirmed_ms = 0) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::member>>(*members) : 0;
   auto quarantine__ = quarantine ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::quarantine_entry>>(*quarantine) : 0;
   auto digest__ = digest ? _fbb.CreateString(digest) : 0;
@@ -2199,7 +2216,8 @@
       limits__,
       answered_parts__,
       configuration_age_ms,
-      tokens);
+      tokens,
+      configuration_confirmed_ms);
 }
 
 flatbuffers::Offset<peer_message> Createpeer_message(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2675,7 +2693,8 @@
         list_since_era(o.list_since_era),
         answered_parts(o.answered_parts),
         configuration_age_ms(o.configuration_age_ms),
-        tokens((o.tokens) ? new barleyfork::schema::token_transfer_record(*o.tokens) : nullptr) {
+        tokens((o.tokens) ? new barleyfork::schema::token_transfer_record(*o.tokens) : nullptr),
+        configuration_confirmed_ms(o.configuration_confirmed_ms) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new barleyfork::schema::member_record(*members_) : nullptr); }
   quarantine.reserve(o.quarantine.size());
@@ -2737,6 +2756,7 @@
   std::swap(answered_parts, o.answered_parts);
   std::swap(configuration_age_ms, o.configuration_age_ms);
   std::swap(tokens, o.tokens);
+  std::swap(configuration_confirmed_ms, o.configuration_confirmed_ms);
   return *this;
 }
 
@@ -2789,6 +2809,7 @@
   { auto _e = answered_parts(); if (_e) { _o->answered_parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->answered_parts[_i] = _e->Get(_i); } } }
   { auto _e = configuration_age_ms(); _o->configuration_age_ms = _e; }
   { auto _e = tokens(); if (_e) _o->tokens = std::unique_ptr<barleyfork::schema::token_transfer_record>(_e->UnPack(_resolver)); }
+  { auto _e = configuration_confirmed_ms(); _o->configuration_confirmed_ms = _e; }
 }
 
 inline flatbuffers::Offset<peer_message> peer_message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const peer_message_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2839,6 +2860,7 @@
   auto _answered_parts = _o->answered_parts.size() ? _fbb.CreateVector(_o->answered_parts) : 0;
   auto _configuration_age_ms = _o->configuration_age_ms;
   auto _tokens = _o->tokens ? Createtoken_transfer(_fbb, _o->tokens.get(), _rehasher) : 0;
+  auto _configuration_confirmed_ms = _o->configuration_confirmed_ms;
   return barleyfork::schema::Createpeer_message(
       _fbb,
       _kind,
@@ -2880,7 +2902,8 @@
       _limits,
       _answered_parts,
       _configuration_age_ms,
-      _tokens);
+      _tokens,
+      _configuration_confirmed_ms);
 }
 
 inline const barleyfork::schema::peer_message *Getpeer_message(const void *buf) {
