--- a/libs/core/include/barleyfork/core/clock_bounds.hpp
+++ b/libs/core/include/barleyfork/core/clock_bounds.hpp
@@ -21,13 +21,11 @@
 
     /// Returns a reading that the other clock had reached at local time `at`;
     /// nothing if there was no response yet.
-    std::optional<std::int64_t> reading_reached_at(time_point at,
-                                                   time_point now) const;
+    std::optional<std::int64_t> reading_reached_at(time_point at) const;
 
     /// Returns a local time at which the other clock had not passed the reading
     /// yet; nothing if there was no response yet.
-    std::optional<time_point> time_before(std::int64_t reading_ms,
-                                          time_point now) const;
+    std::optional<time_point> time_before(std::int64_t reading_ms) const;
 
 private:
     /// A bound on the other clock's reading less the local time.
@@ -37,7 +35,7 @@
         time_point observed_at{};
     };
 
-    static std::int64_t max_drift_ms(const bound& from, time_point now);
+    static std::int64_t max_drift_ms(const bound& from, time_point at);
 
     bool is_known_ = false;
     bound lower_;
--- a/libs/core/src/clock_bounds.cpp
+++ b/libs/core/src/clock_bounds.cpp
@@ -16,11 +16,11 @@
 
 } // namespace
 
-/// Returns by how much a bound may have changed since it was observed.
-std::int64_t clock_bounds::max_drift_ms(const bound& from, time_point now)
+/// Returns by how much a bound may differ at `at` from when it was observed.
+std::int64_t clock_bounds::max_drift_ms(const bound& from, time_point at)
 {
-    const auto elapsed = std::max(now - from.observed_at, duration{0});
-    return elapsed.count() / drift_divisor + 1;
+    const auto distance = std::chrono::abs(at - from.observed_at);
+    return distance.count() / drift_divisor + 1;
 }
 
 void clock_bounds::observe(std::int64_t reading_ms,
@@ -44,20 +44,20 @@
 }
 
 std::optional<std::int64_t>
-clock_bounds::reading_reached_at(time_point at, time_point now) const
+clock_bounds::reading_reached_at(time_point at) const
 {
     if (!is_known_)
         return std::nullopt;
-    return to_ms(at) + lower_.difference_ms - max_drift_ms(lower_, now);
+    return to_ms(at) + lower_.difference_ms - max_drift_ms(lower_, at);
 }
 
-std::optional<time_point> clock_bounds::time_before(std::int64_t reading_ms,
-                                                    time_point now) const
+std::optional<time_point>
+clock_bounds::time_before(std::int64_t reading_ms) const
 {
     if (!is_known_)
         return std::nullopt;
-    return time_point(duration(reading_ms - upper_.difference_ms -
-                               max_drift_ms(upper_, now)));
+    const time_point at(duration(reading_ms - upper_.difference_ms));
+    return at - duration(max_drift_ms(upper_, at));
 }
 
 } // namespace barleyfork
--- a/libs/gateway/src/peer_updates.cpp
+++ b/libs/gateway/src/peer_updates.cpp
@@ -75,8 +75,7 @@
     if (context_.configuration_confirmed_at)
         message.configuration_confirmed_ms =
             context_.clock_of_store.bounds()
-                .reading_reached_at(*context_.configuration_confirmed_at,
-                                    boot_now())
+                .reading_reached_at(*context_.configuration_confirmed_at)
                 .value_or(0);
     const auto list = watch_.list_position();
     message.list_position = list.number();
--- a/libs/gateway/src/peer_updates_neighbours.cpp
+++ b/libs/gateway/src/peer_updates_neighbours.cpp
@@ -329,7 +329,7 @@
                              message.store_era == context_.era().current();
     const auto confirmed_at =
         has_reading ? context_.clock_of_store.bounds().time_before(
-                          message.configuration_confirmed_ms, boot_now())
+                          message.configuration_confirmed_ms)
                     : std::nullopt;
     if (confirmed_at)
         watch_.confirm_keys(*confirmed_at);
--- a/libs/logs/src/request_timeline.cpp
+++ b/libs/logs/src/request_timeline.cpp
@@ -105,12 +105,27 @@
                     : " servers crashed while running it or its retries");
 }
 
+/// Describes a refusal because of the caller's key.
+std::string describe_refused_key(const log_line& refused)
+{
+    const auto reason = refused.field("reason");
+    if (reason == "unconfirmed")
+        return "store_unavailable: nothing had confirmed for " +
+               std::string(refused.field("age_ms")) +
+               " ms that the keys known to the daemon still hold";
+    return reason == "missing"
+               ? "unauthorized: it had no usable key"
+               : "unauthorized: its key belongs to no organisation";
+}
+
 std::string describe_end(std::span<const log_line> lines)
 {
     const auto* ended = find_last(lines, "request_ended");
     const auto* sent = find_last(lines, "request_sent");
     const auto* wait = find_last(lines, "request_waits");
     const auto* failed = find_last(lines, "send_failed");
+    if (const auto* refused = find_last(lines, "request_unauthorized"))
+        return describe_refused_key(*refused);
     if (ended == nullptr)
         return "it has not ended in these logs";
     const auto outcome = ended->field("outcome");
