--- a/libs/core/include/barleyfork/core/clock_bounds.hpp
+++ b/libs/core/include/barleyfork/core/clock_bounds.hpp
@@ -16,8 +16,7 @@
 {
 public:
     /// Records a reading that was made between two local times.
-    void
-    observe(std::int64_t reading_ms, time_point sent, time_point received);
+    void observe(std::int64_t reading_ms, time_point sent, time_point received);
 
     /// Returns a reading that the other clock had reached at local time `at`;
     /// nothing if there was no response yet.
--- a/libs/core/src/clock_bounds.cpp
+++ b/libs/core/src/clock_bounds.cpp
@@ -34,8 +34,8 @@
     const auto known_upper =
         upper_.difference_ms + max_drift_ms(upper_, received);
     // The other clock was set anew if the reading contradicts earlier ones.
-    const bool contradicts = lower.difference_ms > known_upper ||
-                             upper.difference_ms < known_lower;
+    const bool contradicts =
+        lower.difference_ms > known_upper || upper.difference_ms < known_lower;
     if (!is_known_ || contradicts || lower.difference_ms >= known_lower)
         lower_ = lower;
     if (!is_known_ || contradicts || upper.difference_ms <= known_upper)
--- a/libs/core/tests/clock_bounds_test.cpp
+++ b/libs/core/tests/clock_bounds_test.cpp
@@ -18,7 +18,8 @@
 /// faster or slower by up to one part in 10,000.
 struct machine
 {
-    std::int64_t difference = *rc::gen::inRange<std::int64_t>(-1000000, 1000000);
+    std::int64_t difference =
+        *rc::gen::inRange<std::int64_t>(-1000000, 1000000);
     std::int64_t drift = *rc::gen::inRange<std::int64_t>(-1, 2);
     clock_bounds bounds;
 
@@ -34,7 +35,8 @@
     {
         const auto there = *rc::gen::inRange<std::int64_t>(0, longest);
         const auto back = *rc::gen::inRange<std::int64_t>(0, longest);
-        bounds.observe(store_ms, local(store_ms - there), local(store_ms + back));
+        bounds.observe(
+            store_ms, local(store_ms - there), local(store_ms + back));
     }
 };
 
@@ -66,7 +68,8 @@
             std::vector<machine> machines(3);
             for (auto& each : machines)
                 for (int i = *rc::gen::inRange(1, 6); i > 0; --i)
-                    each.call(now += *rc::gen::inRange<std::int64_t>(0, longest),
+                    each.call(now +=
+                              *rc::gen::inRange<std::int64_t>(0, longest),
                               longest);
             // What the first one read, it read at `known` or earlier.
             auto at = machines.front().local(known);
@@ -84,7 +87,9 @@
     void a_clock_that_was_set_anew_is_noticed()
     {
         clock_bounds bounds;
-        const auto at = [](std::int64_t ms) { return time_point(duration(ms)); };
+        const auto at = [](std::int64_t ms) {
+            return time_point(duration(ms));
+        };
         bounds.observe(900000, at(1000), at(1010));
         bounds.observe(70, at(2000), at(2010));
         CPPUNIT_ASSERT(bounds.time_before(70) <= at(2000));
--- a/libs/core/tests/key_directory_test.cpp
+++ b/libs/core/tests/key_directory_test.cpp
@@ -58,9 +58,15 @@
     {
         CPPUNIT_ASSERT(parse_bearer_key("Bearer k") == "k");
         CPPUNIT_ASSERT(parse_bearer_key("bEARER  k= ") == "k=");
-        for (const char* other :
-             {"", "Bearer", "Bearer ", "Bearer  ", "Bearerk", "Basic k",
-              "Bearer k l", "Bearer k\tl", "k"})
+        for (const char* other : {"",
+                                  "Bearer",
+                                  "Bearer ",
+                                  "Bearer  ",
+                                  "Bearerk",
+                                  "Basic k",
+                                  "Bearer k l",
+                                  "Bearer k\tl",
+                                  "k"})
             CPPUNIT_ASSERT(!parse_bearer_key(other));
     }
 
--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -206,8 +206,8 @@
         return false;
     const std::string_view target(head.target().data(), head.target().size());
     const auto origin = split_absolute_form(target);
-    const std::string host =
-        origin ? std::string(origin->host) : std::string(head[http::field::host]);
+    const std::string host = origin ? std::string(origin->host)
+                                    : std::string(head[http::field::host]);
     const std::string path =
         origin ? std::string(origin->target) : std::string(target);
     const auto headers = copy_headers(head);
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -106,17 +106,16 @@
 void gateway_call::reject_for_key(const caller_identity& caller)
 {
     record_refused_key(context_, caller, request_.caller_address, facts_);
-    reject(outcome_of(*caller.refusal),
-           retry_after(context_, *caller.refusal));
+    reject(outcome_of(*caller.refusal), retry_after(context_, *caller.refusal));
 }
 
 /// Returns the priority of the request, 0 for the most urgent ones: that of the
 /// organisation takes precedence over that of the route.
 std::uint32_t gateway_call::priority() const
 {
-    return organisation_ != nullptr ? organisation_->priority.value_or(
-                                          route_->priority)
-                                    : route_->priority;
+    return organisation_ != nullptr
+               ? organisation_->priority.value_or(route_->priority)
+               : route_->priority;
 }
 
 bool gateway_call::find_route()
--- a/libs/gateway/src/gateway_context.cpp
+++ b/libs/gateway/src/gateway_context.cpp
@@ -255,8 +255,8 @@
     if (set.revocation_fails_closed)
         bounds.revocation =
             duration(static_cast<std::int64_t>(set.revocation_ms));
-    bounds.addition = duration(static_cast<std::int64_t>(
-        set.configuration_ms * addition_fraction));
+    bounds.addition = duration(
+        static_cast<std::int64_t>(set.configuration_ms * addition_fraction));
     return bounds;
 }
 
--- a/libs/gateway/src/http_text.hpp
+++ b/libs/gateway/src/http_text.hpp
@@ -30,8 +30,9 @@
     std::string_view path() const;
 
     /// Returns a hash of the caller, which is known by the host that it asks
-    /// and by its organisation, or else by its credentials. The address of its connection does not matter:
-    /// it may be that of a balancer, and one caller may have many.
+    /// and by its organisation, or else by its credentials. The address of its
+    /// connection does not matter: it may be that of a balancer, and one caller
+    /// may have many.
     std::uint64_t caller_hash() const;
 
     /// Returns a hash that is the same for all client attempts of a request, at
--- a/libs/gateway/src/peer_updates_neighbours.cpp
+++ b/libs/gateway/src/peer_updates_neighbours.cpp
@@ -320,9 +320,9 @@
     const auto known = watch_.configuration_version();
     if (known == 0 || message.configuration_version != known)
         return;
-    watch_.confirm_configuration(
-        extract_configuration_position(message),
-        steady_now() - duration(message.configuration_age_ms));
+    watch_.confirm_configuration(extract_configuration_position(message),
+                                 steady_now() -
+                                     duration(message.configuration_age_ms));
     // The stated age lacks the time that the message took, so that only the
     // store's clock, which both daemons know, confirms for keys.
     const bool has_reading = message.configuration_confirmed_ms > 0 &&
--- a/libs/gateway/src/store_watch.cpp
+++ b/libs/gateway/src/store_watch.cpp
@@ -42,9 +42,8 @@
 {
     const bool limits_keys =
         bounds.revocation_fails_closed && bounds.revocation_ms > 0.0;
-    return limits_keys
-               ? std::min(bounds.configuration_ms, bounds.revocation_ms)
-               : bounds.configuration_ms;
+    return limits_keys ? std::min(bounds.configuration_ms, bounds.revocation_ms)
+                       : bounds.configuration_ms;
 }
 
 } // namespace
@@ -53,9 +52,8 @@
     : context_(context),
       readers_({context.settings.link_mbps, context.self}, steady_now()),
       started_at_(steady_now()),
-      configuration_(
-          make_intervals(context.settings,
-                         configuration_bound_ms(*context.settings.bounds))),
+      configuration_(make_intervals(
+          context.settings, configuration_bound_ms(*context.settings.bounds))),
       list_(make_intervals(context.settings, context.settings.bounds->drain_ms))
 {
 }
