--- a/libs/gateway/src/store_watch.hpp
+++ b/libs/gateway/src/store_watch.hpp
@@ -34,8 +34,9 @@
     boost::asio::awaitable<void> follow_servers();
 
     /// Applies a configuration in the store's encoding, from the store or from
-    /// a peer. Versions that are not newer are ignored.
-    void apply_configuration(std::string_view bytes, std::string_view source);
+    /// a peer. Versions that are not newer are ignored. Returns false if it
+    /// cannot be decoded.
+    bool apply_configuration(std::string_view bytes, std::string_view source);
 
     /// Applies changes of the list that another daemon relayed, and its claim
     /// that they are complete. A claim since 0 claims nothing.
@@ -165,6 +166,7 @@
     bool is_list_due(time_point now);
     boost::asio::awaitable<bool> read_list(time_point began);
     bool is_configuration_due(time_point now);
+    bool is_key_knowledge_due() const;
     boost::asio::awaitable<bool> read_configuration(duration wait);
     void expire_servers();
     std::optional<backend_entry> decode(const store_row& row,
@@ -183,8 +185,8 @@
     table_follower configuration_;
     /// Whether the last log line on it says that the configuration is old.
     bool is_configuration_unconfirmed_ = false;
-    /// Whether the last row that was received could not be decoded. What it
-    /// withdraws is then unknown.
+    /// Whether the last row that was read from the store could not be decoded.
+    /// What it withdraws is then unknown.
     bool is_newest_unreadable_ = false;
     table_follower list_;
     bool reachable_ = true;
--- a/libs/gateway/src/store_watch_configuration.cpp
+++ b/libs/gateway/src/store_watch_configuration.cpp
@@ -104,7 +104,20 @@
         return false;
     const bool has_reader = readers_.has_live_reader(now);
     return configuration_.next(role(), has_reader, now) ==
-           follower_step::read_store;
+               follower_step::read_store ||
+           is_key_knowledge_due();
+}
+
+/// Returns whether the configuration is read because of the bound on withdrawn
+/// keys: what other daemons say may be newer by their word than the store's
+/// clock proves.
+bool store_watch::is_key_knowledge_due() const
+{
+    const auto bound = context_.bounds_of_keys().revocation;
+    if (bound <= duration{0} || !context_.configuration->requires_keys)
+        return false;
+    const auto age = context_.confirmed_age();
+    return !age || *age > bound / 2;
 }
 
 /// Reads the configuration or its changes, and waits up to `wait` for a change.
@@ -146,27 +159,26 @@
     context_.configuration_known_at = configuration_.known_at();
     for (const auto& row : read.rows)
         if (row.key == key && !row.deleted)
-            apply_configuration(row.value, "store");
+            is_newest_unreadable_ = !apply_configuration(row.value, "store");
     confirm_keys(boot_began);
     co_return true;
 }
 
-void store_watch::apply_configuration(std::string_view bytes,
+bool store_watch::apply_configuration(std::string_view bytes,
                                       std::string_view source)
 {
     auto decoded = std::make_shared<gateway_configuration>();
     if (const auto error =
             context_.platform.decode_configuration(bytes, *decoded)) {
-        is_newest_unreadable_ = true;
         log_event(log_level::error, "configuration_unreadable")
             .with("source", source)
             .with("error", error.message());
-        return;
+        return false;
     }
-    is_newest_unreadable_ = false;
     if (context_.configuration &&
         decoded->version <= context_.configuration->version)
-        return;
+        return true;
+    is_newest_unreadable_ = false;
     set_queue_targets(*decoded);
     log_event(log_level::info, "configuration_in_force")
         .with("version", static_cast<std::int64_t>(decoded->version))
@@ -181,6 +193,7 @@
     context_.wake_waiting_calls();
     if (on_configuration_)
         on_configuration_();
+    return true;
 }
 
 /// Logs what of a version is not in force; never the values, which may be keys.
