--- a/libs/gateway/src/store_watch.hpp
+++ b/libs/gateway/src/store_watch.hpp
@@ -34,8 +34,9 @@
     boost::asio::awaitable<void> follow_servers();
 
     /// Applies a configuration in the store's encoding, from the store or from
-    /// a peer. Versions that are not newer are ignored.
-    void apply_configuration(std::string_view bytes, std::string_view source);
+    /// a peer. Versions that are not newer are ignored. Returns false if it
+    /// cannot be decoded.
+    bool apply_configuration(std::string_view bytes, std::string_view source);
 
     /// Applies changes of the list that another daemon relayed, and its claim
     /// that they are complete. A claim since 0 claims nothing.
@@ -82,7 +83,8 @@
     /// Returns the version in force here; 0 if there is none.
     std::uint64_t configuration_version() const noexcept;
 
-    /// Returns the newest configuration in the store's encoding.
+    /// Returns the newest configuration in the store's encoding, with digests
+    /// instead of callers' keys.
     const std::string& configuration_bytes() const noexcept
     {
         return bytes_;
@@ -127,6 +129,10 @@
     /// is the newest one up to `position`, as of `known_at`.
     void confirm_configuration(store_version position, time_point known_at);
 
+    /// Records that the configuration known here was the newest one at `at`, by
+    /// `boot_now`.
+    void confirm_keys(time_point at);
+
     /// Applies a list from a neighbour: the complete list as read at the
     /// claim's position, or changes if the list is known here already.
     void apply_neighbour_list(const std::vector<store_row>& rows,
@@ -160,6 +166,7 @@
     bool is_list_due(time_point now);
     boost::asio::awaitable<bool> read_list(time_point began);
     bool is_configuration_due(time_point now);
+    bool is_key_knowledge_due() const;
     boost::asio::awaitable<bool> read_configuration(duration wait);
     void expire_servers();
     std::optional<backend_entry> decode(const store_row& row,
@@ -168,6 +175,7 @@
     void set_reachable(bool reachable, const failure& error);
     duration max_unconfirmed_age() const;
     void report_configuration_age(time_point now);
+    void log_faults(const gateway_configuration& configuration) const;
 
     gateway_context& context_;
     reader_election readers_;
@@ -177,6 +185,9 @@
     table_follower configuration_;
     /// Whether the last log line on it says that the configuration is old.
     bool is_configuration_unconfirmed_ = false;
+    /// Whether the last row that was read from the store could not be decoded.
+    /// What it withdraws is then unknown.
+    bool is_newest_unreadable_ = false;
     table_follower list_;
     bool reachable_ = true;
     /// Number of successive failed calls.
--- a/libs/gateway/src/store_watch_configuration.cpp
+++ b/libs/gateway/src/store_watch_configuration.cpp
@@ -4,6 +4,7 @@
 
 #include <barleyfork/base/log.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace barleyfork {
@@ -15,6 +16,8 @@
 /// The fraction of the bound on changes after which an unconfirmed
 /// configuration is reported.
 constexpr double reported_fraction = 0.8;
+/// The number of faults of one version that are logged; the metric counts all.
+constexpr std::size_t max_logged_faults = 20;
 
 } // namespace
 
@@ -25,6 +28,13 @@
     context_.configuration_known_at = configuration_.known_at();
 }
 
+void store_watch::confirm_keys(time_point at)
+{
+    auto& known = context_.configuration_confirmed_at;
+    if (!is_newest_unreadable_ && (!known || at > *known))
+        known = at;
+}
+
 /// Returns the age from which the known configuration is reported, before the
 /// operators' bound has passed.
 duration store_watch::max_unconfirmed_age() const
@@ -94,7 +104,20 @@
         return false;
     const bool has_reader = readers_.has_live_reader(now);
     return configuration_.next(role(), has_reader, now) ==
-           follower_step::read_store;
+               follower_step::read_store ||
+           is_key_knowledge_due();
+}
+
+/// Returns whether the configuration is read because of the bound on withdrawn
+/// keys: what other daemons say may be newer by their word than the store's
+/// clock proves.
+bool store_watch::is_key_knowledge_due() const
+{
+    const auto bound = context_.bounds_of_keys().revocation;
+    if (bound <= duration{0} || !context_.configuration->requires_keys)
+        return false;
+    const auto age = context_.confirmed_age();
+    return !age || *age > bound / 2;
 }
 
 /// Reads the configuration or its changes, and waits up to `wait` for a change.
@@ -110,6 +133,7 @@
                                        : wait > duration{0} ? "changes"
                                                             : "check");
     const auto began = steady_now();
+    const auto boot_began = boot_now();
     auto& store = *context_.platform.store;
     store_read read;
     if (is_full_read)
@@ -135,11 +159,12 @@
     context_.configuration_known_at = configuration_.known_at();
     for (const auto& row : read.rows)
         if (row.key == key && !row.deleted)
-            apply_configuration(row.value, "store");
+            is_newest_unreadable_ = !apply_configuration(row.value, "store");
+    confirm_keys(boot_began);
     co_return true;
 }
 
-void store_watch::apply_configuration(std::string_view bytes,
+bool store_watch::apply_configuration(std::string_view bytes,
                                       std::string_view source)
 {
     auto decoded = std::make_shared<gateway_configuration>();
@@ -148,22 +173,39 @@
         log_event(log_level::error, "configuration_unreadable")
             .with("source", source)
             .with("error", error.message());
-        return;
+        return false;
     }
     if (context_.configuration &&
         decoded->version <= context_.configuration->version)
-        return;
+        return true;
+    is_newest_unreadable_ = false;
     set_queue_targets(*decoded);
     log_event(log_level::info, "configuration_in_force")
         .with("version", static_cast<std::int64_t>(decoded->version))
         .with("source", source)
         .with("routes", static_cast<std::int64_t>(decoded->routes.size()));
-    bytes_ = std::string(bytes);
-    context_.measures.set_configuration_version(decoded->version);
-    context_.configuration = std::move(decoded);
+    log_faults(*decoded);
+    bytes_ = decoded->requires_keys ? context_.platform.conceal_keys(bytes)
+                                    : std::string(bytes);
+    context_.measures.set_configuration(decoded->version,
+                                        decoded->faults.size());
+    context_.set_configuration(std::move(decoded));
     context_.wake_waiting_calls();
     if (on_configuration_)
         on_configuration_();
+    return true;
+}
+
+/// Logs what of a version is not in force; never the values, which may be keys.
+void store_watch::log_faults(const gateway_configuration& configuration) const
+{
+    const auto count = std::min(configuration.faults.size(), max_logged_faults);
+    for (std::size_t i = 0; i < count; ++i)
+        log_event(log_level::error, "configuration_fault")
+            .with("version", static_cast<std::int64_t>(configuration.version))
+            .with("place", configuration.faults[i].place)
+            .with("reason", configuration.faults[i].reason)
+            .with("of", static_cast<std::int64_t>(configuration.faults.size()));
 }
 
 } // namespace barleyfork
