--- a/libs/core/include/barleyfork/core/placement_controller.hpp
+++ b/libs/core/include/barleyfork/core/placement_controller.hpp
@@ -225,6 +225,8 @@
     {
         model_id model;
         time_point until{};
+        /// When it expires though its unloads still wait for requests.
+        time_point latest{};
     };
 
     struct activating_adapter
@@ -335,6 +337,7 @@
                                const engine_server& server) const;
     void plan(time_point now, actions& out);
     void apply_step(const planned_step& step, time_point now, actions& out);
+    static bool is_making_room(const engine_server& server);
     void collect_reserved_loads(time_point now, actions& out);
     bool order_load(const server_id& id,
                     engine_server& server,
--- a/libs/core/src/placement_controller.cpp
+++ b/libs/core/src/placement_controller.cpp
@@ -21,7 +21,7 @@
 /// A report shows the state of some time before, so the first report is
 /// requested this long after the order should be completed.
 constexpr duration report_lag{200};
-/// The reservation of a model that waits for room expires after this time.
+/// The reservation of a model expires this long after its room was made.
 constexpr duration reservation_lifetime{4000};
 /// Short, since demand shifts within seconds.
 constexpr duration demand_half_life{1000};
@@ -429,8 +429,11 @@
     server.pending_unloads.push_back(
         {step.model, now + unload_delay, reason_name(step.reason)});
     if (!step.room_for.empty())
-        server.reservation =
-            memory_reservation{step.room_for, now + reservation_lifetime};
+        server.reservation = memory_reservation{
+            step.room_for,
+            now + reservation_lifetime,
+            now + duration(static_cast<std::int64_t>(
+                      ms_per_second * options_.planner.horizon_seconds))};
     server.needs_publishing = true;
 }
 
@@ -459,14 +462,26 @@
     return true;
 }
 
+/// Returns whether an unload of the server is still to be ordered or waits for
+/// the model's requests to end, which takes longer than usual under overload.
+bool placement_controller::is_making_room(const engine_server& server)
+{
+    return !server.pending_unloads.empty() ||
+           (server.running &&
+            server.running->command.kind == order_kind::unload);
+}
+
 /// Orders the loads that memory is reserved for as soon as there is room.
 void placement_controller::collect_reserved_loads(time_point now, actions& out)
 {
     for (auto& [id, server] : servers_) {
         if (!server.reservation)
             continue;
+        if (is_making_room(server))
+            server.reservation->until = now + reservation_lifetime;
         const bool is_obsolete =
-            now >= server.reservation->until ||
+            now >= std::min(server.reservation->until,
+                            server.reservation->latest) ||
             server.held.find(server.reservation->model) != nullptr;
         if (is_obsolete) {
             server.reservation.reset();
