--- a/libs/core/src/placement_round.cpp
+++ b/libs/core/src/placement_round.cpp
@@ -404,6 +404,8 @@
 void placement_round::update_estimate()
 {
     serving_ = collect_serving(input_);
+    for (const auto& promise : promised_)
+        serving_[promise.model].push_back(promise.server);
     estimate_ = spread_demand(input_, serving_);
     total_unserved_ = std::accumulate(
         estimate_.unserved.begin(), estimate_.unserved.end(), 0.0);
@@ -477,6 +479,7 @@
         if (find_copy(choice.server, choice.model) == nullptr &&
             remaining_store_loads_ > 0)
             --remaining_store_loads_;
+        promised_.push_back({choice.server, choice.model});
     }
     update_estimate();
 }
--- a/libs/core/src/placement_round.hpp
+++ b/libs/core/src/placement_round.hpp
@@ -45,6 +45,13 @@
         double value = 0.0;
     };
 
+    /// A server that serves a model once earlier steps have made it available.
+    struct promised_server
+    {
+        std::size_t server = 0;
+        std::size_t model = 0;
+    };
+
     void repair_reachability();
     void roll_out_versions();
     void repair_min_replicas();
@@ -107,6 +114,7 @@
     std::vector<std::vector<std::size_t>> replica_models_;
     /// Replicas of each model on usable servers.
     std::vector<replica_count> counts_;
+    std::vector<promised_server> promised_;
     std::uint32_t remaining_loads_ = 0;
     std::uint32_t remaining_store_loads_ = 0;
     std::vector<planned_step> steps_;
--- a/libs/core/tests/placement_overload_test.cpp
+++ b/libs/core/tests/placement_overload_test.cpp
@@ -75,6 +75,7 @@
     CPPUNIT_TEST(equally_busy_servers_get_no_moves);
     CPPUNIT_TEST(a_server_that_accepts_no_orders_is_skipped);
     CPPUNIT_TEST(large_deployments_use_the_store_rate);
+    CPPUNIT_TEST(no_more_room_is_made_than_needed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -133,6 +134,24 @@
         CPPUNIT_ASSERT(plan_placement(input).size() >= min_steps);
     }
 
+    /// One more server brings the wanted model's work below the target, though
+    /// many servers could make room for it.
+    void no_more_room_is_made_than_needed()
+    {
+        planner_input input;
+        input.options = make_options();
+        input.models = {make_model("wanted", 0.6), make_model("other", 0.1)};
+        input.servers.push_back(make_server(0, {"wanted"}));
+        for (std::size_t s = 1; s < 11; ++s)
+            input.servers.push_back(make_server(s, {"other"}));
+        for (auto& server : input.servers)
+            server.committed_mib = server.memory_mib;
+        const auto steps = plan_placement(input);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, steps.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("wanted"),
+                             steps.front().room_for.value());
+    }
+
     /// The least loaded server accepts no orders, since another holder sent it
     /// one a short time ago.
     void a_server_that_accepts_no_orders_is_skipped()
