--- a/libs/core/include/barleyfork/core/placement_planner.hpp
+++ b/libs/core/include/barleyfork/core/placement_planner.hpp
@@ -18,6 +18,7 @@
     floor,
     domain_spread,
     demand,
+    relocation,
     spare,
     make_room,
     not_declared,
--- a/libs/core/src/placement_planner.cpp
+++ b/libs/core/src/placement_planner.cpp
@@ -8,15 +8,16 @@
 
 const char* reason_name(step_reason reason) noexcept
 {
-    constexpr std::array<const char*, 9> names{"reachability",
-                                               "new_version",
-                                               "floor",
-                                               "domain_spread",
-                                               "demand",
-                                               "spare",
-                                               "make_room",
-                                               "not_declared",
-                                               "old_version"};
+    constexpr std::array<const char*, 10> names{"reachability",
+                                                "new_version",
+                                                "floor",
+                                                "domain_spread",
+                                                "demand",
+                                                "relocation",
+                                                "spare",
+                                                "make_room",
+                                                "not_declared",
+                                                "old_version"};
     return names[static_cast<std::size_t>(reason)];
 }
 
--- a/libs/core/src/placement_round.cpp
+++ b/libs/core/src/placement_round.cpp
@@ -13,9 +13,6 @@
 constexpr double negligible_work = 0.02;
 /// The demand of a rarely used model may grow by this factor within an hour.
 constexpr double burst_factor = 10.0;
-/// The probability that a model's demand reaches its potential within the
-/// horizon.
-constexpr double burst_chance = 0.1;
 /// Models evaluated for one step.
 constexpr std::size_t max_evaluated_models = 4;
 /// Best-ranked servers evaluated for each model of one step.
@@ -564,6 +561,7 @@
 
 void placement_round::follow_demand()
 {
+    promise_vacated_servers();
     const auto max_demand_steps = std::max(
         min_demand_steps, input_.servers.size() / servers_per_demand_step);
     for (std::size_t step = 0;
@@ -573,7 +571,14 @@
     {
         const auto models = models_by_need(estimate_.unserved);
         const auto choice = best_choice(models, true);
-        if (!choice || choice->value <= 0.0)
+        const double value = choice ? std::max(choice->value, 0.0) : 0.0;
+        const auto relocated = best_relocation(models);
+        if (relocated && relocated->value > value) {
+            apply_choice(relocated->first, step_reason::relocation);
+            promise(relocated->server, relocated->model);
+            continue;
+        }
+        if (value <= 0.0)
             return;
         apply_choice(*choice, step_reason::demand);
     }
--- a/libs/core/src/placement_round.hpp
+++ b/libs/core/src/placement_round.hpp
@@ -45,6 +45,19 @@
         double value = 0.0;
     };
 
+    /// The first of the steps after which a server holds no last replica that
+    /// keeps it from serving a model: the last replica is loaded elsewhere.
+    struct relocation
+    {
+        load_choice first;
+        /// The model that is short of capacity.
+        std::size_t model = 0;
+        /// The server that can serve it afterwards.
+        std::size_t server = 0;
+        /// Server-seconds of work gained, less the cost of the moves.
+        double value = 0.0;
+    };
+
     /// A server that serves a model once earlier steps have made it available.
     struct promised_server
     {
@@ -52,6 +65,10 @@
         std::size_t model = 0;
     };
 
+    /// The probability that a model's demand reaches its potential within the
+    /// horizon.
+    static constexpr double burst_chance = 0.1;
+
     void repair_reachability();
     void roll_out_versions();
     void repair_min_replicas();
@@ -97,6 +114,18 @@
     bool has_change_in_progress(std::size_t server) const;
     void update_estimate();
 
+    bool is_last_replica(std::size_t server, std::size_t index) const;
+    bool is_being_vacated(std::size_t server) const;
+    bool is_promised(std::size_t server) const;
+    void promise(std::size_t server, std::size_t model);
+    void promise_vacated_servers();
+    std::vector<std::size_t> blocked_servers(std::size_t model) const;
+    std::vector<relocation> relocations(std::size_t model,
+                                        std::size_t server) const;
+    double evaluate(const relocation& candidate) const;
+    std::optional<relocation>
+    best_relocation(std::span<const std::size_t> models) const;
+
     bool load_with_room(std::size_t model, step_reason reason);
     void load(std::size_t server, std::size_t model, step_reason reason);
     void unload(std::size_t server,
