--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -3,6 +3,7 @@
 #include "local_answer.hpp"
 
 #include <barleyfork/base/log.hpp>
+#include <barleyfork/core/request_demand.hpp>
 
 #include <algorithm>
 
@@ -21,11 +22,8 @@
 /// A caller that is rejected because of the servers' limits may find another
 /// daemon that is allowed to send; it is not kept away for longer than this.
 constexpr duration max_limit_delay{2000};
-/// The cost of an output token relative to a prompt token.
-constexpr double output_weight = 2.5;
 /// The weight of a new sample in the mean work of a request.
 constexpr double work_smoothing = 0.02;
-constexpr double ms_per_second = 1000.0;
 /// Reading from a server resumes once fewer than this many bytes are unsent to
 /// the caller.
 constexpr std::size_t caller_low_water = std::size_t{64} * 1024;
@@ -158,10 +156,11 @@
 {
     if (!is_for_engine())
         return;
-    const double tokens =
-        static_cast<double>(facts_.prompt_tokens) +
-        output_weight * static_cast<double>(facts_.max_output_tokens);
-    const double work_s = tokens * work().ms_per_token / ms_per_second;
+    const auto found = context_.paces.find(facts_.model);
+    const double work_s = demanded_work(
+        facts_.prompt_tokens,
+        facts_.max_output_tokens,
+        found == context_.paces.end() ? pace_estimator() : found->second);
     context_.demand_to_report.work[facts_.model] += work_s;
     auto& mean_s =
         context_.request_work_s.try_emplace(service_, work_s).first->second;
