--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -422,6 +422,9 @@
         .with("sends", send_count_)
         .with("may_have_run", progress_ && progress_->may_have_run() ? 1 : 0)
         .with("first_event_ms", first_event_ms_)
+        .with("target_ms",
+              route_ == nullptr ? 0 : route_->latency_target.count())
+        .with("prompt_tokens", static_cast<std::int64_t>(facts_.prompt_tokens))
         .with("after_ms", (steady_now() - received_at_).count());
 }
 
--- a/libs/gateway/src/gateway_call_attempts.cpp
+++ b/libs/gateway/src/gateway_call_attempts.cpp
@@ -57,6 +57,8 @@
         .with("adapter", facts_.adapter)
         .with("send", send_count_ + 1)
         .with("candidates", static_cast<std::int64_t>(chosen.candidates))
+        .with("prompt_tokens", static_cast<std::int64_t>(facts_.prompt_tokens))
+        .with("tokens_ahead", static_cast<std::int64_t>(attempt_->tokens_ahead))
         .with("expected_ms", static_cast<std::int64_t>(chosen.expected_ms))
         .with("load_age_ms", load.reported ? load.report_age.count() : -1)
         .with("configuration",
--- a/tools/barleyfork/commands.cpp
+++ b/tools/barleyfork/commands.cpp
@@ -3,6 +3,7 @@
 #include "tables.hpp"
 
 #include <barleyfork/base/digest.hpp>
+#include <barleyfork/logs/prompt_bands.hpp>
 #include <barleyfork/logs/request_timeline.hpp>
 #include <barleyfork/net/url.hpp>
 #include <barleyfork/schema/toml_reader.hpp>
@@ -10,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/json.hpp>
+#include <cmath>
 #include <fstream>
 #include <iostream>
 
@@ -245,13 +247,54 @@
     return tool_exit::ok;
 }
 
+/// Shows whether long prompts hold up short ones: what became of requests by
+/// the size of their prompts.
+tool_exit prompts(operator_client&, words args, const command_options&)
+{
+    std::vector<log_line> log;
+    if (!read_logs(args, log))
+        return tool_exit::usage;
+    boost::json::array rows;
+    const auto share = [](std::size_t part, const prompt_band& band) {
+        constexpr double hundred = 100.0;
+        const auto all = std::max<std::size_t>(band.requests, 1);
+        return std::llround(hundred * static_cast<double>(part) /
+                            static_cast<double>(all));
+    };
+    for (const auto& band : count_prompt_bands(log))
+        rows.push_back({{"TOKENS",
+                         std::to_string(band.min_tokens) + "-" +
+                             std::to_string(band.max_tokens)},
+                        {"REQUESTS", band.requests},
+                        {"IN_TARGET_%", share(band.in_target, band)},
+                        {"LATE_%", share(band.late, band)},
+                        {"REFUSED_%", share(band.refused, band)},
+                        {"CALLER_LEFT_%", share(band.caller_left, band)},
+                        {"FAILED_%", share(band.failed, band)},
+                        {"MEDIAN_MS", band.median_ms},
+                        {"P95_MS", band.p95_ms}});
+    print_table(std::cout,
+                "prompts by size",
+                rows,
+                {"TOKENS",
+                 "REQUESTS",
+                 "IN_TARGET_%",
+                 "LATE_%",
+                 "REFUSED_%",
+                 "CALLER_LEFT_%",
+                 "FAILED_%",
+                 "MEDIAN_MS",
+                 "P95_MS"});
+    return tool_exit::ok;
+}
+
 tool_exit digest(operator_client&, words args, const command_options&)
 {
     std::cout << content_digest(args[0]) << "\n";
     return tool_exit::ok;
 }
 
-constexpr std::array<command, 10> commands{{
+constexpr std::array<command, 11> commands{{
     {"apply", 1, apply},
     {"get", 0, get},
     {"history", 0, history},
@@ -262,6 +305,7 @@
     {"digest", 1, digest},
     {"why", 1, why, true},
     {"causes", 0, causes, true},
+    {"prompts", 0, prompts, true},
 }};
 
 } // namespace
@@ -278,7 +322,8 @@
     if (found == commands.end()) {
         std::cerr << "barleyfork: commands are apply FILE, get, history, "
                      "status, explain MODEL, drain INSTANCE, trace ID, "
-                     "digest KEY, why REQUEST_ID [LOG...], causes [LOG...]\n";
+                     "digest KEY, why REQUEST_ID [LOG...], causes [LOG...], "
+                     "prompts [LOG...]\n";
         return tool_exit::usage;
     }
     return found->run(client, all.subspan(1), options);
