--- a/libs/core/include/barleyfork/core/backend_loads.hpp
+++ b/libs/core/include/barleyfork/core/backend_loads.hpp
@@ -3,6 +3,7 @@
 
 #include <barleyfork/base/strong_id.hpp>
 #include <barleyfork/base/time.hpp>
+#include <barleyfork/core/slowness_estimate.hpp>
 
 #include <array>
 #include <cstdint>
@@ -62,6 +63,11 @@
     bool reported = false;
     /// Share of recent requests that failed, 0 to 1.
     double failure_rate = 0.0;
+    /// Tokens that this daemon's requests in flight may hold in the memory of
+    /// the engine.
+    std::uint64_t own_memory_tokens = 0;
+    /// How long work takes on the server's machine, relative to usual.
+    double slowness = 1.0;
 };
 
 /// Waiting prompt tokens on a server in three classes: priority 0, priority 1,
@@ -109,11 +115,13 @@
 class backend_loads
 {
 public:
-    /// Records that a request is being sent.
+    /// Records that a request is being sent. `output_tokens` is the maximum of
+    /// its response.
     load_ticket begin(const server_id& server,
                       std::uint64_t prompt_tokens,
                       std::uint32_t priority,
-                      time_point now);
+                      time_point now,
+                      std::uint64_t output_tokens = 0);
 
     /// Records that the response to the request began.
     void on_answer_started(const server_id& server, load_ticket ticket);
@@ -130,6 +138,10 @@
                   std::uint32_t waiting,
                   time_point now);
 
+    /// Records how long work takes on the server's machine, relative to usual.
+    void
+    reported_slowness(const server_id& server, double slowness, time_point now);
+
     /// Replaces the work of `peer` in flight.
     void on_peer_work(const instance_id& peer,
                       std::span<const peer_work> work,
@@ -170,6 +182,10 @@
         std::map<load_ticket, waiting_request> waiting;
         std::uint32_t outstanding = 0;
         waiting_tokens tokens;
+        /// Tokens in the memory of the engine, by request in flight.
+        std::map<load_ticket, std::uint64_t> memory;
+        std::uint64_t memory_tokens = 0;
+        slowness_estimate slowness;
         std::uint32_t reported_running = 0;
         std::uint32_t reported_waiting = 0;
         time_point reported_at{};
--- a/libs/core/include/barleyfork/core/gateway_configuration.hpp
+++ b/libs/core/include/barleyfork/core/gateway_configuration.hpp
@@ -160,6 +160,9 @@
     caller_limits limits;
     /// Empty where callers need no keys.
     std::vector<gateway_organisation> organisations;
+    /// All priorities of routes and organisations in ascending order. Set by
+    /// `set_queue_targets`.
+    std::vector<std::uint32_t> priorities;
     /// True if organisations are declared, even if none of the entries could
     /// be decoded: requests then need a key.
     bool requires_keys = false;
@@ -175,7 +178,7 @@
                                  std::string_view path);
 
 /// Sets the `queue_target` of every route from the latency targets and
-/// priorities of all routes.
+/// priorities of all routes, and the `priorities` in use.
 void set_queue_targets(gateway_configuration& configuration);
 
 /// Chooses a service of the route by weight; `draw` is a random number. Returns
--- a/libs/core/include/barleyfork/core/server_choice.hpp
+++ b/libs/core/include/barleyfork/core/server_choice.hpp
@@ -25,6 +25,9 @@
     load_view load;
     distance away = distance::same_domain;
     std::uint32_t slots = 1;
+    /// Tokens that the requests in flight on an engine can hold together; zero
+    /// if unknown.
+    std::uint64_t cache_tokens = 0;
     /// True if an earlier attempt of the request was sent to the server.
     bool tried = false;
     /// True if an idle connection to the server is open.
@@ -38,10 +41,24 @@
     double ms_per_token = 0.0;
     double base_ms = 0.0;
     /// Work that other daemons may have sent to a server since their last
-    /// update; servers whose costs differ by less are treated as equal.
+    /// update; servers whose costs differ by less are treated as equal. Limited
+    /// to a multiple of the usual queue: where nothing waits, nothing was sent.
     double uncertainty_ms = 0.0;
+    /// Tokens that the request may hold in the memory of an engine, and those
+    /// of a usual request.
+    std::uint64_t memory_tokens = 0;
+    double usual_memory_tokens = 0.0;
+    /// Time that a usual request takes from its sending to its end, in
+    /// milliseconds; zero if unknown.
+    double usual_total_ms = 0.0;
 };
 
+/// Returns the expected time until an engine has a slot and memory for the
+/// request, in milliseconds. Other daemons' requests are taken to be of usual
+/// size.
+double expected_admission_ms(const server_candidate& candidate,
+                             const engine_work& work);
+
 /// Returns the expected time until an engine sends the first event, in
 /// milliseconds.
 ///
--- a/libs/core/src/backend_loads.cpp
+++ b/libs/core/src/backend_loads.cpp
@@ -68,13 +68,17 @@
 load_ticket backend_loads::begin(const server_id& server,
                                  std::uint64_t prompt_tokens,
                                  std::uint32_t priority,
-                                 time_point now)
+                                 time_point now,
+                                 std::uint64_t output_tokens)
 {
     const load_ticket ticket{next_ticket_++};
     auto& load = loads_[server];
     load.waiting.emplace(ticket, waiting_request{now, prompt_tokens, priority});
     load.tokens.add(priority, prompt_tokens);
     ++load.outstanding;
+    const auto memory = prompt_tokens + output_tokens;
+    load.memory.emplace(ticket, memory);
+    load.memory_tokens += memory;
     return ticket;
 }
 
@@ -114,6 +118,10 @@
     stop_waiting(load, ticket);
     if (load.outstanding > 0)
         --load.outstanding;
+    if (const auto held = load.memory.find(ticket); held != load.memory.end()) {
+        load.memory_tokens -= held->second;
+        load.memory.erase(held);
+    }
     if (end == load_outcome::refused || end == load_outcome::unknown)
         return;
     const double sample = end == load_outcome::failed ? 1.0 : 0.0;
@@ -134,6 +142,13 @@
     load.reported = true;
 }
 
+void backend_loads::reported_slowness(const server_id& server,
+                                      double slowness,
+                                      time_point now)
+{
+    loads_[server].slowness.observe(slowness, now);
+}
+
 void backend_loads::on_peer_work(const instance_id& peer,
                                  std::span<const peer_work> work,
                                  time_point now)
@@ -236,6 +251,8 @@
     view.report_age = now - load.reported_at;
     view.reported = load.reported;
     view.failure_rate = decayed_failure_rate(load, now);
+    view.own_memory_tokens = load.memory_tokens;
+    view.slowness = load.slowness.value(now);
     return view;
 }
 
--- a/libs/core/src/gateway_configuration.cpp
+++ b/libs/core/src/gateway_configuration.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace barleyfork {
 
@@ -51,8 +52,27 @@
     return best;
 }
 
+namespace {
+
+/// Returns the priorities of all routes and organisations, without duplicates
+/// and in ascending order.
+std::vector<std::uint32_t>
+collect_priorities(const gateway_configuration& configuration)
+{
+    std::set<std::uint32_t> priorities;
+    for (const auto& route : configuration.routes)
+        priorities.insert(route.priority);
+    for (const auto& organisation : configuration.organisations)
+        if (organisation.priority)
+            priorities.insert(*organisation.priority);
+    return {priorities.begin(), priorities.end()};
+}
+
+} // namespace
+
 void set_queue_targets(gateway_configuration& configuration)
 {
+    configuration.priorities = collect_priorities(configuration);
     // The maximum latency target of each service and priority.
     std::map<service_id, std::map<std::uint32_t, duration>> max_targets;
     for (const auto& route : configuration.routes) {
--- a/libs/core/src/server_choice.cpp
+++ b/libs/core/src/server_choice.cpp
@@ -25,6 +25,9 @@
 constexpr double connect_ms = 8.0;
 /// Costs that differ by less are treated as equal, in ms.
 constexpr double tie_ms = 2.0;
+/// Multiple of the usual queue of the candidates up to which differences of
+/// their queues may be due to work that is not reported yet.
+constexpr double max_uncertain_queues = 2.0;
 
 /// Returns the part of the cost that depends neither on the queue nor on the
 /// distance of the server, in ms.
@@ -78,8 +81,50 @@
     return from[draw % from.size()];
 }
 
+/// Returns the usual time that a request waits at the candidates, in ms.
+double usual_queue_ms(std::span<const server_candidate> candidates,
+                      const engine_work& work)
+{
+    if (candidates.empty())
+        return 0.0;
+    const double own_ms =
+        work.base_ms +
+        static_cast<double>(work.prompt_tokens) * work.ms_per_token;
+    std::vector<double> queues;
+    queues.reserve(candidates.size());
+    for (const auto& candidate : candidates)
+        queues.push_back(expected_first_event_ms(candidate, work) - own_ms);
+    const auto middle =
+        queues.begin() + static_cast<std::ptrdiff_t>(queues.size() / 2);
+    std::nth_element(queues.begin(), middle, queues.end());
+    return std::max(*middle, 0.0);
+}
+
 } // namespace
 
+double expected_admission_ms(const server_candidate& candidate,
+                             const engine_work& work)
+{
+    const auto& load = candidate.load;
+    const double others = std::max(
+        reported_by_others(load.reported_running + load.reported_waiting,
+                           load.own_outstanding,
+                           load),
+        static_cast<double>(load.peer_outstanding));
+    const double slots = std::max<double>(candidate.slots, 1.0);
+    const double above_slots = std::max(
+        static_cast<double>(load.own_outstanding) + others + 1.0 - slots, 0.0);
+    const double slot_ms = work.usual_total_ms * above_slots / slots;
+    if (candidate.cache_tokens == 0)
+        return slot_ms;
+    const auto memory = static_cast<double>(candidate.cache_tokens);
+    const double above_memory = std::max(
+        static_cast<double>(load.own_memory_tokens + work.memory_tokens) +
+            others * work.usual_memory_tokens - memory,
+        0.0);
+    return std::max(slot_ms, work.usual_total_ms * above_memory / memory);
+}
+
 double expected_first_event_ms(const server_candidate& candidate,
                                const engine_work& work)
 {
@@ -89,16 +134,18 @@
     const double reported =
         assumed_prompt_tokens * load.urgent_share *
         reported_by_others(load.reported_waiting, load.own_waiting, load);
-    const double queue_ms = std::max(known, reported) * work.ms_per_token;
+    const double queue_ms =
+        std::max(std::max(known, reported) * work.ms_per_token * load.slowness,
+                 expected_admission_ms(candidate, work));
     const double waited_ms = static_cast<double>(load.oldest_wait.count());
     const double running_delay_ms =
         ms_per_running_request *
         static_cast<double>(
             std::max(load.reported_running,
                      load.own_outstanding + load.peer_outstanding));
-    const double own_ms =
-        static_cast<double>(work.prompt_tokens) * work.ms_per_token;
-    return work.base_ms + own_ms + running_delay_ms +
+    const double own_ms = static_cast<double>(work.prompt_tokens) *
+                          work.ms_per_token * load.slowness;
+    return work.base_ms * load.slowness + own_ms + running_delay_ms +
            std::max(queue_ms, waited_ms - own_ms);
 }
 
@@ -113,7 +160,8 @@
     const double in_flight = static_cast<double>(load.own_outstanding) + others;
     const double slots = std::max<double>(candidate.slots, 1.0);
     const double waited_ms = static_cast<double>(load.oldest_wait.count());
-    return std::max(service_ms * (1.0 + in_flight / slots), waited_ms);
+    return std::max(service_ms * load.slowness * (1.0 + in_flight / slots),
+                    waited_ms);
 }
 
 std::optional<std::size_t>
@@ -121,6 +169,9 @@
               const engine_work& work,
               std::uint64_t draw)
 {
+    const double uncertainty_ms =
+        std::min(work.uncertainty_ms,
+                 max_uncertain_queues * usual_queue_ms(candidates, work));
     return choose_cheapest(
         candidates,
         [&work](const server_candidate& candidate) {
@@ -128,7 +179,7 @@
             return expected_first_event_ms(candidate, work) +
                    engine_distance_ms.at(away) + fixed_cost(candidate);
         },
-        std::max(work.uncertainty_ms, tie_ms),
+        std::max(uncertainty_ms, tie_ms),
         draw);
 }
 
