--- a/libs/gateway/include/barleyfork/gateway/call_codec.hpp
+++ b/libs/gateway/include/barleyfork/gateway/call_codec.hpp
@@ -81,6 +81,9 @@
         std::uint32_t running = 0;
         std::uint32_t waiting = 0;
         std::uint32_t slots = 0;
+        /// How long work takes on the server's machine, relative to usual;
+        /// nothing if the server doesn't tell.
+        std::optional<double> slowness;
     };
     std::optional<server_load> load;
 };
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -151,6 +151,13 @@
     work.ms_per_token = pace.ms_per_token();
     work.base_ms = pace.base_ms();
     work.uncertainty_ms = context_.unreported_work_ms();
+    work.memory_tokens =
+        std::uint64_t{facts_.prompt_tokens} + facts_.max_output_tokens;
+    const auto shape = context_.request_shapes.find(service_);
+    if (shape != context_.request_shapes.end()) {
+        work.usual_memory_tokens = shape->second.memory_tokens;
+        work.usual_total_ms = shape->second.total_ms;
+    }
     return work;
 }
 
@@ -166,6 +173,13 @@
     auto& mean_s =
         context_.request_work_s.try_emplace(service_, work_s).first->second;
     mean_s += work_smoothing * (work_s - mean_s);
+    context_.interference[service_].observe_prompt(facts_.prompt_tokens);
+    const double memory_tokens = static_cast<double>(facts_.prompt_tokens) +
+                                 static_cast<double>(facts_.max_output_tokens);
+    auto& usual_tokens =
+        context_.request_shapes.try_emplace(service_, memory_tokens)
+            .first->second.memory_tokens;
+    usual_tokens += work_smoothing * (memory_tokens - usual_tokens);
     if (!facts_.adapter.empty())
         context_.demand_to_report.uses.emplace(facts_.model, facts_.adapter);
 }
@@ -348,6 +362,11 @@
     if (!attempt_)
         return;
     const auto& abandoned = *attempt_;
+    if (abandoned.order == prompt_order::yields &&
+        abandoned.has_begun_sending && !abandoned.has_first_event &&
+        now > abandoned.sent_at +
+                  duration(static_cast<std::int64_t>(abandoned.expected_ms)))
+        observe_yielded(now);
     if (abandoned.has_begun_sending && !abandoned.is_answer_complete)
         context_.crashes.on_request_abandoned(
             {abandoned.server, abandoned.started_ms},
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -81,6 +81,7 @@
         boost::asio::ip::tcp::endpoint target;
         double expected_ms = 0.0;
         std::size_t candidates = 0;
+        prompt_order order = prompt_order::in_turn;
     };
 
     /// One send of the request to a server.
@@ -154,6 +155,12 @@
     std::optional<choice> choose(time_point now, wait_reason& reason);
     double expected_ms(const server_candidate& candidate) const;
     engine_work work() const;
+    bool may_yield() const;
+    std::uint32_t load_priority(prompt_order order) const;
+    void choose_order(choice& chosen,
+                      const server_candidate& yielding,
+                      time_point now) const;
+    void observe_yielded(time_point now);
     bool is_for_engine() const;
     const gateway_service* service() const;
     admission decide_admission(const choice& chosen, time_point now) const;
--- a/libs/gateway/src/gateway_call_answers.cpp
+++ b/libs/gateway/src/gateway_call_answers.cpp
@@ -94,6 +94,9 @@
     if (facts.load)
         context_.loads.reported(
             attempt_->server, facts.load->running, facts.load->waiting, now);
+    if (facts.load && facts.load->slowness)
+        context_.loads.reported_slowness(
+            attempt_->server, *facts.load->slowness, now);
     attempt_->head = head;
     attempt_->facts = std::move(facts);
     attempt_->last_progress_at = now;
@@ -215,7 +218,9 @@
         context_.loads.on_answer_started(attempt_->server, attempt_->ticket);
         context_.wake_waiting_calls();
         const auto elapsed = steady_now() - attempt_->sent_at;
-        if (is_for_engine() && !is_delivering_)
+        if (attempt_->order == prompt_order::yields)
+            observe_yielded(steady_now());
+        else if (is_for_engine() && !is_delivering_)
             context_.paces[facts_.model].observe(attempt_->tokens_ahead,
                                                  elapsed);
     }
@@ -383,6 +388,12 @@
                       : 0);
         return;
     }
+    if (is_for_engine()) {
+        auto& total = context_.request_shapes[service_].total_ms;
+        total +=
+            smoothing_weight *
+            (static_cast<double>((now - attempt_->sent_at).count()) - total);
+    }
     if (is_for_engine() || route_->kind == call_kind::stream)
         return;
     auto& time =
--- a/libs/gateway/src/gateway_call_attempts.cpp
+++ b/libs/gateway/src/gateway_call_attempts.cpp
@@ -5,6 +5,7 @@
 #include <barleyfork/base/log.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace barleyfork {
 
@@ -12,6 +13,7 @@
 
 /// A healthy server responds within this multiple of the expected time.
 constexpr double attempt_timeout_factor = 4.0;
+constexpr double hundred = 100.0;
 
 } // namespace
 
@@ -22,7 +24,8 @@
     facts.expected = server;
     facts.time_left = std::max(deadline_ - now, duration{1});
     if (is_for_engine())
-        facts.urgency = route_->priority;
+        facts.urgency = engine_urgency(
+            configuration_->priorities, route_->priority, attempt_->order);
     if (is_delivering_)
         facts.resume_after = last_event_;
     return context_.platform.codec->make_forwarding_headers(facts);
@@ -39,11 +42,17 @@
     attempt_->suspected = is_suspected(now);
     if (attempt_->suspected)
         context_.suspects.begin(suspects_.request, chosen.server);
-    const auto load = context_.loads.view(chosen.server, route_->priority, now);
+    const auto priority = load_priority(chosen.order);
+    const auto load = context_.loads.view(chosen.server, priority, now);
     attempt_->tokens_ahead = load.own_waiting_tokens + facts_.prompt_tokens;
     context_.count_against_limit({chosen.server, chosen.started_ms}, now);
-    attempt_->ticket = context_.loads.begin(
-        chosen.server, facts_.prompt_tokens, route_->priority, now);
+    attempt_->ticket = context_.loads.begin(chosen.server,
+                                            facts_.prompt_tokens,
+                                            priority,
+                                            now,
+                                            facts_.max_output_tokens);
+    if (chosen.order == prompt_order::yields)
+        context_.measures.count_yielded_prompt();
     attempt_->connection = context_.pool.acquire(
         chosen.target, facts_.client_attempt_id, route_->is_retryable(), now);
     ++sends_per_server_[chosen.server];
@@ -59,6 +68,8 @@
         .with("candidates", static_cast<std::int64_t>(chosen.candidates))
         .with("prompt_tokens", static_cast<std::int64_t>(facts_.prompt_tokens))
         .with("tokens_ahead", static_cast<std::int64_t>(attempt_->tokens_ahead))
+        .with("yields", chosen.order == prompt_order::yields ? 1 : 0)
+        .with("slowness_percent", std::llround(hundred * load.slowness))
         .with("expected_ms", static_cast<std::int64_t>(chosen.expected_ms))
         .with("load_age_ms", load.reported ? load.report_age.count() : -1)
         .with("configuration",
@@ -107,6 +118,15 @@
     return !is_rejecting && !context_.quarantine.refusal_cause(suspects_, now);
 }
 
+/// Records how long a prompt that gave way has waited so far.
+void gateway_call::observe_yielded(time_point now)
+{
+    context_.interference[service_].observe_yielded(
+        attempt_->expected_ms,
+        static_cast<double>((now - attempt_->sent_at).count()),
+        now);
+}
+
 /// Ends an attempt of which no byte was sent. The request is sent to another
 /// server or rejected.
 void gateway_call::withdraw_attempt(time_point now)
--- a/libs/gateway/src/gateway_call_choice.cpp
+++ b/libs/gateway/src/gateway_call_choice.cpp
@@ -31,6 +31,11 @@
 {
     std::vector<server_candidate> found;
     const bool suspected = is_suspected(now);
+    const auto priority = load_priority(may_yield() ? prompt_order::yields
+                                                    : prompt_order::in_turn);
+    const auto* engine = service() != nullptr && service()->engine
+                             ? &*service()->engine
+                             : nullptr;
     bool any_isolated = false;
     bool any_rejecting = false;
     bool any_limited = false;
@@ -65,9 +70,10 @@
         }
         server_candidate candidate;
         candidate.server = id;
-        candidate.load = context_.loads.view(id, route_->priority, now);
+        candidate.load = context_.loads.view(id, priority, now);
         candidate.away = context_.distance_to(state.entry.failure_domain);
         candidate.slots = state.entry.slots;
+        candidate.cache_tokens = engine == nullptr ? 0 : engine->cache_tokens;
         candidate.tried = sends > 0;
         candidate.connected = context_.pool.has_idle(
             endpoint_of(state.entry), route_->is_retryable(), now);
@@ -181,9 +187,54 @@
     chosen.target = endpoint_of(entry);
     chosen.expected_ms = expected_ms(picked);
     chosen.candidates = found.size();
+    if (may_yield())
+        choose_order(chosen, picked, now);
     return chosen;
 }
 
+/// Returns true if the prompt is so long that it may give way to shorter ones.
+/// A stream that has begun is resumed in its turn.
+bool gateway_call::may_yield() const
+{
+    const auto found = context_.interference.find(service_);
+    if (!is_for_engine() || is_delivering_ ||
+        found == context_.interference.end())
+        return false;
+    const double read_ms =
+        static_cast<double>(facts_.prompt_tokens) * work().ms_per_token;
+    return found->second.is_long(
+        facts_.prompt_tokens, read_ms, route_->latency_target);
+}
+
+/// Returns the priority at which the request counts in the load of a server: a
+/// prompt that gives way is read among those of the next priority.
+std::uint32_t gateway_call::load_priority(prompt_order order) const
+{
+    return route_->priority + (order == prompt_order::yields ? 1U : 0U);
+}
+
+/// Sets the order and the expected time of a long prompt. `yielding` is the
+/// chosen server with the load ahead of a prompt that gives way.
+void gateway_call::choose_order(choice& chosen,
+                                const server_candidate& yielding,
+                                time_point now) const
+{
+    auto in_turn = yielding;
+    in_turn.load = context_.loads.view(chosen.server, route_->priority, now);
+    const auto own = work();
+    prompt_prospects prospects;
+    prospects.prompt_tokens = facts_.prompt_tokens;
+    prospects.read_ms =
+        static_cast<double>(own.prompt_tokens) * own.ms_per_token;
+    prospects.in_turn_ms = expected_first_event_ms(in_turn, own);
+    prospects.yielding_ms = chosen.expected_ms;
+    prospects.to_target = received_at_ + route_->latency_target - now;
+    prospects.to_disconnect = expected_disconnect_at() - now;
+    chosen.order = context_.interference.at(service_).decide(prospects, now);
+    if (chosen.order == prompt_order::in_turn)
+        chosen.expected_ms = prospects.in_turn_ms;
+}
+
 /// Returns when the caller is expected to disconnect if no response has begun
 /// by then.
 time_point gateway_call::expected_disconnect_at() const
--- a/libs/gateway/src/gateway_context.cpp
+++ b/libs/gateway/src/gateway_context.cpp
@@ -14,8 +14,10 @@
 constexpr duration max_update_interval{800};
 /// Limits the updates that the lease holder receives to about 700 per second.
 constexpr double update_interval_ms_per_daemon = 1.5;
-/// The fraction of time during which a busy server works.
-constexpr double busy_utilisation = 0.8;
+/// Age of other daemons' updates when they arrive with those of the next
+/// ones, on average over daemons and time: one interval to the lease holder and
+/// half of one to the others.
+constexpr double update_age_intervals = 1.5;
 
 /// The fraction of the instance's memory that the bodies of all requests may
 /// use.
@@ -211,8 +213,8 @@
 
 double gateway_context::unreported_work_ms() const noexcept
 {
-    const auto extra_delay = update_interval() - min_update_interval;
-    return busy_utilisation * static_cast<double>(extra_delay.count());
+    return update_age_intervals *
+           static_cast<double>(update_interval().count());
 }
 
 void gateway_context::wake_waiting_calls()
--- a/libs/gateway/src/gateway_context.hpp
+++ b/libs/gateway/src/gateway_context.hpp
@@ -16,6 +16,7 @@
 #include <barleyfork/core/gateway_configuration.hpp>
 #include <barleyfork/core/memory_budget.hpp>
 #include <barleyfork/core/pace_estimator.hpp>
+#include <barleyfork/core/prompt_interference.hpp>
 #include <barleyfork/core/request_limits.hpp>
 #include <barleyfork/core/server_choice.hpp>
 #include <barleyfork/core/server_process.hpp>
@@ -38,6 +39,15 @@
 
 namespace barleyfork {
 
+/// The smoothed size and duration of the requests to an engine service.
+struct request_shape
+{
+    /// Tokens that a request may hold in the memory of an engine.
+    double memory_tokens = 0.0;
+    /// Time from the sending of a request to its end, in milliseconds.
+    double total_ms = 0.0;
+};
+
 /// Bounded sets of the models and adapters that callers need, reported to the
 /// holder of the placement lease.
 struct placement_demand
@@ -129,9 +139,8 @@
     /// server-seconds per second; 1 if that is no restriction.
     double capacity(const backend_entry& server) const;
 
-    /// Returns the work that other daemons may have sent to a server in the
-    /// time by which the update interval exceeds its minimum, in milliseconds
-    /// of server time.
+    /// Returns the work that other daemons may have sent to a server since the
+    /// updates that this daemon has, in milliseconds of server time.
     double unreported_work_ms() const noexcept;
 
     /// Lets each waiting call try again to choose a server.
@@ -184,6 +193,9 @@
     /// The smoothed work of a request to each engine service, in
     /// server-seconds.
     std::map<service_id, double> request_work_s;
+    std::map<service_id, request_shape> request_shapes;
+    /// Which prompts give way to shorter ones, by engine service.
+    std::map<service_id, prompt_interference> interference;
     /// The smoothed response time of each plain service, in milliseconds.
     std::map<service_id, double> service_times_ms;
     placement_demand demand_to_report;
--- a/libs/gateway/src/gateway_metrics.cpp
+++ b/libs/gateway/src/gateway_metrics.cpp
@@ -118,6 +118,8 @@
     write_times(out, "barleyfork_wait_ms", histograms_->wait);
     write_counter(out, "barleyfork_repeats_total", retry_count_);
     write_counter(out, "barleyfork_orders_total", order_count_);
+    write_counter(
+        out, "barleyfork_yielded_prompts_total", yielded_prompt_count_);
     out << "# TYPE barleyfork_store_calls_total counter\n";
     for (std::size_t i = 0; i < store_calls_.size(); ++i)
         out << "barleyfork_store_calls_total{purpose=\""
--- a/libs/gateway/src/gateway_metrics.hpp
+++ b/libs/gateway/src/gateway_metrics.hpp
@@ -42,6 +42,11 @@
     {
         ++retry_count_;
     }
+    /// Counts a long prompt that was sent to be read after shorter ones.
+    void count_yielded_prompt() noexcept
+    {
+        ++yielded_prompt_count_;
+    }
     void count_order() noexcept
     {
         ++order_count_;
@@ -71,6 +76,7 @@
     std::unique_ptr<histograms> histograms_;
     std::uint64_t retry_count_ = 0;
     std::uint64_t order_count_ = 0;
+    std::uint64_t yielded_prompt_count_ = 0;
     std::array<std::uint64_t, store_purposes> store_calls_{};
     std::uint64_t version_ = 0;
     duration configuration_age_{0};
