--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -271,6 +271,7 @@
     }
     context.settings.bounds = std::move(reloaded.bounds);
     context.settings.placement = std::move(reloaded.placement);
+    context.update_quotas();
     log_event(log_level::info, "settings_reloaded").with("file", settings_file);
 }
 
@@ -299,7 +300,7 @@
     context.measures.set_ages(now - context.configuration_known_at,
                               now - watch.list_known_at(),
                               context.confirmed_age());
-    answer.body = context.measures.to_prometheus();
+    answer.body = context.measures.to_prometheus() + context.quotas.metrics();
     co_await out.send(std::move(answer));
 }
 
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -5,6 +5,7 @@
 #include <barleyfork/base/log.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace barleyfork {
 
@@ -21,6 +22,10 @@
 /// A caller that is rejected because of the servers' limits may find another
 /// daemon that is allowed to send; it is not kept away for longer than this.
 constexpr duration max_limit_delay{2000};
+/// A request waits for tokens of its organisation's quota for at most this time
+/// and this fraction of its own.
+constexpr duration max_quota_wait{250};
+constexpr int quota_wait_divisor = 8;
 /// The cost of an output token relative to a prompt token.
 constexpr double output_weight = 2.5;
 /// The weight of a new sample in the mean work of a request.
@@ -66,10 +71,76 @@
         return;
     }
     set_deadline(now);
+    if (use_quota())
+        run_admitted();
+}
+
+void gateway_call::run_admitted()
+{
     count_demand();
     dispatch();
 }
 
+/// Uses the tokens of the organisation's quota. Returns false if the request
+/// waits for tokens or was rejected.
+bool gateway_call::use_quota()
+{
+    if (organisation_ == nullptr || !organisation_->quota.is_limited())
+        return true;
+    const double tokens =
+        facts_.has_token_count
+            ? static_cast<double>(facts_.prompt_tokens) +
+                  static_cast<double>(facts_.max_output_tokens)
+            : static_cast<double>(organisation_->quota.plain_tokens);
+    const auto patience = std::min(
+        max_quota_wait, (deadline_ - received_at_) / quota_wait_divisor);
+    const std::weak_ptr<gateway_call> self = weak_from_this();
+    const auto decision = context_.quotas.decide(
+        *organisation_, tokens, patience, [self](const auto& later) {
+            if (const auto call = self.lock())
+                call->on_quota_decision(later);
+        });
+    quota_ticket_ = decision.ticket;
+    if (decision.result == quota_decision::outcome::waits) {
+        return false;
+    }
+    if (decision.result == quota_decision::outcome::admitted) {
+        charge_ = decision.charge;
+        return true;
+    }
+    on_quota_decision(decision);
+    return false;
+}
+
+void gateway_call::on_quota_decision(const quota_decision& decision)
+{
+    const auto self = shared_from_this();
+    quota_ticket_ = 0;
+    if (is_finished_)
+        return;
+    if (decision.result == quota_decision::outcome::admitted) {
+        charge_ = decision.charge;
+        run_admitted();
+        return;
+    }
+    log_event(log_level::info, "quota_refused")
+        .with("request", facts_.client_attempt_id)
+        .with("organisation", organisation_->id.value())
+        .with("retry_ms", decision.retry_after.count())
+        .with("waited_ms", (steady_now() - received_at_).count());
+    reject(errc::limit_reached, decision.retry_after);
+}
+
+/// Returns the tokens of a request that was not run, or stops waiting for them.
+void gateway_call::release_quota()
+{
+    if (quota_ticket_ != 0)
+        context_.quotas.cancel(*organisation_, std::exchange(quota_ticket_, 0));
+    if (!charge_.empty() && uncertain_sends_ == 0)
+        context_.quotas.put_back(*organisation_, charge_);
+    charge_.clear();
+}
+
 bool gateway_call::is_accepted_while_draining(time_point now) const
 {
     return route_->kind == call_kind::stream
@@ -444,6 +515,7 @@
     if (attempt_)
         attempt_->adapter_in_use.reset();
     stop_waiting();
+    release_quota();
     context_.timers.cancel(deadline_timer_);
     context_.timers.cancel(attempt_timer_);
     context_.measures.count_outcome(kind);
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -151,6 +151,10 @@
     void on_shutdown();
     time_point deadline_of(time_point arrived_at) const;
     void set_deadline(time_point now);
+    bool use_quota();
+    void on_quota_decision(const quota_decision& decision);
+    void release_quota();
+    void run_admitted();
     void count_demand();
     void dispatch();
     std::vector<server_candidate> candidates(time_point now,
@@ -233,6 +237,12 @@
     /// The organisation of the caller's key, which `configuration_` contains;
     /// null if the request needs no key.
     const gateway_organisation* organisation_ = nullptr;
+    /// The tokens of the organisation's quota that this request uses, or its
+    /// ticket while it waits for them.
+    quota_charge charge_;
+    std::uint64_t quota_ticket_ = 0;
+    /// The number of sends that a server may have run.
+    int uncertain_sends_ = 0;
     const gateway_route* route_ = nullptr;
     service_id service_;
     std::optional<request_progress> progress_;
--- a/libs/gateway/src/gateway_call_attempts.cpp
+++ b/libs/gateway/src/gateway_call_attempts.cpp
@@ -93,6 +93,7 @@
         context_.measures.count_retry();
     }
     ++send_count_;
+    ++uncertain_sends_;
     return write_request(request_,
                          *context_.platform.codec,
                          forward_headers(attempt_->server, now));
--- a/libs/gateway/src/gateway_context.cpp
+++ b/libs/gateway/src/gateway_context.cpp
@@ -76,7 +76,7 @@
                     fraction_of_memory(settings, one_answer_memory_fraction),
                     guaranteed_answer_bytes),
       crashes(serving.executor(), timers, pool, loads),
-      quarantine(refusal_limits), limits(self)
+      quarantine(refusal_limits), limits(self), quotas(self, timers)
 {
     for (const auto& place : settings.places)
         regions_.emplace(place->failure_domain, place->region);
@@ -239,6 +239,17 @@
 {
     keys = key_directory(*newer);
     configuration = std::move(newer);
+    update_quotas();
+}
+
+void gateway_context::update_quotas()
+{
+    if (!configuration)
+        return;
+    const auto& set = *settings.bounds;
+    quotas.set_organisations(
+        configuration->organisations,
+        {seconds(set.quota_window_s), set.quota_over, set.quota_slack});
 }
 
 std::optional<duration> gateway_context::confirmed_age() const
--- a/libs/gateway/src/gateway_context.hpp
+++ b/libs/gateway/src/gateway_context.hpp
@@ -4,6 +4,7 @@
 #include "backend_pool.hpp"
 #include "crash_watch.hpp"
 #include "gateway_metrics.hpp"
+#include "quota_exchange.hpp"
 #include "store_clock.hpp"
 #include "timer_queue.hpp"
 
@@ -148,6 +149,9 @@
     /// Puts a configuration in force.
     void set_configuration(std::shared_ptr<const gateway_configuration> newer);
 
+    /// Applies the quotas of the configuration and their settings.
+    void update_quotas();
+
     /// Returns the time since `configuration` was last known to be the newest
     /// one, by the clock that advances while the machine is suspended; nothing
     /// if it never was.
@@ -189,6 +193,8 @@
     /// The servers on which suspected, not yet quarantined requests run.
     suspect_runs suspects;
     gateway_metrics measures;
+    /// What the organisations' quotas allow.
+    quota_exchange quotas;
     /// Null until the first configuration was received.
     std::shared_ptr<const gateway_configuration> configuration;
     /// Time as of which `configuration` is known to be the newest one.
--- a/libs/gateway/src/peer_updates.cpp
+++ b/libs/gateway/src/peer_updates.cpp
@@ -39,6 +39,11 @@
       started_ms_(static_cast<std::uint64_t>(wall_clock_ms())),
       started_at_(steady_now()), refusals_(context), suspicions_(context)
 {
+    context_.quotas.on_send([this](const instance_id& to,
+                                   schema::message_kind kind,
+                                   quota_exchange::transfer tokens) {
+        send_tokens(to, kind, std::move(tokens));
+    });
     watch.on_changes_missed([this] { request_missed_changes(); });
     watch.on_list_read([this] {
         if (!is_lease_holder_ && !is_holder_responsive(steady_now()))
@@ -330,12 +335,32 @@
     case schema::message_kind::crashes:
         on_crashes(message);
         return;
+    case schema::message_kind::quota_request:
+    case schema::message_kind::quota_grant:
+        if (message.tokens)
+            context_.quotas.receive({sender, message.sender->incarnation},
+                                    message.kind,
+                                    *message.tokens);
+        return;
     default:
         log_event(log_level::warn, "peer_message_ignored")
             .with("sender", sender.value());
     }
 }
 
+/// Sends tokens to a daemon, or asks it for some.
+void peer_updates::send_tokens(const instance_id& to,
+                               schema::message_kind kind,
+                               quota_exchange::transfer tokens)
+{
+    const auto found = members_.find(to);
+    if (found == members_.end())
+        return;
+    auto message = make_message(kind);
+    message.tokens = std::move(tokens);
+    link_.send(found->second.address, message, false);
+}
+
 void peer_updates::on_placement(const schema::peer_message_record& message)
 {
     if (message.epoch < holder_epoch_)
--- a/libs/gateway/src/peer_updates.hpp
+++ b/libs/gateway/src/peer_updates.hpp
@@ -179,6 +179,10 @@
     void apply_members(const store_read& read);
     void apply_member(const store_row& row);
     void update_limit_sharers();
+    void update_quota_sharers(bool is_counted);
+    void send_tokens(const instance_id& to,
+                     schema::message_kind kind,
+                     quota_exchange::transfer tokens);
     void update_reader_rank();
     boost::asio::awaitable<void> register_self();
     boost::asio::awaitable<void> register_again();
@@ -198,6 +202,9 @@
     bool has_read_members_ = false;
     /// From when on the other daemons list this one.
     std::optional<time_point> counted_from_;
+    /// When this daemon, if it is new, reads the list again before it mints
+    /// tokens: of daemons that start together, the first read shows only some.
+    std::optional<time_point> second_listing_at_;
     /// When this daemon checks its row, which a restored store may lack.
     std::optional<time_point> registration_due_at_;
     /// Whether the last report to the neighbours announced that this daemon
--- a/libs/gateway/src/peer_updates_neighbours.cpp
+++ b/libs/gateway/src/peer_updates_neighbours.cpp
@@ -24,6 +24,8 @@
 constexpr std::int64_t holder_interval_ms = 3000;
 /// Time after which all daemons have read of a new one.
 constexpr duration joining_delay{member_interval_ms + 5000};
+/// Time within which daemons that start together register.
+constexpr duration second_listing_delay{3000};
 /// Interval of checks whether a read of that list is due, and thus also the
 /// delay after a failed read.
 constexpr std::int64_t member_poll_ms = 600;
@@ -116,6 +118,8 @@
     co_await register_self();
     const bool is_new = !listed_before && !context_.settings.first_start;
     counted_from_ = steady_now() + (is_new ? joining_delay : duration{0});
+    if (!listed_before)
+        second_listing_at_ = steady_now() + second_listing_delay;
     // Daemons that start together for the first time are all listed only after
     // a while, so the list is read again soon.
     auto read_at =
@@ -129,10 +133,16 @@
         const duration interval(is_lease_holder_ ? holder_interval_ms
                                                  : member_interval_ms);
         update_limit_sharers();
-        if (steady_now() < read_at + interval)
+        const bool is_second = second_listing_at_ &&
+                               steady_now() >= *second_listing_at_ &&
+                               context_.quotas.is_active();
+        if (steady_now() < read_at + interval && !is_second)
             continue;
-        if (co_await read_members())
-            read_at = steady_now();
+        if (!co_await read_members())
+            continue;
+        read_at = steady_now();
+        if (is_second)
+            second_listing_at_.reset();
     }
 }
 
@@ -162,6 +172,23 @@
     const bool is_counted =
         has_read_members_ && counted_from_ && steady_now() >= *counted_from_;
     context_.limits.set_daemons(std::move(listed), is_counted);
+    update_quota_sharers(is_counted);
+}
+
+/// Sets which daemons mint and pool the tokens of quotas. Links are compared
+/// with the precision of messages, so that all daemons order them alike.
+void peer_updates::update_quota_sharers(bool is_counted)
+{
+    if (!context_.quotas.is_active())
+        return;
+    std::vector<pool_candidate> candidates;
+    for (const auto& [id, entry] : members_)
+        if (id != context_.self)
+            candidates.push_back({id, static_cast<float>(entry.link_mbps)});
+    candidates.push_back(
+        {context_.self, static_cast<float>(context_.settings.link_mbps)});
+    context_.quotas.set_daemons(std::move(candidates),
+                                is_counted && !second_listing_at_);
 }
 
 void peer_updates::apply_member(const store_row& row)
--- a/libs/net/src/peer_link.cpp
+++ b/libs/net/src/peer_link.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t max_kept_connections = 64;
+constexpr std::size_t max_kept_connections = 512;
 constexpr duration connect_timeout{1000};
 constexpr duration write_timeout{2000};
 constexpr duration frame_timeout{5000};
--- a/libs/schema/include/barleyfork/schema/peer_generated.h
+++ b/libs/schema/include/barleyfork/schema/peer_generated.h
@@ -36,9 +36,9 @@
 struct configuration_digestBuilder;
 struct configuration_digest_record;
 
-struct organisation_tokens;
-struct organisation_tokensBuilder;
-struct organisation_tokens_record;
+struct account_tokens;
+struct account_tokensBuilder;
+struct account_tokens_record;
 
 struct token_transfer;
 struct token_transferBuilder;
@@ -806,125 +806,137 @@
 
 flatbuffers::Offset<configuration_digest> Createconfiguration_digest(flatbuffers::FlatBufferBuilder &_fbb, const configuration_digest_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct organisation_tokens_record : public flatbuffers::NativeTable {
-  typedef organisation_tokens TableType;
-  uint64_t organisation = 0;
-  double transferred = 0.0;
-  double waiting = 0.0;
-  double wanted = 0.0;
-  double granted = 0.0;
+struct account_tokens_record : public flatbuffers::NativeTable {
+  typedef account_tokens TableType;
+  uint64_t account = 0;
+  float transferred = 0.0f;
+  float waiting = 0.0f;
+  float first = 0.0f;
+  float wanted = 0.0f;
+  float granted = 0.0f;
   uint32_t available_in_ms = 0;
 };
 
-/// One organisation's part of a request for tokens, or of the grant that
-/// answers it; the organisation is identified by a hash of its id.
+/// One account's part of a request for tokens, or of the grant that answers it.
+/// `account` is a hash of the organisation's id and its quota.
 ///
 /// In a request, `transferred` tokens of the sender's own share are moved to the
-/// receiver, `waiting` tokens are needed by requests that wait now, and `wanted`
-/// tokens are expected to be needed soon. A grant gives `granted` tokens; where
-/// that is less than what waits, more is available after `available_in_ms`.
-struct organisation_tokens FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef organisation_tokens_record NativeTableType;
-  typedef organisation_tokensBuilder Builder;
+/// receiver, `waiting` tokens are needed by requests that wait now, of which the
+/// first needs `first`, and `wanted` tokens are expected to be needed soon. A
+/// grant gives `granted` tokens; where that is less than what waits, more is
+/// available after `available_in_ms`.
+struct account_tokens FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef account_tokens_record NativeTableType;
+  typedef account_tokensBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ORGANISATION = 4,
+    VT_ACCOUNT = 4,
     VT_TRANSFERRED = 6,
     VT_WAITING = 8,
-    VT_WANTED = 10,
-    VT_GRANTED = 12,
-    VT_AVAILABLE_IN_MS = 14
+    VT_FIRST = 10,
+    VT_WANTED = 12,
+    VT_GRANTED = 14,
+    VT_AVAILABLE_IN_MS = 16
   };
-  uint64_t organisation() const {
-    return GetField<uint64_t>(VT_ORGANISATION, 0);
+  uint64_t account() const {
+    return GetField<uint64_t>(VT_ACCOUNT, 0);
   }
-  double transferred() const {
-    return GetField<double>(VT_TRANSFERRED, 0.0);
+  float transferred() const {
+    return GetField<float>(VT_TRANSFERRED, 0.0f);
   }
-  double waiting() const {
-    return GetField<double>(VT_WAITING, 0.0);
+  float waiting() const {
+    return GetField<float>(VT_WAITING, 0.0f);
   }
-  double wanted() const {
-    return GetField<double>(VT_WANTED, 0.0);
+  float first() const {
+    return GetField<float>(VT_FIRST, 0.0f);
   }
-  double granted() const {
-    return GetField<double>(VT_GRANTED, 0.0);
+  float wanted() const {
+    return GetField<float>(VT_WANTED, 0.0f);
+  }
+  float granted() const {
+    return GetField<float>(VT_GRANTED, 0.0f);
   }
   uint32_t available_in_ms() const {
     return GetField<uint32_t>(VT_AVAILABLE_IN_MS, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_ORGANISATION, 8) &&
-           VerifyField<double>(verifier, VT_TRANSFERRED, 8) &&
-           VerifyField<double>(verifier, VT_WAITING, 8) &&
-           VerifyField<double>(verifier, VT_WANTED, 8) &&
-           VerifyField<double>(verifier, VT_GRANTED, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ACCOUNT, 8) &&
+           VerifyField<float>(verifier, VT_TRANSFERRED, 4) &&
+           VerifyField<float>(verifier, VT_WAITING, 4) &&
+           VerifyField<float>(verifier, VT_FIRST, 4) &&
+           VerifyField<float>(verifier, VT_WANTED, 4) &&
+           VerifyField<float>(verifier, VT_GRANTED, 4) &&
            VerifyField<uint32_t>(verifier, VT_AVAILABLE_IN_MS, 4) &&
            verifier.EndTable();
   }
-  organisation_tokens_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(organisation_tokens_record *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<organisation_tokens> Pack(flatbuffers::FlatBufferBuilder &_fbb, const organisation_tokens_record* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  account_tokens_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(account_tokens_record *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<account_tokens> Pack(flatbuffers::FlatBufferBuilder &_fbb, const account_tokens_record* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct organisation_tokensBuilder {
-  typedef organisation_tokens Table;
+struct account_tokensBuilder {
+  typedef account_tokens Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_organisation(uint64_t organisation) {
-    fbb_.AddElement<uint64_t>(organisation_tokens::VT_ORGANISATION, organisation, 0);
+  void add_account(uint64_t account) {
+    fbb_.AddElement<uint64_t>(account_tokens::VT_ACCOUNT, account, 0);
+  }
+  void add_transferred(float transferred) {
+    fbb_.AddElement<float>(account_tokens::VT_TRANSFERRED, transferred, 0.0f);
   }
-  void add_transferred(double transferred) {
-    fbb_.AddElement<double>(organisation_tokens::VT_TRANSFERRED, transferred, 0.0);
+  void add_waiting(float waiting) {
+    fbb_.AddElement<float>(account_tokens::VT_WAITING, waiting, 0.0f);
   }
-  void add_waiting(double waiting) {
-    fbb_.AddElement<double>(organisation_tokens::VT_WAITING, waiting, 0.0);
+  void add_first(float first) {
+    fbb_.AddElement<float>(account_tokens::VT_FIRST, first, 0.0f);
   }
-  void add_wanted(double wanted) {
-    fbb_.AddElement<double>(organisation_tokens::VT_WANTED, wanted, 0.0);
+  void add_wanted(float wanted) {
+    fbb_.AddElement<float>(account_tokens::VT_WANTED, wanted, 0.0f);
   }
-  void add_granted(double granted) {
-    fbb_.AddElement<double>(organisation_tokens::VT_GRANTED, granted, 0.0);
+  void add_granted(float granted) {
+    fbb_.AddElement<float>(account_tokens::VT_GRANTED, granted, 0.0f);
   }
   void add_available_in_ms(uint32_t available_in_ms) {
-    fbb_.AddElement<uint32_t>(organisation_tokens::VT_AVAILABLE_IN_MS, available_in_ms, 0);
+    fbb_.AddElement<uint32_t>(account_tokens::VT_AVAILABLE_IN_MS, available_in_ms, 0);
   }
-  explicit organisation_tokensBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit account_tokensBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<organisation_tokens> Finish() {
+  flatbuffers::Offset<account_tokens> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<organisation_tokens>(end);
+    auto o = flatbuffers::Offset<account_tokens>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<organisation_tokens> Createorganisation_tokens(
+inline flatbuffers::Offset<account_tokens> Createaccount_tokens(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t organisation = 0,
-    double transferred = 0.0,
-    double waiting = 0.0,
-    double wanted = 0.0,
-    double granted = 0.0,
+    uint64_t account = 0,
+    float transferred = 0.0f,
+    float waiting = 0.0f,
+    float first = 0.0f,
+    float wanted = 0.0f,
+    float granted = 0.0f,
     uint32_t available_in_ms = 0) {
-  organisation_tokensBuilder builder_(_fbb);
+  account_tokensBuilder builder_(_fbb);
+  builder_.add_account(account);
+  builder_.add_available_in_ms(available_in_ms);
   builder_.add_granted(granted);
   builder_.add_wanted(wanted);
+  builder_.add_first(first);
   builder_.add_waiting(waiting);
   builder_.add_transferred(transferred);
-  builder_.add_organisation(organisation);
-  builder_.add_available_in_ms(available_in_ms);
   return builder_.Finish();
 }
 
-struct organisation_tokens::Traits {
-  using type = organisation_tokens;
-  static auto constexpr Create = Createorganisation_tokens;
+struct account_tokens::Traits {
+  using type = account_tokens;
+  static auto constexpr Create = Createaccount_tokens;
 };
 
-flatbuffers::Offset<organisation_tokens> Createorganisation_tokens(flatbuffers::FlatBufferBuilder &_fbb, const organisation_tokens_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<account_tokens> Createaccount_tokens(flatbuffers::FlatBufferBuilder &_fbb, const account_tokens_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct token_transfer_record : public flatbuffers::NativeTable {
   typedef token_transfer TableType;
@@ -932,7 +944,9 @@
   int64_t sent_ms = 0;
   int64_t echo_ms = 0;
   uint32_t echo_age_ms = 0;
-  std::vector<std::unique_ptr<barleyfork::schema::organisation_tokens_record>> organisations{};
+  bool counted = false;
+  uint32_t daemons = 0;
+  std::vector<std::unique_ptr<barleyfork::schema::account_tokens_record>> accounts{};
   token_transfer_record() = default;
   token_transfer_record(const token_transfer_record &o);
   token_transfer_record(token_transfer_record&&) FLATBUFFERS_NOEXCEPT = default;
@@ -940,9 +954,11 @@
 };
 
 /// A request for tokens or a grant. A grant repeats the `request_number` of its
-/// request. `sent_ms` is the sender's monotonic clock; a request returns the
-/// `sent_ms` of the last grant as `echo_ms` and the time since its receipt as
-/// `echo_age_ms`, so that the receiver knows how long both were on their way.
+/// request and is dated `sent_ms` by the sender's boot clock; a request returns
+/// the `sent_ms` of the last grant as `echo_ms`, if it is not 0, and the time
+/// since its receipt as `echo_age_ms`, so that the receiver knows how long both
+/// were on their way. `counted` is set in requests of daemons that no other pool
+/// counts; `daemons` is the number of daemons that the sender knows.
 struct token_transfer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef token_transfer_record NativeTableType;
   typedef token_transferBuilder Builder;
@@ -952,7 +968,9 @@
     VT_SENT_MS = 6,
     VT_ECHO_MS = 8,
     VT_ECHO_AGE_MS = 10,
-    VT_ORGANISATIONS = 12
+    VT_COUNTED = 12,
+    VT_DAEMONS = 14,
+    VT_ACCOUNTS = 16
   };
   uint64_t request_number() const {
     return GetField<uint64_t>(VT_REQUEST_NUMBER, 0);
@@ -966,8 +984,14 @@
   uint32_t echo_age_ms() const {
     return GetField<uint32_t>(VT_ECHO_AGE_MS, 0);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::organisation_tokens>> *organisations() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::organisation_tokens>> *>(VT_ORGANISATIONS);
+  bool counted() const {
+    return GetField<uint8_t>(VT_COUNTED, 0) != 0;
+  }
+  uint32_t daemons() const {
+    return GetField<uint32_t>(VT_DAEMONS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::account_tokens>> *accounts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::account_tokens>> *>(VT_ACCOUNTS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -975,9 +999,11 @@
            VerifyField<int64_t>(verifier, VT_SENT_MS, 8) &&
            VerifyField<int64_t>(verifier, VT_ECHO_MS, 8) &&
            VerifyField<uint32_t>(verifier, VT_ECHO_AGE_MS, 4) &&
-           VerifyOffset(verifier, VT_ORGANISATIONS) &&
-           verifier.VerifyVector(organisations()) &&
-           verifier.VerifyVectorOfTables(organisations()) &&
+           VerifyField<uint8_t>(verifier, VT_COUNTED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_DAEMONS, 4) &&
+           VerifyOffset(verifier, VT_ACCOUNTS) &&
+           verifier.VerifyVector(accounts()) &&
+           verifier.VerifyVectorOfTables(accounts()) &&
            verifier.EndTable();
   }
   token_transfer_record *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1001,8 +1027,14 @@
   void add_echo_age_ms(uint32_t echo_age_ms) {
     fbb_.AddElement<uint32_t>(token_transfer::VT_ECHO_AGE_MS, echo_age_ms, 0);
   }
-  void add_organisations(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::organisation_tokens>>> organisations) {
-    fbb_.AddOffset(token_transfer::VT_ORGANISATIONS, organisations);
+  void add_counted(bool counted) {
+    fbb_.AddElement<uint8_t>(token_transfer::VT_COUNTED, static_cast<uint8_t>(counted), 0);
+  }
+  void add_daemons(uint32_t daemons) {
+    fbb_.AddElement<uint32_t>(token_transfer::VT_DAEMONS, daemons, 0);
+  }
+  void add_accounts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::account_tokens>>> accounts) {
+    fbb_.AddOffset(token_transfer::VT_ACCOUNTS, accounts);
   }
   explicit token_transferBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1021,13 +1053,17 @@
     int64_t sent_ms = 0,
     int64_t echo_ms = 0,
     uint32_t echo_age_ms = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::organisation_tokens>>> organisations = 0) {
+    bool counted = false,
+    uint32_t daemons = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<barleyfork::schema::account_tokens>>> accounts = 0) {
   token_transferBuilder builder_(_fbb);
   builder_.add_echo_ms(echo_ms);
   builder_.add_sent_ms(sent_ms);
   builder_.add_request_number(request_number);
-  builder_.add_organisations(organisations);
+  builder_.add_accounts(accounts);
+  builder_.add_daemons(daemons);
   builder_.add_echo_age_ms(echo_age_ms);
+  builder_.add_counted(counted);
   return builder_.Finish();
 }
 
@@ -1042,15 +1078,19 @@
     int64_t sent_ms = 0,
     int64_t echo_ms = 0,
     uint32_t echo_age_ms = 0,
-    const std::vector<flatbuffers::Offset<barleyfork::schema::organisation_tokens>> *organisations = nullptr) {
-  auto organisations__ = organisations ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::organisation_tokens>>(*organisations) : 0;
+    bool counted = false,
+    uint32_t daemons = 0,
+    const std::vector<flatbuffers::Offset<barleyfork::schema::account_tokens>> *accounts = nullptr) {
+  auto accounts__ = accounts ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::account_tokens>>(*accounts) : 0;
   return barleyfork::schema::Createtoken_transfer(
       _fbb,
       request_number,
       sent_ms,
       echo_ms,
       echo_age_ms,
-      organisations__);
+      counted,
+      daemons,
+      accounts__);
 }
 
 flatbuffers::Offset<token_transfer> Createtoken_transfer(flatbuffers::FlatBufferBuilder &_fbb, const token_transfer_record *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2391,42 +2431,45 @@
       _coordinator);
 }
 
-inline organisation_tokens_record *organisation_tokens::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<organisation_tokens_record>();
+inline account_tokens_record *account_tokens::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<account_tokens_record>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void organisation_tokens::UnPackTo(organisation_tokens_record *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void account_tokens::UnPackTo(account_tokens_record *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = organisation(); _o->organisation = _e; }
+  { auto _e = account(); _o->account = _e; }
   { auto _e = transferred(); _o->transferred = _e; }
   { auto _e = waiting(); _o->waiting = _e; }
+  { auto _e = first(); _o->first = _e; }
   { auto _e = wanted(); _o->wanted = _e; }
   { auto _e = granted(); _o->granted = _e; }
   { auto _e = available_in_ms(); _o->available_in_ms = _e; }
 }
 
-inline flatbuffers::Offset<organisation_tokens> organisation_tokens::Pack(flatbuffers::FlatBufferBuilder &_fbb, const organisation_tokens_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createorganisation_tokens(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<account_tokens> account_tokens::Pack(flatbuffers::FlatBufferBuilder &_fbb, const account_tokens_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createaccount_tokens(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<organisation_tokens> Createorganisation_tokens(flatbuffers::FlatBufferBuilder &_fbb, const organisation_tokens_record *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<account_tokens> Createaccount_tokens(flatbuffers::FlatBufferBuilder &_fbb, const account_tokens_record *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const organisation_tokens_record* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _organisation = _o->organisation;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const account_tokens_record* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _account = _o->account;
   auto _transferred = _o->transferred;
   auto _waiting = _o->waiting;
+  auto _first = _o->first;
   auto _wanted = _o->wanted;
   auto _granted = _o->granted;
   auto _available_in_ms = _o->available_in_ms;
-  return barleyfork::schema::Createorganisation_tokens(
+  return barleyfork::schema::Createaccount_tokens(
       _fbb,
-      _organisation,
+      _account,
       _transferred,
       _waiting,
+      _first,
       _wanted,
       _granted,
       _available_in_ms);
@@ -2436,9 +2479,11 @@
       : request_number(o.request_number),
         sent_ms(o.sent_ms),
         echo_ms(o.echo_ms),
-        echo_age_ms(o.echo_age_ms) {
-  organisations.reserve(o.organisations.size());
-  for (const auto &organisations_ : o.organisations) { organisations.emplace_back((organisations_) ? new barleyfork::schema::organisation_tokens_record(*organisations_) : nullptr); }
+        echo_age_ms(o.echo_age_ms),
+        counted(o.counted),
+        daemons(o.daemons) {
+  accounts.reserve(o.accounts.size());
+  for (const auto &accounts_ : o.accounts) { accounts.emplace_back((accounts_) ? new barleyfork::schema::account_tokens_record(*accounts_) : nullptr); }
 }
 
 inline token_transfer_record &token_transfer_record::operator=(token_transfer_record o) FLATBUFFERS_NOEXCEPT {
@@ -2446,7 +2491,9 @@
   std::swap(sent_ms, o.sent_ms);
   std::swap(echo_ms, o.echo_ms);
   std::swap(echo_age_ms, o.echo_age_ms);
-  std::swap(organisations, o.organisations);
+  std::swap(counted, o.counted);
+  std::swap(daemons, o.daemons);
+  std::swap(accounts, o.accounts);
   return *this;
 }
 
@@ -2463,7 +2510,9 @@
   { auto _e = sent_ms(); _o->sent_ms = _e; }
   { auto _e = echo_ms(); _o->echo_ms = _e; }
   { auto _e = echo_age_ms(); _o->echo_age_ms = _e; }
-  { auto _e = organisations(); if (_e) { _o->organisations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->organisations[_i] = std::unique_ptr<barleyfork::schema::organisation_tokens_record>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = counted(); _o->counted = _e; }
+  { auto _e = daemons(); _o->daemons = _e; }
+  { auto _e = accounts(); if (_e) { _o->accounts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->accounts[_i] = std::unique_ptr<barleyfork::schema::account_tokens_record>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<token_transfer> token_transfer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const token_transfer_record* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2478,14 +2527,18 @@
   auto _sent_ms = _o->sent_ms;
   auto _echo_ms = _o->echo_ms;
   auto _echo_age_ms = _o->echo_age_ms;
-  auto _organisations = _o->organisations.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::organisation_tokens>> (_o->organisations.size(), [](size_t i, _VectorArgs *__va) { return Createorganisation_tokens(*__va->__fbb, __va->__o->organisations[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _counted = _o->counted;
+  auto _daemons = _o->daemons;
+  auto _accounts = _o->accounts.size() ? _fbb.CreateVector<flatbuffers::Offset<barleyfork::schema::account_tokens>> (_o->accounts.size(), [](size_t i, _VectorArgs *__va) { return Createaccount_tokens(*__va->__fbb, __va->__o->accounts[i].get(), __va->__rehasher); }, &_va ) : 0;
   return barleyfork::schema::Createtoken_transfer(
       _fbb,
       _request_number,
       _sent_ms,
       _echo_ms,
       _echo_age_ms,
-      _organisations);
+      _counted,
+      _daemons,
+      _accounts);
 }
 
 inline model_demand_record *model_demand::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
