--- a/libs/core/include/barleyfork/core/quota_pool.hpp
+++ b/libs/core/include/barleyfork/core/quota_pool.hpp
@@ -82,6 +82,9 @@
         std::uint64_t number = 0;
         std::uint64_t seen = 0;
         time_point counted_until{};
+        /// The number of daemons that it knew, and for how long that counts.
+        std::size_t daemons = 0;
+        time_point known_until{};
     };
 
     std::optional<duration> travel_time(const quota_request& request,
@@ -89,6 +92,11 @@
     bool is_new(const quota_sender& sender, std::uint64_t number);
     void clip(account& entry, time_point now) const;
     void clip_all(time_point now);
+    void update_daemons(time_point now);
+    void record_asker(const quota_sender& sender,
+                      const quota_request& request,
+                      std::optional<duration> travel,
+                      time_point now);
     double cap(const account& entry, time_point now) const;
     void accept(account& entry, double tokens, time_point now) const;
     quota_share
@@ -97,6 +105,8 @@
     promise(account& entry, double missing, double first, time_point now) const;
 
     time_point started_at_;
+    std::size_t listed_ = 1;
+    /// The maximum of the numbers that this daemon and its askers know.
     std::size_t daemons_ = 1;
     std::map<std::uint64_t, account> accounts_;
     std::map<instance_id, asker> askers_;
--- a/libs/core/src/quota_asker.cpp
+++ b/libs/core/src/quota_asker.cpp
@@ -305,7 +305,7 @@
 {
     quota_request request;
     request.number = ++last_number_;
-    request.daemons = daemons();
+    request.daemons = std::max<std::size_t>(listed_, 1);
     auto& sent = sent_[request.number];
     sent.to = to;
     sent.sent_at = now;
--- a/libs/core/src/quota_pool.cpp
+++ b/libs/core/src/quota_pool.cpp
@@ -50,10 +50,19 @@
 void quota_pool::set_daemons(std::size_t count, time_point now)
 {
     clip_all(now);
-    daemons_ = std::max<std::size_t>(count, 1);
+    listed_ = std::max<std::size_t>(count, 1);
+    update_daemons(now);
     clip_all(now);
 }
 
+void quota_pool::update_daemons(time_point now)
+{
+    daemons_ = listed_;
+    for (const auto& [id, known] : askers_)
+        if (now < known.known_until)
+            daemons_ = std::max(daemons_, known.daemons);
+}
+
 std::size_t quota_pool::counted(time_point now) const
 {
     return static_cast<std::size_t>(
@@ -130,11 +139,6 @@
                                time_point now)
 {
     clip_all(now);
-    daemons_ = std::max(daemons_, request.daemons);
-    quota_grant grant;
-    grant.number = request.number;
-    grant.stamp = now;
-    grant.daemons = daemons_;
     const auto travel = travel_time(request, now);
     const bool is_first = is_new(sender, request.number);
     for (const auto& need : request.needs) {
@@ -147,13 +151,14 @@
         }
         accept(found->second, need.transferred, now);
     }
+    if (is_first)
+        record_asker(sender, request, travel, now);
+    quota_grant grant;
+    grant.number = request.number;
+    grant.stamp = now;
+    grant.daemons = daemons_;
     if (!is_first)
         return grant;
-    if (travel && request.is_counted && !accounts_.empty()) {
-        const auto& times = accounts_.begin()->second.terms.times;
-        auto& until = askers_[sender.instance].counted_until;
-        until = std::max(until, now - *travel + times.count);
-    }
     for (const auto& need : request.needs) {
         const auto found = accounts_.find(need.account);
         if (found == accounts_.end())
@@ -174,6 +179,24 @@
     return grant;
 }
 
+/// Counts the sender from the time at which it sent the request.
+void quota_pool::record_asker(const quota_sender& sender,
+                              const quota_request& request,
+                              std::optional<duration> travel,
+                              time_point now)
+{
+    if (accounts_.empty())
+        return;
+    const auto& times = accounts_.begin()->second.terms.times;
+    auto& known = askers_[sender.instance];
+    known.daemons = request.daemons;
+    known.known_until = now + times.count;
+    if (travel && request.is_counted)
+        known.counted_until =
+            std::max(known.counted_until, now - *travel + times.count);
+    update_daemons(now);
+}
+
 void quota_pool::accept(account& entry, double tokens, time_point now) const
 {
     if (!(tokens > 0.0))
