--- a/tools/barleyfork/commands.cpp
+++ b/tools/barleyfork/commands.cpp
@@ -1,5 +1,6 @@
 #include "commands.hpp"
 
+#include "check_command.hpp"
 #include "tables.hpp"
 
 #include <barleyfork/base/digest.hpp>
@@ -294,7 +295,18 @@
     return tool_exit::ok;
 }
 
-constexpr std::array<command, 11> commands{{
+tool_exit check(operator_client&, words args, const command_options&)
+{
+    if (args.size() > 2) {
+        std::cerr << "barleyfork: check takes the next configuration and the "
+                     "one in force\n";
+        return tool_exit::usage;
+    }
+    return check_stored_configuration(
+        args[0], args.size() > 1 ? args[1] : std::string());
+}
+
+constexpr std::array<command, 12> commands{{
     {"apply", 1, apply},
     {"get", 0, get},
     {"history", 0, history},
@@ -306,6 +318,7 @@
     {"why", 1, why, true},
     {"causes", 0, causes, true},
     {"prompts", 0, prompts, true},
+    {"check", 1, check, true},
 }};
 
 } // namespace
@@ -323,7 +336,7 @@
         std::cerr << "barleyfork: commands are apply FILE, get, history, "
                      "status, explain MODEL, drain INSTANCE, trace ID, "
                      "digest KEY, why REQUEST_ID [LOG...], causes [LOG...], "
-                     "prompts [LOG...]\n";
+                     "prompts [LOG...], check NEXT [IN_FORCE]\n";
         return tool_exit::usage;
     }
     return found->run(client, all.subspan(1), options);
