--- a/libs/gateway/src/peer_updates.cpp
+++ b/libs/gateway/src/peer_updates.cpp
@@ -99,6 +99,7 @@
                                   .count());
         const auto now = steady_now();
         process_refusals(now);
+        update_quota_sharers();
         if (is_lease_holder_ && now >= heartbeat_due_at_)
             announce({});
         if (!is_lease_holder_)
--- a/libs/gateway/src/peer_updates.hpp
+++ b/libs/gateway/src/peer_updates.hpp
@@ -179,7 +179,8 @@
     void apply_members(const store_read& read);
     void apply_member(const store_row& row);
     void update_limit_sharers();
-    void update_quota_sharers(bool is_counted);
+    void update_quota_sharers();
+    bool is_counted() const;
     void send_tokens(const instance_id& to,
                      schema::message_kind kind,
                      quota_exchange::transfer tokens);
--- a/libs/gateway/src/peer_updates_neighbours.cpp
+++ b/libs/gateway/src/peer_updates_neighbours.cpp
@@ -169,15 +169,18 @@
     std::vector<instance_id> listed;
     for (const auto& [id, entry] : members_)
         listed.push_back(id);
-    const bool is_counted =
-        has_read_members_ && counted_from_ && steady_now() >= *counted_from_;
-    context_.limits.set_daemons(std::move(listed), is_counted);
-    update_quota_sharers(is_counted);
+    context_.limits.set_daemons(std::move(listed), is_counted());
+}
+
+bool peer_updates::is_counted() const
+{
+    return has_read_members_ && counted_from_ && steady_now() >= *counted_from_;
 }
 
 /// Sets which daemons mint and pool the tokens of quotas. Links are compared
 /// with the precision of messages, so that all daemons order them alike.
-void peer_updates::update_quota_sharers(bool is_counted)
+/// Daemons known by their messages count too: the list may be out of reach.
+void peer_updates::update_quota_sharers()
 {
     if (!context_.quotas.is_active())
         return;
@@ -188,7 +191,7 @@
     candidates.push_back(
         {context_.self, static_cast<float>(context_.settings.link_mbps)});
     context_.quotas.set_daemons(std::move(candidates),
-                                is_counted && !second_listing_at_);
+                                is_counted() && !second_listing_at_);
 }
 
 void peer_updates::apply_member(const store_row& row)
