--- a/libs/core/include/barleyfork/core/gateway_configuration.hpp
+++ b/libs/core/include/barleyfork/core/gateway_configuration.hpp
@@ -53,6 +53,11 @@
     /// so that no less urgent request is queued where one of this route is not.
     /// Set by `set_queue_targets`.
     duration queue_target{0};
+    /// Target within which the queue of a server is kept: the minimum latency
+    /// target of this route and the more urgent routes of its services, so that
+    /// no less urgent request is queued where one of these would be late. Set
+    /// by `set_queue_targets`.
+    duration room_target{0};
     /// Zero is the most urgent priority.
     std::uint32_t priority = 0;
     /// Maximum number of backend servers on which one client attempt may run.
--- a/libs/core/src/gateway_configuration.cpp
+++ b/libs/core/src/gateway_configuration.cpp
@@ -55,18 +55,31 @@
 {
     // The maximum latency target of each service and priority.
     std::map<service_id, std::map<std::uint32_t, duration>> max_targets;
+    std::map<service_id, std::map<std::uint32_t, duration>> min_targets;
     for (const auto& route : configuration.routes) {
         for (const auto& share : route.services) {
             auto& target = max_targets[share.service][route.priority];
             target = std::max(target, route.latency_target);
+            if (route.latency_target.count() <= 0)
+                continue;
+            auto& tightest =
+                min_targets[share.service]
+                    .try_emplace(route.priority, route.latency_target)
+                    .first->second;
+            tightest = std::min(tightest, route.latency_target);
         }
     }
     for (auto& route : configuration.routes) {
         route.queue_target = route.latency_target;
-        for (const auto& share : route.services)
+        route.room_target = route.latency_target;
+        for (const auto& share : route.services) {
             for (const auto& [priority, target] : max_targets[share.service])
                 if (priority >= route.priority)
                     route.queue_target = std::max(route.queue_target, target);
+            for (const auto& [priority, target] : min_targets[share.service])
+                if (priority <= route.priority)
+                    route.room_target = std::min(route.room_target, target);
+        }
     }
 }
 
--- a/libs/core/tests/gateway_parts_test.cpp
+++ b/libs/core/tests/gateway_parts_test.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(route_with_the_longest_prefix_of_the_host_matches);
     CPPUNIT_TEST(services_are_chosen_by_weight);
     CPPUNIT_TEST(urgent_routes_have_the_longest_queue_target_of_less_urgent);
+    CPPUNIT_TEST(queues_are_kept_within_the_tightest_target);
     CPPUNIT_TEST(missing_server_is_kept_only_after_an_outage);
     CPPUNIT_TEST(entries_that_differ_in_heartbeats_only_are_recognised);
     CPPUNIT_TEST(announced_state_is_valid_until_the_list_has_caught_up);
@@ -131,6 +132,30 @@
         CPPUNIT_ASSERT(target(3) == duration{700});
     }
 
+    void queues_are_kept_within_the_tightest_target()
+    {
+        gateway_configuration configuration;
+        const auto add = [&](const char* name, int priority, int target) {
+            auto route = make_route("h", name);
+            route.priority = static_cast<std::uint32_t>(priority);
+            route.latency_target = duration(target);
+            route.services = {{service_id("w"), 1}};
+            configuration.routes.push_back(route);
+        };
+        add("/urgent/", 0, 800);
+        add("/middle/", 1, 1000);
+        add("/patient/", 2, 15000);
+        add("/tight/", 3, 500);
+        set_queue_targets(configuration);
+        const auto target = [&](int index) {
+            return configuration.routes.at(index).room_target;
+        };
+        CPPUNIT_ASSERT(target(0) == duration{800});
+        CPPUNIT_ASSERT(target(1) == duration{800});
+        CPPUNIT_ASSERT(target(2) == duration{800});
+        CPPUNIT_ASSERT(target(3) == duration{500});
+    }
+
     void missing_server_is_kept_only_after_an_outage()
     {
         backend_directory directory;
