--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -21,6 +21,9 @@
 /// A caller that is rejected because of the servers' limits may find another
 /// daemon that is allowed to send; it is not kept away for longer than this.
 constexpr duration max_limit_delay{2000};
+/// The times after which a call that waits for room decides again.
+constexpr duration min_room_delay{50};
+constexpr duration max_room_delay{250};
 /// The cost of an output token relative to a prompt token.
 constexpr double output_weight = 2.5;
 /// The weight of a new sample in the mean work of a request.
@@ -64,6 +67,7 @@
     }
     set_deadline(now);
     count_demand();
+    wake_calls_ahead(now);
     dispatch();
 }
 
@@ -198,20 +202,70 @@
 
 void gateway_call::send_or_wait(const choice& chosen, time_point now)
 {
-    switch (decide_admission(chosen, now)) {
-    case admission::reject:
-        reject(errc::overloaded, context_.draw_retry_delay());
+    const auto decision = decide_room(chosen, now);
+    switch (decision.outcome) {
+    case room_outcome::refuse:
+        reject_for_room(decision, now);
         return;
-    case admission::wait:
-        wait_for_server(wait_reason::no_capacity, now);
+    case room_outcome::wait:
+        wait_for_room(decision, now);
         return;
-    case admission::send:
+    case room_outcome::send:
         break;
     }
+    is_promoted_ = is_promoted_ || decision.is_promoted;
+    const auto sent = waiting_needs(now, now);
     stop_waiting();
+    context_.room.on_sent(group(), sent, now);
     start_attempt(chosen, now);
 }
 
+/// Waits until there may be room, and decides again then: what is hopeless by
+/// that time is refused without further waiting.
+void gateway_call::wait_for_room(const room_decision& decision, time_point now)
+{
+    if (!waiting_since_)
+        enter_waiting_room(wait_reason::no_capacity, decision.until, now);
+    context_.timers.cancel(room_timer_);
+    const auto self = shared_from_this();
+    room_timer_ = context_.timers.add(
+        now + std::clamp(decision.room_in, min_room_delay, max_room_delay),
+        [self] {
+            self->room_timer_ = 0;
+            self->dispatch();
+        });
+}
+
+/// Rejects the request with the time at which there will be room. Callers
+/// honour up to a third of the time that they have left.
+void gateway_call::reject_for_room(const room_decision& decision,
+                                   time_point now)
+{
+    const auto left = std::max(deadline_ - now, duration{0});
+    const auto bound =
+        std::max(left / wait_time_divisor, gateway_context::min_retry_delay);
+    const auto spacing_ms = room_needs().own_ms;
+    const auto delay =
+        std::max(context_.room.promise_return(
+                     group(),
+                     decision.room_in,
+                     spacing_ms,
+                     bound,
+                     std::generate_canonical<double, 53>(context_.random),
+                     now),
+                 gateway_context::min_retry_delay);
+    context_.measures.count_room_refusal(decision.reason, is_returned());
+    log_event(log_level::info, "room_refused")
+        .with("request", facts_.client_attempt_id)
+        .with("model", facts_.model.value())
+        .with("reason", room_reason_name(decision.reason))
+        .with("room_in_ms", decision.room_in.count())
+        .with("retry_after_ms", delay.count())
+        .with("waited_ms", (now - received_at_).count())
+        .with("returned", is_returned() ? 1 : 0);
+    reject(errc::overloaded, delay);
+}
+
 void gateway_call::wait_for_server(wait_reason reason, time_point now)
 {
     if (reason == wait_reason::no_adapter) {
@@ -238,30 +292,33 @@
                        context_.draw_retry_delay());
             return;
         }
-        limited_wait_ = limited_group(service_, facts_.model);
+        limited_wait_ = server_group(service_, facts_.model);
         ++context_.limited_waits[*limited_wait_];
     }
-    waiting_since_ = now;
-    if (reason == wait_reason::no_capacity)
-        max_wait = std::min(max_wait, route_->latency_target);
-    else if (route_->latency_target.count() > 0)
+    if (route_->latency_target.count() > 0)
         max_wait =
             std::min(max_wait, max_wait_targets * route_->latency_target);
+    enter_waiting_room(reason, now + max_wait, now);
+}
+
+void gateway_call::enter_waiting_room(wait_reason reason,
+                                      time_point until,
+                                      time_point now)
+{
+    waiting_since_ = now;
+    context_.measures.count_wait(wait_reason_name(reason));
     log_event(log_level::info, "request_waits")
         .with("request", facts_.client_attempt_id)
         .with("model", facts_.model.value())
         .with("adapter", facts_.adapter)
         .with("reason", wait_reason_name(reason))
-        .with("patience_ms", max_wait.count());
+        .with("patience_ms", (until - now).count());
     const auto self = shared_from_this();
-    waiting_key_ = {route_->priority,
-                    is_suspected(now) ? context_.quarantine.crashes(suspects_)
-                                      : 0,
-                    ++context_.wait_count};
-    context_.waiting_calls[waiting_key_] = [self] {
+    waiting_ticket_ = context_.room.add(group(), waiting_needs(until, now));
+    context_.waiting_calls[waiting_ticket_] = [self] {
         self->dispatch();
     };
-    wait_timer_ = context_.timers.add(now + max_wait, [self] {
+    wait_timer_ = context_.timers.add(until, [self] {
         self->wait_timer_ = 0;
         self->reject(errc::no_replica, self->context_.draw_retry_delay());
     });
@@ -270,9 +327,11 @@
 void gateway_call::stop_waiting()
 {
     context_.timers.cancel(wait_timer_);
+    context_.timers.cancel(room_timer_);
     if (!waiting_since_)
         return;
-    context_.waiting_calls.erase(waiting_key_);
+    context_.waiting_calls.erase(waiting_ticket_);
+    context_.room.remove(waiting_ticket_);
     if (limited_wait_ && --context_.limited_waits[*limited_wait_] == 0)
         context_.limited_waits.erase(*limited_wait_);
     limited_wait_.reset();
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -8,6 +8,7 @@
 #include <barleyfork/core/crash_suspects.hpp>
 #include <barleyfork/core/event_splitter.hpp>
 #include <barleyfork/core/request_progress.hpp>
+#include <barleyfork/core/room_policy.hpp>
 
 #include <map>
 #include <memory>
@@ -132,15 +133,6 @@
         limited,
     };
 
-    /// Whether a request is sent, waits or is rejected, given the best eligible
-    /// server.
-    enum class admission : std::uint8_t
-    {
-        send,
-        wait,
-        reject,
-    };
-
     bool find_route();
     void log_missing_route(std::string_view host) const;
     bool is_accepted_while_draining(time_point now) const;
@@ -156,11 +148,21 @@
     engine_work work() const;
     bool is_for_engine() const;
     const gateway_service* service() const;
-    admission decide_admission(const choice& chosen, time_point now) const;
+    server_group group() const;
+    room_request room_needs() const;
+    waiting_request waiting_needs(time_point until, time_point now) const;
+    room_decision decide_room(const choice& chosen, time_point now) const;
+    bool is_returned() const;
+    void wake_calls_ahead(time_point now);
+    std::uint32_t urgency() const;
     static const char* wait_reason_name(wait_reason reason) noexcept;
     void start_attempt(const choice& chosen, time_point now);
     header_list forward_headers(const server_id& server, time_point now) const;
     void wait_for_server(wait_reason reason, time_point now);
+    void wait_for_room(const room_decision& decision, time_point now);
+    void
+    enter_waiting_room(wait_reason reason, time_point until, time_point now);
+    void reject_for_room(const room_decision& decision, time_point now);
     void stop_waiting();
     void start_attempt_timer(const choice& chosen, time_point now);
     void on_attempt_timeout();
@@ -250,8 +252,13 @@
     timer_queue::timer_id attempt_timer_ = 0;
     std::optional<time_point> waiting_since_;
     /// Set while this call waits because of the servers' limits.
-    std::optional<limited_group> limited_wait_;
-    waiting_key waiting_key_;
+    std::optional<server_group> limited_wait_;
+    waiting_ticket waiting_ticket_{};
+    /// True once the request was sent in its turn, as the most urgent one.
+    bool is_promoted_ = false;
+    /// Runs while the call waits for room: none of this daemon's events may
+    /// tell when there is some.
+    timer_queue::timer_id room_timer_ = 0;
     bool is_finished_ = false;
 };
 
--- a/libs/gateway/src/gateway_call_attempts.cpp
+++ b/libs/gateway/src/gateway_call_attempts.cpp
@@ -22,7 +22,7 @@
     facts.expected = server;
     facts.time_left = std::max(deadline_ - now, duration{1});
     if (is_for_engine())
-        facts.urgency = route_->priority;
+        facts.urgency = urgency();
     if (is_delivering_)
         facts.resume_after = last_event_;
     return context_.platform.codec->make_forwarding_headers(facts);
@@ -39,11 +39,11 @@
     attempt_->suspected = is_suspected(now);
     if (attempt_->suspected)
         context_.suspects.begin(suspects_.request, chosen.server);
-    const auto load = context_.loads.view(chosen.server, route_->priority, now);
+    const auto load = context_.loads.view(chosen.server, urgency(), now);
     attempt_->tokens_ahead = load.own_waiting_tokens + facts_.prompt_tokens;
     context_.count_against_limit({chosen.server, chosen.started_ms}, now);
     attempt_->ticket = context_.loads.begin(
-        chosen.server, facts_.prompt_tokens, route_->priority, now);
+        chosen.server, facts_.prompt_tokens, urgency(), now);
     attempt_->connection = context_.pool.acquire(
         chosen.target, facts_.client_attempt_id, route_->is_retryable(), now);
     ++sends_per_server_[chosen.server];
--- a/libs/gateway/src/gateway_call_choice.cpp
+++ b/libs/gateway/src/gateway_call_choice.cpp
@@ -12,11 +12,10 @@
 
 /// A server that rejected a request gets at most one retry.
 constexpr int max_sends_per_server = 2;
-/// Expected times to the first event, as multiples of the target, up to which
-/// a request is sent and above which the request is rejected at once.
-constexpr double max_send_target_ratio = 2.0;
-constexpr double max_wait_target_ratio = 6.0;
 constexpr double ms_per_second = 1000.0;
+/// Of the calls that go before a new one, at most this many are offered room
+/// first, so that the cost of an arrival is bounded.
+constexpr std::size_t max_calls_ahead = 4;
 
 asio::ip::tcp::endpoint endpoint_of(const backend_entry& entry)
 {
@@ -193,27 +192,84 @@
     return std::min(deadline_, received_at_ + route_->caller_timeout());
 }
 
-/// Keeps an engine's queue short enough that the requests in it can meet their
-/// target. A request that would be late waits in the gateway, where any other
-/// server can still be chosen for it, or is rejected while its caller has time
-/// for a retry.
-gateway_call::admission gateway_call::decide_admission(const choice& chosen,
-                                                       time_point now) const
-{
-    const bool has_begun = is_delivering_ || progress_->may_have_run();
-    const auto left =
-        static_cast<double>((expected_disconnect_at() - now).count());
-    if (has_begun)
-        return admission::send;
-    if (chosen.expected_ms >= left)
-        return admission::reject;
-    const auto target = static_cast<double>(route_->queue_target.count());
-    if (!is_for_engine() || target <= 0.0 ||
-        chosen.expected_ms <= max_send_target_ratio * target)
-        return admission::send;
-    return chosen.expected_ms > max_wait_target_ratio * target
-               ? admission::reject
-               : admission::wait;
+server_group gateway_call::group() const
+{
+    return {service_, is_for_engine() ? facts_.model : model_id()};
+}
+
+/// Returns whether the caller seems to have been rejected before: it has less
+/// time left than the route gives a new request.
+bool gateway_call::is_returned() const
+{
+    if (!facts_.time_left || route_->timeout.count() <= 0)
+        return false;
+    return *facts_.time_left <
+           route_->timeout - gateway_context::min_retry_delay / 2;
+}
+
+room_request gateway_call::room_needs() const
+{
+    room_request needs;
+    needs.latency_target = route_->latency_target;
+    needs.max_wait = route_->queue_target;
+    needs.received_at = received_at_;
+    needs.leaves_at = expected_disconnect_at();
+    const auto own = work();
+    needs.own_ms =
+        own.base_ms + static_cast<double>(own.prompt_tokens) * own.ms_per_token;
+    needs.is_returned = is_returned();
+    return needs;
+}
+
+waiting_request gateway_call::waiting_needs(time_point until,
+                                            time_point now) const
+{
+    const auto needs = room_needs();
+    waiting_request request;
+    request.priority = route_->priority;
+    request.crashes =
+        is_suspected(now) ? context_.quarantine.crashes(suspects_) : 0;
+    request.since = waiting_since_.value_or(now);
+    request.until = until;
+    request.due_at = received_at_ + needs.latency_target;
+    request.own_ms = needs.own_ms;
+    request.is_returned = needs.is_returned;
+    return request;
+}
+
+/// Returns the urgency with which servers queue the request.
+std::uint32_t gateway_call::urgency() const
+{
+    return is_promoted_ ? 0 : route_->priority;
+}
+
+/// Decides whether the request is sent to the best eligible server. One that
+/// has run already is not held up.
+room_decision gateway_call::decide_room(const choice& chosen,
+                                        time_point now) const
+{
+    if (is_delivering_ || progress_->may_have_run())
+        return {};
+    const auto needs = room_needs();
+    room_state state;
+    state.room_target = is_for_engine() ? route_->room_target : duration{0};
+    state.expected_ms = chosen.expected_ms;
+    const auto waiting = waiting_needs(needs.leaves_at, now);
+    state.ahead_ms = context_.room.work_ahead_ms(group(), waiting) /
+                     static_cast<double>(chosen.candidates);
+    state.is_over_share = context_.room.is_over_share(service_, waiting, now);
+    state.is_its_turn = context_.room.has_turn(group(), waiting);
+    return barleyfork::decide_room(needs, state, now);
+}
+
+/// Offers room to the calls that have waited for the same servers and go before
+/// this one.
+void gateway_call::wake_calls_ahead(time_point now)
+{
+    auto ahead = context_.room.ahead_of(
+        group(), waiting_needs(expected_disconnect_at(), now), now);
+    ahead.resize(std::min(ahead.size(), max_calls_ahead));
+    context_.wake(ahead);
 }
 
 } // namespace barleyfork
--- a/libs/gateway/src/gateway_context.cpp
+++ b/libs/gateway/src/gateway_context.cpp
@@ -41,14 +41,11 @@
                                            .settling_period = duration{800},
                                            .doubt = duration{2000}};
 
-/// Calls all handlers in the map. Each handler may remove entries.
+/// Calls the handlers of `keys` in this order. Each handler may remove entries.
 template <class Key>
-void call_each(const std::map<Key, std::function<void()>>& handlers)
+void call_each(const std::map<Key, std::function<void()>>& handlers,
+               const std::vector<Key>& keys)
 {
-    std::vector<Key> keys;
-    keys.reserve(handlers.size());
-    for (const auto& [key, handler] : handlers)
-        keys.push_back(key);
     for (const auto& key : keys) {
         const auto found = handlers.find(key);
         if (found == handlers.end())
@@ -215,9 +212,20 @@
     return busy_utilisation * static_cast<double>(extra_delay.count());
 }
 
+void gateway_context::wake(const std::vector<waiting_ticket>& tickets)
+{
+    call_each(waiting_calls, tickets);
+}
+
 void gateway_context::wake_waiting_calls()
 {
-    call_each(waiting_calls);
+    for (const auto& group : room.groups())
+        wake_waiting_calls(group);
+}
+
+void gateway_context::wake_waiting_calls(const server_group& group)
+{
+    wake(room.order(group, steady_now()));
 }
 
 void gateway_context::wake_waiting_calls_soon()
@@ -228,7 +236,11 @@
 
 void gateway_context::end_calls()
 {
-    call_each(active_calls);
+    std::vector<std::uint64_t> calls;
+    calls.reserve(active_calls.size());
+    for (const auto& [number, end] : active_calls)
+        calls.push_back(number);
+    call_each(active_calls, calls);
 }
 
 } // namespace barleyfork
--- a/libs/gateway/src/gateway_context.hpp
+++ b/libs/gateway/src/gateway_context.hpp
@@ -22,6 +22,7 @@
 #include <barleyfork/core/shared_retry_budget.hpp>
 #include <barleyfork/core/store_version.hpp>
 #include <barleyfork/core/suspect_runs.hpp>
+#include <barleyfork/core/waiting_room.hpp>
 #include <barleyfork/gateway/platform_port.hpp>
 #include <barleyfork/net/io_worker.hpp>
 #include <barleyfork/schema/gateway_generated.h>
@@ -50,21 +51,6 @@
     std::set<std::pair<model_id, std::string>> uses;
 };
 
-/// The sort key of a waiting call: most urgent first, then least suspected of
-/// crashing servers, then oldest.
-struct waiting_key
-{
-    std::uint32_t priority = 0;
-    /// Crashes attributed to the request; 0 if the request is not suspected.
-    std::size_t crashes = 0;
-    std::uint64_t number = 0;
-
-    friend auto operator<=>(const waiting_key&, const waiting_key&) = default;
-};
-
-/// Requests that the same servers can run.
-using limited_group = std::pair<service_id, model_id>;
-
 /// The state that all parts of a gateway share. Everything runs on one worker
 /// thread: with the caller side and the server side of a request on two
 /// threads, each event would have to be handed over between them.
@@ -134,9 +120,16 @@
     /// of server time.
     double unreported_work_ms() const noexcept;
 
-    /// Lets each waiting call try again to choose a server.
+    /// Lets each waiting call try again to choose a server, in the order of the
+    /// waiting room.
     void wake_waiting_calls();
 
+    /// Lets the calls that wait for the same servers try again, and these only.
+    void wake_waiting_calls(const server_group& group);
+
+    /// Lets waiting calls try again in the given order.
+    void wake(const std::vector<waiting_ticket>& tickets);
+
     /// Schedules `wake_waiting_calls` for after the current handler.
     void wake_waiting_calls_soon();
 
@@ -200,11 +193,11 @@
     /// Called after the store was restored from a backup.
     std::function<void()> on_store_restored;
     /// Handlers that let the calls waiting for a server try again.
-    std::map<waiting_key, std::function<void()>> waiting_calls;
+    std::map<waiting_ticket, std::function<void()>> waiting_calls;
+    /// The order of these calls.
+    waiting_room room;
     /// The number of calls that wait because of the servers' limits.
-    std::map<limited_group, std::size_t> limited_waits;
-    /// The number of waits since the start; the source of their numbers.
-    std::uint64_t wait_count = 0;
+    std::map<server_group, std::size_t> limited_waits;
     drain_plan drain;
     /// Handlers that end the running calls before the daemon exits, by the
     /// number of the call.
--- a/libs/gateway/src/gateway_metrics.cpp
+++ b/libs/gateway/src/gateway_metrics.cpp
@@ -97,6 +97,18 @@
     histograms_->wait(milliseconds);
 }
 
+void gateway_metrics::count_wait(std::string_view reason)
+{
+    ++waits_.try_emplace(std::string(reason), 0).first->second;
+}
+
+void gateway_metrics::count_room_refusal(room_reason reason, bool returned)
+{
+    ++room_refusals_[reason];
+    if (returned)
+        ++returned_refusals_;
+}
+
 void gateway_metrics::count_store_call(store_purpose purpose,
                                        std::string_view cause)
 {
@@ -116,6 +128,16 @@
             << histograms_->outcomes.at(kind) << "\n";
     write_times(out, "barleyfork_first_event_ms", histograms_->first_event);
     write_times(out, "barleyfork_wait_ms", histograms_->wait);
+    out << "# TYPE barleyfork_waits_total counter\n";
+    for (const auto& [reason, count] : waits_)
+        out << "barleyfork_waits_total{reason=\"" << reason << "\"} " << count
+            << "\n";
+    out << "# TYPE barleyfork_room_refusals_total counter\n";
+    for (const auto& [reason, count] : room_refusals_)
+        out << "barleyfork_room_refusals_total{reason=\""
+            << room_reason_name(reason) << "\"} " << count << "\n";
+    write_counter(
+        out, "barleyfork_returned_room_refusals_total", returned_refusals_);
     write_counter(out, "barleyfork_repeats_total", retry_count_);
     write_counter(out, "barleyfork_orders_total", order_count_);
     out << "# TYPE barleyfork_store_calls_total counter\n";
--- a/libs/gateway/src/gateway_metrics.hpp
+++ b/libs/gateway/src/gateway_metrics.hpp
@@ -4,8 +4,12 @@
 #include <barleyfork/base/error.hpp>
 #include <barleyfork/base/time.hpp>
 
+#include <barleyfork/core/room_policy.hpp>
+
 #include <array>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -35,6 +39,13 @@
     /// Records the time to the first byte of a response, in milliseconds.
     void record_first_event(double milliseconds);
 
+    /// Counts a request that has to wait, by the reason.
+    void count_wait(std::string_view reason);
+
+    /// Counts a request that is refused for want of room. `returned` is true if
+    /// its caller was rejected before.
+    void count_room_refusal(room_reason reason, bool returned);
+
     /// Records how long a request waited for a server, in milliseconds.
     void record_wait(double milliseconds);
 
@@ -69,6 +80,9 @@
     static constexpr std::size_t store_purposes = 4;
 
     std::unique_ptr<histograms> histograms_;
+    std::map<std::string, std::uint64_t, std::less<>> waits_;
+    std::map<room_reason, std::uint64_t> room_refusals_;
+    std::uint64_t returned_refusals_ = 0;
     std::uint64_t retry_count_ = 0;
     std::uint64_t order_count_ = 0;
     std::array<std::uint64_t, store_purposes> store_calls_{};
