--- a/libs/core/include/barleyfork/core/gateway_configuration.hpp
+++ b/libs/core/include/barleyfork/core/gateway_configuration.hpp
@@ -53,6 +53,11 @@
     /// so that no less urgent request is queued where one of this route is not.
     /// Set by `set_queue_targets`.
     duration queue_target{0};
+    /// Target within which the queue of a server is kept: the minimum latency
+    /// target of this route and the more urgent routes of its services, so that
+    /// no less urgent request is queued where one of these would be late. Set
+    /// by `set_queue_targets`.
+    duration room_target{0};
     /// Zero is the most urgent priority.
     std::uint32_t priority = 0;
     /// Maximum number of backend servers on which one client attempt may run.
@@ -198,6 +203,12 @@
 /// priorities of all routes, and the `priorities` in use.
 void set_queue_targets(gateway_configuration& configuration);
 
+/// Returns the share of the servers that an organisation may have relative to
+/// others when there is too little room: its rate of tokens. One without a
+/// limit counts as the largest one with a limit.
+double share_weight(const gateway_configuration& configuration,
+                    const gateway_organisation& organisation);
+
 /// Chooses a service of the route by weight; `draw` is a random number. Returns
 /// null if the route has no services.
 const service_id* choose_service(const gateway_route& route,
--- a/libs/gateway/src/gateway_call_attempts.cpp
+++ b/libs/gateway/src/gateway_call_attempts.cpp
@@ -25,7 +25,7 @@
     facts.time_left = std::max(deadline_ - now, duration{1});
     if (is_for_engine())
         facts.urgency = engine_urgency(
-            configuration_->priorities, priority(), attempt_->order);
+            configuration_->priorities, urgency(), attempt_->order);
     facts.organisation = request_.organisation;
     if (is_delivering_)
         facts.resume_after = last_event_;
