--- a/libs/core/src/quota_asker.cpp
+++ b/libs/core/src/quota_asker.cpp
@@ -241,7 +241,8 @@
 
 void quota_asker::refuse_late(quota_events& events, time_point now)
 {
-    for (auto& [id, entry] : organisations_)
+    for (auto& organisation : organisations_) {
+        auto& entry = organisation.second;
         std::erase_if(entry.waiters, [&](const auto& waiting) {
             if (now < waiting.until)
                 return false;
@@ -253,6 +254,7 @@
             events.decisions.push_back(std::move(decision));
             return true;
         });
+    }
 }
 
 /// Returns what was asked for already and may still be granted.
