--- a/libs/daemon/src/backend_client.cpp
+++ b/libs/daemon/src/backend_client.cpp
@@ -157,7 +157,8 @@
         final_answer->body_limit(boost::none);
         auto [head_error, head_size] = co_await http::async_read_header(
             current.stream, buffer, *final_answer, as_result);
-        if (head_error || ++answers > max_interim_answers + 1)
+        if (head_error || !is_valid_status(final_answer->get().result_int()) ||
+            ++answers > max_interim_answers + 1)
             co_return attempt_outcome::lost_before_answer;
     } while (is_interim(final_answer->get().result_int()));
     auto& parser = *final_answer;
--- a/libs/gateway/src/backend_connection.cpp
+++ b/libs/gateway/src/backend_connection.cpp
@@ -228,6 +228,10 @@
     }
     if (!parser_->is_header_done())
         return false;
+    if (!is_valid_status(parser_->get().result_int())) {
+        finish(exchange_result::malformed);
+        return false;
+    }
     if (!is_head_reported_ && is_interim(parser_->get().result_int()))
         return skip_interim();
     if (!is_head_reported_ && !report_head())
--- a/libs/net/include/barleyfork/net/answer_limits.hpp
+++ b/libs/net/include/barleyfork/net/answer_limits.hpp
@@ -17,8 +17,21 @@
 /// Maximum number of interim responses before the final one.
 inline constexpr int max_interim_answers = 16;
 
+/// Returns true for a status that a response may have. Parsers accept any three
+/// digits, also those that are no status (RFC 9110, section 15), and a change
+/// of protocol, which no client of this project asks for. Bytes with such a
+/// status are no response.
+constexpr bool is_valid_status(unsigned status) noexcept
+{
+    constexpr unsigned first_status = 100;
+    constexpr unsigned last_status = 599;
+    constexpr unsigned switching_protocols = 101;
+    return status >= first_status && status <= last_status &&
+           status != switching_protocols;
+}
+
 /// Returns true for a status after which another response to the same request
-/// follows.
+/// follows. `status` is a valid one.
 constexpr bool is_interim(unsigned status) noexcept
 {
     constexpr unsigned first_final = 200;
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -131,6 +131,8 @@
         parser->body_limit(request.max_answer_bytes);
         auto read_error =
             co_await read_answer(stream, buffer, *parser, request);
+        if (!read_error && !is_valid_status(parser->get().result_int()))
+            read_error = http::error::bad_status;
         if (!read_error && ++answers > max_interim_answers + 1)
             read_error = http::error::unexpected_body;
         if (read_error) {
--- a/libs/net/tests/http_client_test.cpp
+++ b/libs/net/tests/http_client_test.cpp
@@ -68,7 +68,8 @@
 class slow_server
 {
 public:
-    slow_server(int pieces, duration pause)
+    slow_server(int pieces, duration pause, std::string status = "200 OK")
+        : status_(std::move(status))
     {
         worker_ = std::thread([this, pieces, pause] { answer(pieces, pause); });
     }
@@ -100,8 +101,8 @@
         if (connection < 0)
             return;
         write(connection,
-              "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(pieces) +
-                  "\r\n\r\n");
+              "HTTP/1.1 " + status_ +
+                  "\r\nContent-Length: " + std::to_string(pieces) + "\r\n\r\n");
         for (int i = 0; i < pieces && !is_stopping_; ++i) {
             std::this_thread::sleep_for(pause);
             write(connection, "x");
@@ -110,6 +111,7 @@
     }
 
     loopback_listener listener_{1};
+    std::string status_;
     std::atomic<bool> is_stopping_{false};
     std::thread worker_;
 };
@@ -124,6 +126,7 @@
     CPPUNIT_TEST(a_response_that_stalls_times_out);
     CPPUNIT_TEST(an_endless_response_times_out);
     CPPUNIT_TEST(a_call_that_is_given_up_is_reset);
+    CPPUNIT_TEST(a_status_that_is_none_is_an_error);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -193,6 +196,18 @@
         CPPUNIT_ASSERT_EQUAL(ECONNRESET, error);
     }
 
+    /// Orders, reports and calls to the store are read by this client.
+    void a_status_that_is_none_is_an_error()
+    {
+        for (const char* status : {"000", "099", "101", "600", "999"}) {
+            const auto reply = call_server(
+                slow_server(0, duration{0}, std::string(status) + " reason"));
+            CPPUNIT_ASSERT_MESSAGE(status, reply.error);
+            CPPUNIT_ASSERT_MESSAGE(
+                status, kind_of(reply.error.code) == errc::connection_lost);
+        }
+    }
+
 private:
     /// Returns the error that ends a connection; 0 if it was closed.
     static int read_to_the_end(int connection)
@@ -209,7 +224,12 @@
     static http_reply call_slow_server(
         int pieces, duration pause, duration max_answer_time = duration{15000})
     {
-        const slow_server server(pieces, pause);
+        return call_server(slow_server(pieces, pause), max_answer_time);
+    }
+
+    static http_reply call_server(const slow_server& server,
+                                  duration max_answer_time = duration{15000})
+    {
         io_worker work("test", 16);
         http_client client;
         std::promise<http_reply> done;
