--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -23,9 +23,8 @@
 /// daemon that is allowed to send; it is not kept away for longer than this.
 constexpr duration max_limit_delay{2000};
 /// A request waits for tokens of its organisation's quota for at most this time
-/// and this fraction of its own.
+/// and at most one third of its own.
 constexpr duration max_quota_wait{250};
-constexpr int quota_wait_divisor = 8;
 /// The cost of an output token relative to a prompt token.
 constexpr double output_weight = 2.5;
 /// The weight of a new sample in the mean work of a request.
@@ -93,7 +92,7 @@
                   static_cast<double>(facts_.max_output_tokens)
             : static_cast<double>(organisation_->quota.plain_tokens);
     const auto patience = std::min(
-        max_quota_wait, (deadline_ - received_at_) / quota_wait_divisor);
+        max_quota_wait, (deadline_ - received_at_) / wait_time_divisor);
     const std::weak_ptr<gateway_call> self = weak_from_this();
     const auto decision = context_.quotas.decide(
         *organisation_, tokens, patience, [self](const auto& later) {
