--- a/libs/core/src/configuration_check.cpp
+++ b/libs/core/src/configuration_check.cpp
@@ -255,14 +255,15 @@
         const auto key = name(entry);
         present.insert(key);
         const auto found = old_entries.find(key);
-        const auto label = std::string(what) + " " + key;
+        const auto label = std::string(what).append(" ").append(key);
         if (found == old_entries.end()) {
             out.push_back("+ " + label);
             continue;
         }
         const auto text = difference(*found->second, entry);
         if (!text.empty())
-            out.push_back("~ " + label + ":" + text);
+            out.push_back(
+                std::string("~ ").append(label).append(":").append(text));
     }
     for (const auto& [key, entry] : old_entries)
         if (!present.contains(key))
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -24,9 +24,8 @@
 /// daemon that is allowed to send; it is not kept away for longer than this.
 constexpr duration max_limit_delay{2000};
 /// A request waits for tokens of its organisation's quota for at most this time
-/// and this fraction of its own.
+/// and at most one third of its own.
 constexpr duration max_quota_wait{250};
-constexpr int quota_wait_divisor = 8;
 /// The times after which a call that waits for room decides again.
 constexpr duration min_room_delay{50};
 constexpr duration max_room_delay{250};
@@ -95,7 +94,7 @@
                   static_cast<double>(facts_.max_output_tokens)
             : static_cast<double>(organisation_->quota.plain_tokens);
     const auto patience = std::min(
-        max_quota_wait, (deadline_ - received_at_) / quota_wait_divisor);
+        max_quota_wait, (deadline_ - received_at_) / wait_time_divisor);
     const std::weak_ptr<gateway_call> self = weak_from_this();
     const auto decision = context_.quotas.decide(
         *organisation_, tokens, patience, [self](const auto& later) {
