--- a/libs/gateway/src/peer_updates_neighbours.cpp
+++ b/libs/gateway/src/peer_updates_neighbours.cpp
@@ -170,6 +170,7 @@
     for (const auto& [id, entry] : members_)
         listed.push_back(id);
     context_.limits.set_daemons(std::move(listed), is_counted());
+    update_quota_sharers();
 }
 
 bool peer_updates::is_counted() const
