--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -181,13 +181,9 @@
     reject(outcome_of(*caller.refusal), retry_after(context_, *caller.refusal));
 }
 
-/// Returns the priority of the request, 0 for the most urgent ones: that of the
-/// organisation takes precedence over that of the route.
 std::uint32_t gateway_call::priority() const
 {
-    return organisation_ != nullptr
-               ? organisation_->priority.value_or(route_->priority)
-               : route_->priority;
+    return request_priority(*configuration_, *route_, organisation_);
 }
 
 bool gateway_call::find_route()
@@ -293,7 +289,8 @@
     const double memory_tokens = static_cast<double>(facts_.prompt_tokens) +
                                  static_cast<double>(facts_.max_output_tokens);
     auto& usual_tokens =
-        context_.request_shapes.try_emplace(service_, memory_tokens)
+        context_.request_shapes
+            .try_emplace(service_, request_shape{memory_tokens, 0.0})
             .first->second.memory_tokens;
     usual_tokens += work_smoothing * (memory_tokens - usual_tokens);
     if (!facts_.adapter.empty())
