--- a/libs/core/include/barleyfork/core/gateway_configuration.hpp
+++ b/libs/core/include/barleyfork/core/gateway_configuration.hpp
@@ -171,6 +171,17 @@
                            const configuration_fault&) = default;
 };
 
+/// The order of requests by urgency: by the priority of the organisation, and
+/// among its equals by that of the route.
+struct request_precedence
+{
+    std::uint32_t organisation = 0;
+    std::uint32_t route = 0;
+
+    friend auto operator<=>(const request_precedence&,
+                            const request_precedence&) = default;
+};
+
 /// One complete version of the operators' configuration.
 struct gateway_configuration
 {
@@ -180,7 +191,10 @@
     caller_limits limits;
     /// Empty where callers need no keys.
     std::vector<gateway_organisation> organisations;
-    /// All priorities of routes and organisations in ascending order. Set by
+    /// The precedences of all routes with all organisations in ascending order;
+    /// empty without organisations. Set by `set_queue_targets`.
+    std::vector<request_precedence> precedences;
+    /// All values of `request_priority` in ascending order. Set by
     /// `set_queue_targets`.
     std::vector<std::uint32_t> priorities;
     /// True if organisations are declared, even if none of the entries could
@@ -203,6 +217,13 @@
 /// priorities of all routes, and the `priorities` in use.
 void set_queue_targets(gateway_configuration& configuration);
 
+/// Returns the priority of a request, 0 for the most urgent ones.
+/// `organisation` is null for callers that need no key. Without organisations
+/// it is the priority of the route; with them, the rank of the precedence.
+std::uint32_t request_priority(const gateway_configuration& configuration,
+                               const gateway_route& route,
+                               const gateway_organisation* organisation);
+
 /// Returns the share of the servers that an organisation may have relative to
 /// others when there is too little room: its rate of tokens. One without a
 /// limit counts as the largest one with a limit.
--- a/libs/core/src/gateway_configuration.cpp
+++ b/libs/core/src/gateway_configuration.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <numeric>
 #include <set>
 
 namespace barleyfork {
@@ -54,24 +55,47 @@
 
 namespace {
 
-/// Returns the priorities of all routes and organisations, without duplicates
-/// and in ascending order.
-std::vector<std::uint32_t>
-collect_priorities(const gateway_configuration& configuration)
+std::set<std::uint32_t>
+route_priorities(const gateway_configuration& configuration)
 {
     std::set<std::uint32_t> priorities;
     for (const auto& route : configuration.routes)
         priorities.insert(route.priority);
-    for (const auto& organisation : configuration.organisations)
-        if (organisation.priority)
-            priorities.insert(*organisation.priority);
-    return {priorities.begin(), priorities.end()};
+    return priorities;
+}
+
+std::vector<request_precedence>
+collect_precedences(const gateway_configuration& configuration)
+{
+    std::set<request_precedence> precedences;
+    if (configuration.organisations.empty())
+        return {};
+    for (const auto route : route_priorities(configuration)) {
+        precedences.insert({route, route});
+        for (const auto& organisation : configuration.organisations)
+            precedences.insert({organisation.priority.value_or(route), route});
+    }
+    return {precedences.begin(), precedences.end()};
+}
+
+std::vector<std::uint32_t>
+collect_priorities(const gateway_configuration& configuration)
+{
+    const auto& precedences = configuration.precedences;
+    if (precedences.empty()) {
+        const auto priorities = route_priorities(configuration);
+        return {priorities.begin(), priorities.end()};
+    }
+    std::vector<std::uint32_t> ranks(precedences.size());
+    std::iota(ranks.begin(), ranks.end(), 0U);
+    return ranks;
 }
 
 } // namespace
 
 void set_queue_targets(gateway_configuration& configuration)
 {
+    configuration.precedences = collect_precedences(configuration);
     configuration.priorities = collect_priorities(configuration);
     // The maximum latency target of each service and priority.
     std::map<service_id, std::map<std::uint32_t, duration>> max_targets;
@@ -103,6 +127,24 @@
     }
 }
 
+std::uint32_t request_priority(const gateway_configuration& configuration,
+                               const gateway_route& route,
+                               const gateway_organisation* organisation)
+{
+    const auto& precedences = configuration.precedences;
+    if (precedences.empty())
+        return route.priority;
+    const auto of_organisation =
+        organisation == nullptr
+            ? route.priority
+            : organisation->priority.value_or(route.priority);
+    const auto found =
+        std::lower_bound(precedences.begin(),
+                         precedences.end(),
+                         request_precedence{of_organisation, route.priority});
+    return static_cast<std::uint32_t>(found - precedences.begin());
+}
+
 double share_weight(const gateway_configuration& configuration,
                     const gateway_organisation& organisation)
 {
--- a/libs/core/tests/gateway_parts_test.cpp
+++ b/libs/core/tests/gateway_parts_test.cpp
@@ -74,6 +74,8 @@
     CPPUNIT_TEST(a_free_lease_is_not_waited_for);
     CPPUNIT_TEST(announcements_of_a_process_expire_with_it);
     CPPUNIT_TEST(announcements_of_an_older_process_are_ignored);
+    CPPUNIT_TEST(organisations_go_before_routes_in_the_order_of_requests);
+    CPPUNIT_TEST(shares_follow_the_rates_of_organisations);
     CPPUNIT_TEST(memory_is_shared_up_to_its_limits);
     CPPUNIT_TEST(the_largest_user_gives_up_its_memory_for_smaller_ones);
     CPPUNIT_TEST(a_small_user_has_memory_in_any_case);
@@ -465,6 +467,51 @@
         CPPUNIT_ASSERT(!directory.find(entry.id)->rejects_requests(start));
     }
 
+    void organisations_go_before_routes_in_the_order_of_requests()
+    {
+        gateway_configuration configuration;
+        configuration.routes.resize(2);
+        configuration.routes[0].priority = 2;
+        configuration.routes[1].priority = 5;
+        const auto& urgent = configuration.routes[0];
+        const auto& other = configuration.routes[1];
+        set_queue_targets(configuration);
+        CPPUNIT_ASSERT_EQUAL(5U,
+                             request_priority(configuration, other, nullptr));
+        configuration.organisations.resize(3);
+        configuration.organisations[0].priority = 1;
+        configuration.organisations[1].priority = 1;
+        set_queue_targets(configuration);
+        const auto* first = &configuration.organisations[0];
+        const auto* second = &configuration.organisations[1];
+        const auto* plain = &configuration.organisations[2];
+        const auto rank = [&configuration](const auto& route,
+                                           const auto* organisation) {
+            return request_priority(configuration, route, organisation);
+        };
+        CPPUNIT_ASSERT_EQUAL(0U, rank(urgent, first));
+        CPPUNIT_ASSERT_EQUAL(0U, rank(urgent, second));
+        CPPUNIT_ASSERT_EQUAL(1U, rank(other, first));
+        CPPUNIT_ASSERT_EQUAL(2U, rank(urgent, plain));
+        CPPUNIT_ASSERT_EQUAL(3U, rank(other, plain));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, configuration.priorities.size());
+    }
+
+    void shares_follow_the_rates_of_organisations()
+    {
+        gateway_configuration configuration;
+        configuration.organisations.resize(3);
+        configuration.organisations[0].quota.per_second = 100.0;
+        configuration.organisations[1].quota.per_second = 300.0;
+        const auto weight = [&configuration](std::size_t index) {
+            return share_weight(configuration,
+                                configuration.organisations[index]);
+        };
+        CPPUNIT_ASSERT_EQUAL(100.0, weight(0));
+        CPPUNIT_ASSERT_EQUAL(300.0, weight(1));
+        CPPUNIT_ASSERT_EQUAL(300.0, weight(2));
+    }
+
     void memory_is_shared_up_to_its_limits()
     {
         memory_budget budget(100, 60);
