--- a/libs/core/src/quota_terms.cpp
+++ b/libs/core/src/quota_terms.cpp
@@ -27,6 +27,8 @@
 constexpr duration count_margin{250};
 /// The time of minting that pools can store in any case.
 constexpr double min_pool_s = 0.25;
+/// The time of the rate that a burst is stored for, where it is larger.
+constexpr double burst_s = 1.0;
 constexpr double ms_per_second = 1000.0;
 
 double to_seconds(duration time)
@@ -80,8 +82,12 @@
     const double minted_s = to_seconds(tolerance.window + times.total());
     quota_terms terms;
     terms.times = times;
+    // A burst counts in every window anew. What of it is beyond a second of the
+    // rate is minted all the time, as pools could store it only once.
+    const double stored = std::min(quota.burst, quota.per_second * burst_s);
+    const double most = bound / (minted_s + min_pool_s);
     terms.per_second =
-        std::min(quota.per_second, bound / (minted_s + min_pool_s));
+        std::min(std::max(quota.per_second, (bound - stored) / minted_s), most);
     terms.pool_cap = bound - terms.per_second * minted_s;
     return terms;
 }
