--- a/libs/gateway/src/peer_updates_neighbours.cpp
+++ b/libs/gateway/src/peer_updates_neighbours.cpp
@@ -111,9 +111,11 @@
 
 asio::awaitable<void> peer_updates::follow_members()
 {
-    // A daemon that restarts finds its neighbours listed.
-    if (co_await read_members())
-        request_neighbour_snapshots();
+    // A daemon that restarts finds its neighbours and itself listed; one that
+    // does not know that yet would count as new for long, and mint no tokens.
+    while (!co_await read_members())
+        co_await sleep_for_ms(retry_delay_ms);
+    request_neighbour_snapshots();
     const bool listed_before = own_row_.version.is_known();
     co_await register_self();
     const bool is_new = !listed_before && !context_.settings.first_start;
