--- a/libs/core/include/barleyfork/core/configuration_state.hpp
+++ b/libs/core/include/barleyfork/core/configuration_state.hpp
@@ -73,6 +73,12 @@
         return in_force_;
     }
 
+    /// Returns the digest of the catalog in force; empty before the first.
+    const std::string& digest_in_force() const noexcept
+    {
+        return in_force_digest_;
+    }
+
     /// Returns the staged revision whose body is known, or 0.
     std::uint64_t staged_revision() const noexcept;
 
--- a/libs/daemon/src/configuration_worker.cpp
+++ b/libs/daemon/src/configuration_worker.cpp
@@ -111,12 +111,13 @@
             context_.control.spawn(fetch_body(digest));
 }
 
-/// Fetches the delta from the body in force and returns the resulting body;
-/// empty where the delta is not available or yields another digest.
+/// Fetches the delta from the body in force here and returns the resulting
+/// body; empty where the delta is not available or yields another digest. The
+/// known head may name `digest` as accepted already.
 asio::awaitable<std::string>
 configuration_worker::fetch_delta(std::string digest)
 {
-    const auto base_digest = state_.known().digest;
+    const auto base_digest = state_.digest_in_force();
     const auto base = body_bytes(base_digest);
     if (base.empty() || base_digest == digest)
         co_return std::string();
@@ -175,7 +176,8 @@
     state_.add_body(digest, std::move(body));
     bodies_[digest] = bytes;
     std::erase_if(bodies_, [this](const auto& entry) {
-        return entry.first != state_.known().digest &&
+        return entry.first != state_.digest_in_force() &&
+               entry.first != state_.known().digest &&
                entry.first != state_.known().staged_digest;
     });
     record_own_state();
