--- a/libs/core/include/barleyfork/core/configuration_check.hpp
+++ b/libs/core/include/barleyfork/core/configuration_check.hpp
@@ -39,11 +39,6 @@
 std::vector<configuration_finding>
 check_configuration(const gateway_configuration& configuration);
 
-/// Returns the differences between the version in force and the next one, one
-/// per line: `+` added, `-` removed, `~` changed. Keys are counted, not shown.
-std::vector<std::string> describe_changes(const gateway_configuration& in_force,
-                                          const gateway_configuration& next);
-
 } // namespace barleyfork
 
 #endif
--- a/libs/core/tests/configuration_check_test.cpp
+++ b/libs/core/tests/configuration_check_test.cpp
@@ -1,5 +1,6 @@
 /// Tests the check of a configuration before it is sent.
 
+#include <barleyfork/core/configuration_changes.hpp>
 #include <barleyfork/core/configuration_check.hpp>
 
 #include <algorithm>
--- a/libs/core/tests/gateway_parts_test.cpp
+++ b/libs/core/tests/gateway_parts_test.cpp
@@ -46,6 +46,19 @@
     return candidate;
 }
 
+/// Adds a route to the service w, of a priority and a latency target.
+void add_route(gateway_configuration& configuration,
+               const char* prefix,
+               std::uint32_t priority,
+               duration target)
+{
+    auto route = make_route("h", prefix);
+    route.priority = priority;
+    route.latency_target = target;
+    route.services = {{service_id("w"), 1}};
+    configuration.routes.push_back(route);
+}
+
 } // namespace
 
 class gateway_parts_test : public CppUnit::TestFixture
@@ -113,17 +126,10 @@
     void urgent_routes_have_the_longest_queue_target_of_less_urgent()
     {
         gateway_configuration configuration;
-        const auto add = [&](const char* name, int priority, int target) {
-            auto route = make_route("h", name);
-            route.priority = static_cast<std::uint32_t>(priority);
-            route.latency_target = duration(target);
-            route.services = {{service_id("w"), 1}};
-            configuration.routes.push_back(route);
-        };
-        add("/urgent/", 0, 600);
-        add("/middle/", 1, 800);
-        add("/patient/", 2, 1500);
-        add("/last/", 3, 700);
+        add_route(configuration, "/urgent/", 0, duration{600});
+        add_route(configuration, "/middle/", 1, duration{800});
+        add_route(configuration, "/patient/", 2, duration{1500});
+        add_route(configuration, "/last/", 3, duration{700});
         set_queue_targets(configuration);
         const auto target = [&](int index) {
             return configuration.routes.at(index).queue_target;
@@ -137,17 +143,10 @@
     void queues_are_kept_within_the_tightest_target()
     {
         gateway_configuration configuration;
-        const auto add = [&](const char* name, int priority, int target) {
-            auto route = make_route("h", name);
-            route.priority = static_cast<std::uint32_t>(priority);
-            route.latency_target = duration(target);
-            route.services = {{service_id("w"), 1}};
-            configuration.routes.push_back(route);
-        };
-        add("/urgent/", 0, 800);
-        add("/middle/", 1, 1000);
-        add("/patient/", 2, 15000);
-        add("/tight/", 3, 500);
+        add_route(configuration, "/urgent/", 0, duration{800});
+        add_route(configuration, "/middle/", 1, duration{1000});
+        add_route(configuration, "/patient/", 2, duration{15000});
+        add_route(configuration, "/tight/", 3, duration{500});
         set_queue_targets(configuration);
         const auto target = [&](int index) {
             return configuration.routes.at(index).room_target;
--- a/tools/barleyfork/check_command.cpp
+++ b/tools/barleyfork/check_command.cpp
@@ -1,5 +1,6 @@
 #include "check_command.hpp"
 
+#include <barleyfork/core/configuration_changes.hpp>
 #include <barleyfork/core/configuration_check.hpp>
 #include <barleyfork/platform/platform.hpp>
 #include <barleyfork/schema/toml_reader.hpp>
