--- a/libs/core/src/configuration_changes.cpp
+++ b/libs/core/src/configuration_changes.cpp
@@ -51,8 +51,10 @@
                 const std::string& before,
                 const std::string& after)
 {
-    if (before != after)
-        text += " " + std::string(field) + " " + before + " -> " + after + ";";
+    if (before == after)
+        return;
+    text.append(" ").append(field).append(" ").append(before);
+    text.append(" -> ").append(after).append(";");
 }
 
 std::string shares_text(const gateway_route& route)
@@ -201,9 +203,11 @@
     const auto added = count_missing(b.key_digests, a.key_digests);
     const auto withdrawn = count_missing(a.key_digests, b.key_digests);
     if (added > 0)
-        text += " " + std::to_string(added) + " keys added;";
+        text.append(" ").append(std::to_string(added)).append(" keys added;");
     if (withdrawn > 0)
-        text += " " + std::to_string(withdrawn) + " keys withdrawn;";
+        text.append(" ")
+            .append(std::to_string(withdrawn))
+            .append(" keys withdrawn;");
     add_change(text, "priority", priority_text(a), priority_text(b));
     add_change(text,
                "tokens_per_second",
