--- a/libs/core/include/barleyfork/core/backend_directory.hpp
+++ b/libs/core/include/barleyfork/core/backend_directory.hpp
@@ -170,8 +170,10 @@
     void on_store_restored(time_point now);
 
     /// Removes the servers that were not listed again in time after an outage,
-    /// and returns them.
-    std::vector<server_id> expire(time_point now);
+    /// and returns them. `list_known_at` is the latest time as of which the
+    /// list is known, from whichever daemon: that it is known at all then shows
+    /// that the store is back, also where this daemon does not reach it.
+    std::vector<server_id> expire(time_point now, time_point list_known_at);
 
     /// Sets the maximum time until a change on a server appears in the list.
     void set_max_list_lag(duration max_lag) noexcept
--- a/libs/core/src/backend_directory.cpp
+++ b/libs/core/src/backend_directory.cpp
@@ -115,14 +115,18 @@
     store_returned_at_ = now;
 }
 
-std::vector<server_id> backend_directory::expire(time_point now)
+std::vector<server_id> backend_directory::expire(time_point now,
+                                                 time_point list_known_at)
 {
+    const bool is_return_over = !awaits_return(now);
     std::vector<server_id> expired;
-    if (awaits_return(now))
-        return expired;
-    for (const auto& [id, state] : servers_)
-        if (state.missing_since)
+    for (const auto& [id, state] : servers_) {
+        if (!state.missing_since)
+            continue;
+        if (is_return_over ||
+            list_known_at >= *state.missing_since + outage_grace_period)
             expired.push_back(id);
+    }
     for (const auto& id : expired)
         servers_.erase(id);
     return expired;
--- a/libs/core/tests/gateway_parts_test.cpp
+++ b/libs/core/tests/gateway_parts_test.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(urgent_routes_have_the_longest_queue_target_of_less_urgent);
     CPPUNIT_TEST(queues_are_kept_within_the_tightest_target);
     CPPUNIT_TEST(missing_server_is_kept_only_after_an_outage);
+    CPPUNIT_TEST(missing_server_is_gone_once_others_know_the_list_without_it);
     CPPUNIT_TEST(entries_that_differ_in_heartbeats_only_are_recognised);
     CPPUNIT_TEST(announced_state_is_valid_until_the_list_has_caught_up);
     CPPUNIT_TEST(older_updates_of_the_lease_holder_are_ignored);
@@ -168,11 +169,30 @@
         directory.set_store_reachable(false, start);
         directory.remove(server_id("s"), start);
         directory.set_store_reachable(true, start + duration{500});
-        CPPUNIT_ASSERT(directory.expire(start + duration{1000}).empty());
+        CPPUNIT_ASSERT(directory.expire(start + duration{1000}, start).empty());
         CPPUNIT_ASSERT(directory.find(server_id("s")) != nullptr);
         const auto later =
             start + duration{500} + backend_directory::outage_grace_period;
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.expire(later).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             directory.expire(later, start).size());
+    }
+
+    /// Others, which reach the store, still know the list 2 s after the server
+    /// has left it.
+    void missing_server_is_gone_once_others_know_the_list_without_it()
+    {
+        constexpr auto grace = backend_directory::outage_grace_period;
+        backend_directory directory;
+        directory.update(make_entry("s", "m"));
+        directory.set_store_reachable(false, start);
+        const auto missing_at = start + duration{3000};
+        directory.remove(server_id("s"), missing_at);
+        const auto now = missing_at + grace + duration{500};
+        const auto too_early = missing_at + grace - duration{1};
+        CPPUNIT_ASSERT(directory.expire(now, too_early).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             directory.expire(now, missing_at + grace).size());
+        CPPUNIT_ASSERT(directory.find(server_id("s")) == nullptr);
     }
 
     /// Every server sends a heartbeat each second; only entries with other
--- a/libs/gateway/src/store_watch.cpp
+++ b/libs/gateway/src/store_watch.cpp
@@ -173,7 +173,9 @@
 /// a read of the list if any were removed.
 void store_watch::expire_servers()
 {
-    for (const auto& removed : context_.directory.expire(steady_now())) {
+    const auto expired =
+        context_.directory.expire(steady_now(), list_.known_at());
+    for (const auto& removed : expired) {
         log_event(log_level::info, "server_gone")
             .with("server", removed.value());
         list_.request_refresh();
@@ -215,6 +217,7 @@
         apply_changes(rows, log_level::debug, steady_now());
     if (claim.since.is_known())
         list_.on_peer_state(claim);
+    expire_servers();
     if (has_changes)
         context_.wake_waiting_calls();
 }
