--- a/libs/core/src/table_follower.cpp
+++ b/libs/core/src/table_follower.cpp
@@ -57,7 +57,9 @@
 {
     if (!position.is_known() || position < position_)
         return;
-    is_known_ = true;
+    // The store's history may not reach back to the position it had; others
+    // know the same version, but nothing can be continued from there.
+    is_known_ = is_known_ || position > position_;
     refresh_needed_ = false;
     position_ = position;
     known_at_ = std::max(known_at_, known_at);
--- a/libs/core/tests/table_follower_test.cpp
+++ b/libs/core/tests/table_follower_test.cpp
@@ -131,6 +131,7 @@
     CPPUNIT_TEST(a_hung_call_leaves_time_for_the_next);
     CPPUNIT_TEST(a_confirmation_is_believed_for_a_bounded_time);
     CPPUNIT_TEST(a_confirmation_of_less_than_is_known_has_no_effect);
+    CPPUNIT_TEST(a_confirmation_brings_no_forgotten_history_back);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -234,6 +235,22 @@
                        follower_step::read_store);
     }
 
+    /// All daemons tell each other of a version from which the store's history
+    /// can't be continued; each must still read the table whole.
+    void a_confirmation_brings_no_forgotten_history_back()
+    {
+        table_follower daemon{follower_intervals()};
+        daemon.on_read(71, start);
+        daemon.forget();
+        daemon.on_confirmed(71, start + tick);
+        CPPUNIT_ASSERT(!daemon.known());
+        daemon.on_confirmed(72, start + tick);
+        CPPUNIT_ASSERT(daemon.known());
+        daemon.forget();
+        daemon.on_read(72, start + tick);
+        CPPUNIT_ASSERT(daemon.known());
+    }
+
     /// Versions of a later era are lower.
     void a_confirmation_of_less_than_is_known_has_no_effect()
     {
--- a/libs/gateway/src/store_watch_configuration.cpp
+++ b/libs/gateway/src/store_watch_configuration.cpp
@@ -142,10 +142,15 @@
         read = co_await store.read_changes(table, position, wait);
     // Another call may have read more meanwhile, and a response may reflect an
     // older state of the store.
+    const bool is_history_gone =
+        read.error && kind_of(read.error.code) == errc::conflict;
+    if (is_history_gone && !is_full_read) {
+        // At once: another daemon's word would make the position known again.
+        configuration_.forget();
+        co_return co_await read_configuration(wait);
+    }
     if (read.error || read.version < configuration_.position()) {
-        if (kind_of(read.error.code) == errc::conflict)
-            configuration_.forget();
-        else
+        if (!is_history_gone)
             set_reachable(!read.error, read.error);
         co_return false;
     }
