--- a/libs/core/src/server_choice.cpp
+++ b/libs/core/src/server_choice.cpp
@@ -81,6 +81,17 @@
     return from[draw % from.size()];
 }
 
+/// Returns how many requests of other daemons a server holds, by its report or
+/// by their updates.
+double outstanding_of_others(const load_view& load)
+{
+    return std::max(
+        reported_by_others(load.reported_running + load.reported_waiting,
+                           load.own_outstanding,
+                           load),
+        static_cast<double>(load.peer_outstanding));
+}
+
 /// Returns the usual time that a request waits at the candidates, in ms.
 double usual_queue_ms(std::span<const server_candidate> candidates,
                       const engine_work& work)
@@ -106,11 +117,7 @@
                              const engine_work& work)
 {
     const auto& load = candidate.load;
-    const double others = std::max(
-        reported_by_others(load.reported_running + load.reported_waiting,
-                           load.own_outstanding,
-                           load),
-        static_cast<double>(load.peer_outstanding));
+    const double others = outstanding_of_others(load);
     const double slots = std::max<double>(candidate.slots, 1.0);
     const double above_slots = std::max(
         static_cast<double>(load.own_outstanding) + others + 1.0 - slots, 0.0);
@@ -152,11 +159,7 @@
 double expected_answer_ms(const server_candidate& candidate, double service_ms)
 {
     const auto& load = candidate.load;
-    const double others = std::max(
-        reported_by_others(load.reported_running + load.reported_waiting,
-                           load.own_outstanding,
-                           load),
-        static_cast<double>(load.peer_outstanding));
+    const double others = outstanding_of_others(load);
     const double in_flight = static_cast<double>(load.own_outstanding) + others;
     const double slots = std::max<double>(candidate.slots, 1.0);
     const double waited_ms = static_cast<double>(load.oldest_wait.count());
