--- a/libs/core/src/configuration_changes.cpp
+++ b/libs/core/src/configuration_changes.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string_view>
+#include <type_traits>
 
 namespace barleyfork {
 
@@ -14,6 +15,22 @@
     return std::to_string(time.count()) + " ms";
 }
 
+std::string text_of(bool flag)
+{
+    return flag ? "yes" : "no";
+}
+
+const std::string& text_of(const std::string& text)
+{
+    return text;
+}
+
+template <typename Number>
+requires std::is_arithmetic_v<Number> std::string text_of(Number number)
+{
+    return std::to_string(number);
+}
+
 /// Compares two lists of entries by name and describes what differs.
 template <typename Entry, typename Name, typename Difference>
 void compare(const std::vector<Entry>& before,
@@ -46,15 +63,16 @@
             out.push_back("- " + std::string(what) + " " + key);
 }
 
+template <typename Value>
 void add_change(std::string& text,
                 std::string_view field,
-                const std::string& before,
-                const std::string& after)
+                const Value& before,
+                const Value& after)
 {
     if (before == after)
         return;
-    text.append(" ").append(field).append(" ").append(before);
-    text.append(" -> ").append(after).append(";");
+    text.append(" ").append(field).append(" ").append(text_of(before));
+    text.append(" -> ").append(text_of(after)).append(";");
 }
 
 std::string shares_text(const gateway_route& route)
@@ -79,11 +97,6 @@
     return "at_most_once";
 }
 
-std::string flag_text(bool flag)
-{
-    return flag ? "yes" : "no";
-}
-
 std::string route_difference(const gateway_route& a, const gateway_route& b)
 {
     std::string text;
@@ -91,66 +104,35 @@
     add_change(text, "prefix", a.prefix, b.prefix);
     add_change(text, "kind", kind_text(a.kind), kind_text(b.kind));
     add_change(text, "services", shares_text(a), shares_text(b));
-    add_change(text, "timeout", text_of(a.timeout), text_of(b.timeout));
-    add_change(text,
-               "latency_target",
-               text_of(a.latency_target),
-               text_of(b.latency_target));
-    add_change(
-        text, "pause_target", text_of(a.pause_target), text_of(b.pause_target));
-    add_change(text,
-               "priority",
-               std::to_string(a.priority),
-               std::to_string(b.priority));
-    add_change(text,
-               "max_runs",
-               std::to_string(a.max_runs),
-               std::to_string(b.max_runs));
-    add_change(
-        text, "resumable", flag_text(a.resumable), flag_text(b.resumable));
-    add_change(text, "public", flag_text(a.is_public), flag_text(b.is_public));
+    add_change(text, "timeout", a.timeout, b.timeout);
+    add_change(text, "latency_target", a.latency_target, b.latency_target);
+    add_change(text, "pause_target", a.pause_target, b.pause_target);
+    add_change(text, "priority", a.priority, b.priority);
+    add_change(text, "max_runs", a.max_runs, b.max_runs);
+    add_change(text, "resumable", a.resumable, b.resumable);
+    add_change(text, "public", a.is_public, b.is_public);
     return text;
 }
 
 std::string model_difference(const engine_model& a, const engine_model& b)
 {
     std::string text;
-    add_change(text,
-               "memory_mb",
-               std::to_string(a.memory_mb),
-               std::to_string(b.memory_mb));
-    add_change(text, "load_time", text_of(a.load_time), text_of(b.load_time));
-    add_change(text,
-               "adapters",
-               std::to_string(a.adapters),
-               std::to_string(b.adapters));
-    add_change(text,
-               "adapter_mb",
-               std::to_string(a.adapter_mb),
-               std::to_string(b.adapter_mb));
+    add_change(text, "memory_mb", a.memory_mb, b.memory_mb);
+    add_change(text, "load_time", a.load_time, b.load_time);
+    add_change(text, "adapters", a.adapters, b.adapters);
+    add_change(text, "adapter_mb", a.adapter_mb, b.adapter_mb);
     return text;
 }
 
 std::string engine_difference(const engine_options& a, const engine_options& b)
 {
     std::string text;
-    add_change(text, "slots", std::to_string(a.slots), std::to_string(b.slots));
-    add_change(text,
-               "cache_tokens",
-               std::to_string(a.cache_tokens),
-               std::to_string(b.cache_tokens));
-    add_change(text,
-               "memory_mb",
-               std::to_string(a.memory_mb),
-               std::to_string(b.memory_mb));
-    add_change(text,
-               "max_adapters",
-               std::to_string(a.max_adapters),
-               std::to_string(b.max_adapters));
-    add_change(text,
-               "loads_per_second",
-               std::to_string(a.loads_per_second),
-               std::to_string(b.loads_per_second));
+    add_change(text, "slots", a.slots, b.slots);
+    add_change(text, "cache_tokens", a.cache_tokens, b.cache_tokens);
+    add_change(text, "memory_mb", a.memory_mb, b.memory_mb);
+    add_change(text, "max_adapters", a.max_adapters, b.max_adapters);
+    add_change(
+        text, "loads_per_second", a.loads_per_second, b.loads_per_second);
     std::vector<std::string> models;
     compare(
         a.models,
@@ -168,14 +150,8 @@
                                const gateway_service& b)
 {
     std::string text;
-    add_change(text,
-               "max_connections",
-               std::to_string(a.max_connections),
-               std::to_string(b.max_connections));
-    add_change(text,
-               "engine",
-               flag_text(a.engine.has_value()),
-               flag_text(b.engine.has_value()));
+    add_change(text, "max_connections", a.max_connections, b.max_connections);
+    add_change(text, "engine", a.engine.has_value(), b.engine.has_value());
     if (a.engine && b.engine)
         text += engine_difference(*a.engine, *b.engine);
     return text;
@@ -209,38 +185,22 @@
             .append(std::to_string(withdrawn))
             .append(" keys withdrawn;");
     add_change(text, "priority", priority_text(a), priority_text(b));
-    add_change(text,
-               "tokens_per_second",
-               std::to_string(a.quota.per_second),
-               std::to_string(b.quota.per_second));
-    add_change(text,
-               "burst",
-               std::to_string(a.quota.burst),
-               std::to_string(b.quota.burst));
-    add_change(text,
-               "plain_tokens",
-               std::to_string(a.quota.plain_tokens),
-               std::to_string(b.quota.plain_tokens));
+    add_change(
+        text, "tokens_per_second", a.quota.per_second, b.quota.per_second);
+    add_change(text, "burst", a.quota.burst, b.quota.burst);
+    add_change(
+        text, "plain_tokens", a.quota.plain_tokens, b.quota.plain_tokens);
     return text;
 }
 
 std::string limits_difference(const caller_limits& a, const caller_limits& b)
 {
     std::string text;
-    add_change(text,
-               "max_header_bytes",
-               std::to_string(a.max_header_bytes),
-               std::to_string(b.max_header_bytes));
-    add_change(text,
-               "max_body_bytes",
-               std::to_string(a.max_body_bytes),
-               std::to_string(b.max_body_bytes));
-    add_change(text,
-               "header_timeout",
-               text_of(a.header_timeout),
-               text_of(b.header_timeout));
     add_change(
-        text, "idle_timeout", text_of(a.idle_timeout), text_of(b.idle_timeout));
+        text, "max_header_bytes", a.max_header_bytes, b.max_header_bytes);
+    add_change(text, "max_body_bytes", a.max_body_bytes, b.max_body_bytes);
+    add_change(text, "header_timeout", a.header_timeout, b.header_timeout);
+    add_change(text, "idle_timeout", a.idle_timeout, b.idle_timeout);
     return text;
 }
 
@@ -275,8 +235,8 @@
     if (!limits.empty())
         out.push_back("~ limits:" + limits);
     if (in_force.requires_keys != next.requires_keys)
-        out.push_back("~ keys required: " + flag_text(in_force.requires_keys) +
-                      " -> " + flag_text(next.requires_keys));
+        out.push_back("~ keys required: " + text_of(in_force.requires_keys) +
+                      " -> " + text_of(next.requires_keys));
     return out;
 }
 
