--- a/libs/core/include/barleyfork/core/gateway_configuration.hpp
+++ b/libs/core/include/barleyfork/core/gateway_configuration.hpp
@@ -51,12 +51,12 @@
     /// Target against which the queue of an engine is compared: the maximum
     /// latency target of this route and the less urgent routes of its services,
     /// so that no less urgent request is queued where one of this route is not.
-    /// Set by `set_queue_targets`.
+    /// Set by `derive_from_entries`.
     duration queue_target{0};
     /// Target within which the queue of a server is kept: the minimum latency
     /// target of this route and the more urgent routes of its services, so that
     /// no less urgent request is queued where one of these would be late. Set
-    /// by `set_queue_targets`.
+    /// by `derive_from_entries`.
     duration room_target{0};
     /// Zero is the most urgent priority.
     std::uint32_t priority = 0;
@@ -157,6 +157,11 @@
     /// urgent.
     std::optional<std::uint32_t> priority;
     token_quota quota;
+    /// The share of the servers that the organisation may have relative to
+    /// others when there is too little room: its rate of tokens. One without a
+    /// limit counts as the largest one with a limit. Set by
+    /// `derive_from_entries`.
+    double share_weight = 1.0;
 };
 
 /// A part of a configuration that could not be used and is not in force.
@@ -192,10 +197,10 @@
     /// Empty where callers need no keys.
     std::vector<gateway_organisation> organisations;
     /// The precedences of all routes with all organisations in ascending order;
-    /// empty without organisations. Set by `set_queue_targets`.
+    /// empty without organisations. Set by `derive_from_entries`.
     std::vector<request_precedence> precedences;
     /// All values of `request_priority` in ascending order. Set by
-    /// `set_queue_targets`.
+    /// `derive_from_entries`.
     std::vector<std::uint32_t> priorities;
     /// True if organisations are declared, even if none of the entries could
     /// be decoded: requests then need a key.
@@ -213,9 +218,9 @@
                                  std::string_view host,
                                  std::string_view path);
 
-/// Sets the `queue_target` of every route from the latency targets and
-/// priorities of all routes, and the `priorities` in use.
-void set_queue_targets(gateway_configuration& configuration);
+/// Sets what follows from all entries together: the targets of routes'
+/// queues, the order of requests by urgency, and the shares of organisations.
+void derive_from_entries(gateway_configuration& configuration);
 
 /// Returns the priority of a request, 0 for the most urgent ones.
 /// `organisation` is null for callers that need no key. Without organisations
@@ -224,12 +229,6 @@
                                const gateway_route& route,
                                const gateway_organisation* organisation);
 
-/// Returns the share of the servers that an organisation may have relative to
-/// others when there is too little room: its rate of tokens. One without a
-/// limit counts as the largest one with a limit.
-double share_weight(const gateway_configuration& configuration,
-                    const gateway_organisation& organisation);
-
 /// Chooses a service of the route by weight; `draw` is a random number. Returns
 /// null if the route has no services.
 const service_id* choose_service(const gateway_route& route,
--- a/libs/core/src/gateway_configuration.cpp
+++ b/libs/core/src/gateway_configuration.cpp
@@ -91,12 +91,9 @@
     return ranks;
 }
 
-} // namespace
-
+/// Sets the targets within which requests of each route may be queued.
 void set_queue_targets(gateway_configuration& configuration)
 {
-    configuration.precedences = collect_precedences(configuration);
-    configuration.priorities = collect_priorities(configuration);
     // The maximum latency target of each service and priority.
     std::map<service_id, std::map<std::uint32_t, duration>> max_targets;
     std::map<service_id, std::map<std::uint32_t, duration>> min_targets;
@@ -127,6 +124,27 @@
     }
 }
 
+void set_share_weights(gateway_configuration& configuration)
+{
+    double largest = 1.0;
+    for (const auto& organisation : configuration.organisations)
+        largest = std::max(largest, organisation.quota.per_second);
+    for (auto& organisation : configuration.organisations)
+        organisation.share_weight = organisation.quota.is_limited()
+                                        ? organisation.quota.per_second
+                                        : largest;
+}
+
+} // namespace
+
+void derive_from_entries(gateway_configuration& configuration)
+{
+    configuration.precedences = collect_precedences(configuration);
+    configuration.priorities = collect_priorities(configuration);
+    set_queue_targets(configuration);
+    set_share_weights(configuration);
+}
+
 std::uint32_t request_priority(const gateway_configuration& configuration,
                                const gateway_route& route,
                                const gateway_organisation* organisation)
@@ -145,17 +163,6 @@
     return static_cast<std::uint32_t>(found - precedences.begin());
 }
 
-double share_weight(const gateway_configuration& configuration,
-                    const gateway_organisation& organisation)
-{
-    if (organisation.quota.is_limited())
-        return organisation.quota.per_second;
-    double largest = 1.0;
-    for (const auto& other : configuration.organisations)
-        largest = std::max(largest, other.quota.per_second);
-    return largest;
-}
-
 const service_id* choose_service(const gateway_route& route, std::uint64_t draw)
 {
     std::uint64_t total = 0;
--- a/libs/core/tests/gateway_parts_test.cpp
+++ b/libs/core/tests/gateway_parts_test.cpp
@@ -131,7 +131,7 @@
         add_route(configuration, "/middle/", 1, duration{800});
         add_route(configuration, "/patient/", 2, duration{1500});
         add_route(configuration, "/last/", 3, duration{700});
-        set_queue_targets(configuration);
+        derive_from_entries(configuration);
         const auto target = [&](int index) {
             return configuration.routes.at(index).queue_target;
         };
@@ -148,7 +148,7 @@
         add_route(configuration, "/middle/", 1, duration{1000});
         add_route(configuration, "/patient/", 2, duration{15000});
         add_route(configuration, "/tight/", 3, duration{500});
-        set_queue_targets(configuration);
+        derive_from_entries(configuration);
         const auto target = [&](int index) {
             return configuration.routes.at(index).room_target;
         };
@@ -494,13 +494,13 @@
         configuration.routes[1].priority = 5;
         const auto& urgent = configuration.routes[0];
         const auto& other = configuration.routes[1];
-        set_queue_targets(configuration);
+        derive_from_entries(configuration);
         CPPUNIT_ASSERT_EQUAL(5U,
                              request_priority(configuration, other, nullptr));
         configuration.organisations.resize(3);
         configuration.organisations[0].priority = 1;
         configuration.organisations[1].priority = 1;
-        set_queue_targets(configuration);
+        derive_from_entries(configuration);
         const auto* first = &configuration.organisations[0];
         const auto* second = &configuration.organisations[1];
         const auto* plain = &configuration.organisations[2];
@@ -522,9 +522,9 @@
         configuration.organisations.resize(3);
         configuration.organisations[0].quota.per_second = 100.0;
         configuration.organisations[1].quota.per_second = 300.0;
+        derive_from_entries(configuration);
         const auto weight = [&configuration](std::size_t index) {
-            return share_weight(configuration,
-                                configuration.organisations[index]);
+            return configuration.organisations[index].share_weight;
         };
         CPPUNIT_ASSERT_EQUAL(100.0, weight(0));
         CPPUNIT_ASSERT_EQUAL(300.0, weight(1));
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -150,8 +150,8 @@
     void run_admitted();
     void count_demand();
     void dispatch();
-    std::vector<server_candidate> candidates(time_point now,
-                                             wait_reason& reason) const;
+    std::vector<server_candidate>
+    candidates(prompt_order order, time_point now, wait_reason& reason) const;
     std::optional<choice> choose(time_point now, wait_reason& reason);
     double expected_ms(const server_candidate& candidate) const;
     engine_work work() const;
--- a/libs/gateway/src/gateway_call_attempts.cpp
+++ b/libs/gateway/src/gateway_call_attempts.cpp
@@ -169,7 +169,7 @@
         return;
     const auto now = steady_now();
     wait_reason reason = wait_reason::no_server;
-    const auto alternatives = candidates(now, reason);
+    const auto alternatives = candidates(attempt_->order, now, reason);
     const bool has_untried =
         std::any_of(alternatives.begin(),
                     alternatives.end(),
--- a/libs/gateway/src/gateway_call_choice.cpp
+++ b/libs/gateway/src/gateway_call_choice.cpp
@@ -25,13 +25,12 @@
 
 } // namespace
 
-std::vector<server_candidate>
-gateway_call::candidates(time_point now, wait_reason& reason) const
+std::vector<server_candidate> gateway_call::candidates(
+    prompt_order order, time_point now, wait_reason& reason) const
 {
     std::vector<server_candidate> found;
     const bool suspected = is_suspected(now);
-    const auto priority = load_priority(may_yield() ? prompt_order::yields
-                                                    : prompt_order::in_turn);
+    const auto priority = load_priority(order);
     const auto* engine = service() != nullptr && service()->engine
                              ? &*service()->engine
                              : nullptr;
@@ -165,7 +164,9 @@
 std::optional<gateway_call::choice> gateway_call::choose(time_point now,
                                                          wait_reason& reason)
 {
-    const auto found = candidates(now, reason);
+    const bool yields = may_yield();
+    const auto found = candidates(
+        yields ? prompt_order::yields : prompt_order::in_turn, now, reason);
     const auto draw = context_.random();
     const auto times = context_.service_times_ms.find(service_);
     const auto index =
@@ -186,7 +187,7 @@
     chosen.target = endpoint_of(entry);
     chosen.expected_ms = expected_ms(picked);
     chosen.candidates = found.size();
-    if (may_yield())
+    if (yields)
         choose_order(chosen, picked, now);
     return chosen;
 }
@@ -280,7 +281,7 @@
     request.priority = priority();
     if (organisation_ != nullptr) {
         request.organisation = organisation_->id;
-        request.weight = share_weight(*configuration_, *organisation_);
+        request.weight = organisation_->share_weight;
     }
     request.crashes =
         is_suspected(now) ? context_.quarantine.crashes(suspects_) : 0;
--- a/libs/gateway/src/store_watch_configuration.cpp
+++ b/libs/gateway/src/store_watch_configuration.cpp
@@ -145,7 +145,7 @@
     const bool is_history_gone =
         read.error && kind_of(read.error.code) == errc::conflict;
     if (is_history_gone && !is_full_read) {
-        // At once: another daemon's word would make the position known again.
+        // The store answers, so there is nothing to wait for.
         configuration_.forget();
         co_return co_await read_configuration(wait);
     }
@@ -184,7 +184,7 @@
         decoded->version <= context_.configuration->version)
         return true;
     is_newest_unreadable_ = false;
-    set_queue_targets(*decoded);
+    derive_from_entries(*decoded);
     log_event(log_level::info, "configuration_in_force")
         .with("version", static_cast<std::int64_t>(decoded->version))
         .with("source", source)
