--- a/libs/gateway/include/barleyfork/gateway/call_codec.hpp
+++ b/libs/gateway/include/barleyfork/gateway/call_codec.hpp
@@ -38,6 +38,12 @@
     /// The ids of the parts of the prompt that other requests may share, in
     /// order; 64 at most.
     std::vector<std::string> shared_prompt_parts;
+
+    /// The tokens that the request may hold and use in all.
+    std::uint64_t total_tokens() const noexcept
+    {
+        return std::uint64_t{prompt_tokens} + max_output_tokens;
+    }
 };
 
 /// The metadata that this daemon sends to a backend server in addition to the
--- a/libs/gateway/src/gateway_call.cpp
+++ b/libs/gateway/src/gateway_call.cpp
@@ -16,19 +16,6 @@
 constexpr duration default_timeout{30000};
 /// The maximum number of attempts of one request, including rejected ones.
 constexpr int max_sends = 4;
-/// A request waits for a server for at most one third of its remaining time,
-/// and for at most twice its latency target.
-constexpr int wait_time_divisor = 3;
-constexpr int max_wait_targets = 2;
-/// A caller that is rejected because of the servers' limits may find another
-/// daemon that is allowed to send; it is not kept away for longer than this.
-constexpr duration max_limit_delay{2000};
-/// A request waits for tokens of its organisation's quota for at most this time
-/// and at most one third of its own.
-constexpr duration max_quota_wait{250};
-/// The times after which a call that waits for room decides again.
-constexpr duration min_room_delay{50};
-constexpr duration max_room_delay{250};
 /// The weight of a new sample in the mean work of a request.
 constexpr double work_smoothing = 0.02;
 /// Reading from a server resumes once fewer than this many bytes are unsent to
@@ -82,66 +69,6 @@
     dispatch();
 }
 
-/// Uses the tokens of the organisation's quota. Returns false if the request
-/// waits for tokens or was rejected.
-bool gateway_call::use_quota()
-{
-    if (organisation_ == nullptr || !organisation_->quota.is_limited())
-        return true;
-    const double tokens =
-        facts_.has_token_count
-            ? static_cast<double>(facts_.prompt_tokens) +
-                  static_cast<double>(facts_.max_output_tokens)
-            : static_cast<double>(organisation_->quota.plain_tokens);
-    const auto patience = std::min(
-        max_quota_wait, (deadline_ - received_at_) / wait_time_divisor);
-    const std::weak_ptr<gateway_call> self = weak_from_this();
-    const auto decision = context_.quotas.decide(
-        *organisation_, tokens, patience, [self](const auto& later) {
-            if (const auto call = self.lock())
-                call->on_quota_decision(later);
-        });
-    quota_ticket_ = decision.ticket;
-    if (decision.result == quota_decision::outcome::waits) {
-        return false;
-    }
-    if (decision.result == quota_decision::outcome::admitted) {
-        charge_ = decision.charge;
-        return true;
-    }
-    on_quota_decision(decision);
-    return false;
-}
-
-void gateway_call::on_quota_decision(const quota_decision& decision)
-{
-    const auto self = shared_from_this();
-    quota_ticket_ = 0;
-    if (is_finished_)
-        return;
-    if (decision.result == quota_decision::outcome::admitted) {
-        charge_ = decision.charge;
-        run_admitted();
-        return;
-    }
-    log_event(log_level::info, "quota_refused")
-        .with("request", facts_.client_attempt_id)
-        .with("organisation", organisation_->id.value())
-        .with("retry_ms", decision.retry_after.count())
-        .with("waited_ms", (steady_now() - received_at_).count());
-    reject(errc::limit_reached, decision.retry_after);
-}
-
-/// Returns the tokens of a request that was not run, or stops waiting for them.
-void gateway_call::release_quota()
-{
-    if (quota_ticket_ != 0)
-        context_.quotas.cancel(*organisation_, std::exchange(quota_ticket_, 0));
-    if (!charge_.empty() && uncertain_sends_ == 0)
-        context_.quotas.put_back(*organisation_, charge_);
-    charge_.clear();
-}
-
 bool gateway_call::is_accepted_while_draining(time_point now) const
 {
     return route_->kind == call_kind::stream
@@ -149,38 +76,6 @@
                : context_.drain.accepts_plain(now, deadline_of(now));
 }
 
-/// Identifies the caller's organisation by the configuration in force now, and
-/// removes the key from the request. Returns false if the request was rejected.
-bool gateway_call::identify_caller()
-{
-    if (!configuration_ || !configuration_->requires_keys)
-        return true;
-    const auto caller = barleyfork::identify_caller(
-        context_,
-        request_.headers,
-        find_header(request_.headers, "host").value_or(""),
-        request_.path());
-    remove_identity_headers(request_.headers, *context_.platform.codec);
-    if (caller.refusal) {
-        reject_for_key(caller);
-        return false;
-    }
-    organisation_ = caller.organisation;
-    if (organisation_ == nullptr)
-        return true;
-    request_.organisation = organisation_->id;
-    if (organisation_->quota.is_readable)
-        return true;
-    reject(errc::limit_reached, context_.draw_retry_delay());
-    return false;
-}
-
-void gateway_call::reject_for_key(const caller_identity& caller)
-{
-    record_refused_key(context_, caller, request_.caller_address, facts_);
-    reject(outcome_of(*caller.refusal), retry_after(context_, *caller.refusal));
-}
-
 std::uint32_t gateway_call::priority() const
 {
     return request_priority(*configuration_, *route_, organisation_);
@@ -262,8 +157,7 @@
     work.ms_per_token = pace.ms_per_token();
     work.base_ms = pace.base_ms();
     work.uncertainty_ms = context_.unreported_work_ms();
-    work.memory_tokens =
-        std::uint64_t{facts_.prompt_tokens} + facts_.max_output_tokens;
+    work.memory_tokens = facts_.total_tokens();
     const auto shape = context_.request_shapes.find(service_);
     if (shape != context_.request_shapes.end()) {
         work.usual_memory_tokens = shape->second.memory_tokens;
@@ -286,8 +180,7 @@
         context_.request_work_s.try_emplace(service_, work_s).first->second;
     mean_s += work_smoothing * (work_s - mean_s);
     context_.interference[service_].observe_prompt(facts_.prompt_tokens);
-    const double memory_tokens = static_cast<double>(facts_.prompt_tokens) +
-                                 static_cast<double>(facts_.max_output_tokens);
+    const auto memory_tokens = static_cast<double>(facts_.total_tokens());
     auto& usual_tokens =
         context_.request_shapes
             .try_emplace(service_, request_shape{memory_tokens, 0.0})
@@ -323,146 +216,6 @@
         wait_for_server(reason, now);
 }
 
-void gateway_call::send_or_wait(const choice& chosen, time_point now)
-{
-    const auto decision = decide_room(chosen, now);
-    switch (decision.outcome) {
-    case room_outcome::refuse:
-        reject_for_room(decision, now);
-        return;
-    case room_outcome::wait:
-        wait_for_room(decision, now);
-        return;
-    case room_outcome::send:
-        break;
-    }
-    is_promoted_ = is_promoted_ || decision.is_promoted;
-    const auto sent = waiting_needs(now, now);
-    stop_waiting();
-    context_.room.on_sent(group(), sent, now);
-    start_attempt(chosen, now);
-}
-
-/// Waits until there may be room, and decides again then: what is hopeless by
-/// that time is refused without further waiting.
-void gateway_call::wait_for_room(const room_decision& decision, time_point now)
-{
-    if (!waiting_since_)
-        enter_waiting_room(wait_reason::no_capacity, decision.until, now);
-    context_.timers.cancel(room_timer_);
-    const auto self = shared_from_this();
-    room_timer_ = context_.timers.add(
-        now + std::clamp(decision.room_in, min_room_delay, max_room_delay),
-        [self] {
-            self->room_timer_ = 0;
-            self->dispatch();
-        });
-}
-
-/// Rejects the request with the time at which there will be room. Callers
-/// honour up to a third of the time that they have left.
-void gateway_call::reject_for_room(const room_decision& decision,
-                                   time_point now)
-{
-    const auto left = std::max(deadline_ - now, duration{0});
-    const auto bound =
-        std::max(left / wait_time_divisor, gateway_context::min_retry_delay);
-    const auto spacing_ms = room_needs().own_ms;
-    const auto delay =
-        std::max(context_.room.promise_return(
-                     group(),
-                     decision.room_in,
-                     spacing_ms,
-                     bound,
-                     std::generate_canonical<double, 53>(context_.random),
-                     now),
-                 gateway_context::min_retry_delay);
-    context_.measures.count_room_refusal(decision.reason, is_returned());
-    log_event(log_level::info, "room_refused")
-        .with("request", facts_.client_attempt_id)
-        .with("model", facts_.model.value())
-        .with("reason", room_reason_name(decision.reason))
-        .with("room_in_ms", decision.room_in.count())
-        .with("retry_after_ms", delay.count())
-        .with("waited_ms", (now - received_at_).count())
-        .with("returned", is_returned() ? 1 : 0);
-    reject(errc::overloaded, delay);
-}
-
-void gateway_call::wait_for_server(wait_reason reason, time_point now)
-{
-    if (reason == wait_reason::no_adapter) {
-        context_.demand_to_report.needs.emplace(facts_.model, facts_.adapter);
-        if (context_.on_adapter_needed)
-            context_.on_adapter_needed();
-    }
-    auto max_wait = (expected_disconnect_at() - now) / wait_time_divisor;
-    if (reason == wait_reason::servers_rejecting) {
-        const auto earliest = earliest_acceptance(now);
-        if (earliest > now + max_wait) {
-            reject(errc::no_replica,
-                   earliest - now + context_.draw_retry_delay());
-            return;
-        }
-    }
-    if (waiting_since_)
-        return;
-    if (reason == wait_reason::limited) {
-        const auto earliest = earliest_within_limit(now);
-        if (earliest > now + max_wait) {
-            reject(errc::overloaded,
-                   std::min(earliest - now, max_limit_delay) +
-                       context_.draw_retry_delay());
-            return;
-        }
-        limited_wait_ = server_group(service_, facts_.model);
-        ++context_.limited_waits[*limited_wait_];
-    }
-    if (route_->latency_target.count() > 0)
-        max_wait =
-            std::min(max_wait, max_wait_targets * route_->latency_target);
-    enter_waiting_room(reason, now + max_wait, now);
-}
-
-void gateway_call::enter_waiting_room(wait_reason reason,
-                                      time_point until,
-                                      time_point now)
-{
-    waiting_since_ = now;
-    context_.measures.count_wait(wait_reason_name(reason));
-    log_event(log_level::info, "request_waits")
-        .with("request", facts_.client_attempt_id)
-        .with("model", facts_.model.value())
-        .with("adapter", facts_.adapter)
-        .with("reason", wait_reason_name(reason))
-        .with("patience_ms", (until - now).count());
-    const auto self = shared_from_this();
-    waiting_ticket_ = context_.room.add(group(), waiting_needs(until, now));
-    context_.waiting_calls[waiting_ticket_] = [self] {
-        self->dispatch();
-    };
-    wait_timer_ = context_.timers.add(until, [self] {
-        self->wait_timer_ = 0;
-        self->reject(errc::no_replica, self->context_.draw_retry_delay());
-    });
-}
-
-void gateway_call::stop_waiting()
-{
-    context_.timers.cancel(wait_timer_);
-    context_.timers.cancel(room_timer_);
-    if (!waiting_since_)
-        return;
-    context_.waiting_calls.erase(waiting_ticket_);
-    context_.room.remove(waiting_ticket_);
-    if (limited_wait_ && --context_.limited_waits[*limited_wait_] == 0)
-        context_.limited_waits.erase(*limited_wait_);
-    limited_wait_.reset();
-    context_.measures.record_wait(
-        static_cast<double>((steady_now() - *waiting_since_).count()));
-    waiting_since_.reset();
-}
-
 void gateway_call::on_deadline()
 {
     if (is_finished_)
