--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -200,19 +200,16 @@
     if (is_key_checked_ || !parser_->is_header_done() || parser_->is_done())
         return false;
     is_key_checked_ = true;
-    const auto& head = parser_->get();
+    auto& head = parser_->get();
     if (!context_.configuration || !context_.configuration->requires_keys ||
         head.count(http::field::host) != 1)
         return false;
-    const std::string_view target(head.target().data(), head.target().size());
-    const auto origin = split_absolute_form(target);
-    const std::string host = origin ? std::string(origin->host)
-                                    : std::string(head[http::field::host]);
-    const std::string path =
-        origin ? std::string(origin->target) : std::string(target);
+    use_origin_form(head);
+    const std::string target(head.target());
+    const std::string host(head[http::field::host]);
     const auto headers = copy_headers(head);
     const auto caller = identify_caller(
-        context_, headers, host, path.substr(0, path.find('?')));
+        context_, headers, host, target.substr(0, target.find('?')));
     if (!caller.refusal)
         return false;
     context_.timers.cancel(timer_);
