--- a/libs/gateway/src/gateway_call_organisation.cpp
+++ b/libs/gateway/src/gateway_call_organisation.cpp
@@ -38,7 +38,8 @@
     request_.organisation = organisation_->id;
     if (organisation_->quota.is_readable)
         return true;
-    reject(errc::limit_reached, context_.draw_retry_delay());
+    // Nobody knows when a version comes whose quota can be read.
+    reject(errc::limit_reached, std::nullopt);
     return false;
 }
 
