Show that a server that turns requests away ends the gateway

The gateway that orders model servers recurses in placement_worker::send_order until its stack ends, once a server named a time to come back and an adapter is needed there.

--- /dev/null
+++ b/review/6/drill.cpp
@@ -0,0 +1,218 @@
+// A model server turns requests away for some seconds and names a time to come
+// back. What of the gateways' other work is lost meanwhile?
+
+#include <stage.hpp>
+
+#include <array>
+#include <cstdlib>
+#include <iostream>
+#include <random>
+#include <set>
+
+#include <signal.h>
+
+namespace {
+
+using namespace stage;
+
+constexpr double trouble_begins = 8.0;
+constexpr double trouble_lasts = 6.5;
+constexpr double end_at = 22.0;
+constexpr int refused_percent = 45;
+constexpr double work_s = 0.8;
+constexpr int kept_per_gateway = 6;
+
+struct world
+{
+    std::atomic<bool> stopping{false};
+    std::atomic<bool> in_trouble{false};
+    std::atomic<int> lost{0};
+    std::atomic<int> answered{0};
+    std::atomic<int> model_answers{0};
+    std::atomic<int> ends{0};
+    std::mutex mutex;
+    std::set<std::string> passed_on;
+};
+
+std::string make_request(const std::string& path,
+                         const std::string& attempt,
+                         const std::string& headers,
+                         const std::string& deadline_ms)
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\n" +
+           name("attempt") + ": " + attempt + "\r\n" + name("deadline") + ": " +
+           deadline_ms + "\r\n" + headers + "Content-Length: 1\r\n\r\nx";
+}
+
+/// Sends one request after another on a kept connection.
+void call_plainly(world& all, const gateway& at, int number)
+{
+    std::unique_ptr<connection> kept;
+    for (int n = 0; !all.stopping; ++n) {
+        if (!kept)
+            kept = connection::open(at.callers());
+        if (!kept) {
+            pause(0.1);
+            continue;
+        }
+        const auto attempt = "p" + std::to_string(number) + "-" +
+                             at.instance() + "-" + std::to_string(n);
+        kept->send(make_request("/plain/x", attempt, "", "4000"));
+        const auto answer = kept->read(6.0);
+        if (answer) {
+            ++all.answered;
+            if (answer->header("connection") == "close")
+                kept.reset();
+            if (answer->status() != 200)
+                pause(0.2);
+            continue;
+        }
+        kept.reset();
+        const std::lock_guard lock(all.mutex);
+        if (all.stopping || !all.passed_on.contains(attempt))
+            continue;
+        ++all.lost;
+        record("no answer to " + attempt + ", which " + at.instance() +
+                   " had passed on; the connection is closed",
+               true);
+    }
+}
+
+/// Asks for models and many adapters, each time on a new connection.
+void call_models(world& all,
+                 const std::vector<std::unique_ptr<gateway>>& gateways,
+                 unsigned seed)
+{
+    std::mt19937 random(seed);
+    for (int n = 0; !all.stopping; ++n) {
+        const auto& at = gateways[random() % gateways.size()];
+        const auto open = connection::open(at->callers());
+        const auto attempt =
+            "m" + std::to_string(seed) + "-" + std::to_string(n);
+        auto model = random() % 4 == 0 ? std::string("m1") : std::string("m0");
+        if (model == "m0" && random() % 4 != 0)
+            model += "/a" + std::to_string(1 + random() % 12);
+        if (open) {
+            open->send(make_request(
+                "/models/x",
+                attempt,
+                name("model") + ": " + model + "\r\n" + name("tokens") +
+                    ": 500,20\r\n" + name("prompt") + ": 5c1e07a2:400,e" +
+                    std::to_string(random() % 1000000) + ":100\r\n",
+                "5000"));
+            const auto answer = open->read(6.0);
+            if (answer && answer->status() == 200)
+                ++all.model_answers;
+        }
+        pause(0.02 + 0.001 * static_cast<double>(random() % 60));
+    }
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    if (argc < 3)
+        return 2;
+    const char* wish = std::getenv("TROUBLE");
+    const bool has_trouble = wish == nullptr || std::string(wish) != "0";
+    load_names("review/stage/names.txt");
+    open_record(std::string(argv[1]) + "/record.txt");
+    world all;
+    store platform;
+    platform.put("op", "config", make_configuration(2, 12));
+    std::atomic<unsigned> draws{0};
+    engine first(platform,
+                 "i-0",
+                 {"m0"},
+                 [&](const message& request) -> std::optional<std::string> {
+                     const auto draw =
+                         std::minstd_rand(++draws * 7919U)() % 100;
+                     if (!all.in_trouble || draw >= refused_percent)
+                         return std::nullopt;
+                     return make_answer(
+                         503,
+                         {{name("attempt"), request.header(name("attempt"))},
+                          {name("not_run"), "1"},
+                          {"Retry-After", "1"}},
+                         "");
+                 });
+    engine second(platform, "i-1", {"m1"});
+    listener plain([&](connection& to, const message& request) {
+        const auto attempt = request.header(name("attempt"));
+        {
+            const std::lock_guard lock(all.mutex);
+            all.passed_on.insert(attempt);
+        }
+        record("i-2 runs " + attempt);
+        pause(work_s);
+        return to.send(make_answer(
+            200, {{name("attempt"), attempt}, {name("seal"), "s"}}, attempt));
+    });
+    const auto beat = [&](int number) {
+        platform.put(
+            "servers",
+            "i-2",
+            boost::json::object{
+                {"service", "plain"},
+                {"address", "127.0.0.1:" + std::to_string(plain.port())},
+                {"zone", "z"},
+                {"version", "v1"},
+                {"slots", 32},
+                {"state", "ready"},
+                {"cold_remaining_ms", 0},
+                {"born", 1760000000000},
+                {"seq_no", number}});
+    };
+    beat(1);
+    std::vector<std::unique_ptr<gateway>> gateways;
+    for (int i = 0; i < 2; ++i) {
+        gateways.push_back(std::make_unique<gateway>(
+            "g" + std::to_string(i), platform.port(), argv[2]));
+        gateways.back()->start();
+    }
+    for (const auto& started : gateways)
+        if (!started->wait_until_ready(6.0)) {
+            record("a gateway is not ready", true);
+            return 2;
+        }
+    std::vector<std::thread> threads;
+    for (int i = 0; i < kept_per_gateway; ++i)
+        for (const auto& at : gateways)
+            threads.emplace_back([&all, &at, i] { call_plainly(all, *at, i); });
+    for (unsigned i = 1; i <= 6; ++i)
+        threads.emplace_back([&, i] { call_models(all, gateways, i); });
+    for (int number = 2; now() < end_at; ++number) {
+        beat(number);
+        for (double until = now() + 1.2; now() < until; pause(0.02)) {
+            const bool trouble = has_trouble && now() >= trouble_begins &&
+                                 now() < trouble_begins + trouble_lasts;
+            if (trouble != all.in_trouble.exchange(trouble))
+                record(trouble ? "i-0 turns requests away, 45 in 100"
+                               : "i-0 turns no request away any more",
+                       true);
+            for (const auto& running : gateways) {
+                const auto how = running->end();
+                if (how.empty())
+                    continue;
+                ++all.ends;
+                record(running->instance() + " ended by itself: " + how, true);
+                running->start();
+            }
+        }
+    }
+    all.stopping = true;
+    for (auto& thread : threads)
+        thread.join();
+    const bool broken = all.lost > 3;
+    record("plain answers " + std::to_string(all.answered) +
+               ", answers of models " + std::to_string(all.model_answers) +
+               ", processes ended by themselves " + std::to_string(all.ends) +
+               ", requests passed on and closed without an answer " +
+               std::to_string(all.lost) +
+               (broken ? ": LOST is broken" : ": LOST holds"),
+           true);
+    gateways.clear();
+    const bool has_run = all.answered > 50 && all.model_answers > 50;
+    std::_Exit(broken ? 1 : has_run ? 0 : 2);
+}
