Judge case 6 by the users' rule for processes that end by themselves

The script plays until processes of two machines have ended three times each, with one planned stop between, which is the rule's own bound.

--- a/review/6/drill.cpp
+++ b/review/6/drill.cpp
@@ -1,9 +1,10 @@
-// A model server turns requests away for some seconds and names a time to come
-// back. What of the gateways' other work is lost meanwhile?
+// A model server turns requests away for some seconds, again and again, and
+// names a time to come back. How often do gateways end by themselves meanwhile?
 
 #include <stage.hpp>
 
-#include <array>
+#include <algorithm>
+#include <cmath>
 #include <cstdlib>
 #include <iostream>
 #include <random>
@@ -17,7 +18,15 @@
 
 constexpr double trouble_begins = 8.0;
 constexpr double trouble_lasts = 6.5;
-constexpr double end_at = 22.0;
+constexpr double trouble_interval = 8.0;
+/// When the run ends at the latest, and without trouble.
+constexpr double end_at = 105.0;
+constexpr double quiet_end_at = 40.0;
+/// When the holder is stopped as planned without trouble.
+constexpr double quiet_stop_at = 25.0;
+/// The rule: on two machines, processes end by themselves three times.
+constexpr int counted_ends = 3;
+constexpr int counted_machines = 2;
 constexpr int refused_percent = 45;
 constexpr double work_s = 0.8;
 constexpr int kept_per_gateway = 6;
@@ -29,7 +38,6 @@
     std::atomic<int> lost{0};
     std::atomic<int> answered{0};
     std::atomic<int> model_answers{0};
-    std::atomic<int> ends{0};
     std::mutex mutex;
     std::set<std::string> passed_on;
 };
@@ -166,7 +174,7 @@
     };
     beat(1);
     std::vector<std::unique_ptr<gateway>> gateways;
-    for (int i = 0; i < 2; ++i) {
+    for (int i = 0; i < 3; ++i) {
         gateways.push_back(std::make_unique<gateway>(
             "g" + std::to_string(i), platform.port(), argv[2]));
         gateways.back()->start();
@@ -182,35 +190,71 @@
             threads.emplace_back([&all, &at, i] { call_plainly(all, *at, i); });
     for (unsigned i = 1; i <= 6; ++i)
         threads.emplace_back([&, i] { call_models(all, gateways, i); });
-    for (int number = 2; now() < end_at; ++number) {
-        beat(number);
-        for (double until = now() + 1.2; now() < until; pause(0.02)) {
-            const bool trouble = has_trouble && now() >= trouble_begins &&
-                                 now() < trouble_begins + trouble_lasts;
-            if (trouble != all.in_trouble.exchange(trouble))
-                record(trouble ? "i-0 turns requests away, 45 in 100"
-                               : "i-0 turns no request away any more",
-                       true);
-            for (const auto& running : gateways) {
-                const auto how = running->end();
-                if (how.empty())
-                    continue;
-                ++all.ends;
-                record(running->instance() + " ended by itself: " + how, true);
-                running->start();
-            }
+    std::vector<int> ends(gateways.size(), 0);
+    const auto count_machines = [&ends] {
+        return std::count_if(
+            ends.begin(), ends.end(), [](int n) { return n >= counted_ends; });
+    };
+    bool is_stopped = false;
+    double begins = trouble_begins;
+    const double until = has_trouble ? end_at : quiet_end_at;
+    double next_beat = 0.0;
+    for (int number = 2; now() < until && count_machines() < counted_machines;
+         pause(0.02))
+    {
+        if (now() >= next_beat) {
+            beat(number++);
+            next_beat = now() + 1.2;
+        }
+        const double since = now() - begins;
+        const bool trouble = has_trouble && since >= 0.0 &&
+                             std::fmod(since, trouble_interval) < trouble_lasts;
+        if (trouble != all.in_trouble.exchange(trouble))
+            record(trouble ? "i-0 turns requests away, 45 in 100"
+                           : "i-0 turns no request away any more",
+                   true);
+        for (std::size_t i = 0; i < gateways.size(); ++i) {
+            const auto how = gateways[i]->end();
+            if (how.empty())
+                continue;
+            ++ends[i];
+            record(gateways[i]->instance() + " ended by itself: " + how, true);
+            gateways[i]->start();
         }
+        // One planned stop, so that another process orders servers.
+        if (is_stopped ||
+            (has_trouble ? count_machines() < 1 : now() < quiet_stop_at))
+            continue;
+        is_stopped = true;
+        all.in_trouble = false;
+        record("i-0 turns no request away any more", true);
+        const auto first = std::max_element(ends.begin(), ends.end());
+        auto& stopped = *gateways[static_cast<std::size_t>(
+            std::distance(ends.begin(), first))];
+        stopped.wait_until_ready(6.0);
+        for (const double from = now(); now() < from + 4.0; pause(1.0))
+            beat(number++);
+        stopped.signal(SIGTERM);
+        stopped.wait_for_end(9.0);
+        stopped.start();
+        stopped.wait_until_ready(6.0);
+        begins = now() + 4.0;
     }
     all.stopping = true;
     for (auto& thread : threads)
         thread.join();
-    const bool broken = all.lost > 3;
+    const bool broken = count_machines() >= counted_machines;
+    std::string counts;
+    for (std::size_t i = 0; i < gateways.size(); ++i)
+        counts += (i == 0 ? "" : ", ") + gateways[i]->instance() + " " +
+                  std::to_string(ends[i]);
     record("plain answers " + std::to_string(all.answered) +
                ", answers of models " + std::to_string(all.model_answers) +
-               ", processes ended by themselves " + std::to_string(all.ends) +
-               ", requests passed on and closed without an answer " +
+               ", ends by themselves: " + counts +
+               "; requests of kept connections passed on and closed without "
+               "an answer " +
                std::to_string(all.lost) +
-               (broken ? ": LOST is broken" : ": LOST holds"),
+               (broken ? ": Fault is broken" : ": Fault holds"),
            true);
     gateways.clear();
     const bool has_run = all.answered > 50 && all.model_answers > 50;
