Show a reset answer that is delivered as a whole one

A server begins its answer, without a length, while the request is still being written, and resets the connection on the way: the caller gets the part as a complete 200 with the server's signature.

--- a/review/stage/stage.cpp
+++ b/review/stage/stage.cpp
@@ -236,24 +236,26 @@
     return true;
 }
 
-std::optional<message> connection::read(double seconds)
+bool connection::fill(double until)
+{
+    pollfd ready{descriptor_, POLLIN, 0};
+    const int left = static_cast<int>((until - now()) * 1000.0);
+    if (left <= 0 || ::poll(&ready, 1, left) <= 0)
+        return false;
+    char bytes[16384];
+    const auto count = ::recv(descriptor_, bytes, sizeof(bytes), 0);
+    if (count <= 0)
+        return false;
+    buffer_.append(bytes, static_cast<std::size_t>(count));
+    return true;
+}
+
+std::optional<message> connection::read_head(double seconds)
 {
     const double until = now() + seconds;
-    const auto fill = [&] {
-        pollfd ready{descriptor_, POLLIN, 0};
-        const int left = static_cast<int>((until - now()) * 1000.0);
-        if (left <= 0 || ::poll(&ready, 1, left) <= 0)
-            return false;
-        char bytes[16384];
-        const auto count = ::recv(descriptor_, bytes, sizeof(bytes), 0);
-        if (count <= 0)
-            return false;
-        buffer_.append(bytes, static_cast<std::size_t>(count));
-        return true;
-    };
     std::size_t end = 0;
     while ((end = buffer_.find("\r\n\r\n")) == std::string::npos)
-        if (!fill())
+        if (!fill(until))
             return std::nullopt;
     message read;
     std::istringstream lines(buffer_.substr(0, end));
@@ -270,21 +272,53 @@
                 trim(line.substr(colon + 1));
     }
     buffer_.erase(0, end + 4);
+    return read;
+}
+
+bool connection::read_body(const message& head, double seconds)
+{
+    const double until = now() + seconds;
+    const auto length = static_cast<std::size_t>(
+        std::atoll(head.header("content-length").c_str()));
+    while (buffer_.size() < length)
+        if (!fill(until))
+            return false;
+    buffer_.erase(0, length);
+    return true;
+}
+
+void connection::reset() const
+{
+    const linger now_and_nothing{1, 0};
+    ::setsockopt(descriptor_,
+                 SOL_SOCKET,
+                 SO_LINGER,
+                 &now_and_nothing,
+                 sizeof(now_and_nothing));
+}
+
+std::optional<message> connection::read(double seconds)
+{
+    const double until = now() + seconds;
+    auto read = read_head(seconds);
+    if (!read)
+        return std::nullopt;
     // A stream of the gateway comes in chunks.
-    if (lower(read.header("transfer-encoding")) == "chunked") {
+    if (lower(read->header("transfer-encoding")) == "chunked") {
+        std::size_t end = 0;
         while ((end = buffer_.find("0\r\n\r\n")) == std::string::npos)
-            if (!fill())
+            if (!fill(until))
                 return std::nullopt;
-        read.body = buffer_.substr(0, end);
+        read->body = buffer_.substr(0, end);
         buffer_.erase(0, end + 5);
         return read;
     }
     const auto length = static_cast<std::size_t>(
-        std::atoll(read.header("content-length").c_str()));
+        std::atoll(read->header("content-length").c_str()));
     while (buffer_.size() < length)
-        if (!fill())
+        if (!fill(until))
             return std::nullopt;
-    read.body = buffer_.substr(0, length);
+    read->body = buffer_.substr(0, length);
     buffer_.erase(0, length);
     return read;
 }
@@ -301,18 +335,20 @@
            "\r\n\r\n" + body;
 }
 
-listener::listener(handler handle) : handle_(std::move(handle))
+listener::listener(handler handle, option how) : handle_(std::move(handle))
 {
     const int descriptor = listen_locally(port_);
-    std::thread([this, descriptor] {
+    std::thread([this, descriptor, how] {
         for (;;) {
             const int accepted =
                 ::accept4(descriptor, nullptr, nullptr, SOCK_CLOEXEC);
             if (accepted < 0)
                 continue;
-            std::thread([this, accepted] {
+            std::thread([this, accepted, how] {
                 connection open(accepted);
-                while (const auto request = open.read(60.0))
+                const bool is_whole = how == option::whole_requests;
+                while (const auto request =
+                           is_whole ? open.read(60.0) : open.read_head(60.0))
                     if (!handle_(open, *request))
                         return;
             }).detach();
--- a/review/stage/stage.hpp
+++ b/review/stage/stage.hpp
@@ -65,8 +65,16 @@
     /// Returns nothing if the other side closed first, or nothing came for the
     /// time given.
     std::optional<message> read(double seconds = 30.0);
+    /// Reads a message without its body.
+    std::optional<message> read_head(double seconds);
+    /// Reads the body that belongs to a head; false if it did not come whole.
+    bool read_body(const message& head, double seconds);
+    /// Resets the connection at its end.
+    void reset() const;
 
 private:
+    bool fill(double until);
+
     int descriptor_;
     std::string buffer_;
 };
@@ -83,7 +91,14 @@
     /// Answers one request; false closes the connection.
     using handler = std::function<bool(connection&, const message&)>;
 
-    explicit listener(handler handle);
+    enum class option
+    {
+        whole_requests,
+        /// The handler reads the bodies.
+        heads_only,
+    };
+
+    explicit listener(handler handle, option how = option::whole_requests);
     listener(const listener&) = delete;
     listener& operator=(const listener&) = delete;
 
