--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,7 +5,10 @@
 program=target/review-2/drill6
 [ -x "$program" ] || exit 2
 folder=$(mktemp -d) || exit 2
-"$program" review/6 "$folder"
+"$program" review/6 "$folder" &
+pid=$!
+trap 'kill -KILL "$pid" 2>/dev/null; rm -rf "$folder"; exit 2' INT TERM
+wait "$pid"
 result=$?
 rm -rf "$folder"
 exit "$result"
--- a/review/stage/stage.cpp
+++ b/review/stage/stage.cpp
@@ -13,6 +13,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -358,9 +359,20 @@
 
 std::uint16_t free_port()
 {
-    std::uint16_t port = 0;
-    ::close(listen_locally(port));
-    return port;
+    // Below the range of outgoing connections, one after another.
+    static std::atomic<std::uint16_t> next{
+        static_cast<std::uint16_t>(12000 + ::getpid() % 8000)};
+    for (;;) {
+        const std::uint16_t port = next++;
+        const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const auto address = local(port);
+        const bool is_free = ::bind(descriptor,
+                                    reinterpret_cast<const sockaddr*>(&address),
+                                    sizeof(address)) == 0;
+        ::close(descriptor);
+        if (is_free)
+            return port;
+    }
 }
 
 store::store()
@@ -471,7 +483,8 @@
     body["ver"] = version_;
     body["now_ms"] = static_cast<std::int64_t>(now() * 1000.0) + 100000;
     lock.unlock();
-    return to.send(make_answer(status, {}, json::serialize(body)));
+    return to.send(
+        make_answer(status, {{name("era"), "1"}}, json::serialize(body)));
 }
 
 engine::engine(store& platform,
@@ -532,6 +545,13 @@
 bool engine::answer(connection& to, const message& request)
 {
     const auto path = request.path();
+    const auto expected = request.header(name("expected"));
+    if (!expected.empty() && expected != id_)
+        return to.send(
+            make_answer(421,
+                        {{name("instance"), id_},
+                         {name("attempt"), request.header(name("attempt"))}},
+                        ""));
     if (path == name("order"))
         return answer_order(to, request);
     if (path == name("report")) {
@@ -569,13 +589,14 @@
                                               found->second.end(),
                                               adapter) != found->second.end());
     }
-    if (!holds || request.header(name("expected")) != id_)
+    if (!holds)
         return to.send(make_answer(
             421, {{name("instance"), id_}, {name("attempt"), attempt}}, ""));
     record(id_ + " runs " + attempt + " (" + wanted + ")");
     return to.send(make_answer(200,
                                {{name("attempt"), attempt},
                                 {name("seal"), "s." + attempt},
+                                {name("versions"), "1"},
                                 {"Content-Type", "text/event-stream"}},
                                "id: 1\ndata: " + attempt + "\n\n"));
 }
@@ -583,6 +604,8 @@
 bool engine::answer_order(connection& to, const message& request)
 {
     const auto call = json::parse(request.body).as_object();
+    if (!call.contains("holder") || !call.contains(name("fence")))
+        return to.send(make_answer(400, {}, ""));
     const auto text_of = [&call](const std::string& key) {
         const auto* value = call.if_contains(key);
         return value != nullptr && value->is_string()
@@ -683,6 +706,7 @@
     const auto log = folder_ + "/" + instance_ + ".log";
     process_ = ::fork();
     if (process_ == 0) {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int out =
             ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(out, STDOUT_FILENO);
