Give the second review's scripts ports of their own and a small window

Two scripts started at once took the same ports, and a gateway that was not ready ended the script with a crash of its own instead of 2.

--- a/review/6/drill.cpp
+++ b/review/6/drill.cpp
@@ -193,7 +193,8 @@
     for (const auto& started : gateways)
         if (!started->wait_until_ready(6.0)) {
             record("a gateway is not ready", true);
-            return 2;
+            gateways.clear();
+            std::_Exit(2);
         }
     std::vector<std::thread> threads;
     for (int i = 0; i < kept_per_gateway; ++i)
--- a/review/stage/stage.cpp
+++ b/review/stage/stage.cpp
@@ -107,9 +107,12 @@
     return address;
 }
 
-int listen_locally(std::uint16_t& port)
+int listen_locally(std::uint16_t& port, int window = 0)
 {
     const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (window > 0)
+        ::setsockopt(
+            descriptor, SOL_SOCKET, SO_RCVBUF, &window, sizeof(window));
     auto address = local(0);
     socklen_t size = sizeof(address);
     ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), size);
@@ -338,7 +341,10 @@
 
 listener::listener(handler handle, option how) : handle_(std::move(handle))
 {
-    const int descriptor = listen_locally(port_);
+    // A small window, as the pages' links have it.
+    constexpr int small_window = 65536;
+    const bool is_small = how == option::heads_only;
+    const int descriptor = listen_locally(port_, is_small ? small_window : 0);
     std::thread([this, descriptor, how] {
         for (;;) {
             const int accepted =
@@ -361,7 +367,7 @@
 {
     // Below the range of outgoing connections, one after another.
     static std::atomic<std::uint16_t> next{
-        static_cast<std::uint16_t>(12000 + ::getpid() % 8000)};
+        static_cast<std::uint16_t>(12000 + ::getpid() % 1000 * 16)};
     for (;;) {
         const std::uint16_t port = next++;
         const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
