Say in the log why an order was not tried

Two causes had been read and not told apart: placement that decides on one order again and again, and a request that reads an attempt that has ended. The line of an order said not_sent and no more. It names the obstacle now: the server rejects requests, the lease is not held, or the server is not listed.

--- a/libs/gateway/src/placement_worker.cpp
+++ b/libs/gateway/src/placement_worker.cpp
@@ -206,6 +206,19 @@
             read_report(service, action.server, std::move(to)));
 }
 
+/// Returns why an order to the server may not be sent now, for the log, or null
+/// if it may be sent.
+const char* placement_worker::obstacle_to_order(const server_id& server,
+                                                time_point now) const
+{
+    const auto* state = context_.directory.find(server);
+    if (state == nullptr)
+        return "unlisted";
+    if (state->rejects_requests(now))
+        return "turned_away";
+    return may_order(boot_now()) ? nullptr : "lease";
+}
+
 asio::awaitable<void> placement_worker::send_order(service_id service,
                                                    placement_action action,
                                                    engine_address to)
@@ -213,10 +226,8 @@
     order_result reply;
     reply.answer = engine_answer::not_sent;
     const auto began = steady_now();
-    const auto* state = context_.directory.find(action.server);
-    const bool accepts_requests =
-        state != nullptr && !state->rejects_requests(began);
-    if (accepts_requests && may_order(boot_now())) {
+    const char* obstacle = obstacle_to_order(action.server, began);
+    if (obstacle == nullptr) {
         context_.measures.count_order();
         const order_sender sender{context_.self.value(), lease_.epoch()};
         reply = co_await context_.platform.engines->send_order(
@@ -233,6 +244,7 @@
               static_cast<std::int64_t>(action.command.expected_sequence))
         .with("epoch", static_cast<std::int64_t>(lease_.epoch()))
         .with("answer", answer_name(reply.answer))
+        .with("obstacle", obstacle == nullptr ? "" : obstacle)
         .with("took_ms", (steady_now() - began).count());
     const auto found = controllers_.find(service);
     if (found == controllers_.end())
--- a/libs/gateway/src/placement_worker.hpp
+++ b/libs/gateway/src/placement_worker.hpp
@@ -55,6 +55,8 @@
     boost::asio::awaitable<void> write_lease(lease_row row);
     void observe(const store_read& read);
     bool may_order(time_point now) const;
+    const char* obstacle_to_order(const server_id& server,
+                                  time_point now) const;
 
     void add_own_demand();
     void run_planning(time_point now);
