Hold orders back from a server that can't take them now

Cause: placement decided on an order for that server, did not send it, gave itself the answer not_sent within the same call, and an adapter's answer started a pass at once, which decided on the same order, until the stack ended. not_sent changed nothing in the controller, and the controller did not know that a server rejects requests.

Fix: the controller holds orders back while a server rejects requests and for 0.2 s after an order that was not sent; an unload that is not ordered yet is given up then; passes that answers and messages ask for are posted, one at a time.

--- a/libs/core/include/barleyfork/core/placement_controller.hpp
+++ b/libs/core/include/barleyfork/core/placement_controller.hpp
@@ -56,7 +56,7 @@
     invalid,
     /// Another process responded.
     wrong_server,
-    /// The order was not sent.
+    /// The order was not sent, or the engine did not take it up.
     not_sent,
     /// No response arrived; the order may be carried out at any time.
     unknown,
@@ -272,8 +272,11 @@
         /// Work that it can do, in server-seconds per second.
         double capacity = 1.0;
         bool usable = true;
-        /// Whether another holder sent it an order a short time ago.
-        bool in_holder_gap = false;
+        /// Whether orders must wait: another holder sent one a short time ago,
+        /// the server rejects requests, or the last order was not sent.
+        bool is_held_back = false;
+        /// End of the pause after an order that was not sent.
+        time_point order_pause_until{};
         /// Whether the server has appeared in the list.
         bool has_listed_state = false;
         resident_state held;
@@ -325,6 +328,7 @@
     std::uint32_t remaining_store_loads(time_point now);
     void remove_settled_loads(engine_server& server, time_point now);
     bool is_in_holder_gap(const server_id& id, time_point now) const;
+    static void cancel_unloads(engine_server& server);
     void check_listed_state(engine_server& server,
                             const resident_state& held,
                             time_point now);
@@ -369,6 +373,7 @@
                time_point now,
                actions& out);
     static void mark_uncertain(engine_server& server, time_point next_probe_at);
+    static void pause_orders(engine_server& server, time_point now);
     void on_accepted(engine_server& server,
                      const engine_command& command,
                      time_point now);
--- a/libs/core/src/placement_controller.cpp
+++ b/libs/core/src/placement_controller.cpp
@@ -18,6 +18,9 @@
 /// The interval between report requests while the state is unknown or an order
 /// is in progress.
 constexpr duration probe_repeat_interval{200};
+/// An order that was not sent is decided on again after this time at the
+/// earliest: a server can refuse it within no time at all.
+constexpr duration unsent_order_pause{200};
 /// A report shows the state of some time before, so the first report is
 /// requested this long after the order should be completed.
 constexpr duration report_lag{200};
@@ -77,7 +80,11 @@
         auto& server = servers_[id];
         server.failure_domain = state->entry.failure_domain;
         server.usable = state->usable() && !state->missing_since;
-        server.in_holder_gap = is_in_holder_gap(id, now);
+        const bool rejects = state->rejects_requests(now);
+        server.is_held_back = is_in_holder_gap(id, now) || rejects ||
+                              now < server.order_pause_until;
+        if (rejects)
+            cancel_unloads(server);
         server.in_memory = state->entry.in_memory;
         server.on_disk = state->entry.on_disk;
         check_listed_state(server, state->entry.held, now);
@@ -92,6 +99,18 @@
     return found != orders_allowed_at_.end() && now < found->second;
 }
 
+/// Gives up the unloads that are not ordered yet. The server rejects the
+/// requests of this daemon only, and the others send none for a model that is
+/// to be unloaded.
+void placement_controller::cancel_unloads(engine_server& server)
+{
+    if (server.pending_unloads.empty() || server.awaiting_answer)
+        return;
+    server.pending_unloads.clear();
+    server.reservation.reset();
+    server.needs_publishing = true;
+}
+
 past_orders placement_controller::recent_orders(time_point now) const
 {
     return binding_orders(
@@ -213,7 +232,7 @@
 
 bool placement_controller::is_idle(const engine_server& server) const
 {
-    return server.usable && !server.in_holder_gap && server.sequence &&
+    return server.usable && !server.is_held_back && server.sequence &&
            !server.awaiting_answer && !server.running &&
            server.pending_unloads.empty() && !server.uncertain;
 }
@@ -532,7 +551,7 @@
 {
     for (auto& [id, server] : servers_) {
         if (server.pending_unloads.empty() || server.running ||
-            server.in_holder_gap ||
+            server.is_held_back ||
             now < server.pending_unloads.front().order_at ||
             server.awaiting_answer || !server.sequence)
             continue;
@@ -598,6 +617,7 @@
         mark_uncertain(server, now + first_probe_delay);
         return;
     case engine_answer::not_sent:
+        pause_orders(server, now);
         return;
     case engine_answer::busy:
     case engine_answer::stale_fence:
@@ -615,6 +635,14 @@
     server.next_probe_at = next_probe_at;
 }
 
+/// Without a pause the next pass would decide on the same order again, and
+/// every answer starts a pass.
+void placement_controller::pause_orders(engine_server& server, time_point now)
+{
+    server.order_pause_until = now + unsent_order_pause;
+    server.is_held_back = true;
+}
+
 void placement_controller::on_accepted(engine_server& server,
                                        const engine_command& command,
                                        time_point now)
--- a/libs/core/src/placement_controller_adapters.cpp
+++ b/libs/core/src/placement_controller_adapters.cpp
@@ -181,7 +181,7 @@
 bool placement_controller::accepts_adapter_orders(const engine_server& server,
                                                   const model_id& model) const
 {
-    return server.usable && !server.in_holder_gap &&
+    return server.usable && !server.is_held_back &&
            server.held.find(model) != nullptr &&
            !is_unload_pending(server, model) && server.sequence &&
            !server.running && !server.awaiting_answer && !server.uncertain;
--- a/libs/gateway/src/placement_worker.cpp
+++ b/libs/gateway/src/placement_worker.cpp
@@ -2,6 +2,8 @@
 
 #include <barleyfork/base/log.hpp>
 
+#include <boost/asio/post.hpp>
+
 namespace barleyfork {
 
 namespace asio = boost::asio;
@@ -122,9 +124,25 @@
         for (const auto& use : message.uses)
             controller.used_adapter(model_id(use->model), use->adapter, now);
     }
-    if (!message.needs.empty() && may_order(boot_now()) &&
-        throttle_.take(context_.daemons(), now))
-        run_planning(now);
+    if (!message.needs.empty())
+        plan_soon();
+}
+
+/// Runs a pass soon, unless one is about to run or the regular one suffices.
+/// Never within the caller: an order that is not sent is answered before it
+/// returns, so that passes and answers would nest without end.
+void placement_worker::plan_soon()
+{
+    const bool may_plan = !is_pass_pending_ && may_order(boot_now()) &&
+                          throttle_.take(context_.daemons(), steady_now());
+    if (!may_plan)
+        return;
+    is_pass_pending_ = true;
+    asio::post(context_.serving.executor(), [this] {
+        is_pass_pending_ = false;
+        if (may_order(boot_now()))
+            run_planning(steady_now());
+    });
 }
 
 void placement_worker::update_controllers(time_point now)
@@ -252,9 +270,8 @@
     const auto now = steady_now();
     found->second.on_answer(action.server, action.command, reply.answer, now);
     // The space that an unloaded adapter freed is reassigned immediately.
-    if (!action.command.adapter.empty() && may_order(boot_now()) &&
-        throttle_.take(context_.daemons(), now))
-        run_planning(now);
+    if (!action.command.adapter.empty())
+        plan_soon();
 }
 
 asio::awaitable<void> placement_worker::read_report(service_id service,
--- a/libs/gateway/src/placement_worker.hpp
+++ b/libs/gateway/src/placement_worker.hpp
@@ -60,6 +60,7 @@
 
     void add_own_demand();
     void run_planning(time_point now);
+    void plan_soon();
     void update_controllers(time_point now);
     void collect(const service_id& service,
                  placement_controller& controller,
@@ -85,6 +86,8 @@
     store_clock store_clock_;
     takeover_timer takeover_timer_;
     placement_throttle throttle_;
+    /// Whether a pass was posted that has not run yet.
+    bool is_pass_pending_ = false;
     time_point next_demand_log_{};
     time_point published_at_{};
     /// Earliest time of the first order. A holder that released the lease
