Heed the time that a server names in its answer to an order

A server that turns an order or the request of a report away with a time to come back was asked again at the next pass: only the answers to callers' requests set the time. The users' bound (BUDGET: no more than two from half a second after the answer to the end of the time) counts what reaches the server.

Cause: engine_http_client dropped the header; nothing on the path of orders could hold it. Both results carry it now, and calls and placement record it by one function.

--- a/libs/gateway/include/barleyfork/gateway/platform_port.hpp
+++ b/libs/gateway/include/barleyfork/gateway/platform_port.hpp
@@ -17,6 +17,8 @@
 struct order_result
 {
     engine_answer answer = engine_answer::unknown;
+    /// How long the engine turns everything away, if its answer named that.
+    std::optional<duration> rejects_requests_for;
 };
 
 /// The result of reading an engine's report on its own state.
@@ -24,6 +26,8 @@
 {
     failure error;
     engine_snapshot word;
+    /// How long the engine turns everything away, if its answer named that.
+    std::optional<duration> rejects_requests_for;
 };
 
 /// The address at which an engine listens.
--- a/libs/gateway/src/gateway_call_answers.cpp
+++ b/libs/gateway/src/gateway_call_answers.cpp
@@ -130,14 +130,12 @@
     }
     if (!facts.rejects_requests_for)
         return;
-    const auto until = now + *facts.rejects_requests_for;
-    context_.directory.turned_away(server, attempt_->started_ms, until);
+    context_.on_server_rejects({server, attempt_->started_ms},
+                               now + *facts.rejects_requests_for);
     log_event(log_level::info, "server_turned_away")
         .with("request", facts_.client_attempt_id)
         .with("server", server.value())
         .with("for_ms", facts.rejects_requests_for->count());
-    context_.timers.add(
-        until, [&context = context_] { context.wake_waiting_calls(); });
 }
 
 void gateway_call::on_body(std::string_view bytes)
--- a/libs/gateway/src/gateway_context.cpp
+++ b/libs/gateway/src/gateway_context.cpp
@@ -140,6 +140,13 @@
     wake_when_allowed(process);
 }
 
+void gateway_context::on_server_rejects(const server_process& process,
+                                        time_point until)
+{
+    directory.turned_away(process.server, process.started_ms, until);
+    timers.add(until, [this] { wake_waiting_calls(); });
+}
+
 void gateway_context::clear_suspects(const crash_suspects& request,
                                      time_point now)
 {
--- a/libs/gateway/src/gateway_context.hpp
+++ b/libs/gateway/src/gateway_context.hpp
@@ -114,6 +114,10 @@
     /// server's limit allows the next one.
     void count_against_limit(const server_process& process, time_point now);
 
+    /// Records that a process turns everything away until a time. Waiting calls
+    /// try again then.
+    void on_server_rejects(const server_process& process, time_point until);
+
     /// Returns the time between two updates of a daemon to the holder of the
     /// placement lease. The interval grows with the number of daemons, as the
     /// holder receives updates from all of them.
--- a/libs/gateway/src/placement_worker.cpp
+++ b/libs/gateway/src/placement_worker.cpp
@@ -216,12 +216,28 @@
     if (state == nullptr)
         return;
     const bool accepts_requests = !state->rejects_requests(steady_now());
+    const server_process process{action.server, state->entry.held.started_ms};
     engine_address to{action.server, state->entry.address, state->entry.port};
     if (action.kind == placement_action::what::order)
-        context_.serving.spawn(send_order(service, action, std::move(to)));
-    else if (accepts_requests)
         context_.serving.spawn(
-            read_report(service, action.server, std::move(to)));
+            send_order(service, action, process, std::move(to)));
+    else if (accepts_requests)
+        context_.serving.spawn(read_report(service, process, std::move(to)));
+}
+
+/// Records that an engine turned an order or the request of a report away for a
+/// time, as it may turn requests away.
+void placement_worker::heed_rejection(const server_process& process,
+                                      std::string_view call,
+                                      std::optional<duration> rejects_for)
+{
+    if (!rejects_for)
+        return;
+    context_.on_server_rejects(process, steady_now() + *rejects_for);
+    log_event(log_level::info, "server_turned_away")
+        .with("call", call)
+        .with("server", process.server.value())
+        .with("for_ms", rejects_for->count());
 }
 
 /// Returns why an order to the server may not be sent now, for the log, or null
@@ -239,6 +255,7 @@
 
 asio::awaitable<void> placement_worker::send_order(service_id service,
                                                    placement_action action,
+                                                   server_process process,
                                                    engine_address to)
 {
     order_result reply;
@@ -250,6 +267,7 @@
         const order_sender sender{context_.self.value(), lease_.epoch()};
         reply = co_await context_.platform.engines->send_order(
             std::move(to), action.command, sender);
+        heed_rejection(process, "order", reply.rejects_requests_for);
     }
     log_event(log_level::info, "order_answered")
         .with("server", action.server.value())
@@ -275,14 +293,15 @@
 }
 
 asio::awaitable<void> placement_worker::read_report(service_id service,
-                                                    server_id server,
+                                                    server_process process,
                                                     engine_address from)
 {
     const auto reply =
         co_await context_.platform.engines->read_report(std::move(from));
+    heed_rejection(process, "report", reply.rejects_requests_for);
     if (reply.error) {
         log_event(log_level::warn, "report_failed")
-            .with("server", server.value())
+            .with("server", process.server.value())
             .with("error", reply.error.detail);
         co_return;
     }
@@ -290,7 +309,7 @@
     if (found == controllers_.end())
         co_return;
     const auto now = steady_now();
-    found->second.on_report(server, reply.word, now);
+    found->second.on_report(process.server, reply.word, now);
 }
 
 /// Sends the changes of the resident models to every daemon, and applies them
--- a/libs/gateway/src/placement_worker.hpp
+++ b/libs/gateway/src/placement_worker.hpp
@@ -66,10 +66,16 @@
                  placement_controller& controller,
                  time_point now);
     void execute(const service_id& service, const placement_action& action);
-    boost::asio::awaitable<void>
-    send_order(service_id service, placement_action action, engine_address to);
-    boost::asio::awaitable<void>
-    read_report(service_id service, server_id server, engine_address from);
+    void heed_rejection(const server_process& process,
+                        std::string_view call,
+                        std::optional<duration> rejects_for);
+    boost::asio::awaitable<void> send_order(service_id service,
+                                            placement_action action,
+                                            server_process process,
+                                            engine_address to);
+    boost::asio::awaitable<void> read_report(service_id service,
+                                             server_process process,
+                                             engine_address from);
     void publish(time_point now);
     void log_demand(time_point now);
 
