Bound how often the store is asked for changes of the configuration

How long a call for changes waits is up to the store. One that answers at once though nothing has changed, or that has no history at any moment, was asked again at once, without end: a core of the reader, and of the store's calls more than the whole deployment may make in a second.

Fix: a call for changes begins 0.1 s after the one before it at the earliest. A change is seen as soon as before where the last call has waited.

Before, a gateway of a test within 2 s: 30,966 calls (answers at once), 23,925 (no history).

--- a/libs/gateway/src/store_watch_configuration.cpp
+++ b/libs/gateway/src/store_watch_configuration.cpp
@@ -16,6 +16,9 @@
 /// The fraction of the bound on changes after which an unconfirmed
 /// configuration is reported.
 constexpr double reported_fraction = 0.8;
+/// Time from the start of a call that waits for changes to the next one. How
+/// long the call waits is up to the store, which may answer at once.
+constexpr duration min_watch_interval{100};
 /// The number of faults of one version that are logged; the metric counts all.
 constexpr std::size_t max_logged_faults = 20;
 
@@ -75,11 +78,15 @@
             co_await sleep_for_ms(neighbour_poll_ms);
             continue;
         }
+        const auto began = steady_now();
         const bool done = co_await read_configuration(wait);
         if (!done)
             co_await sleep_for_ms(draw_retry_delay_ms());
         else if (!context_.configuration)
             co_await sleep_for_ms(min_retry_delay_ms);
+        else if (const auto rest = began + min_watch_interval - steady_now();
+                 rest > duration{0})
+            co_await sleep_for_ms(rest.count());
     }
 }
 
