Take no answer for whole whose connection was reset under its request

Cause: the system reports a reset to one call only. While a part of the request waits to be written, the write gets it, and the read sees an orderly end of file, which ends an answer without a length. The handler of the write kept no word of it.

Fix: the write tells whether it got a reset; on_read asks. A broken pipe is none: the server had closed its side in order before, so that no byte of the answer is missing. The log has request_write_failed.

Test: backend_connection_test.

--- a/libs/gateway/src/backend_connection.cpp
+++ b/libs/gateway/src/backend_connection.cpp
@@ -1,6 +1,7 @@
 #include "backend_connection.hpp"
 
 #include <barleyfork/base/digest.hpp>
+#include <barleyfork/base/log.hpp>
 #include <barleyfork/net/answer_limits.hpp>
 #include <barleyfork/net/socket_options.hpp>
 
@@ -72,6 +73,7 @@
     is_head_request_ = is_head_request;
     receiver_ = std::move(receiver);
     is_request_written_ = false;
+    was_reset_under_request_ = false;
     stray_answer_count_ = 0;
     interim_answer_count_ = 0;
     paused_ = false;
@@ -123,13 +125,26 @@
     const std::array<asio::const_buffer, 2> parts{asio::buffer(request_.head),
                                                   asio::buffer(*request_.body)};
     asio::async_write(socket_, parts, [self](const auto& error, std::size_t) {
-        // A failed write also causes a read error. The response may still
-        // be readable before it.
-        self->is_request_written_ = !error;
         self->request_ = {};
+        self->on_written(error);
     });
 }
 
+/// A failed write does not end the exchange, as the response may still be
+/// readable. But the system reports a reset once: if the write receives it, the
+/// read sees an orderly end. Only where the server had ended its side before,
+/// the write fails with a broken pipe, and the end is orderly indeed.
+void backend_connection::on_written(const boost::system::error_code& error)
+{
+    is_request_written_ = !error;
+    if (!error || state_ != state::busy)
+        return;
+    was_reset_under_request_ = error != asio::error::broken_pipe;
+    log_event(log_level::info, "request_write_failed")
+        .with("connection", static_cast<std::int64_t>(number_))
+        .with("error", error.message());
+}
+
 void backend_connection::read()
 {
     if (reading_ || paused_)
@@ -177,10 +192,10 @@
         return;
     }
     // A response without a length ends when its connection is closed, but
-    // only if the close is orderly (end of file, no error).
+    // only if the close is orderly (end of file, no error in either direction).
     beast::error_code ended;
-    if (error == asio::error::eof && parser_ && parser_->is_header_done() &&
-        parser_->need_eof())
+    if (error == asio::error::eof && !was_reset_under_request_ && parser_ &&
+        parser_->is_header_done() && parser_->need_eof())
     {
         parser_->put_eof(ended);
         if (!ended && parser_->is_done() && !is_stray_answer_) {
--- a/libs/gateway/src/backend_connection.hpp
+++ b/libs/gateway/src/backend_connection.hpp
@@ -161,6 +161,7 @@
     void connect();
     void on_connected(const boost::system::error_code& error);
     void write();
+    void on_written(const boost::system::error_code& error);
     void read();
     void on_read(const boost::system::error_code& error, std::size_t size);
     void parse();
@@ -183,6 +184,9 @@
     outgoing_request request_;
     bool is_head_request_ = false;
     bool is_request_written_ = false;
+    /// True if the write of the request received the reset of the connection,
+    /// so that no read will.
+    bool was_reset_under_request_ = false;
     /// True if the connection must not be reused, for example after an
     /// unsolicited response.
     bool must_close_ = false;
