Reset a caller's connection where a stream without chunks breaks off

A caller of HTTP/1.0 gets a stream without chunks, so that the end of the connection is the end of the answer. Where a stream broke off, the gateway closed the connection in order, and the part looked whole.

Fix: the session knows while such an answer is incomplete, and closes with a reset.

--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -351,7 +351,8 @@
 {
     if (closed_)
         return;
-    if (!uses_chunked_coding_)
+    ends_with_connection_ = !uses_chunked_coding_;
+    if (ends_with_connection_)
         keep_alive_ = false;
     std::string text = write_answer_head(head, {});
     text.resize(text.size() - 2);
@@ -408,6 +409,7 @@
         return;
     if (uses_chunked_coding_)
         pending_ += last_chunk;
+    ends_with_connection_ = false;
     finish_answer();
 }
 
@@ -497,6 +499,9 @@
     closed_ = true;
     context_.timers.cancel(timer_);
     boost::system::error_code ignored;
+    // An orderly end would make the response look complete.
+    if (ends_with_connection_)
+        set_reset_on_close(socket_, true);
     socket_.close(ignored);
 }
 
--- a/libs/gateway/src/caller_session.hpp
+++ b/libs/gateway/src/caller_session.hpp
@@ -100,6 +100,8 @@
     bool is_head_request_ = false;
     /// False for HTTP/1.0 callers, which do not support the chunked coding.
     bool uses_chunked_coding_ = true;
+    /// True while a response is incomplete whose end is that of the connection.
+    bool ends_with_connection_ = false;
     bool has_request_begun_ = false;
     /// True once the key of the request that is being read was checked.
     bool is_key_checked_ = false;
