Read a kept connection whose last exchange was held back to its end

A connection whose caller was slow is not read for a while. If the answer's end had arrived before, the connection was kept without a read: the answer to the next request was never seen, and neither was its close.

Fix: a connection that becomes idle is read again.

--- a/libs/gateway/src/backend_connection.cpp
+++ b/libs/gateway/src/backend_connection.cpp
@@ -322,6 +322,8 @@
     if (result == exchange_result::complete && !must_close_) {
         state_ = state::idle;
         idle_since_ = steady_now();
+        // An idle connection is read, to notice that the server closes it.
+        paused_ = false;
     }
     else {
         close();
--- a/libs/gateway/tests/backend_connection_test.cpp
+++ b/libs/gateway/tests/backend_connection_test.cpp
@@ -47,6 +47,20 @@
     unread_bytes,
 };
 
+/// Returns the port.
+std::uint16_t listen_on_loopback(int descriptor)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    ::bind(descriptor, generic, size);
+    ::listen(descriptor, 1);
+    ::getsockname(descriptor, generic, &size);
+    return ntohs(address.sin_port);
+}
+
 void reset_on_close(int descriptor)
 {
     const linger at_once{1, 0};
@@ -77,15 +91,7 @@
                      SO_RCVBUF,
                      &small_window_bytes,
                      sizeof(small_window_bytes));
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof(address);
-        auto* generic = reinterpret_cast<sockaddr*>(&address);
-        ::bind(listener_, generic, size);
-        ::listen(listener_, 1);
-        ::getsockname(listener_, generic, &size);
-        port_ = ntohs(address.sin_port);
+        port_ = listen_on_loopback(listener_);
         thread_ = std::thread([this] { serve(); });
     }
     early_server(const early_server&) = delete;
@@ -173,6 +179,47 @@
     std::function<void()> on_end_;
 };
 
+/// Answers each request of one connection with a length, and keeps it open.
+class keeping_server
+{
+public:
+    keeping_server() : listener_(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        port_ = listen_on_loopback(listener_);
+        thread_ = std::thread([this] { serve(); });
+    }
+    keeping_server(const keeping_server&) = delete;
+    keeping_server& operator=(const keeping_server&) = delete;
+    ~keeping_server()
+    {
+        thread_.join();
+        ::close(listener_);
+    }
+
+    asio::ip::tcp::endpoint endpoint() const
+    {
+        return {asio::ip::address_v4::loopback(), port_};
+    }
+
+private:
+    void serve()
+    {
+        const int connection = ::accept(listener_, nullptr, nullptr);
+        const auto text = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                          std::to_string(body_text.size()) + "\r\n\r\n" +
+                          body_text;
+        std::string part(65536, '\0');
+        // A request of these tests arrives in one piece.
+        while (::recv(connection, part.data(), part.size(), 0) > 0)
+            ::send(connection, text.data(), text.size(), MSG_NOSIGNAL);
+        ::close(connection);
+    }
+
+    int listener_;
+    std::uint16_t port_ = 0;
+    std::thread thread_;
+};
+
 enum class reading
 {
     at_once,
@@ -217,6 +264,7 @@
     CPPUNIT_TEST(an_answer_that_is_reset_under_its_request_is_lost);
     CPPUNIT_TEST(an_answer_that_is_reset_after_its_request_is_lost);
     CPPUNIT_TEST(an_answer_that_ends_in_order_is_whole);
+    CPPUNIT_TEST(a_connection_that_was_held_back_to_its_end_goes_on);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -247,6 +295,32 @@
                     CPPUNIT_ASSERT(exchange_with(how, size, when) ==
                                    exchange_result::complete);
     }
+
+    /// Guards against a kept connection that nobody reads: its caller was slow
+    /// until the end of the answer.
+    void a_connection_that_was_held_back_to_its_end_goes_on()
+    {
+        keeping_server server;
+        asio::io_context loop;
+        timer_queue timers(loop.get_executor());
+        const auto connection = std::make_shared<backend_connection>(
+            loop.get_executor(), timers, server.endpoint(), 1, [](const auto&) {
+            });
+        const auto hold_back = [&connection] {
+            connection->pause();
+        };
+        for (const char* id : {"try-1", "try-2"}) {
+            const auto receiver = std::make_shared<noting_receiver>(
+                short_request_bytes, hold_back, [&loop] { loop.stop(); });
+            connection->exchange(id, false, receiver);
+            constexpr std::chrono::seconds patience(2);
+            loop.restart();
+            loop.run_for(patience);
+            CPPUNIT_ASSERT_MESSAGE(id, receiver->ended);
+            CPPUNIT_ASSERT(*receiver->ended == exchange_result::complete);
+        }
+        connection->cancel();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(backend_connection_test);
