--- a/libs/gateway/src/gateway_call_answers.cpp
+++ b/libs/gateway/src/gateway_call_answers.cpp
@@ -420,7 +420,8 @@
         ++run_count_;
     const bool is_not_run = end == attempt_outcome::not_sent ||
                             end == attempt_outcome::refused_by_server;
-    if (is_not_run && attempt_->has_begun_sending)
+    // An attempt that was withdrawn is gone, and had not begun.
+    if (is_not_run && attempt_ && attempt_->has_begun_sending)
         --uncertain_sends_;
     const bool may_run =
         run_count_ < static_cast<int>(std::max(route_->max_runs, 1U));
