--- a/libs/gateway/tests/backend_connection_test.cpp
+++ b/libs/gateway/tests/backend_connection_test.cpp
@@ -29,6 +29,7 @@
 constexpr std::size_t long_request_bytes = 8000000;
 constexpr std::size_t short_request_bytes = 10;
 constexpr int small_window_bytes = 16384;
+constexpr std::size_t read_bytes = 65536;
 /// The time in which what was sent has arrived.
 constexpr ms settling(100);
 const std::string head_text = "HTTP/1.1 200 OK\r\n\r\n";
@@ -69,7 +70,7 @@
 
 void read_to_the_end(int descriptor, std::size_t bytes)
 {
-    std::string part(65536, '\0');
+    std::string part(read_bytes, '\0');
     while (bytes > 0) {
         const auto size = ::recv(descriptor, part.data(), part.size(), 0);
         if (size <= 0)
@@ -78,13 +79,15 @@
     }
 }
 
-/// Answers one request before it has read it, and ends its connection.
-class early_server
+/// Accepts one connection on loopback with a small window, lets a script serve
+/// it, and closes it.
+class loopback_server
 {
 public:
-    early_server(ending how, std::size_t request_bytes)
-        : how_(how), request_bytes_(request_bytes),
-          listener_(::socket(AF_INET, SOCK_STREAM, 0))
+    using script = std::function<void(int connection)>;
+
+    explicit loopback_server(script serve)
+        : serve_(std::move(serve)), listener_(::socket(AF_INET, SOCK_STREAM, 0))
     {
         ::setsockopt(listener_,
                      SOL_SOCKET,
@@ -92,11 +95,15 @@
                      &small_window_bytes,
                      sizeof(small_window_bytes));
         port_ = listen_on_loopback(listener_);
-        thread_ = std::thread([this] { serve(); });
+        thread_ = std::thread([this] {
+            const int connection = ::accept(listener_, nullptr, nullptr);
+            serve_(connection);
+            ::close(connection);
+        });
     }
-    early_server(const early_server&) = delete;
-    early_server& operator=(const early_server&) = delete;
-    ~early_server()
+    loopback_server(const loopback_server&) = delete;
+    loopback_server& operator=(const loopback_server&) = delete;
+    ~loopback_server()
     {
         thread_.join();
         ::close(listener_);
@@ -108,29 +115,44 @@
     }
 
 private:
-    void serve()
-    {
-        const int connection = ::accept(listener_, nullptr, nullptr);
-        const auto text = head_text + body_text;
-        ::send(connection, text.data(), text.size(), MSG_NOSIGNAL);
+    script serve_;
+    int listener_;
+    std::uint16_t port_ = 0;
+    std::thread thread_;
+};
+
+void send_text(int connection, const std::string& text)
+{
+    ::send(connection, text.data(), text.size(), MSG_NOSIGNAL);
+}
+
+/// Answers one request before it has read it, and ends its connection.
+loopback_server::script answer_early(ending how, std::size_t request_bytes)
+{
+    return [=](int connection) {
+        send_text(connection, head_text + body_text);
         std::this_thread::sleep_for(settling);
-        if (how_ == ending::in_order)
-            read_to_the_end(connection, request_bytes_);
-        if (how_ == ending::in_order_then_reset) {
+        if (how == ending::in_order)
+            read_to_the_end(connection, request_bytes);
+        if (how == ending::in_order_then_reset) {
             ::shutdown(connection, SHUT_WR);
             std::this_thread::sleep_for(settling);
         }
-        if (how_ == ending::in_order_then_reset || how_ == ending::reset)
+        if (how == ending::in_order_then_reset || how == ending::reset)
             reset_on_close(connection);
-        ::close(connection);
-    }
+    };
+}
 
-    ending how_;
-    std::size_t request_bytes_;
-    int listener_;
-    std::uint16_t port_ = 0;
-    std::thread thread_;
-};
+/// Answers each request of a connection with a length, and keeps it open.
+void answer_and_keep(int connection)
+{
+    const auto text = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                      std::to_string(body_text.size()) + "\r\n\r\n" + body_text;
+    std::string part(read_bytes, '\0');
+    // A request of these tests arrives in one piece.
+    while (::recv(connection, part.data(), part.size(), 0) > 0)
+        send_text(connection, text);
+}
 
 /// Sends one request and notes its answer.
 class noting_receiver : public answer_receiver
@@ -179,47 +201,6 @@
     std::function<void()> on_end_;
 };
 
-/// Answers each request of one connection with a length, and keeps it open.
-class keeping_server
-{
-public:
-    keeping_server() : listener_(::socket(AF_INET, SOCK_STREAM, 0))
-    {
-        port_ = listen_on_loopback(listener_);
-        thread_ = std::thread([this] { serve(); });
-    }
-    keeping_server(const keeping_server&) = delete;
-    keeping_server& operator=(const keeping_server&) = delete;
-    ~keeping_server()
-    {
-        thread_.join();
-        ::close(listener_);
-    }
-
-    asio::ip::tcp::endpoint endpoint() const
-    {
-        return {asio::ip::address_v4::loopback(), port_};
-    }
-
-private:
-    void serve()
-    {
-        const int connection = ::accept(listener_, nullptr, nullptr);
-        const auto text = "HTTP/1.1 200 OK\r\nContent-Length: " +
-                          std::to_string(body_text.size()) + "\r\n\r\n" +
-                          body_text;
-        std::string part(65536, '\0');
-        // A request of these tests arrives in one piece.
-        while (::recv(connection, part.data(), part.size(), 0) > 0)
-            ::send(connection, text.data(), text.size(), MSG_NOSIGNAL);
-        ::close(connection);
-    }
-
-    int listener_;
-    std::uint16_t port_ = 0;
-    std::thread thread_;
-};
-
 enum class reading
 {
     at_once,
@@ -231,7 +212,7 @@
 exchange_result
 exchange_with(ending how, std::size_t request_bytes, reading when)
 {
-    early_server server(how, request_bytes);
+    loopback_server server(answer_early(how, request_bytes));
     asio::io_context loop;
     timer_queue timers(loop.get_executor());
     const auto connection = std::make_shared<backend_connection>(
@@ -300,7 +281,7 @@
     /// until the end of the answer.
     void a_connection_that_was_held_back_to_its_end_goes_on()
     {
-        keeping_server server;
+        loopback_server server(answer_and_keep);
         asio::io_context loop;
         timer_queue timers(loop.get_executor());
         const auto connection = std::make_shared<backend_connection>(
