--- a/review/11/case.py
+++ b/review/11/case.py
@@ -11,17 +11,24 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "pages.example"
-LENGTH_S = 25
+LENGTH_S = 14
+# The site's `garble`: a share of .35 of the replicas spoils .02 of its answers
+# for 5.5 s. Here one replica of three.
+SPOILS_FROM_S, SPOILS_FOR_S = 3, 5.5
 CALLERS = 10
-# The users' `garble`: a share of .5 of the replicas spoils .02 of the answers.
 SPOILED_EVERY = 50
 
 
 class SpoilingServer(stage.Server):
     spoiled = 0
+    spoils_from = float("inf")
+    seen = 0
 
     async def send_answer(self, attempt, line, headers, writer):
-        if not TROUBLE or len(self.runs) % SPOILED_EVERY != 0:
+        spoils = (self.spoils_from <= time.monotonic()
+                  < self.spoils_from + SPOILS_FOR_S)
+        self.seen += 1 if spoils else 0
+        if not spoils or self.seen % SPOILED_EVERY != 0:
             return await super().send_answer(attempt, line, headers, writer)
         self.spoiled += 1
         self.record.say(f"spoiled {self.id} {attempt}")
@@ -66,6 +73,8 @@
         await asyncio.sleep(4.5)
         results = []
         until = time.monotonic() + LENGTH_S
+        if TROUBLE:
+            servers[2].spoils_from = time.monotonic() + SPOILS_FROM_S
         await asyncio.gather(*(stage.confirm_all_the_time(
                                  gateway, record, until, results,
                                  "/confirm/1", HOST)
@@ -92,8 +101,8 @@
         print(line)
         broken = broken or len(lost) > 3
     spoiled = servers[2].spoiled
-    runs = len(servers[2].runs)
-    print(f"{servers[2].id} spoiled {spoiled} of {runs} answers")
+    runs = servers[2].seen
+    print(f"{servers[2].id} spoiled {spoiled} of {runs} answers in that time")
     ended = sum(1 for g in gateways if len(g.own_ends) >= 3)
     print(f"machines whose process ended by itself three times: {ended}")
     print("LOST:", "broken" if broken else "held")
