--- a/libs/gateway/src/backend_connection.cpp
+++ b/libs/gateway/src/backend_connection.cpp
@@ -28,7 +28,7 @@
 /// Bounds the memory for the ids that a connection has carried.
 constexpr std::size_t max_exchanges = 1000;
 
-answer_head to_answer_head(const http::response<http::string_body>& message)
+answer_head to_answer_head(const http::response<received_body>& message)
 {
     answer_head head;
     head.status = message.result_int();
--- a/libs/gateway/src/backend_connection.hpp
+++ b/libs/gateway/src/backend_connection.hpp
@@ -5,11 +5,11 @@
 #include "timer_queue.hpp"
 
 #include <barleyfork/base/time.hpp>
+#include <barleyfork/net/received_body.hpp>
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -146,8 +146,7 @@
     bool is_usable(time_point now, double timeout_fraction) const noexcept;
 
 private:
-    using parser =
-        boost::beast::http::response_parser<boost::beast::http::string_body>;
+    using parser = boost::beast::http::response_parser<received_body>;
 
     enum class state : std::uint8_t
     {
--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -39,7 +39,7 @@
     return error ? std::string() : from.address().to_string();
 }
 
-header_list copy_headers(const http::request<http::string_body>& message)
+header_list copy_headers(const http::request<received_body>& message)
 {
     header_list headers;
     for (const auto& field : message)
@@ -47,7 +47,7 @@
     return headers;
 }
 
-caller_request to_request(http::request<http::string_body>&& message)
+caller_request to_request(http::request<received_body>&& message)
 {
     caller_request request;
     request.method = std::string(message.method_string());
@@ -60,7 +60,7 @@
 
 /// Replaces a target in absolute form by its origin form. The host of the
 /// target takes precedence over the `Host` header.
-void use_origin_form(http::request<http::string_body>& message)
+void use_origin_form(http::request<received_body>& message)
 {
     const auto split = split_absolute_form(
         std::string_view(message.target().data(), message.target().size()));
@@ -70,7 +70,7 @@
     message.set(http::field::host, split->host);
 }
 
-bool is_valid_request(const http::request<http::string_body>& message)
+bool is_valid_request(const http::request<received_body>& message)
 {
     const std::string_view target(message.target().data(),
                                   message.target().size());
@@ -237,8 +237,13 @@
     if (!parser_->is_header_done())
         return true;
     const std::size_t declared = parser_->content_length().value_or(0);
-    const std::size_t received = parser_->get().body().size();
-    return request_memory_.resize(std::max(declared, received));
+    auto& body = parser_->get().body();
+    if (!request_memory_.resize(std::max(declared, body.size())))
+        return false;
+    // What the budget has granted: a body that grows by itself takes more.
+    if (declared > body.capacity())
+        body.reserve(declared);
+    return true;
 }
 
 /// Refuses a request that was not passed on, since the bodies of other requests
--- a/libs/gateway/src/caller_session.hpp
+++ b/libs/gateway/src/caller_session.hpp
@@ -5,10 +5,11 @@
 #include "gateway_call.hpp"
 #include "gateway_context.hpp"
 
+#include <barleyfork/net/received_body.hpp>
+
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <memory>
 #include <optional>
 #include <string>
@@ -51,8 +52,7 @@
     void abort() override;
 
 private:
-    using parser =
-        boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using parser = boost::beast::http::request_parser<received_body>;
 
     void read();
     void on_read(const boost::system::error_code& error, std::size_t size);
--- a/libs/gateway/tests/backend_connection_test.cpp
+++ b/libs/gateway/tests/backend_connection_test.cpp
@@ -1,6 +1,7 @@
-/// Guards against an answer without a length that is taken for whole although
-/// its connection was reset: while the request is still being written, the
-/// reset reaches the write alone, and the read sees an orderly end.
+/// Guards against answers whose end is misread, and against declared sizes that
+/// are believed. An answer without a length must not be taken for whole
+/// although its connection was reset: while the request is still being written,
+/// the reset reaches the write alone, and the read sees an orderly end.
 
 #include "backend_connection.hpp"
 
@@ -143,6 +144,15 @@
     };
 }
 
+/// Answers one request with a head and a body that ends before its size.
+loopback_server::script answer_with_size(const std::string& size_lines)
+{
+    return [=](int connection) {
+        read_to_the_end(connection, short_request_bytes);
+        send_text(connection, "HTTP/1.1 200 OK\r\n" + size_lines + body_text);
+    };
+}
+
 /// Answers each request of a connection with a length, and keeps it open.
 void answer_and_keep(int connection)
 {
@@ -209,10 +219,11 @@
 };
 
 /// Returns how an exchange with such a server ends.
-exchange_result
-exchange_with(ending how, std::size_t request_bytes, reading when)
+exchange_result exchange_with(const loopback_server::script& script,
+                              std::size_t request_bytes,
+                              reading when)
 {
-    loopback_server server(answer_early(how, request_bytes));
+    loopback_server server(script);
     asio::io_context loop;
     timer_queue timers(loop.get_executor());
     const auto connection = std::make_shared<backend_connection>(
@@ -237,6 +248,12 @@
     return *receiver->ended;
 }
 
+exchange_result
+exchange_with(ending how, std::size_t request_bytes, reading when)
+{
+    return exchange_with(answer_early(how, request_bytes), request_bytes, when);
+}
+
 } // namespace
 
 class backend_connection_test : public CppUnit::TestFixture
@@ -246,6 +263,8 @@
     CPPUNIT_TEST(an_answer_that_is_reset_after_its_request_is_lost);
     CPPUNIT_TEST(an_answer_that_ends_in_order_is_whole);
     CPPUNIT_TEST(a_connection_that_was_held_back_to_its_end_goes_on);
+    CPPUNIT_TEST(a_declared_length_reserves_no_memory);
+    CPPUNIT_TEST(a_declared_chunk_reserves_no_memory);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -302,6 +321,36 @@
         }
         connection->cancel();
     }
+
+    /// Guards against an answer that ends the process by the length in its
+    /// head, which no memory holds: it is lost like any that breaks off.
+    void a_declared_length_reserves_no_memory()
+    {
+        for (const char* length : {"20000000000",
+                                   "888888888888888888",
+                                   "9223372036854775807",
+                                   "18446744073709551615"})
+            CPPUNIT_ASSERT_MESSAGE(
+                length,
+                exchange_with(
+                    answer_with_size("Content-Length: " + std::string(length) +
+                                     "\r\n\r\n"),
+                    short_request_bytes,
+                    reading::at_once) == exchange_result::lost);
+    }
+
+    /// Guards against the same by the size of a chunk.
+    void a_declared_chunk_reserves_no_memory()
+    {
+        for (const char* size : {"fffffffff", "ffffffffffffffff"})
+            CPPUNIT_ASSERT_MESSAGE(
+                size,
+                exchange_with(
+                    answer_with_size("Transfer-Encoding: chunked\r\n\r\n" +
+                                     std::string(size) + "\r\n"),
+                    short_request_bytes,
+                    reading::at_once) == exchange_result::lost);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(backend_connection_test);
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include <barleyfork/base/text.hpp>
 #include <barleyfork/net/answer_limits.hpp>
+#include <barleyfork/net/received_body.hpp>
 #include <barleyfork/net/socket_options.hpp>
 #include <barleyfork/net/sockets.hpp>
 
@@ -122,7 +123,7 @@
         reply.error = to_failure(write_error, endpoint);
         co_return reply;
     }
-    std::optional<http::response_parser<http::string_body>> parser;
+    std::optional<http::response_parser<received_body>> parser;
     beast::flat_buffer buffer(max_unparsed_bytes);
     int answers = 0;
     do {
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -3,6 +3,7 @@
 #include <barleyfork/base/digest.hpp>
 #include <barleyfork/base/log.hpp>
 #include <barleyfork/net/http_checks.hpp>
+#include <barleyfork/net/received_body.hpp>
 #include <barleyfork/net/sockets.hpp>
 
 #include <algorithm>
@@ -26,7 +27,7 @@
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 
-http_incoming to_incoming(http::request<http::string_body>&& request)
+http_incoming to_incoming(http::request<received_body>&& request)
 {
     http_incoming incoming;
     incoming.method = std::string(request.method_string());
@@ -246,7 +247,7 @@
     asio::awaitable<bool> serve_request(beast::tcp_stream& stream,
                                         beast::flat_buffer& buffer)
     {
-        http::request_parser<http::string_body> parser;
+        http::request_parser<received_body> parser;
         parser.header_limit(limits.max_header_bytes);
         parser.body_limit(limits.max_body_bytes);
         stream.expires_after(limits.header_timeout);
