--- a/libs/gateway/src/gateway_context.cpp
+++ b/libs/gateway/src/gateway_context.cpp
@@ -13,6 +13,10 @@
 /// The fraction of the bound on a new configuration within which one that is
 /// in force elsewhere may be unknown here.
 constexpr double addition_fraction = 0.8;
+/// The fraction of the bound on withdrawn keys within which what a restored
+/// store lacks is written again. What was known before the restore decides
+/// about keys until then, and must not get too old for it.
+constexpr double rewrite_fraction = 0.5;
 constexpr duration min_update_interval{200};
 constexpr duration max_update_interval{800};
 /// Limits the updates that the lease holder receives to about 700 per second.
@@ -75,13 +79,18 @@
                     fraction_of_memory(settings, one_answer_memory_fraction),
                     guaranteed_answer_bytes),
       crashes(serving.executor(), timers, pool, loads),
-      quarantine(refusal_limits), limits(self), quotas(self, timers)
+      quarantine(refusal_limits), limits(self), quotas(self, timers),
+      completeness_(settings.first_start)
 {
     for (const auto& place : settings.places)
         regions_.emplace(place->failure_domain, place->region);
     platform.store = std::make_unique<restorable_store>(
-        std::move(platform.store), clock_of_store, [this](std::uint64_t era) {
-            observe_store_era(era);
+        std::move(platform.store),
+        clock_of_store,
+        [this](store_version version) {
+            observe_store_era(version.era());
+            if (version.is_known())
+                completeness_.on_served(version.era(), boot_now());
             return era_.current();
         });
 }
@@ -95,6 +104,7 @@
 
 void gateway_context::observe_store_era(std::uint64_t era)
 {
+    completeness_.observe(era, boot_now());
     if (!era_.observe(era))
         return;
     log_event(log_level::warn, "store_restored")
@@ -104,6 +114,22 @@
         on_store_restored();
 }
 
+duration gateway_context::store_rewrite_time() const
+{
+    const auto bound = static_cast<double>(bounds_of_keys().revocation.count());
+    return duration(static_cast<std::int64_t>(rewrite_fraction * bound));
+}
+
+bool gateway_context::is_store_complete(time_point began) const
+{
+    return completeness_.is_complete(began, store_rewrite_time());
+}
+
+std::uint64_t gateway_context::complete_store_era()
+{
+    return completeness_.complete_era(boot_now(), store_rewrite_time());
+}
+
 distance gateway_context::distance_to(const failure_domain_id& domain) const
 {
     if (domain.value() == settings.failure_domain)
--- a/libs/gateway/src/gateway_context.hpp
+++ b/libs/gateway/src/gateway_context.hpp
@@ -23,6 +23,7 @@
 #include <barleyfork/core/server_choice.hpp>
 #include <barleyfork/core/server_process.hpp>
 #include <barleyfork/core/shared_retry_budget.hpp>
+#include <barleyfork/core/store_completeness.hpp>
 #include <barleyfork/core/store_version.hpp>
 #include <barleyfork/core/suspect_runs.hpp>
 #include <barleyfork/core/waiting_room.hpp>
@@ -105,6 +106,21 @@
         return era_;
     }
 
+    /// Returns whether a call to the store that began at `began`, by
+    /// `boot_now`, shows everything that the store acknowledged.
+    bool is_store_complete(time_point began) const;
+
+    /// Records that a daemon found the store complete in an era. Returns true
+    /// if that was not known here.
+    bool on_store_recorded_complete(std::uint64_t era) noexcept
+    {
+        return completeness_.on_recorded(era);
+    }
+
+    /// Returns the newest era in which the store is known to have been
+    /// complete; 0 if there is none.
+    std::uint64_t complete_store_era();
+
     /// Records what a server said of its request limit, as `source` received
     /// it.
     void observe_limit(const limit_observation& observation,
@@ -252,12 +268,14 @@
 
 private:
     void wake_when_allowed(const server_process& process);
+    duration store_rewrite_time() const;
 
     std::map<failure_domain_id, region_id> regions_;
     std::map<service_id, shared_retry_budget> budgets_;
     std::size_t daemons_ = 0;
     time_point started_at_ = steady_now();
     store_era era_;
+    store_completeness completeness_;
 };
 
 } // namespace barleyfork
--- a/libs/gateway/src/peer_updates.cpp
+++ b/libs/gateway/src/peer_updates.cpp
@@ -25,6 +25,9 @@
 /// holder repeats it for twice as long.
 constexpr duration limit_report_age{2000};
 constexpr std::size_t max_limits_per_message = 256;
+/// Maximum number of daemons asked at once whether a restored store lacks a
+/// newer configuration.
+constexpr std::size_t max_peers_asked_for_proof = 2;
 
 } // namespace
 
@@ -104,8 +107,10 @@
             announce({});
         if (!is_lease_holder_)
             send_demand();
-        if (!watch_.is_reachable())
-            request_snapshot_from_random_peer();
+        if (watch_.awaits_proof())
+            request_snapshots_from_random_peers(max_peers_asked_for_proof);
+        else if (!watch_.is_reachable())
+            request_snapshots_from_random_peers(1);
     }
 }
 
--- a/libs/gateway/src/peer_updates.hpp
+++ b/libs/gateway/src/peer_updates.hpp
@@ -157,7 +157,9 @@
     void send_snapshot(const schema::peer_message_record& request);
     void apply_snapshot(const schema::peer_message_record& message);
     void request_snapshot(const peer_address& from);
-    void request_snapshot_from_random_peer();
+    void request_snapshots_from_random_peers(std::size_t count);
+    void request_snapshots_from_some(const std::vector<peer_address>& peers,
+                                     std::size_t count);
     void request_neighbour_snapshots();
     void on_following(const schema::peer_message_record& message,
                       const member& sender);
@@ -187,6 +189,7 @@
     void update_reader_rank();
     boost::asio::awaitable<void> register_self();
     boost::asio::awaitable<void> register_again();
+    void schedule_registration();
 
     gateway_context& context_;
     store_watch& watch_;
@@ -199,6 +202,8 @@
     std::map<instance_id, member> members_;
     /// This daemon's row in the store as last read.
     store_row own_row_;
+    /// The era of the store that `own_row_` records as complete; 0 for none.
+    std::uint64_t recorded_era_ = 0;
     /// Whether the list of daemons was read since the start.
     bool has_read_members_ = false;
     /// From when on the other daemons list this one.
--- a/libs/gateway/src/peer_updates_neighbours.cpp
+++ b/libs/gateway/src/peer_updates_neighbours.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <iterator>
 
 namespace barleyfork {
 
@@ -48,6 +49,16 @@
     return port;
 }
 
+/// Returns 0 for a value that is no era.
+std::uint64_t parse_era(const json::value* value)
+{
+    if (value == nullptr)
+        return 0;
+    boost::system::error_code error;
+    const auto era = value->to_number<std::uint64_t>(error);
+    return error ? 0 : era;
+}
+
 } // namespace
 
 /// Writes this daemon's row and replaces the row of an earlier process.
@@ -58,6 +69,9 @@
     value["port"] = context_.settings.peer_port;
     value["failure_domain"] = context_.settings.failure_domain;
     value["link_mbps"] = context_.settings.link_mbps;
+    recorded_era_ = context_.complete_store_era();
+    if (recorded_era_ > 0)
+        value["store_era"] = recorded_era_;
     const auto text = json::serialize(value);
     const auto key = context_.self.value();
     while (own_row_.value != text) {
@@ -72,19 +86,26 @@
     }
 }
 
-void peer_updates::on_store_restored()
+/// Schedules a check of this daemon's row, at a random time.
+void peer_updates::schedule_registration()
 {
     std::uniform_int_distribution<std::int64_t> spread(
         0,
         registration_spread_per_daemon.count() *
             static_cast<std::int64_t>(context_.daemons()));
     registration_due_at_ = steady_now() + duration(spread(context_.random));
+}
+
+void peer_updates::on_store_restored()
+{
+    schedule_registration();
     refusals_.on_store_restored();
     suspicions_.on_store_restored();
     process_refusals(steady_now());
 }
 
-/// Writes this daemon's row if the restored store lacks it.
+/// Writes this daemon's row if the restored store lacks it, or if the row does
+/// not say yet that the store is complete again.
 asio::awaitable<void> peer_updates::register_again()
 {
     registration_due_at_.reset();
@@ -128,6 +149,9 @@
         steady_now() - duration(listed_before ? 0 : member_interval_ms);
     for (;;) {
         co_await sleep_for_ms(member_poll_ms);
+        if (!registration_due_at_ &&
+            context_.complete_store_era() != recorded_era_)
+            schedule_registration();
         if (registration_due_at_ && steady_now() >= *registration_due_at_)
             co_await register_again();
         // A holder must know all daemons, also when it has just taken the
@@ -223,6 +247,9 @@
             .with("instance", row.key);
         return;
     }
+    const auto era = parse_era(value.as_object().if_contains("store_era"));
+    if (era > 0 && context_.on_store_recorded_complete(era))
+        watch_.on_store_complete();
     auto& entry = members_[id];
     entry.address = {std::string(address->as_string()), *peer_port};
     entry.failure_domain = failure_domain_id(std::string(domain->as_string()));
@@ -262,11 +289,7 @@
 /// data known in its failure domain need not be read from the store again.
 void peer_updates::request_neighbour_snapshots()
 {
-    auto known = neighbours();
-    std::shuffle(known.begin(), known.end(), context_.random);
-    known.resize(std::min(known.size(), max_neighbours_asked));
-    for (const auto& neighbour : known)
-        request_snapshot(neighbour);
+    request_snapshots_from_some(neighbours(), max_neighbours_asked);
 }
 
 asio::awaitable<void> peer_updates::report_to_neighbours()
@@ -368,7 +391,8 @@
         watch_.confirm_keys(*confirmed_at);
 }
 
-/// Sends the data that the requesting daemon does not have yet.
+/// Sends the data that the requesting daemon does not have yet, or only what
+/// this one confirms, if nothing has confirmed the configuration to the other.
 void peer_updates::send_snapshot(const schema::peer_message_record& request)
 {
     const bool newer =
@@ -379,7 +403,8 @@
         since = store_version();
     if (since < watch_.list_position())
         rows = watch_.rows_after(since);
-    if (!newer && !rows)
+    const bool confirms = request.configuration_confirmed_ms == 0;
+    if (!newer && !rows && !confirms)
         return;
     auto message = make_message(schema::message_kind::snapshot);
     const auto& bytes = watch_.configuration_bytes();
@@ -413,16 +438,27 @@
         from, make_message(schema::message_kind::snapshot_request), false);
 }
 
-/// Requests the newest configuration from one random peer.
-void peer_updates::request_snapshot_from_random_peer()
+/// Requests the newest configuration from up to `count` random peers.
+void peer_updates::request_snapshots_from_random_peers(std::size_t count)
 {
-    if (members_.size() < 2)
-        return;
-    auto index = context_.random() % members_.size();
-    auto peer = members_.begin();
-    std::advance(peer, static_cast<std::ptrdiff_t>(index));
-    if (peer->first != context_.self)
-        request_snapshot(peer->second.address);
+    std::vector<peer_address> others;
+    for (const auto& [id, entry] : members_)
+        if (id != context_.self)
+            others.push_back(entry.address);
+    request_snapshots_from_some(others, count);
+}
+
+void peer_updates::request_snapshots_from_some(
+    const std::vector<peer_address>& peers, std::size_t count)
+{
+    std::vector<peer_address> asked;
+    std::sample(peers.begin(),
+                peers.end(),
+                std::back_inserter(asked),
+                count,
+                context_.random);
+    for (const auto& peer : asked)
+        request_snapshot(peer);
 }
 
 } // namespace barleyfork
--- a/libs/gateway/src/restorable_store.cpp
+++ b/libs/gateway/src/restorable_store.cpp
@@ -11,8 +11,9 @@
 
 restorable_store::restorable_store(std::unique_ptr<row_store> store,
                                    store_clock& clock,
-                                   era_handler on_era)
-    : store_(std::move(store)), clock_(clock), on_era_(std::move(on_era))
+                                   version_handler on_version)
+    : store_(std::move(store)), clock_(clock),
+      on_version_(std::move(on_version))
 {
 }
 
@@ -21,7 +22,7 @@
                                time_point sent)
 {
     clock_.observe_call(store_ms, sent, boot_now());
-    era_ = on_era_(version.era());
+    era_ = on_version_(version);
     newest_ = std::max(newest_, version);
 }
 
--- a/libs/gateway/src/restorable_store.hpp
+++ b/libs/gateway/src/restorable_store.hpp
@@ -19,13 +19,14 @@
 class restorable_store : public row_store
 {
 public:
-    /// Called with the era of each response. Returns the newest known era.
-    using era_handler = std::function<std::uint64_t(std::uint64_t)>;
+    /// Called with the version in each response; one that only names an era
+    /// served nothing. Returns the newest known era.
+    using version_handler = std::function<std::uint64_t(store_version)>;
 
     /// `clock` must outlive this object.
     restorable_store(std::unique_ptr<row_store> store,
                      store_clock& clock,
-                     era_handler on_era);
+                     version_handler on_version);
 
     boost::asio::awaitable<store_read> read_table(std::string table) override;
     boost::asio::awaitable<store_read> read_row(std::string table,
@@ -44,7 +45,7 @@
 
     std::unique_ptr<row_store> store_;
     store_clock& clock_;
-    era_handler on_era_;
+    version_handler on_version_;
     std::uint64_t era_ = 0;
     /// The newest version in any response.
     store_version newest_;
--- a/libs/gateway/src/store_watch.hpp
+++ b/libs/gateway/src/store_watch.hpp
@@ -133,6 +133,18 @@
     /// `boot_now`.
     void confirm_keys(time_point at);
 
+    /// Returns true while callers' keys wait for a proof that the store lacks
+    /// no newer configuration; other daemons may know one.
+    bool awaits_proof() const noexcept
+    {
+        return unproven_read_.has_value() && context_.configuration &&
+               context_.configuration->requires_keys;
+    }
+
+    /// Called when another daemon's record proves that the store contains
+    /// everything that it acknowledged.
+    void on_store_complete();
+
     /// Applies a list from a neighbour: the complete list as read at the
     /// claim's position, or changes if the list is known here already.
     void apply_neighbour_list(const std::vector<store_row>& rows,
@@ -152,6 +164,14 @@
     /// Interval of the checks whether a read of a table is due.
     static constexpr std::int64_t read_poll_ms = 150;
 
+    /// A read of the configuration from a store that may lack a newer one.
+    struct unproven_read
+    {
+        std::uint64_t era = 0;
+        /// By `boot_now`.
+        time_point began{};
+    };
+
     bool update_reader_role(time_point now);
     bool waits_for_neighbour(bool known, time_point now);
     std::int64_t draw_retry_delay_ms();
@@ -167,6 +187,7 @@
     boost::asio::awaitable<bool> read_list(time_point began);
     bool is_configuration_due(time_point now);
     bool is_key_knowledge_due() const;
+    void confirm_keys_by_read(const unproven_read& read);
     boost::asio::awaitable<bool> read_configuration(duration wait);
     void expire_servers();
     std::optional<backend_entry> decode(const store_row& row,
@@ -188,6 +209,7 @@
     /// Whether the last row that was read from the store could not be decoded.
     /// What it withdraws is then unknown.
     bool is_newest_unreadable_ = false;
+    std::optional<unproven_read> unproven_read_;
     table_follower list_;
     bool reachable_ = true;
     /// Number of successive failed calls.
--- a/libs/gateway/src/store_watch_configuration.cpp
+++ b/libs/gateway/src/store_watch_configuration.cpp
@@ -38,6 +38,32 @@
         known = at;
 }
 
+/// Records a read of the configuration. It confirms nothing about keys while
+/// the store may lack a newer version that it acknowledged before it was
+/// restored.
+void store_watch::confirm_keys_by_read(const unproven_read& read)
+{
+    if (context_.is_store_complete(read.began)) {
+        unproven_read_.reset();
+        confirm_keys(read.began);
+        return;
+    }
+    // A call that waited for a change may have begun long ago.
+    if (context_.is_store_complete(boot_now()))
+        return;
+    if (!unproven_read_ || unproven_read_->era != read.era)
+        log_event(log_level::info, "configuration_unproven")
+            .with("version", static_cast<std::int64_t>(configuration_version()))
+            .with("store_era", static_cast<std::int64_t>(read.era));
+    unproven_read_ = read;
+}
+
+void store_watch::on_store_complete()
+{
+    if (unproven_read_ && unproven_read_->era == context_.era().current())
+        confirm_keys_by_read(*unproven_read_);
+}
+
 /// Returns the age from which the known configuration is reported, before the
 /// operators' bound has passed.
 duration store_watch::max_unconfirmed_age() const
@@ -121,7 +147,8 @@
 bool store_watch::is_key_knowledge_due() const
 {
     const auto bound = context_.bounds_of_keys().revocation;
-    if (bound <= duration{0} || !context_.configuration->requires_keys)
+    if (bound <= duration{0} || !context_.configuration->requires_keys ||
+        !context_.is_store_complete(boot_now()))
         return false;
     const auto age = context_.confirmed_age();
     return !age || *age > bound / 2;
@@ -172,7 +199,7 @@
     for (const auto& row : read.rows)
         if (row.key == key && !row.deleted)
             is_newest_unreadable_ = !apply_configuration(row.value, "store");
-    confirm_keys(boot_began);
+    confirm_keys_by_read({read.version.era(), boot_began});
     co_return true;
 }
 
--- a/libs/gateway/tests/restorable_store_test.cpp
+++ b/libs/gateway/tests/restorable_store_test.cpp
@@ -91,8 +91,8 @@
     store_clock clock_;
     restorable_store store_{std::make_unique<scripted_store>(script_),
                             clock_,
-                            [](std::uint64_t era) {
-                                return era;
+                            [](store_version version) {
+                                return version.era();
                             }};
     store_write_outcome outcome_ = store_write_outcome::unknown;
 };
