--- a/libs/daemon/src/daemon.cpp
+++ b/libs/daemon/src/daemon.cpp
@@ -175,10 +175,10 @@
 
 void daemon::state::spawn_loops()
 {
-    context.control.spawn(decisions->run_ticks());
-    context.control.spawn(decisions->poll_table());
-    context.control.spawn(decisions->poll_instances());
-    context.control.spawn(decisions->poll_reports());
+    context.control.spawn_duty([this] { return decisions->run_ticks(); });
+    context.control.spawn_duty([this] { return decisions->poll_table(); });
+    context.control.spawn_duty([this] { return decisions->poll_instances(); });
+    context.control.spawn_duty([this] { return decisions->poll_reports(); });
 }
 
 bool daemon::state::wait_for_requests(duration timeout)
--- a/libs/gateway/src/backend_connection.cpp
+++ b/libs/gateway/src/backend_connection.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <exception>
 
 namespace barleyfork {
 
@@ -86,16 +87,33 @@
     write();
 }
 
+template <class Handler>
+void backend_connection::run_guarded(Handler handler)
+{
+    const auto self = shared_from_this();
+    try {
+        handler();
+    }
+    catch (const std::exception& error) {
+        log_event(log_level::error, "exchange_failed")
+            .with("connection", static_cast<std::int64_t>(number_))
+            .with("error", error.what());
+        finish(exchange_result::malformed);
+    }
+}
+
 void backend_connection::connect()
 {
     state_ = state::connecting;
     const auto self = shared_from_this();
     connect_timer_ = timers_.add(steady_now() + connect_timeout, [self] {
         self->connect_timer_ = 0;
-        self->on_connected(asio::error::timed_out);
+        self->run_guarded(
+            [self] { self->on_connected(asio::error::timed_out); });
+    });
+    socket_.async_connect(target_, [self](const auto& error) {
+        self->run_guarded([&] { self->on_connected(error); });
     });
-    socket_.async_connect(
-        target_, [self](const auto& error) { self->on_connected(error); });
 }
 
 void backend_connection::on_connected(const boost::system::error_code& error)
@@ -126,7 +144,7 @@
                                                   asio::buffer(*request_.body)};
     asio::async_write(socket_, parts, [self](const auto& error, std::size_t) {
         self->request_ = {};
-        self->on_written(error);
+        self->run_guarded([&] { self->on_written(error); });
     });
 }
 
@@ -151,11 +169,11 @@
         return;
     reading_ = true;
     const auto self = shared_from_this();
-    socket_.async_read_some(asio::buffer(buffer_),
-                            [self](const auto& error, std::size_t size) {
-                                self->reading_ = false;
-                                self->on_read(error, size);
-                            });
+    socket_.async_read_some(
+        asio::buffer(buffer_), [self](const auto& error, std::size_t size) {
+            self->reading_ = false;
+            self->run_guarded([&] { self->on_read(error, size); });
+        });
 }
 
 void backend_connection::resume()
--- a/libs/gateway/src/backend_connection.hpp
+++ b/libs/gateway/src/backend_connection.hpp
@@ -157,6 +157,10 @@
         closed,
     };
 
+    /// Runs a handler of the socket. An exception that leaves it ends this
+    /// exchange like an invalid response.
+    template <class Handler>
+    void run_guarded(Handler handler);
     void connect();
     void on_connected(const boost::system::error_code& error);
     void write();
--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <exception>
 
 namespace barleyfork {
 
@@ -95,6 +96,21 @@
     read();
 }
 
+template <class Handler>
+void caller_session::run_guarded(Handler handler)
+{
+    const auto self = shared_from_this();
+    try {
+        handler();
+    }
+    catch (const std::exception& error) {
+        log_event(log_level::error, "caller_connection_failed")
+            .with("caller", address_)
+            .with("error", error.what());
+        on_caller_disconnected();
+    }
+}
+
 /// Returns the limits that are in force now.
 caller_limits caller_session::limits() const
 {
@@ -138,10 +154,10 @@
         return;
     reading_ = true;
     const auto self = shared_from_this();
-    socket_.async_read_some(asio::buffer(buffer_),
-                            [self](const auto& error, std::size_t size) {
-                                self->on_read(error, size);
-                            });
+    socket_.async_read_some(
+        asio::buffer(buffer_), [self](const auto& error, std::size_t size) {
+            self->run_guarded([&] { self->on_read(error, size); });
+        });
 }
 
 void caller_session::on_read(const boost::system::error_code& error,
@@ -439,7 +455,7 @@
     if (!unparsed_.empty())
         context_.serving.try_post([self] {
             if (!self->call_)
-                self->parse();
+                self->run_guarded([&] { self->parse(); });
         });
     read();
 }
@@ -450,10 +466,11 @@
         return;
     writing_.swap(pending_);
     const auto self = shared_from_this();
-    asio::async_write(
-        socket_,
-        asio::buffer(writing_),
-        [self](const auto& error, std::size_t) { self->on_written(error); });
+    asio::async_write(socket_,
+                      asio::buffer(writing_),
+                      [self](const auto& error, std::size_t) {
+                          self->run_guarded([&] { self->on_written(error); });
+                      });
 }
 
 void caller_session::on_written(const boost::system::error_code& error)
@@ -527,7 +544,7 @@
     const auto self = shared_from_this();
     timer_ = context_.timers.add(steady_now() + wait, [self] {
         self->timer_ = 0;
-        self->on_timer();
+        self->run_guarded([&] { self->on_timer(); });
     });
 }
 
--- a/libs/gateway/src/caller_session.hpp
+++ b/libs/gateway/src/caller_session.hpp
@@ -56,6 +56,10 @@
 
     void read();
     void on_read(const boost::system::error_code& error, std::size_t size);
+    /// Runs a handler of the socket or a timer. An exception that leaves it
+    /// ends this connection, as if its caller had left.
+    template <class Handler>
+    void run_guarded(Handler handler);
     void start_parser();
     caller_limits limits() const;
     duration wait_limit() const;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -158,17 +158,17 @@
         updates.on_store_restored();
     };
     auto& worker = context.serving;
-    worker.spawn(accept_loop());
-    worker.spawn(signal_loop());
-    worker.spawn(sweep_loop());
-    worker.spawn(watch.follow_configuration());
-    worker.spawn(watch.check_configuration());
-    worker.spawn(watch.follow_servers());
-    worker.spawn(updates.follow_members());
-    worker.spawn(updates.follow_refusals());
-    worker.spawn(updates.run());
-    worker.spawn(updates.report_to_neighbours());
-    worker.spawn(placement.run());
+    worker.spawn_duty([this] { return accept_loop(); });
+    worker.spawn_duty([this] { return signal_loop(); });
+    worker.spawn_duty([this] { return sweep_loop(); });
+    worker.spawn_duty([this] { return watch.follow_configuration(); });
+    worker.spawn_duty([this] { return watch.check_configuration(); });
+    worker.spawn_duty([this] { return watch.follow_servers(); });
+    worker.spawn_duty([this] { return updates.follow_members(); });
+    worker.spawn_duty([this] { return updates.follow_refusals(); });
+    worker.spawn_duty([this] { return updates.run(); });
+    worker.spawn_duty([this] { return updates.report_to_neighbours(); });
+    worker.spawn_duty([this] { return placement.run(); });
 }
 
 asio::awaitable<void> gateway::state::accept_loop()
--- a/libs/gateway/src/timer_queue.cpp
+++ b/libs/gateway/src/timer_queue.cpp
@@ -55,7 +55,14 @@
         const auto action = std::move(first->second);
         deadlines_.erase(first->first.second);
         actions_.erase(first);
-        action();
+        try {
+            action();
+        }
+        catch (...) {
+            // The timers after it still run.
+            arm();
+            throw;
+        }
     }
     arm();
 }
--- a/libs/gateway/tests/backend_connection_test.cpp
+++ b/libs/gateway/tests/backend_connection_test.cpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <netinet/in.h>
+#include <new>
 #include <optional>
 #include <string>
 #include <sys/socket.h>
@@ -265,6 +266,7 @@
     CPPUNIT_TEST(a_connection_that_was_held_back_to_its_end_goes_on);
     CPPUNIT_TEST(a_declared_length_reserves_no_memory);
     CPPUNIT_TEST(a_declared_chunk_reserves_no_memory);
+    CPPUNIT_TEST(an_exception_of_the_receiver_ends_its_exchange_only);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -339,6 +341,28 @@
                     reading::at_once) == exchange_result::lost);
     }
 
+    /// Guards against an exception that leaves the loop, with all other
+    /// exchanges.
+    void an_exception_of_the_receiver_ends_its_exchange_only()
+    {
+        loopback_server server(answer_and_keep);
+        asio::io_context loop;
+        timer_queue timers(loop.get_executor());
+        const auto connection = std::make_shared<backend_connection>(
+            loop.get_executor(), timers, server.endpoint(), 1, [](const auto&) {
+            });
+        const auto receiver = std::make_shared<noting_receiver>(
+            short_request_bytes,
+            [] { throw std::bad_alloc(); },
+            [&loop] { loop.stop(); });
+        connection->exchange("try-1", false, receiver);
+        constexpr std::chrono::seconds patience(2);
+        loop.run_for(patience);
+        CPPUNIT_ASSERT(receiver->ended);
+        CPPUNIT_ASSERT(*receiver->ended == exchange_result::malformed);
+        CPPUNIT_ASSERT(!connection->is_open());
+    }
+
     /// Guards against the same by the size of a chunk.
     void a_declared_chunk_reserves_no_memory()
     {
--- a/libs/net/include/barleyfork/net/io_worker.hpp
+++ b/libs/net/include/barleyfork/net/io_worker.hpp
@@ -15,7 +15,8 @@
 ///
 /// All state that belongs to a worker is accessed only on its thread. Tasks
 /// from other workers arrive through the ring; `try_post` returns false if it
-/// is full, and the sender then returns its own documented error.
+/// is full, and the sender then returns its own documented error. An exception
+/// that leaves a handler is logged and ends nothing but that handler.
 ///
 /// Example:
 /// `if (!control.try_post([] { ... })) return errc::overloaded;`
@@ -50,6 +51,11 @@
     /// logged with the worker's name.
     void spawn(boost::asio::awaitable<void> work);
 
+    /// Starts a coroutine that is to run as long as the worker does. If an
+    /// exception ends it, that is logged and `duty` is called again after a
+    /// pause.
+    void spawn_duty(std::function<boost::asio::awaitable<void>()> duty);
+
     /// Returns the executor of the loop.
     boost::asio::any_io_executor executor();
 
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -363,8 +363,8 @@
     auto& acceptor = state_->acceptor;
     if (!open_acceptor(acceptor, address, port))
         return 0;
-    state_->owner.spawn(state_->accept_loop());
-    state_->owner.spawn(state_->sweep_loop());
+    state_->owner.spawn_duty([state = state_] { return state->accept_loop(); });
+    state_->owner.spawn_duty([state = state_] { return state->sweep_loop(); });
     return acceptor.local_endpoint().port();
 }
 
--- a/libs/net/src/io_worker.cpp
+++ b/libs/net/src/io_worker.cpp
@@ -11,7 +11,9 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/lockfree/queue.hpp>
+#include <exception>
 #include <optional>
+#include <string_view>
 #include <thread>
 
 namespace barleyfork {
@@ -20,6 +22,26 @@
 
 namespace {
 
+/// The pause before a duty that failed starts again, in milliseconds.
+constexpr std::int64_t restart_pause_ms = 200;
+
+/// Logs an exception that left a task of a worker. Never throws: the memory for
+/// the line may be what is missing.
+void log_exception(std::string_view event,
+                   const std::string& worker,
+                   const std::exception& error) noexcept
+{
+    try {
+        log_event(log_level::error, event)
+            .with("duty", worker)
+            .with("error", error.what());
+    }
+    catch (const std::exception&) {
+        // Nothing is left to tell it with.
+        return;
+    }
+}
+
 /// An I/O loop whose pending work can be dropped before it is destroyed.
 class event_loop : public asio::io_context
 {
@@ -53,7 +75,41 @@
         task* next = nullptr;
         while (ring.pop(next)) {
             const std::unique_ptr<task> owned(next);
-            (*owned)();
+            try {
+                (*owned)();
+            }
+            catch (const std::exception& error) {
+                log_exception("duty_handler_failed", name, error);
+            }
+        }
+    }
+
+    /// Runs the loop until it is stopped. An exception ends the handler that it
+    /// leaves, not the process with all other requests.
+    void run()
+    {
+        while (!loop.stopped()) {
+            try {
+                loop.run();
+            }
+            catch (const std::exception& error) {
+                log_exception("duty_handler_failed", name, error);
+            }
+        }
+    }
+
+    /// Runs a duty, again after a pause where an exception ended it.
+    asio::awaitable<void> repeat(std::function<asio::awaitable<void>()> duty)
+    {
+        for (;;) {
+            try {
+                co_await duty();
+                co_return;
+            }
+            catch (const std::exception& error) {
+                log_exception("duty_task_failed", name, error);
+            }
+            co_await sleep_for_ms(restart_pause_ms);
         }
     }
 
@@ -78,7 +134,7 @@
 
 void io_worker::start()
 {
-    state_->thread = std::thread([this] { state_->loop.run(); });
+    state_->thread = std::thread([this] { state_->run(); });
 }
 
 void io_worker::stop()
@@ -120,13 +176,16 @@
                 std::rethrow_exception(error);
             }
             catch (const std::exception& caught) {
-                log_event(log_level::error, "duty_task_failed")
-                    .with("duty", state_->name)
-                    .with("error", caught.what());
+                log_exception("duty_task_failed", state_->name, caught);
             }
         });
 }
 
+void io_worker::spawn_duty(std::function<asio::awaitable<void>()> duty)
+{
+    spawn(state_->repeat(std::move(duty)));
+}
+
 asio::any_io_executor io_worker::executor()
 {
     return state_->loop.get_executor();
--- a/libs/net/src/peer_link.cpp
+++ b/libs/net/src/peer_link.cpp
@@ -40,7 +40,7 @@
 {
     if (!open_acceptor(acceptor_, address, port))
         return 0;
-    owner_.spawn(accept_loop());
+    owner_.spawn_duty([this] { return accept_loop(); });
     return acceptor_.local_endpoint().port();
 }
 
