--- a/libs/net/src/peer_link.cpp
+++ b/libs/net/src/peer_link.cpp
@@ -4,6 +4,7 @@
 #include <barleyfork/net/frame.hpp>
 #include <barleyfork/net/sockets.hpp>
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -23,6 +24,27 @@
 constexpr duration write_timeout{2000};
 constexpr duration frame_timeout{5000};
 constexpr std::int64_t accept_pause_ms = 20;
+/// The memory for a payload grows by at most this much before its bytes arrive.
+constexpr std::size_t payload_piece_bytes = std::size_t{64} * 1024;
+
+/// Reads a payload of `length` bytes, which its sender has only declared so
+/// far. Returns false if it did not arrive.
+asio::awaitable<bool> read_payload(boost::beast::tcp_stream& stream,
+                                   std::size_t length,
+                                   std::string& out)
+{
+    out.clear();
+    while (out.size() < length) {
+        const auto begin = out.size();
+        const auto size = std::min(length - begin, payload_piece_bytes);
+        out.resize(begin + size);
+        auto [error, received] = co_await asio::async_read(
+            stream, asio::buffer(out.data() + begin, size), as_result);
+        if (error)
+            co_return false;
+    }
+    co_return true;
+}
 
 } // namespace
 
@@ -89,11 +111,8 @@
         std::size_t length = 0;
         if (header_error || decode_frame_length(header, length))
             co_return;
-        payload.resize(length);
         stream.expires_after(frame_timeout);
-        auto [payload_error, payload_size] =
-            co_await asio::async_read(stream, asio::buffer(payload), as_result);
-        if (payload_error)
+        if (!co_await read_payload(stream, length, payload))
             co_return;
         bytes_received_ += header.size() + payload.size();
         schema::peer_message_record message;
