--- a/libs/core/src/token_bucket.cpp
+++ b/libs/core/src/token_bucket.cpp
@@ -48,8 +48,10 @@
         return max_wait;
     const double wait =
         (amount - level_) / per_second_ * milliseconds_per_second;
-    return std::min(max_wait,
-                    duration(static_cast<std::int64_t>(std::ceil(wait))));
+    // A declared rate may be so low that no duration holds the wait.
+    if (wait >= static_cast<double>(max_wait.count()))
+        return max_wait;
+    return duration(static_cast<std::int64_t>(std::ceil(wait)));
 }
 
 void token_bucket::refill(time_point now)
--- a/libs/core/tests/policy_parts_test.cpp
+++ b/libs/core/tests/policy_parts_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(queue_shares_by_weight);
     CPPUNIT_TEST(a_burst_is_displaced_by_others);
     CPPUNIT_TEST(bucket_limits_the_rate);
+    CPPUNIT_TEST(a_bucket_that_hardly_fills_names_a_long_wait);
     CPPUNIT_TEST(retries_stay_within_budget);
     CPPUNIT_TEST(innocent_neighbours_of_a_crash_are_not_refused);
     CPPUNIT_TEST(one_crash_counts_once);
@@ -77,6 +78,16 @@
         });
     }
 
+    /// Guards against a wait below zero where no duration holds the real one.
+    void a_bucket_that_hardly_fills_names_a_long_wait()
+    {
+        for (const double rate : {1e-6, 1e-17, 1e-300}) {
+            token_bucket bucket;
+            bucket.set_rate(rate, at(0));
+            CPPUNIT_ASSERT(bucket.wait_for(1e9, at(0)) > duration(1000));
+        }
+    }
+
     void retries_stay_within_budget()
     {
         retry_budget budget(10);
--- a/libs/gateway/src/http_text.cpp
+++ b/libs/gateway/src/http_text.cpp
@@ -174,6 +174,8 @@
 {
     constexpr std::string_view key = "timeout=";
     constexpr std::int64_t ms_per_second = 1000;
+    // Nobody keeps a connection idle for a day, whatever the server declares.
+    constexpr std::int64_t max_idle_timeout_s = 86400;
     const auto value = find_header(headers, "keep-alive");
     if (!value)
         return std::nullopt;
@@ -183,9 +185,9 @@
     std::int64_t seconds = 0;
     const auto* begin = value->data() + at + key.size();
     const auto* end = value->data() + value->size();
-    if (std::from_chars(begin, end, seconds).ec != std::errc())
+    if (std::from_chars(begin, end, seconds).ec != std::errc() || seconds < 0)
         return std::nullopt;
-    return duration(seconds * ms_per_second);
+    return duration(std::min(seconds, max_idle_timeout_s) * ms_per_second);
 }
 
 void append_chunk(std::string& out, std::string_view bytes)
