--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -340,8 +340,10 @@
 std::string caller_session::write_answer(const answer_head& head,
                                          std::string_view body) const
 {
-    std::string text = write_answer_head(
-        head, {{"Content-Length", std::to_string(body.size())}});
+    header_list length;
+    if (head.status != status_no_content)
+        length.emplace_back("Content-Length", std::to_string(body.size()));
+    std::string text = write_answer_head(head, length);
     text.resize(text.size() - 2);
     append_connection_header(text);
     text += "\r\n";
--- a/libs/gateway/src/gateway_call.hpp
+++ b/libs/gateway/src/gateway_call.hpp
@@ -188,6 +188,7 @@
     const char* answer_origin() const;
     bool is_retryable_failure() const;
     bool is_authentic_answer() const;
+    bool is_part_of_stream(unsigned status) const;
     void record_attempt_end(attempt_outcome end,
                             exchange_result exchange,
                             time_point now);
--- a/libs/gateway/src/gateway_call_answers.cpp
+++ b/libs/gateway/src/gateway_call_answers.cpp
@@ -101,14 +101,25 @@
     attempt_->facts = std::move(facts);
     attempt_->last_progress_at = now;
     apply_server_status(now);
-    attempt_->is_streamed = route_->kind == call_kind::stream &&
-                            is_success(head.status) && is_authentic_answer();
+    attempt_->is_streamed = is_part_of_stream(head.status);
     context_.timers.cancel(attempt_timer_);
     if (!attempt_->is_streamed)
         context_.loads.on_answer_started(attempt_->server, attempt_->ticket);
     return true;
 }
 
+/// Returns whether the response is passed on as a stream. One without a body is
+/// passed on as it is; after events of a stream it says that none follow.
+bool gateway_call::is_part_of_stream(unsigned status) const
+{
+    if (route_->kind != call_kind::stream || !is_success(status) ||
+        !is_authentic_answer())
+        return false;
+    const bool has_body =
+        status != status_no_content && request_.method != "HEAD";
+    return has_body || is_delivering_;
+}
+
 /// Applies the server's status (shutdown, rejection period, limit) from a
 /// response that is known to belong to this request.
 void gateway_call::apply_server_status(time_point now)
--- a/libs/gateway/src/http_text.hpp
+++ b/libs/gateway/src/http_text.hpp
@@ -12,6 +12,9 @@
 
 namespace barleyfork {
 
+/// The status of a response without a body and without a length of one.
+inline constexpr unsigned status_no_content = 204;
+
 /// A complete request of a caller.
 struct caller_request
 {
