--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -33,6 +33,18 @@
 /// How long a closing connection waits for the caller to close its side.
 constexpr duration linger_timeout{1000};
 
+/// The capacity that a buffer of an idle connection keeps, in bytes.
+constexpr std::size_t max_kept_capacity = std::size_t{4} * 1024;
+
+/// Empties a buffer. A large one gives its memory back, which nothing counts
+/// while the connection is idle.
+void release(std::string& buffer)
+{
+    buffer.clear();
+    if (buffer.capacity() > max_kept_capacity)
+        buffer.shrink_to_fit();
+}
+
 std::string address_of(const asio::ip::tcp::socket& socket)
 {
     boost::system::error_code error;
@@ -364,7 +376,10 @@
             make_local_answer(errc::outcome_unknown, {}, std::nullopt);
         text = write_answer(error.head, error.body);
     }
-    pending_ += text;
+    if (pending_.empty())
+        pending_ = std::move(text);
+    else
+        pending_ += text;
     if (context_.drain.draining())
         keep_alive_ = false;
     finish_answer();
@@ -477,7 +492,7 @@
 
 void caller_session::on_written(const boost::system::error_code& error)
 {
-    writing_.clear();
+    release(writing_);
     unsent_memory_.resize(pending_.size());
     if (closed_)
         return;
--- a/libs/net/tests/peer_link_test.cpp
+++ b/libs/net/tests/peer_link_test.cpp
@@ -3,6 +3,7 @@
 #include <barleyfork/net/frame.hpp>
 #include <barleyfork/net/io_worker.hpp>
 #include <barleyfork/net/peer_link.hpp>
+#include <barleyfork/testing/process_memory.hpp>
 
 #include <arpa/inet.h>
 #include <boost/asio/io_context.hpp>
@@ -11,7 +12,6 @@
 #include <boost/endian/conversion.hpp>
 #include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
-#include <fstream>
 #include <future>
 #include <string>
 #include <thread>
@@ -22,21 +22,12 @@
 namespace {
 
 namespace asio = boost::asio;
+using testing::resident_mb;
 
 constexpr std::size_t capacity = 64;
 constexpr std::size_t senders = 24;
 constexpr const char* secret = "secret";
 
-std::size_t resident_mb()
-{
-    constexpr std::size_t pages_in_mb = 256;
-    std::ifstream status("/proc/self/statm");
-    std::size_t total = 0;
-    std::size_t resident = 0;
-    status >> total >> resident;
-    return resident / pages_in_mb;
-}
-
 std::string header_of_length(std::size_t length)
 {
     std::string header(frame_header_bytes, '\0');
