--- a/libs/core/src/store_completeness.cpp
+++ b/libs/core/src/store_completeness.cpp
@@ -17,6 +17,8 @@
 
 void store_completeness::on_served(std::uint64_t era, time_point now) noexcept
 {
+    // An era that appears later is that of a restore.
+    is_first_start_ = false;
     if (era != era_ || !std::exchange(awaits_service_, false))
         return;
     restored_at_ = now;
--- a/libs/core/tests/store_completeness_test.cpp
+++ b/libs/core/tests/store_completeness_test.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(a_later_start_waits_for_what_may_be_written_again);
     CPPUNIT_TEST(a_record_of_the_same_era_ends_the_wait);
     CPPUNIT_TEST(calls_from_before_the_end_of_the_wait_prove_nothing);
+    CPPUNIT_TEST(an_era_that_appears_later_is_that_of_a_restore);
     CPPUNIT_TEST(nothing_is_written_again_before_the_store_serves);
     CPPUNIT_TEST(a_complete_read_lacks_nothing_acknowledged);
     CPPUNIT_TEST_SUITE_END();
@@ -99,6 +100,19 @@
             store.is_complete(start + tick + rewrite_time, rewrite_time));
     }
 
+    /// Guards against a restore that passes for the first start, where the
+    /// store names no era before it.
+    void an_era_that_appears_later_is_that_of_a_restore()
+    {
+        for (const bool is_first_start : {false, true}) {
+            store_completeness store(is_first_start);
+            respond(store, 0, start);
+            CPPUNIT_ASSERT(store.is_complete(start, rewrite_time));
+            respond(store, 1, start + tick);
+            CPPUNIT_ASSERT(!store.is_complete(start + tick, rewrite_time));
+        }
+    }
+
     /// Guards against a wait that is over when the store begins to serve.
     void nothing_is_written_again_before_the_store_serves()
     {
