--- a/libs/core/include/barleyfork/core/placement_controller.hpp
+++ b/libs/core/include/barleyfork/core/placement_controller.hpp
@@ -275,6 +275,7 @@
         /// Whether orders must wait: another holder sent one a short time ago,
         /// the server rejects requests, or the last order was not sent.
         bool is_held_back = false;
+        bool rejects_requests = false;
         /// End of the pause after an order that was not sent.
         time_point order_pause_until{};
         /// Whether the server has appeared in the list.
@@ -328,7 +329,7 @@
     std::uint32_t remaining_store_loads(time_point now);
     void remove_settled_loads(engine_server& server, time_point now);
     bool is_in_holder_gap(const server_id& id, time_point now) const;
-    static void cancel_unloads(engine_server& server);
+    static void cancel_removals(engine_server& server);
     void check_listed_state(engine_server& server,
                             const resident_state& held,
                             time_point now);
--- a/libs/core/src/placement_controller.cpp
+++ b/libs/core/src/placement_controller.cpp
@@ -80,11 +80,12 @@
         auto& server = servers_[id];
         server.failure_domain = state->entry.failure_domain;
         server.usable = state->usable() && !state->missing_since;
-        const bool rejects = state->rejects_requests(now);
-        server.is_held_back = is_in_holder_gap(id, now) || rejects ||
+        server.rejects_requests = state->rejects_requests(now);
+        server.is_held_back = is_in_holder_gap(id, now) ||
+                              server.rejects_requests ||
                               now < server.order_pause_until;
-        if (rejects)
-            cancel_unloads(server);
+        if (server.rejects_requests)
+            cancel_removals(server);
         server.in_memory = state->entry.in_memory;
         server.on_disk = state->entry.on_disk;
         check_listed_state(server, state->entry.held, now);
@@ -99,16 +100,22 @@
     return found != orders_allowed_at_.end() && now < found->second;
 }
 
-/// Gives up the unloads that are not ordered yet. The server rejects the
-/// requests of this daemon only, and the others send none for a model that is
-/// to be unloaded.
-void placement_controller::cancel_unloads(engine_server& server)
+/// Gives up the unloads of models and adapters that are not ordered yet. The
+/// server rejects the requests of this daemon only, and the others send none
+/// for a model or adapter that is to be unloaded.
+void placement_controller::cancel_removals(engine_server& server)
 {
-    if (server.pending_unloads.empty() || server.awaiting_answer)
+    if (server.awaiting_answer)
         return;
-    server.pending_unloads.clear();
-    server.reservation.reset();
-    server.needs_publishing = true;
+    if (!server.pending_unloads.empty()) {
+        server.pending_unloads.clear();
+        server.reservation.reset();
+        server.needs_publishing = true;
+    }
+    if (!server.draining_adapters.empty()) {
+        server.draining_adapters.clear();
+        server.needs_publishing = true;
+    }
 }
 
 past_orders placement_controller::recent_orders(time_point now) const
--- a/libs/core/src/placement_controller_adapters.cpp
+++ b/libs/core/src/placement_controller_adapters.cpp
@@ -268,8 +268,9 @@
 }
 
 /// Starts to drain the first eviction candidate of all servers where the model
-/// is resident, if there is one. The adapter gets no further requests and is
-/// unloaded when its running requests should have ended.
+/// is resident and that accept orders soon, if there is one. The adapter gets
+/// no further requests and is unloaded when its running requests should have
+/// ended.
 void placement_controller::start_adapter_eviction(const model_id& model,
                                                   bool may_evict_used,
                                                   time_point now)
@@ -277,7 +278,8 @@
     engine_server* best = nullptr;
     std::optional<eviction_candidate> oldest;
     for (auto& [id, server] : servers_) {
-        if (!server.usable || server.held.find(model) == nullptr ||
+        if (!server.usable || server.rejects_requests ||
+            server.held.find(model) == nullptr ||
             is_unload_pending(server, model))
             continue;
         const auto candidate =
--- a/libs/core/tests/unsent_order_test.cpp
+++ b/libs/core/tests/unsent_order_test.cpp
@@ -92,6 +92,13 @@
         return std::nullopt;
     }
 
+    /// The adapters of the resident model that the server is to serve.
+    std::size_t offered_adapters(std::size_t index, time_point now) const
+    {
+        const auto state = controller_.published(states_[index].entry.id, now);
+        return state->find(resident)->adapters.size();
+    }
+
     /// Passes at one moment, until one orders nothing; no order is sent.
     /// Returns the servers of all orders.
     std::vector<server_id> passes_at(time_point now)
@@ -130,6 +137,8 @@
     CPPUNIT_TEST(an_adapter_that_was_not_unloaded_waits);
     CPPUNIT_TEST(a_server_that_rejects_requests_gets_no_order);
     CPPUNIT_TEST(a_server_that_rejects_requests_keeps_its_models);
+    CPPUNIT_TEST(a_server_that_rejects_requests_holds_no_adapter_up);
+    CPPUNIT_TEST(a_server_that_rejects_requests_keeps_its_adapters);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -205,6 +214,31 @@
                        unloading);
     }
 
+    /// It can't be ordered to make room, so that room is made elsewhere.
+    void a_server_that_rejects_requests_holds_no_adapter_up()
+    {
+        order_world world(2, {"a1", "a2"});
+        world.server(0).rejects_until = start + rejection;
+        ask_for_adapter(world, start);
+        const auto ordered = world.passes_at(start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ordered.size());
+        CPPUNIT_ASSERT(ordered.front() == server_id("s1"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.offered_adapters(0, start));
+    }
+
+    /// The others still send it requests for the adapter that was to make room.
+    void a_server_that_rejects_requests_keeps_its_adapters()
+    {
+        order_world world(1, {"a1", "a2"});
+        ask_for_adapter(world, start);
+        world.passes_at(start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.offered_adapters(0, start));
+        const auto later = start + duration{1000};
+        world.server(0).rejects_until = later + rejection;
+        CPPUNIT_ASSERT(world.passes_at(later).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.offered_adapters(0, later));
+    }
+
 private:
     static void ask_for_adapter(order_world& world, time_point now)
     {
