--- a/tools/barleyfork_gateway/main.cpp
+++ b/tools/barleyfork_gateway/main.cpp
@@ -1,5 +1,6 @@
 /// The gateway on the users' platform: reads its settings, serves, drains.
 
+#include <barleyfork/base/heap.hpp>
 #include <barleyfork/base/log.hpp>
 #include <barleyfork/gateway/gateway.hpp>
 #include <barleyfork/platform/platform.hpp>
@@ -44,6 +45,7 @@
 
 int main(int argc, char** argv)
 {
+    barleyfork::return_freed_buffers();
     gflags::SetVersionString(BARLEYFORK_VERSION);
     gflags::SetUsageMessage("barleyfork_gateway --config FILE");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
--- a/tools/barleyforkd/main.cpp
+++ b/tools/barleyforkd/main.cpp
@@ -1,5 +1,6 @@
 /// The daemon: reads its settings, serves until told to end, drains.
 
+#include <barleyfork/base/heap.hpp>
 #include <barleyfork/base/log.hpp>
 #include <barleyfork/daemon/daemon.hpp>
 #include <barleyfork/schema/toml_reader.hpp>
@@ -42,6 +43,7 @@
 
 int main(int argc, char** argv)
 {
+    barleyfork::return_freed_buffers();
     gflags::SetVersionString(BARLEYFORK_VERSION);
     gflags::SetUsageMessage("barleyforkd --config FILE");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
