--- a/libs/core/src/server_choice.cpp
+++ b/libs/core/src/server_choice.cpp
@@ -145,11 +145,12 @@
         std::max(std::max(known, reported) * work.ms_per_token * load.slowness,
                  expected_admission_ms(candidate, work));
     const double waited_ms = static_cast<double>(load.oldest_wait.count());
+    const double running_of_others = std::max(
+        reported_by_others(load.reported_running, load.own_outstanding, load),
+        static_cast<double>(load.peer_outstanding));
     const double running_delay_ms =
         ms_per_running_request *
-        static_cast<double>(
-            std::max(load.reported_running,
-                     load.own_outstanding + load.peer_outstanding));
+        (static_cast<double>(load.own_outstanding) + running_of_others);
     const double own_ms = static_cast<double>(work.prompt_tokens) *
                           work.ms_per_token * load.slowness;
     return work.base_ms * load.slowness + own_ms + running_delay_ms +
--- a/libs/core/tests/uneven_servers_test.cpp
+++ b/libs/core/tests/uneven_servers_test.cpp
@@ -96,6 +96,7 @@
     CPPUNIT_TEST(slow_servers_get_less);
     CPPUNIT_TEST(full_memory_delays_the_admission);
     CPPUNIT_TEST(full_slots_delay_the_admission);
+    CPPUNIT_TEST(a_load_figure_is_forgotten_with_its_report);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -206,6 +207,23 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(
             100.0, expected_admission_ms(candidate, work), 0.1);
     }
+
+    /// Guards against a server that is never tried again because of what it
+    /// last reported: without a request no newer figure comes.
+    void a_load_figure_is_forgotten_with_its_report()
+    {
+        constexpr std::uint32_t absurd = 4000000000;
+        constexpr duration old{500};
+        const engine_work work;
+        auto candidate = make_candidate("s");
+        const auto unreported = expected_first_event_ms(candidate, work);
+        candidate.load.reported = true;
+        candidate.load.reported_running = absurd;
+        CPPUNIT_ASSERT(expected_first_event_ms(candidate, work) > unreported);
+        candidate.load.report_age = old;
+        CPPUNIT_ASSERT_EQUAL(unreported,
+                             expected_first_event_ms(candidate, work));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(uneven_servers_test);
