--- a/libs/core/src/server_choice.cpp
+++ b/libs/core/src/server_choice.cpp
@@ -40,7 +40,7 @@
 
 /// Returns the requests that the server reported in excess of this daemon's
 /// own, with a weight that decreases with the age of the report.
-double reported_by_others(std::uint32_t reported,
+double reported_by_others(std::uint64_t reported,
                           std::uint32_t own,
                           const load_view& load)
 {
@@ -85,11 +85,11 @@
 /// by their updates.
 double outstanding_of_others(const load_view& load)
 {
-    return std::max(
-        reported_by_others(load.reported_running + load.reported_waiting,
-                           load.own_outstanding,
-                           load),
-        static_cast<double>(load.peer_outstanding));
+    return std::max(reported_by_others(std::uint64_t{load.reported_running} +
+                                           load.reported_waiting,
+                                       load.own_outstanding,
+                                       load),
+                    static_cast<double>(load.peer_outstanding));
 }
 
 /// Returns the usual time that a request waits at the candidates, in ms.
--- a/libs/core/tests/uneven_servers_test.cpp
+++ b/libs/core/tests/uneven_servers_test.cpp
@@ -97,6 +97,7 @@
     CPPUNIT_TEST(full_memory_delays_the_admission);
     CPPUNIT_TEST(full_slots_delay_the_admission);
     CPPUNIT_TEST(a_load_figure_is_forgotten_with_its_report);
+    CPPUNIT_TEST(large_load_figures_do_not_wrap);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -224,6 +225,20 @@
         CPPUNIT_ASSERT_EQUAL(unreported,
                              expected_first_event_ms(candidate, work));
     }
+
+    /// Guards against a server that looks idle because of its figures' sum.
+    void large_load_figures_do_not_wrap()
+    {
+        constexpr std::uint32_t half = 1U << 31U;
+        engine_work work;
+        work.usual_total_ms = 1000.0;
+        auto candidate = make_candidate("s");
+        candidate.load.reported = true;
+        candidate.load.reported_running = half;
+        const auto one = expected_admission_ms(candidate, work);
+        candidate.load.reported_waiting = half;
+        CPPUNIT_ASSERT(expected_admission_ms(candidate, work) > one);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(uneven_servers_test);
