--- a/libs/net/include/barleyfork/net/http_client.hpp
+++ b/libs/net/include/barleyfork/net/http_client.hpp
@@ -62,10 +62,15 @@
 /// Sends small HTTP/1.1 requests and keeps idle connections per endpoint.
 ///
 /// Belongs to one worker; several calls may be in flight. A kept connection
-/// that has been closed is replaced before any byte is counted as sent.
+/// that has been closed is replaced before any byte is counted as sent. One
+/// that stays idle for too long is closed at the next call to any endpoint.
 class http_client
 {
 public:
+    static constexpr duration default_max_idle_time{60000};
+
+    explicit http_client(duration max_idle_time = default_max_idle_time);
+
     /// Sends one request and reads the complete response.
     boost::asio::awaitable<http_reply> call(const http_endpoint& endpoint,
                                             http_call request);
@@ -73,7 +78,17 @@
 private:
     using socket = boost::asio::ip::tcp::socket;
 
-    std::map<std::string, std::vector<socket>> idle_;
+    struct idle_connection
+    {
+        socket stream;
+        time_point since{};
+    };
+
+    void close_idle(time_point now);
+
+    duration max_idle_time_;
+    time_point swept_at_{};
+    std::map<std::string, std::vector<idle_connection>> idle_;
 };
 
 } // namespace barleyfork
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -83,6 +83,22 @@
     return found == headers.end() ? std::string_view() : found->second;
 }
 
+http_client::http_client(duration max_idle_time) : max_idle_time_(max_idle_time)
+{
+}
+
+void http_client::close_idle(time_point now)
+{
+    if (now < swept_at_ + max_idle_time_)
+        return;
+    swept_at_ = now;
+    for (auto& [endpoint, kept] : idle_)
+        std::erase_if(kept, [this, now](const auto& idle) {
+            return now >= idle.since + max_idle_time_;
+        });
+    std::erase_if(idle_, [](const auto& item) { return item.second.empty(); });
+}
+
 asio::awaitable<http_reply> http_client::call(const http_endpoint& endpoint,
                                               http_call request)
 {
@@ -90,10 +106,11 @@
     const auto key = to_string(endpoint);
     const auto timeout = request.timeout;
     beast::tcp_stream stream(co_await asio::this_coro::executor);
+    close_idle(steady_now());
     auto& kept = idle_[key];
     bool reused = false;
     while (request.may_share_connection && !kept.empty() && !reused) {
-        auto socket = std::move(kept.back());
+        auto socket = std::move(kept.back().stream);
         kept.pop_back();
         reused = is_reusable_connection(socket);
         if (reused)
@@ -154,7 +171,7 @@
     if (clean && request.may_share_connection &&
         pool.size() < max_idle_connections) {
         stream.expires_never();
-        pool.push_back(stream.release_socket());
+        pool.push_back({stream.release_socket(), steady_now()});
     }
     co_return reply;
 }
--- a/libs/net/tests/http_client_test.cpp
+++ b/libs/net/tests/http_client_test.cpp
@@ -127,6 +127,7 @@
     CPPUNIT_TEST(an_endless_response_times_out);
     CPPUNIT_TEST(a_call_that_is_given_up_is_reset);
     CPPUNIT_TEST(a_status_that_is_none_is_an_error);
+    CPPUNIT_TEST(a_connection_that_stays_idle_is_closed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -208,7 +209,49 @@
         }
     }
 
+    /// Guards against a descriptor for each server that was ever called and
+    /// then replaced, where its side stays open.
+    void a_connection_that_stays_idle_is_closed()
+    {
+        constexpr duration max_idle_time{100};
+        const loopback_listener replaced{1};
+        const slow_server other(0, duration{0});
+        io_worker work("test", 16);
+        http_client client(max_idle_time);
+        work.start();
+        std::promise<http_reply> first;
+        constexpr duration timeout{1000};
+        work.spawn(call(client, endpoint_of(replaced), timeout, first));
+        const int connection = ::accept(replaced.socket(), nullptr, nullptr);
+        answer_one_request(connection);
+        CPPUNIT_ASSERT(!first.get_future().get().error);
+        std::this_thread::sleep_for(2 * max_idle_time);
+        std::promise<http_reply> second;
+        work.spawn(call(client, other.endpoint(), timeout, second));
+        CPPUNIT_ASSERT(!second.get_future().get().error);
+        const int error = read_to_the_end(connection);
+        ::close(connection);
+        work.stop();
+        work.discard();
+        CPPUNIT_ASSERT_EQUAL(0, error);
+    }
+
 private:
+    /// Leaves the connection open, with a limit of 1 s on what follows.
+    static void answer_one_request(int connection)
+    {
+        std::array<char, 1024> request{};
+        CPPUNIT_ASSERT(::recv(connection, request.data(), request.size(), 0) >
+                       0);
+        constexpr std::string_view answer =
+            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        static_cast<void>(
+            ::send(connection, answer.data(), answer.size(), MSG_NOSIGNAL));
+        const timeval limit{1, 0};
+        ::setsockopt(
+            connection, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    }
+
     /// Returns the error that ends a connection; 0 if it was closed.
     static int read_to_the_end(int connection)
     {
