--- a/libs/gateway/src/http_text.cpp
+++ b/libs/gateway/src/http_text.cpp
@@ -5,9 +5,11 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
 #include <charconv>
+#include <set>
 
 namespace barleyfork {
 
@@ -35,17 +37,20 @@
         [name](auto header) { return equal_ignoring_case(name, header); });
 }
 
-/// Returns true if a `Connection` header lists the header as hop-by-hop.
-bool is_listed_in_connection(const header_list& headers, std::string_view name)
+using header_names = std::set<std::string_view, boost::beast::iless>;
+
+/// Returns the headers that `Connection` headers list as hop-by-hop, as views
+/// of `headers`.
+header_names names_listed_in_connection(const header_list& headers)
 {
+    header_names names;
     for (const auto& [key, value] : headers) {
         if (!equal_ignoring_case(key, "connection"))
             continue;
-        http::token_list tokens(value);
-        if (tokens.exists(name))
-            return true;
+        for (const auto token : http::token_list(value))
+            names.insert({token.data(), token.size()});
     }
-    return false;
+    return names;
 }
 
 /// Returns the host that a request names, in lower case and without the port,
@@ -110,12 +115,12 @@
 header_list end_to_end_headers(const header_list& headers,
                                const call_codec& codec)
 {
+    const auto listed = names_listed_in_connection(headers);
     header_list result;
     for (const auto& [name, value] : headers) {
         if (is_hop_by_hop(name))
             continue;
-        if (!codec.is_always_forwarded(name) &&
-            is_listed_in_connection(headers, name))
+        if (listed.contains(name) && !codec.is_always_forwarded(name))
             continue;
         result.emplace_back(name, value);
     }
