--- a/libs/core/src/server_choice.cpp
+++ b/libs/core/src/server_choice.cpp
@@ -12,6 +12,9 @@
 constexpr double ms_per_running_request = 0.5;
 /// Age at which a reported queue is assumed to have drained, in ms.
 constexpr double report_ttl_ms = 500.0;
+/// Age at which all requests that a report shows as running are assumed to have
+/// ended.
+constexpr duration running_report_lifetime{5000};
 /// Assumed prompt tokens of a waiting request that is known only from a report.
 constexpr double assumed_prompt_tokens = 1500.0;
 /// Cost of a server on which all recent requests failed, in ms.
@@ -145,12 +148,14 @@
         std::max(std::max(known, reported) * work.ms_per_token * load.slowness,
                  expected_admission_ms(candidate, work));
     const double waited_ms = static_cast<double>(load.oldest_wait.count());
-    const double running_of_others = std::max(
-        reported_by_others(load.reported_running, load.own_outstanding, load),
-        static_cast<double>(load.peer_outstanding));
+    const auto known_running = load.own_outstanding + load.peer_outstanding;
+    const bool is_report_current =
+        load.reported && load.report_age < running_report_lifetime;
     const double running_delay_ms =
         ms_per_running_request *
-        (static_cast<double>(load.own_outstanding) + running_of_others);
+        static_cast<double>(is_report_current
+                                ? std::max(load.reported_running, known_running)
+                                : known_running);
     const double own_ms = static_cast<double>(work.prompt_tokens) *
                           work.ms_per_token * load.slowness;
     return work.base_ms * load.slowness + own_ms + running_delay_ms +
